--- /dev/null
+++ b/agent/doc.go
@@ -0,0 +1,2 @@
+// Package agent is filled in below its doc comment.
+package agent
--- /dev/null
+++ b/client/doc.go
@@ -0,0 +1,2 @@
+// Package client is filled in below its doc comment.
+package client
--- /dev/null
+++ b/command/doc.go
@@ -0,0 +1,2 @@
+// Package command is filled in below its doc comment.
+package command
--- /dev/null
+++ b/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry is filled in below its doc comment.
+package entry
--- /dev/null
+++ b/load/doc.go
@@ -0,0 +1,2 @@
+// Package load is filled in below its doc comment.
+package load
--- /dev/null
+++ b/placement/doc.go
@@ -0,0 +1,2 @@
+// Package placement is filled in below its doc comment.
+package placement
--- /dev/null
+++ b/release/state.go
@@ -0,0 +1,74 @@
+// Package release holds release notes and the configuration that follows from
+// them: services, availability zones, teams and settings, under a version that
+// only goes up.
+//
+// It is pure: reading and writing the platform's table is done in entry.
+package release
+
+import "time"
+
+// State is the whole configuration of a deployment after its latest note.
+type State struct {
+	Version  uint64             `cbor:"1,keyasint" json:"version"`
+	NoteID   string             `cbor:"2,keyasint" json:"noteId"`
+	Services map[string]Service `cbor:"3,keyasint" json:"services"`
+	Zones    map[string]Zone    `cbor:"4,keyasint" json:"zones"`
+	Teams    map[string]Team    `cbor:"5,keyasint,omitempty" json:"teams,omitempty"`
+	Settings Settings           `cbor:"6,keyasint" json:"settings"`
+}
+
+// Service is a back end that tasks are submitted to.
+type Service struct {
+	MaxTaskMS   int64 `cbor:"1,keyasint" json:"maxTaskMs"`   // longest run time of one task
+	MaxTasks    int   `cbor:"2,keyasint" json:"maxTasks"`    // tasks of one job
+	MaxPayloadB int   `cbor:"3,keyasint" json:"maxPayloadB"` // bytes of one task's payload
+}
+
+// Zone is an availability zone.
+type Zone struct {
+	InService bool `cbor:"1,keyasint" json:"inService"`
+}
+
+// Team is a customer's team with a quota. A deployment without teams takes any team.
+type Team struct {
+	TasksPerSecond float64 `cbor:"1,keyasint" json:"tasksPerSecond"` // 0 is no limit
+	Burst          int     `cbor:"2,keyasint" json:"burst"`          // tasks
+	Weight         int     `cbor:"3,keyasint" json:"weight"`         // share of the slots under contention, at least 1
+}
+
+// Settings are the deployment-wide settings that notes may change.
+type Settings struct {
+	EjectMaxPct    int `cbor:"1,keyasint" json:"ejectMaxPct"`    // largest share of a service's endpoints ejected at once
+	RetryBudgetPct int `cbor:"2,keyasint" json:"retryBudgetPct"` // placements again, as a share of first placements
+}
+
+// Hold takes a zone out of service at once while the note that says so is not
+// durable yet. It ends when the note with the same id is in force.
+type Hold struct {
+	Zone   string `cbor:"1,keyasint" json:"zone"`
+	NoteID string `cbor:"2,keyasint" json:"noteId"`
+}
+
+// InService reports whether tasks may start in zone: it is named, in service
+// and under no hold.
+func (s *State) InService(zone string, holds []Hold) bool {
+	if s == nil || !s.Zones[zone].InService {
+		return false
+	}
+	for _, h := range holds {
+		if h.Zone == zone && h.NoteID != s.NoteID {
+			return false
+		}
+	}
+	return true
+}
+
+// Times that together bound how long a task may still start in a zone after a
+// note has taken it out of service: an entry vouches for a version it read at
+// most VouchLifetime ago, and an agent relies on a vouch for
+// PermissionLifetime. Their sum stays under StopBound.
+const (
+	VouchLifetime      = 1200 * time.Millisecond
+	PermissionLifetime = 1500 * time.Millisecond
+	StopBound          = 3 * time.Second
+)
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,122 @@
+// Package settings reads the settings files of the processes: JSON with
+// comments, every key checked, errors with file, line and the allowed range.
+//
+// Settings are fixed for the life of a process; what changes while it runs is
+// in release notes.
+package settings
+
+import "time"
+
+// Duration is a time.Duration written as text, such as "250ms".
+type Duration time.Duration
+
+// D returns d as a time.Duration.
+func (d Duration) D() time.Duration { return time.Duration(d) }
+
+// TLS names the files of a certificate, its key and the authority that peers
+// must be signed by. Empty fields turn TLS off.
+type TLS struct {
+	CertFile string `json:"certFile" validate:"required_with=KeyFile,omitempty,file"`
+	KeyFile  string `json:"keyFile" validate:"required_with=CertFile,omitempty,file"`
+	CAFile   string `json:"caFile" validate:"omitempty,file"`
+}
+
+// Key is a shared secret, inline or in a file. The first of a list signs; all
+// of them are accepted, so that keys can be rotated.
+type Key struct {
+	Secret     string `json:"secret" validate:"required_without=SecretFile,omitempty,min=16,max=256"`
+	SecretFile string `json:"secretFile" validate:"omitempty,file"`
+}
+
+// Platform says how to reach the platform's table and object store.
+type Platform struct {
+	URL     string   `json:"url" validate:"required,url"`
+	Token   string   `json:"token" validate:"max=256"`
+	Timeout Duration `json:"timeout" validate:"min=50000000,max=30000000000"` // 50ms-30s
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	BodyBytes    int      `json:"bodyBytes" validate:"min=1024,max=67108864"`
+	PayloadBytes int      `json:"payloadBytes" validate:"min=16,max=8388608"`
+	Tasks        int      `json:"tasks" validate:"min=1,max=10000"`
+	OpenJobs     int      `json:"openJobs" validate:"min=1,max=1000000"`
+	Tickets      int      `json:"tickets" validate:"min=1,max=10000"` // of one request
+	ReadTimeout  Duration `json:"readTimeout" validate:"min=100000000,max=300000000000"`
+	MaxDeadline  Duration `json:"maxDeadline" validate:"min=1000000000,max=600000000000"`
+	ResultBytes  int      `json:"resultBytes" validate:"min=1024,max=268435456"` // answers kept for resubmissions
+}
+
+// Entry holds the settings of an entry.
+type Entry struct {
+	ID             string   `json:"id" validate:"required,max=64,hostname_rfc1123"`
+	Zone           string   `json:"zone" validate:"required,max=64"`
+	Listen         string   `json:"listen" validate:"required,tcp_addr"`        // callers
+	OperatorListen string   `json:"operatorListen" validate:"required,tcp_addr"` // operators
+	OperatorToken  string   `json:"operatorToken" validate:"omitempty,min=16,max=256"`
+	LinkListen     string   `json:"linkListen" validate:"required,tcp_addr"` // agents and peers
+	LinkAddr       string   `json:"linkAddr" validate:"omitempty,tcp_addr"`  // as others dial it; default LinkListen
+	MetricsListen  string   `json:"metricsListen" validate:"omitempty,tcp_addr"`
+	Peers          []string `json:"peers" validate:"max=64,dive,tcp_addr"` // link addresses known beforehand
+	Keys           []Key    `json:"keys" validate:"required,min=1,max=8,dive"`
+	Platform       Platform `json:"platform" validate:"required"`
+	TLS            TLS      `json:"tls"`     // callers and operators
+	LinkTLS        TLS      `json:"linkTls"` // between processes
+	HTTP2          bool     `json:"http2"`   // unencrypted HTTP/2 besides HTTP/1.1
+	Limits         Limits   `json:"limits"`
+	StopTimeout    Duration `json:"stopTimeout" validate:"min=1000000000,max=600000000000"`
+	LogLevel       string   `json:"logLevel" validate:"oneof=debug info warn error"`
+	Placement      string   `json:"placement" validate:"oneof=credits random two_choices"` // how tasks find slots
+}
+
+// Agent holds the settings of an agent.
+type Agent struct {
+	ID            string   `json:"id" validate:"required,max=64,hostname_rfc1123"`
+	Zone          string   `json:"zone" validate:"required,max=64"`
+	Service       string   `json:"service" validate:"required,max=64"`
+	Endpoint      string   `json:"endpoint" validate:"required,url"` // base URL of the endpoint beside the agent
+	Slots         int      `json:"slots" validate:"min=1,max=1024"`
+	Connections   int      `json:"connections" validate:"min=1,max=4096"`
+	MemoryMB      int      `json:"memoryMb" validate:"min=1,max=16777216"`
+	Listen        string   `json:"listen" validate:"required,tcp_addr"` // the endpoint announces its leaving here; metrics, health
+	Entries       []string `json:"entries" validate:"required,min=1,max=64,dive,tcp_addr"`
+	Keys          []Key    `json:"keys" validate:"required,min=1,max=8,dive"`
+	Platform      Platform `json:"platform" validate:"required"`
+	LinkTLS       TLS      `json:"linkTls"`
+	ResultBytes   int      `json:"resultBytes" validate:"min=1024,max=268435456"` // results held for settlement
+	StopTimeout   Duration `json:"stopTimeout" validate:"min=1000000000,max=600000000000"`
+	LogLevel      string   `json:"logLevel" validate:"oneof=debug info warn error"`
+}
+
+// DefaultEntry returns the settings that a file overrides.
+func DefaultEntry() Entry {
+	return Entry{
+		Platform: Platform{Timeout: Duration(2 * time.Second)},
+		Limits: Limits{
+			BodyBytes:    16 << 20,
+			PayloadBytes: 64 << 10,
+			Tasks:        1000,
+			OpenJobs:     20000,
+			Tickets:      1000,
+			ReadTimeout:  Duration(10 * time.Second),
+			MaxDeadline:  Duration(2 * time.Minute),
+			ResultBytes:  16 << 20,
+		},
+		StopTimeout: Duration(30 * time.Second),
+		LogLevel:    "info",
+		Placement:   "credits",
+	}
+}
+
+// DefaultAgent returns the settings that a file overrides.
+func DefaultAgent() Agent {
+	return Agent{
+		Slots:       8,
+		Connections: 60,
+		MemoryMB:    1024,
+		Platform:    Platform{Timeout: Duration(2 * time.Second)},
+		ResultBytes: 8 << 20,
+		StopTimeout: Duration(30 * time.Second),
+		LogLevel:    "info",
+	}
+}
--- /dev/null
+++ b/standin/doc.go
@@ -0,0 +1,2 @@
+// Package standin is filled in below its doc comment.
+package standin
--- /dev/null
+++ b/telemetry/instruments.go
@@ -0,0 +1,113 @@
+package telemetry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"bergamotwing.example/result"
+)
+
+// instruments keeps the OpenTelemetry side out of the public type.
+type instruments struct {
+	meter    metric.Meter
+	registry *prometheus.Registry
+
+	refusedTotal  metric.Int64Counter
+	retriedTotal  metric.Int64Counter
+	sentTotal     metric.Int64Counter
+	sentBytes     metric.Int64Counter
+	receivedTotal metric.Int64Counter
+
+	attrs    sync.Map // label value -> metric.MeasurementOption, made once each
+	mu       sync.Mutex
+	counters map[string]metric.Int64Counter
+}
+
+// NewMetrics returns the metrics of one process. Several can live in one
+// program, each with a registry of its own.
+func NewMetrics() (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo(), otelprom.WithoutTargetInfo())
+	if err != nil {
+		return nil, eris.Wrap(err, "metrics exporter")
+	}
+	meter := sdk.NewMeterProvider(sdk.WithReader(exporter)).Meter("bergamotwing")
+	in := &instruments{meter: meter, registry: registry, counters: map[string]metric.Int64Counter{}}
+	for _, c := range []struct {
+		to         *metric.Int64Counter
+		name, help string
+	}{
+		{&in.refusedTotal, "bergamotwing_refused_total", "Refusals by reason."},
+		{&in.retriedTotal, "bergamotwing_retried_total", "Tries made again by the reason of the failure before."},
+		{&in.sentTotal, "bergamotwing_messages_sent_total", "Messages sent on links by kind."},
+		{&in.sentBytes, "bergamotwing_messages_sent_bytes_total", "Bytes sent on links by kind."},
+		{&in.receivedTotal, "bergamotwing_messages_received_total", "Messages received on links by kind."},
+	} {
+		counter, err := meter.Int64Counter(c.name, metric.WithDescription(c.help))
+		if err != nil {
+			return nil, eris.Wrapf(err, "counter %s", c.name)
+		}
+		*c.to = counter
+	}
+	return &Metrics{instruments: in}, nil
+}
+
+func (in *instruments) label(key, value string) metric.MeasurementOption {
+	id := key + "=" + value
+	if o, ok := in.attrs.Load(id); ok {
+		return o.(metric.MeasurementOption)
+	}
+	o := metric.WithAttributeSet(attribute.NewSet(attribute.String(key, value)))
+	in.attrs.Store(id, o)
+	return o
+}
+
+func (in *instruments) refused(c result.Code) {
+	in.refusedTotal.Add(context.Background(), 1, in.label("reason", c.String()))
+}
+
+func (in *instruments) retried(c result.Code) {
+	in.retriedTotal.Add(context.Background(), 1, in.label("reason", c.String()))
+}
+
+func (in *instruments) sent(kind string, bytes int) {
+	l := in.label("kind", kind)
+	in.sentTotal.Add(context.Background(), 1, l)
+	in.sentBytes.Add(context.Background(), int64(bytes), l)
+}
+
+func (in *instruments) received(kind string) {
+	in.receivedTotal.Add(context.Background(), 1, in.label("kind", kind))
+}
+
+func (in *instruments) gauge(name, help string, read func() float64) {
+	_, _ = in.meter.Float64ObservableGauge(name, metric.WithDescription(help),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			o.Observe(read())
+			return nil
+		}))
+}
+
+func (in *instruments) count(name, help string, n int64) {
+	in.mu.Lock()
+	c, ok := in.counters[name]
+	if !ok {
+		c, _ = in.meter.Int64Counter(name, metric.WithDescription(help))
+		in.counters[name] = c
+	}
+	in.mu.Unlock()
+	c.Add(context.Background(), n)
+}
+
+func (in *instruments) handler() http.Handler {
+	return promhttp.HandlerFor(in.registry, promhttp.HandlerOpts{})
+}
