--- a/settings/settings.go
+++ b/settings/settings.go
@@ -51,7 +51,7 @@
 type Entry struct {
 	ID             string   `json:"id" validate:"required,max=64,hostname_rfc1123"`
 	Zone           string   `json:"zone" validate:"required,max=64"`
-	Listen         string   `json:"listen" validate:"required,tcp_addr"`        // callers
+	Listen         string   `json:"listen" validate:"required,tcp_addr"`         // callers
 	OperatorListen string   `json:"operatorListen" validate:"required,tcp_addr"` // operators
 	OperatorToken  string   `json:"operatorToken" validate:"omitempty,min=16,max=256"`
 	LinkListen     string   `json:"linkListen" validate:"required,tcp_addr"` // agents and peers
@@ -71,21 +71,21 @@
 
 // Agent holds the settings of an agent.
 type Agent struct {
-	ID            string   `json:"id" validate:"required,max=64,hostname_rfc1123"`
-	Zone          string   `json:"zone" validate:"required,max=64"`
-	Service       string   `json:"service" validate:"required,max=64"`
-	Endpoint      string   `json:"endpoint" validate:"required,url"` // base URL of the endpoint beside the agent
-	Slots         int      `json:"slots" validate:"min=1,max=1024"`
-	Connections   int      `json:"connections" validate:"min=1,max=4096"`
-	MemoryMB      int      `json:"memoryMb" validate:"min=1,max=16777216"`
-	Listen        string   `json:"listen" validate:"required,tcp_addr"` // the endpoint announces its leaving here; metrics, health
-	Entries       []string `json:"entries" validate:"required,min=1,max=64,dive,tcp_addr"`
-	Keys          []Key    `json:"keys" validate:"required,min=1,max=8,dive"`
-	Platform      Platform `json:"platform" validate:"required"`
-	LinkTLS       TLS      `json:"linkTls"`
-	ResultBytes   int      `json:"resultBytes" validate:"min=1024,max=268435456"` // results held for settlement
-	StopTimeout   Duration `json:"stopTimeout" validate:"min=1000000000,max=600000000000"`
-	LogLevel      string   `json:"logLevel" validate:"oneof=debug info warn error"`
+	ID          string   `json:"id" validate:"required,max=64,hostname_rfc1123"`
+	Zone        string   `json:"zone" validate:"required,max=64"`
+	Service     string   `json:"service" validate:"required,max=64"`
+	Endpoint    string   `json:"endpoint" validate:"required,url"` // base URL of the endpoint beside the agent
+	Slots       int      `json:"slots" validate:"min=1,max=1024"`
+	Connections int      `json:"connections" validate:"min=1,max=4096"`
+	MemoryMB    int      `json:"memoryMb" validate:"min=1,max=16777216"`
+	Listen      string   `json:"listen" validate:"required,tcp_addr"` // the endpoint announces its leaving here; metrics, health
+	Entries     []string `json:"entries" validate:"required,min=1,max=64,dive,tcp_addr"`
+	Keys        []Key    `json:"keys" validate:"required,min=1,max=8,dive"`
+	Platform    Platform `json:"platform" validate:"required"`
+	LinkTLS     TLS      `json:"linkTls"`
+	ResultBytes int      `json:"resultBytes" validate:"min=1024,max=268435456"` // results held for settlement
+	StopTimeout Duration `json:"stopTimeout" validate:"min=1000000000,max=600000000000"`
+	LogLevel    string   `json:"logLevel" validate:"oneof=debug info warn error"`
 }
 
 // DefaultEntry returns the settings that a file overrides.
--- a/wire/kinds.go
+++ b/wire/kinds.go
@@ -5,58 +5,58 @@
 
 // Message kinds.
 const (
-	KindAgentHello Kind = 1
-	KindEntryHello Kind = 2
-	KindOffer Kind = 3
-	KindGrant Kind = 4
-	KindResult Kind = 5
-	KindRefuse Kind = 6
-	KindAgentPing Kind = 7
-	KindEntryBeat Kind = 8
+	KindAgentHello    Kind = 1
+	KindEntryHello    Kind = 2
+	KindOffer         Kind = 3
+	KindGrant         Kind = 4
+	KindResult        Kind = 5
+	KindRefuse        Kind = 6
+	KindAgentPing     Kind = 7
+	KindEntryBeat     Kind = 8
 	KindReturnCredits Kind = 9
-	KindConfig Kind = 10
-	KindConfigAck Kind = 11
-	KindResume Kind = 12
-	KindResumeReply Kind = 13
-	KindCancel Kind = 14
-	KindFence Kind = 15
-	KindFenceReply Kind = 16
-	KindPeerHello Kind = 17
-	KindPeerBeat Kind = 18
-	KindCreditAsk Kind = 19
-	KindCreditGive Kind = 20
-	KindForward Kind = 21
-	KindForwardReply Kind = 22
-	KindHandover Kind = 23
-	KindHandoverAck Kind = 24
-	KindHeir Kind = 25
+	KindConfig        Kind = 10
+	KindConfigAck     Kind = 11
+	KindResume        Kind = 12
+	KindResumeReply   Kind = 13
+	KindCancel        Kind = 14
+	KindFence         Kind = 15
+	KindFenceReply    Kind = 16
+	KindPeerHello     Kind = 17
+	KindPeerBeat      Kind = 18
+	KindCreditAsk     Kind = 19
+	KindCreditGive    Kind = 20
+	KindForward       Kind = 21
+	KindForwardReply  Kind = 22
+	KindHandover      Kind = 23
+	KindHandoverAck   Kind = 24
+	KindHeir          Kind = 25
 )
 
-func (*AgentHello) kind() Kind { return KindAgentHello }
-func (*EntryHello) kind() Kind { return KindEntryHello }
-func (*Offer) kind() Kind { return KindOffer }
-func (*Grant) kind() Kind { return KindGrant }
-func (*Result) kind() Kind { return KindResult }
-func (*Refuse) kind() Kind { return KindRefuse }
-func (*AgentPing) kind() Kind { return KindAgentPing }
-func (*EntryBeat) kind() Kind { return KindEntryBeat }
+func (*AgentHello) kind() Kind    { return KindAgentHello }
+func (*EntryHello) kind() Kind    { return KindEntryHello }
+func (*Offer) kind() Kind         { return KindOffer }
+func (*Grant) kind() Kind         { return KindGrant }
+func (*Result) kind() Kind        { return KindResult }
+func (*Refuse) kind() Kind        { return KindRefuse }
+func (*AgentPing) kind() Kind     { return KindAgentPing }
+func (*EntryBeat) kind() Kind     { return KindEntryBeat }
 func (*ReturnCredits) kind() Kind { return KindReturnCredits }
-func (*Config) kind() Kind { return KindConfig }
-func (*ConfigAck) kind() Kind { return KindConfigAck }
-func (*Resume) kind() Kind { return KindResume }
-func (*ResumeReply) kind() Kind { return KindResumeReply }
-func (*Cancel) kind() Kind { return KindCancel }
-func (*Fence) kind() Kind { return KindFence }
-func (*FenceReply) kind() Kind { return KindFenceReply }
-func (*PeerHello) kind() Kind { return KindPeerHello }
-func (*PeerBeat) kind() Kind { return KindPeerBeat }
-func (*CreditAsk) kind() Kind { return KindCreditAsk }
-func (*CreditGive) kind() Kind { return KindCreditGive }
-func (*Forward) kind() Kind { return KindForward }
-func (*ForwardReply) kind() Kind { return KindForwardReply }
-func (*Handover) kind() Kind { return KindHandover }
-func (*HandoverAck) kind() Kind { return KindHandoverAck }
-func (*Heir) kind() Kind { return KindHeir }
+func (*Config) kind() Kind        { return KindConfig }
+func (*ConfigAck) kind() Kind     { return KindConfigAck }
+func (*Resume) kind() Kind        { return KindResume }
+func (*ResumeReply) kind() Kind   { return KindResumeReply }
+func (*Cancel) kind() Kind        { return KindCancel }
+func (*Fence) kind() Kind         { return KindFence }
+func (*FenceReply) kind() Kind    { return KindFenceReply }
+func (*PeerHello) kind() Kind     { return KindPeerHello }
+func (*PeerBeat) kind() Kind      { return KindPeerBeat }
+func (*CreditAsk) kind() Kind     { return KindCreditAsk }
+func (*CreditGive) kind() Kind    { return KindCreditGive }
+func (*Forward) kind() Kind       { return KindForward }
+func (*ForwardReply) kind() Kind  { return KindForwardReply }
+func (*Handover) kind() Kind      { return KindHandover }
+func (*HandoverAck) kind() Kind   { return KindHandoverAck }
+func (*Heir) kind() Kind          { return KindHeir }
 
 // newMessage returns an empty message of a kind, or nil for an unknown kind.
 func newMessage(k Kind) Message {
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -224,8 +224,8 @@
 
 // PeerBeat is the heartbeat between entries.
 type PeerBeat struct {
-	Clock   int64 `cbor:"1,keyasint"` // sender's monotonic milliseconds
-	Echo    int64 `cbor:"2,keyasint"` // last Clock received from the other side
+	Clock   int64  `cbor:"1,keyasint"` // sender's monotonic milliseconds
+	Echo    int64  `cbor:"2,keyasint"` // last Clock received from the other side
 	Version uint64 `cbor:"3,keyasint"`
 	// StoreAgeMS is how old the sender's own reading of the version in the
 	// store is; negative when it has none.
