Placement queue, job ledger and ticket book, without a process around them yet

Pure parts: fair sharing by team, slot credits with asks and gives between entries, outlier ejection, a job's states, and the book that ends every ticket with one outcome. A refused submission consumes its ticket, because a delayed copy of the request could otherwise run after the caller was told it did not. Not measured yet.

--- a/placement/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package placement is filled in below its doc comment.
-package placement
--- /dev/null
+++ b/placement/fair.go
@@ -0,0 +1,157 @@
+package placement
+
+import "time"
+
+// fairQueue orders waiting tasks: teams share by weight (start-time fair
+// queueing over tasks), jobs of one team go in the order of arrival.
+type fairQueue struct {
+	teams   map[string]*teamQueue
+	virtual float64 // virtual time of the last task taken
+	waiting int
+}
+
+type teamQueue struct {
+	name   string
+	weight int
+	finish float64 // virtual time at which its last task taken is paid for
+	jobs   []*waitingJob
+	count  int
+}
+
+type waitingJob struct {
+	id       JobID
+	arrived  time.Time
+	deadline time.Time
+	tasks    []Task
+}
+
+func newFairQueue() *fairQueue { return &fairQueue{teams: map[string]*teamQueue{}} }
+
+func (f *fairQueue) push(now time.Time, j Job) {
+	t, ok := f.teams[j.Team]
+	if !ok {
+		t = &teamQueue{name: j.Team}
+		f.teams[j.Team] = t
+	}
+	t.weight = max(1, j.Weight)
+	if t.count == 0 {
+		t.finish = max(t.finish, f.virtual)
+	}
+	t.jobs = append(t.jobs, &waitingJob{id: j.ID, arrived: now, deadline: j.Deadline, tasks: append([]Task(nil), j.Tasks...)})
+	t.count += len(j.Tasks)
+	f.waiting += len(j.Tasks)
+}
+
+// pushBack puts a refused task back at the head of its team.
+func (f *fairQueue) pushBack(now time.Time, j Job, task Task, arrived time.Time) {
+	t, ok := f.teams[j.Team]
+	if ok {
+		for _, w := range t.jobs {
+			if w.id == j.ID {
+				w.tasks = append([]Task{task}, w.tasks...)
+				t.count++
+				f.waiting++
+				return
+			}
+		}
+	}
+	j.Tasks = []Task{task}
+	f.push(now, j)
+	t = f.teams[j.Team]
+	last := t.jobs[len(t.jobs)-1]
+	last.arrived = arrived
+	copy(t.jobs[1:], t.jobs[:len(t.jobs)-1])
+	t.jobs[0] = last
+}
+
+// next returns the team whose turn it is, or nil.
+func (f *fairQueue) next() *teamQueue {
+	var best *teamQueue
+	for name, t := range f.teams {
+		if t.count == 0 {
+			if t.finish <= f.virtual {
+				delete(f.teams, name)
+			}
+			continue
+		}
+		if best == nil || t.finish < best.finish || (t.finish == best.finish && t.name < best.name) {
+			best = t
+		}
+	}
+	return best
+}
+
+// take removes the task at the head of t.
+func (f *fairQueue) take(t *teamQueue) (Task, *waitingJob) {
+	j := t.jobs[0]
+	task := j.tasks[0]
+	j.tasks = j.tasks[1:]
+	if len(j.tasks) == 0 {
+		t.jobs = t.jobs[1:]
+	}
+	t.count--
+	f.waiting--
+	f.virtual = t.finish
+	t.finish += 1 / float64(t.weight)
+	f.forgetIdle()
+	return task, j
+}
+
+// forgetIdle drops the teams' history once nothing waits.
+func (f *fairQueue) forgetIdle() {
+	if f.waiting == 0 {
+		clear(f.teams)
+		f.virtual = 0
+	}
+}
+
+// remove drops all waiting tasks of a job and returns how many there were.
+func (f *fairQueue) remove(id JobID) int {
+	for _, t := range f.teams {
+		for i, j := range t.jobs {
+			if j.id != id {
+				continue
+			}
+			t.jobs = append(t.jobs[:i:i], t.jobs[i+1:]...)
+			t.count -= len(j.tasks)
+			f.waiting -= len(j.tasks)
+			f.forgetIdle()
+			return len(j.tasks)
+		}
+	}
+	return 0
+}
+
+// oldest returns the arrival of the job that has waited longest.
+func (f *fairQueue) oldest() (time.Time, bool) {
+	var first time.Time
+	found := false
+	for _, t := range f.teams {
+		for _, j := range t.jobs {
+			if !found || j.arrived.Before(first) {
+				first, found = j.arrived, true
+			}
+			break // jobs of one team are in the order of arrival
+		}
+	}
+	return first, found
+}
+
+// shareAhead returns how many tasks go before the last task of a job of n tasks
+// that joins team now, under fair sharing.
+func (f *fairQueue) shareAhead(team string, weight, n int) float64 {
+	weight = max(1, weight)
+	own := float64(n)
+	if t, ok := f.teams[team]; ok {
+		own += float64(t.count)
+	}
+	rounds := own / float64(weight)
+	ahead := own
+	for name, t := range f.teams {
+		if name == team {
+			continue
+		}
+		ahead += min(float64(t.count), rounds*float64(t.weight))
+	}
+	return ahead
+}
--- /dev/null
+++ b/placement/peers.go
@@ -0,0 +1,156 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+// peerState is what the queue believes of another entry.
+type peerState struct {
+	spare   int       // credits it said it could spare
+	askedAt time.Time // our last ask that it has not met
+	want    int       // credits it asked us for and did not get yet
+	wantAt  time.Time
+	head    time.Time // arrival of its oldest waiting task, on our clock
+}
+
+// SetPeer makes a peer known.
+func (q *Queue) SetPeer(id string) {
+	if _, ok := q.peers[id]; !ok {
+		q.peers[id] = &peerState{}
+	}
+}
+
+// RemovePeer forgets a peer and what it asked for.
+func (q *Queue) RemovePeer(id string) { delete(q.peers, id) }
+
+// PeerSpare notes how many credits a peer said it could spare.
+func (q *Queue) PeerSpare(id string, spare int) {
+	if p, ok := q.peers[id]; ok {
+		p.spare = spare
+	}
+}
+
+// PeerWants remembers a peer's ask. want 0 withdraws it.
+func (q *Queue) PeerWants(now time.Time, id string, want int, oldest time.Duration) {
+	p, ok := q.peers[id]
+	if !ok {
+		return
+	}
+	p.want, p.wantAt, p.head = want, now, now.Add(-oldest)
+	if want > 0 {
+		p.spare = 0
+	}
+}
+
+// PeerGave takes credits that a peer passed on.
+func (q *Queue) PeerGave(id string, credits []Credit) {
+	if p, ok := q.peers[id]; ok && len(credits) > 0 {
+		p.askedAt = time.Time{}
+	}
+	q.AddCredits(credits...)
+}
+
+// ask returns the ask to send, if it is time for one: to the peer believed
+// richest, or else to one that was not asked lately.
+func (q *Queue) ask(now time.Time) []Ask {
+	if now.Sub(q.lastAsk) < askNextAfter {
+		return nil
+	}
+	id, p := q.richest(now)
+	if p == nil {
+		return nil
+	}
+	p.askedAt = now
+	p.spare = 0
+	q.lastAsk = now
+	return []Ask{{Peer: id, Want: q.fair.waiting, Oldest: q.Oldest(now)}}
+}
+
+// richest returns the peer to ask next: the most credits to spare; ties are
+// broken at random. Peers whose earlier ask still stands are left out.
+func (q *Queue) richest(now time.Time) (string, *peerState) {
+	var bestID string
+	var best *peerState
+	ids := make([]string, 0, len(q.peers))
+	for id := range q.peers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	q.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	for _, id := range ids {
+		p := q.peers[id]
+		if !p.askedAt.IsZero() && now.Sub(p.askedAt) < askAgainAfter {
+			continue
+		}
+		if best == nil || p.spare > best.spare {
+			bestID, best = id, p
+		}
+	}
+	return bestID, best
+}
+
+// give passes credits that nothing waits for here on to the peers that asked,
+// oldest waiting task first.
+func (q *Queue) give(now time.Time) []Give {
+	var out []Give
+	for q.spare.count > 0 {
+		id, p := q.neediest(now)
+		if p == nil {
+			break
+		}
+		g := Give{Peer: id}
+		for p.want > 0 {
+			c, ok := q.spare.take(func(agent string) bool { return q.usable(now, agent, 0) })
+			if !ok {
+				break
+			}
+			g.Credits = append(g.Credits, c)
+			p.want--
+		}
+		if len(g.Credits) == 0 {
+			break
+		}
+		out = append(out, g)
+	}
+	return out
+}
+
+// giveOlder passes credits on to peers whose oldest task has waited longer than
+// ours, so that tasks start about in the order of arrival over all entries.
+func (q *Queue) giveOlder(now time.Time) []Give {
+	first, ok := q.fair.oldest()
+	if !ok {
+		return nil
+	}
+	var out []Give
+	for q.spare.count > 0 {
+		id, p := q.neediest(now)
+		if p == nil || !p.head.Before(first) {
+			break
+		}
+		c, ok := q.spare.take(func(agent string) bool { return q.usable(now, agent, 0) })
+		if !ok {
+			break
+		}
+		p.want--
+		p.head = now // one credit for its oldest task; the rest wait their turn
+		out = append(out, Give{Peer: id, Credits: []Credit{c}})
+	}
+	return out
+}
+
+// neediest returns the peer with a standing ask whose task has waited longest.
+func (q *Queue) neediest(now time.Time) (string, *peerState) {
+	var bestID string
+	var best *peerState
+	for id, p := range q.peers {
+		if p.want <= 0 || now.Sub(p.wantAt) > wantLifetime {
+			continue
+		}
+		if best == nil || p.head.Before(best.head) || (p.head.Equal(best.head) && id < bestID) {
+			bestID, best = id, p
+		}
+	}
+	return bestID, best
+}
--- /dev/null
+++ b/placement/queue.go
@@ -0,0 +1,224 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"bergamotwing.example/result"
+)
+
+// Queue holds one service's waiting tasks and the credits that this entry may
+// spend on them.
+type Queue struct {
+	rng     *rand.Rand
+	fair    *fairQueue
+	meta    map[JobID]jobMeta
+	agents  map[string]Agent
+	spare   creditPool
+	peers   map[string]*peerState
+	lastAsk time.Time
+	eject   ejector
+	run     runTimes
+}
+
+type jobMeta struct {
+	team     string
+	weight   int
+	deadline time.Time
+	arrived  time.Time
+	open     int // tasks waiting or granted
+}
+
+// NewQueue returns an empty queue. rng breaks ties between peers.
+func NewQueue(rng *rand.Rand) *Queue {
+	return &Queue{
+		rng:    rng,
+		fair:   newFairQueue(),
+		meta:   map[JobID]jobMeta{},
+		agents: map[string]Agent{},
+		spare:  newCreditPool(),
+		peers:  map[string]*peerState{},
+		eject:  newEjector(),
+	}
+}
+
+// Waiting returns the number of waiting tasks.
+func (q *Queue) Waiting() int { return q.fair.waiting }
+
+// Spare returns the number of credits held and not in use.
+func (q *Queue) Spare() int { return q.spare.count }
+
+// Oldest returns how long the oldest waiting job has waited.
+func (q *Queue) Oldest(now time.Time) time.Duration {
+	first, ok := q.fair.oldest()
+	if !ok {
+		return 0
+	}
+	return now.Sub(first)
+}
+
+// Admit says whether a job may join the queue: OK, NeverFits, or Overloaded
+// when its deadline cannot be met behind what waits already.
+func (q *Queue) Admit(now time.Time, j Job) result.Code {
+	if !q.fits(j.Tasks) {
+		return result.NeverFits
+	}
+	wait, known := q.Estimate(j.Team, j.Weight, len(j.Tasks))
+	if known && q.fair.waiting > 0 && now.Add(wait).After(j.Deadline) {
+		return result.Overloaded
+	}
+	return result.OK
+}
+
+// Estimate returns how long a job of n tasks would take to finish, from the
+// run times seen and this entry's share of the slots.
+func (q *Queue) Estimate(team string, weight, n int) (time.Duration, bool) {
+	mean, known := q.run.mean()
+	if !known {
+		return 0, false
+	}
+	slots := q.usableSlots()
+	if slots == 0 {
+		return 0, false
+	}
+	share := max(1, float64(slots)/float64(1+len(q.peers)))
+	ahead := q.fair.shareAhead(team, weight, n)
+	return time.Duration((ahead/share + 1) * float64(mean)), true
+}
+
+// fits reports whether each task fits an agent known in any zone. With no agent
+// known, nothing is said against it.
+func (q *Queue) fits(tasks []Task) bool {
+	largest := 0
+	for _, a := range q.agents {
+		largest = max(largest, a.MemoryMB)
+	}
+	if largest == 0 {
+		return true
+	}
+	for _, t := range tasks {
+		if t.MemoryMB > largest {
+			return false
+		}
+	}
+	return true
+}
+
+// Add puts an admitted job into the queue.
+func (q *Queue) Add(now time.Time, j Job) {
+	q.meta[j.ID] = jobMeta{team: j.Team, weight: j.Weight, deadline: j.Deadline, arrived: now, open: len(j.Tasks)}
+	q.fair.push(now, j)
+}
+
+// Remove drops a job's waiting tasks and forgets the job.
+func (q *Queue) Remove(id JobID) int {
+	delete(q.meta, id)
+	return q.fair.remove(id)
+}
+
+// Again makes a task that was refused before its start placeable again.
+func (q *Queue) Again(now time.Time, t Task) {
+	m, ok := q.meta[t.Job]
+	if !ok {
+		return
+	}
+	q.fair.pushBack(now, Job{ID: t.Job, Team: m.team, Weight: m.weight, Deadline: m.deadline}, t, m.arrived)
+}
+
+// Done notes the end of a task on an agent and its run time.
+func (q *Queue) Done(agent string, run time.Duration, failurePct int, now time.Time) {
+	q.run.add(run)
+	q.eject.observe(now, agent, failurePct)
+	q.eject.finished(agent)
+}
+
+// Refused notes that a placement on an agent was refused before its start.
+func (q *Queue) Refused(agent string) { q.eject.finished(agent) }
+
+// SetAgent makes an agent known or changes what is known of it. Credits of an
+// agent that is not usable are kept but not spent.
+func (q *Queue) SetAgent(a Agent) { q.agents[a.ID] = a }
+
+// RemoveAgent forgets an agent and its credits.
+func (q *Queue) RemoveAgent(id string) {
+	delete(q.agents, id)
+	q.spare.removeAgent(id)
+	q.eject.remove(id)
+}
+
+// SetEjectLimit sets the largest share of the agents that may be ejected, in
+// per cent.
+func (q *Queue) SetEjectLimit(pct int) { q.eject.maxPct = pct }
+
+// Ejected reports whether an agent is ejected.
+func (q *Queue) Ejected(agent string, now time.Time) bool { return q.eject.ejected(now, agent) }
+
+// AddCredits takes credits that an agent offered or a peer gave.
+func (q *Queue) AddCredits(credits ...Credit) {
+	for _, c := range credits {
+		if _, ok := q.agents[c.Agent]; ok {
+			q.spare.add(c)
+		}
+	}
+}
+
+// Held returns the credits of an agent that are held and not in use.
+func (q *Queue) Held(agent string) []Credit { return q.spare.of(agent) }
+
+// usable reports whether a credit of an agent may be spent on a task now.
+func (q *Queue) usable(now time.Time, agent string, memoryMB int) bool {
+	a, ok := q.agents[agent]
+	return ok && a.Usable && a.MemoryMB >= memoryMB && q.eject.allows(now, agent)
+}
+
+func (q *Queue) usableSlots() int {
+	n := 0
+	for _, a := range q.agents {
+		if a.Usable {
+			n += a.Slots
+		}
+	}
+	return n
+}
+
+// Dispatch pairs waiting tasks with credits, then asks or gives.
+func (q *Queue) Dispatch(now time.Time) Decision {
+	q.eject.refresh(now, len(q.agents))
+	var d Decision
+	d.Give = q.giveOlder(now)
+	for {
+		t := q.fair.next()
+		if t == nil {
+			break
+		}
+		need := t.jobs[0].tasks[0].MemoryMB
+		c, ok := q.spare.take(func(agent string) bool { return q.usable(now, agent, need) })
+		if !ok {
+			break
+		}
+		task, _ := q.fair.take(t)
+		q.eject.started(c.Agent)
+		d.Place = append(d.Place, Placement{Task: task, Credit: c})
+	}
+	if q.fair.waiting > 0 {
+		d.Ask = q.ask(now)
+		return d
+	}
+	d.Give = append(d.Give, q.give(now)...)
+	return d
+}
+
+// Expired returns the jobs whose deadline has passed, or that have started
+// nothing and can no longer finish in time; started tells which have.
+func (q *Queue) Expired(now time.Time, started func(JobID) bool) []JobID {
+	least := q.run.least()
+	var out []JobID
+	for id, m := range q.meta {
+		late := !now.Before(m.deadline)
+		hopeless := !started(id) && now.Add(least).After(m.deadline)
+		if late || hopeless {
+			out = append(out, id)
+		}
+	}
+	return out
+}
--- a/release/state.go
+++ b/release/state.go
@@ -5,7 +5,10 @@
 // It is pure: reading and writing the platform's table is done in entry.
 package release
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // State is the whole configuration of a deployment after its latest note.
 type State struct {
@@ -15,8 +18,17 @@
 	Zones    map[string]Zone    `cbor:"4,keyasint" json:"zones"`
 	Teams    map[string]Team    `cbor:"5,keyasint,omitempty" json:"teams,omitempty"`
 	Settings Settings           `cbor:"6,keyasint" json:"settings"`
+	// Recent holds the ids of the latest notes, newest last, so that a process
+	// that missed a version still learns that a note is in force.
+	Recent []string `cbor:"7,keyasint,omitempty" json:"recent,omitempty"`
 }
 
+// RecentNotes is how many note ids State.Recent keeps.
+const RecentNotes = 64
+
+// HasNote reports whether the note is among the latest in force.
+func (s *State) HasNote(id string) bool { return s != nil && slices.Contains(s.Recent, id) }
+
 // Service is a back end that tasks are submitted to.
 type Service struct {
 	MaxTaskMS   int64 `cbor:"1,keyasint" json:"maxTaskMs"`   // longest run time of one task
@@ -56,7 +68,7 @@
 		return false
 	}
 	for _, h := range holds {
-		if h.Zone == zone && h.NoteID != s.NoteID {
+		if h.Zone == zone && !s.HasNote(h.NoteID) {
 			return false
 		}
 	}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -225,14 +225,14 @@
 // PeerBeat is the heartbeat between entries.
 type PeerBeat struct {
 	Clock   int64  `cbor:"1,keyasint"` // sender's monotonic milliseconds
-	Echo    int64  `cbor:"2,keyasint"` // last Clock received from the other side
-	Version uint64 `cbor:"3,keyasint"`
-	// StoreAgeMS is how old the sender's own reading of the version in the
-	// store is; negative when it has none.
-	StoreAgeMS int64          `cbor:"4,keyasint"`
-	Holds      []release.Hold `cbor:"5,keyasint,omitempty"`
-	Spare      []ServiceCount `cbor:"6,keyasint,omitempty"`
-	Peers      []Peer         `cbor:"7,keyasint,omitempty"` // only when changed
+	Echo    int64  `cbor:"2,keyasint"` // newest Clock received from the other side; 0 is none
+	Version uint64 `cbor:"3,keyasint"` // configuration version of the sender
+	// Vouch says that Version was in force at a moment not earlier than the
+	// receiver's clock reading Vouch.Echo.
+	Vouch Vouch          `cbor:"4,keyasint"`
+	Holds []release.Hold `cbor:"5,keyasint,omitempty"`
+	Spare []ServiceCount `cbor:"6,keyasint,omitempty"`
+	Fast  bool           `cbor:"7,keyasint,omitempty"` // the sender cannot read the store and needs beats often
 }
 
 // ServiceCount is a number of credits for one service.
@@ -245,6 +245,8 @@
 type CreditAsk struct {
 	Service string         `cbor:"1,keyasint"`
 	Want    int            `cbor:"2,keyasint"` // 0 withdraws an earlier ask
+	// OldestMS is how long the sender's oldest waiting task has waited.
+	OldestMS int64 `cbor:"4,keyasint"`
 	Spare   []ServiceCount `cbor:"3,keyasint,omitempty"`
 }
 
@@ -261,22 +263,23 @@
 	Method   string `cbor:"2,keyasint"`
 	Ticket   string `cbor:"3,keyasint"`
 	Body     []byte `cbor:"4,keyasint"`
-	Withdraw bool   `cbor:"5,keyasint,omitempty"` // the caller has gone
 }
 
 // ForwardReply answers Forward.
 type ForwardReply struct {
 	Request uint64 `cbor:"1,keyasint"`
-	Status  int    `cbor:"2,keyasint"`
-	Body    []byte `cbor:"3,keyasint"`
+	Body    []byte `cbor:"3,keyasint"` // the answer as JSON
 }
 
 // SettledJob is the final answer of one ticket.
 type SettledJob struct {
-	Seq    uint64   `cbor:"1,keyasint"`
-	Digest [16]byte `cbor:"2,keyasint"`
-	Status int      `cbor:"3,keyasint"`
-	Body   []byte   `cbor:"4,keyasint"`
+	Seq     uint64      `cbor:"1,keyasint"`
+	Digest  [16]byte    `cbor:"2,keyasint"`
+	Code    result.Code `cbor:"3,keyasint"`
+	Detail  string      `cbor:"4,keyasint,omitempty"`
+	Started int         `cbor:"5,keyasint"`
+	Tasks   int         `cbor:"6,keyasint"`
+	Results [][]byte    `cbor:"7,keyasint,omitempty"`
 }
 
 // Handover gives the whole ledger of an entry that stops to a peer. Last marks
