--- /dev/null
+++ b/entry/agents.go
@@ -0,0 +1,252 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bergamotwing.example/placement"
+	"bergamotwing.example/result"
+	"bergamotwing.example/wire"
+)
+
+// Times of an agent's link.
+const (
+	helloTimeout  = 2 * time.Second
+	beatAgentIdle = 400 * time.Millisecond // held credits are confirmed if nothing else was sent for this long
+	agentGrace    = 3 * time.Second        // after its link broke, its tasks are given up
+)
+
+// agentLink is one agent's run as this entry knows it through one link.
+type agentLink struct {
+	id          string
+	incarnation wire.Incarnation
+	zone        string
+	service     string
+	slots       int
+	memoryMB    int
+	link        *wire.Link
+	clocks      clockRing
+	// resuming holds the attempts that were open when the link was made; only
+	// these may be declared never seen. The service's lock guards it.
+	resuming map[wire.TaskRef]int
+
+	version    atomic.Uint64
+	failurePct atomic.Int64
+	leaving    atomic.Bool
+	heardAt    atomic.Int64 // entry clock, ms
+	sentAt     atomic.Int64 // entry clock, ms, of the last message that confirms held credits
+	pinged     atomic.Bool  // it waits for a renewal of its permission
+}
+
+// agentSet holds the agents linked now.
+type agentSet struct {
+	mu   sync.RWMutex
+	byID map[string]*agentLink
+}
+
+func newAgentSet() *agentSet { return &agentSet{byID: map[string]*agentLink{}} }
+
+func (s *agentSet) get(id string) *agentLink {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.byID[id]
+}
+
+// swap makes a the link to its agent and returns the one before.
+func (s *agentSet) swap(a *agentLink) *agentLink {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.byID[a.id]
+	s.byID[a.id] = a
+	return old
+}
+
+// remove drops a unless another link has taken its place.
+func (s *agentSet) remove(a *agentLink) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byID[a.id] != a {
+		return false
+	}
+	delete(s.byID, a.id)
+	return true
+}
+
+func (s *agentSet) list() []*agentLink {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	out := make([]*agentLink, 0, len(s.byID))
+	for _, a := range s.byID {
+		out = append(out, a)
+	}
+	return out
+}
+
+func (s *agentSet) each(f func(*agentLink)) {
+	for _, a := range s.list() {
+		f(a)
+	}
+}
+
+func (s *agentSet) closeAll() { s.each(func(a *agentLink) { a.link.Close() }) }
+
+// linkRoutes serves the links of agents and peers.
+func (e *Entry) linkRoutes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /link/agent", e.acceptLink(e.serveAgent))
+	mux.HandleFunc("GET /link/peer", e.acceptLink(e.servePeer))
+	return mux
+}
+
+func (e *Entry) acceptLink(serve func(context.Context, *wire.Link)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !wire.CheckLinkToken(r.Header.Get("Authorization"), e.secrets) {
+			e.metrics.Refused(result.Unauthorized)
+			http.Error(w, result.Unauthorized.String(), http.StatusUnauthorized)
+			return
+		}
+		link, err := wire.Accept(w, r, e.obs)
+		if err != nil {
+			return
+		}
+		serve(context.WithoutCancel(r.Context()), link)
+	}
+}
+
+// serveAgent reads one agent's link until it ends.
+func (e *Entry) serveAgent(ctx context.Context, link *wire.Link) {
+	var a *agentLink
+	hello := time.AfterFunc(helloTimeout, link.Close)
+	defer hello.Stop()
+	err := link.Serve(ctx, func(m wire.Message) {
+		if a != nil {
+			e.fromAgent(a, m)
+			return
+		}
+		h, ok := m.(*wire.AgentHello)
+		if !ok {
+			link.Close()
+			return
+		}
+		hello.Stop()
+		a = e.welcomeAgent(link, h)
+	})
+	if a == nil {
+		return
+	}
+	e.log.Info().Err(err).Str("agent", a.id).Msg("agent link ended")
+	if e.agents.remove(a) {
+		e.services.get(a.service).agentGone(a)
+		e.settler.agentGone(a)
+	}
+}
+
+// welcomeAgent makes an agent's new link the one that is used.
+func (e *Entry) welcomeAgent(link *wire.Link, h *wire.AgentHello) *agentLink {
+	a := &agentLink{
+		id: h.Agent, incarnation: h.Incarnation, zone: h.Zone, service: h.Service,
+		slots: h.Slots, memoryMB: h.MemoryMB, link: link,
+	}
+	now := time.Now()
+	a.version.Store(h.Version)
+	a.leaving.Store(h.Leaving)
+	a.heardAt.Store(e.clock())
+	a.clocks.heard(h.Clock, now)
+	e.control.send(stateHeard{state: h.State})
+	v := e.control.view()
+	_ = link.Send(&wire.EntryHello{
+		Self: e.self, Peers: v.Peers, State: e.agentConfig(v).State, Holds: v.Holds, Vouch: e.control.vouch(&a.clocks),
+	})
+	old := e.agents.swap(a)
+	if old != nil {
+		old.link.Close()
+	}
+	e.log.Info().Str("agent", a.id).Str("service", a.service).Msg("agent linked")
+	e.services.get(a.service).agentLinked(a, old)
+	// The configuration may have changed between the greeting and the swap.
+	_ = link.Send(e.agentConfig(e.control.view()))
+	return a
+}
+
+// fromAgent handles one message of an agent.
+func (e *Entry) fromAgent(a *agentLink, m wire.Message) {
+	a.heardAt.Store(e.clock())
+	s := e.services.get(a.service)
+	switch m := m.(type) {
+	case *wire.Result:
+		a.clocks.heard(m.Clock, time.Now())
+		a.failurePct.Store(int64(m.FailurePct))
+		s.finished(a, m)
+	case *wire.Refuse:
+		a.clocks.heard(m.Clock, time.Now())
+		e.metrics.Retried(m.Code)
+		s.refused(a, m)
+	case *wire.Offer:
+		a.clocks.heard(m.Clock, time.Now())
+		s.offered(a, m.Credits)
+	case *wire.AgentPing:
+		a.clocks.heard(m.Clock, time.Now())
+		e.pingedBy(a, m)
+	case *wire.ResumeReply:
+		s.resumed(a, m)
+	case *wire.FenceReply:
+		e.settler.answered(a, m)
+	case *wire.ConfigAck:
+		a.version.Store(m.Version)
+	case *wire.Config:
+		e.control.send(stateHeard{state: m.State})
+	default:
+		e.log.Warn().Str("agent", a.id).Stringer("kind", wire.KindOf(m)).Msg("unexpected message")
+	}
+}
+
+func (e *Entry) pingedBy(a *agentLink, m *wire.AgentPing) {
+	a.version.Store(m.Version)
+	a.failurePct.Store(int64(m.FailurePct))
+	if a.leaving.Swap(m.Leaving) != m.Leaving {
+		e.services.get(a.service).setAgent(a)
+	}
+	a.pinged.Store(true)
+}
+
+// answerPing renews the permission of an agent that asked, once the known
+// moment covers its clock reading.
+func (e *Entry) answerPing(a *agentLink) {
+	if a.pinged.Swap(false) {
+		e.beat(a)
+	}
+}
+
+// beatIfDue confirms held credits to an agent that was sent nothing lately.
+func (e *Entry) beatIfDue(a *agentLink) {
+	if e.clock()-a.sentAt.Load() < beatAgentIdle.Milliseconds() {
+		return
+	}
+	if len(e.services.get(a.service).held(a.id)) > 0 {
+		e.beat(a)
+	}
+}
+
+func (e *Entry) beat(a *agentLink) {
+	held := e.services.get(a.service).held(a.id)
+	a.sentAt.Store(e.clock())
+	_ = a.link.Send(&wire.EntryBeat{Vouch: e.control.vouch(&a.clocks), Held: held})
+}
+
+func slotCredits(credits []placement.Credit) []wire.SlotCredit {
+	if len(credits) == 0 {
+		return nil
+	}
+	out := make([]wire.SlotCredit, len(credits))
+	for i, c := range credits {
+		out[i] = wire.SlotCredit{Slot: c.Slot, Epoch: c.Epoch}
+	}
+	return out
+}
+
+func (a *agentLink) credit(c wire.SlotCredit) placement.Credit {
+	return placement.Credit{Agent: a.id, Incarnation: uint64(a.incarnation), Slot: c.Slot, Epoch: c.Epoch}
+}
--- /dev/null
+++ b/entry/control.go
@@ -0,0 +1,207 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	"bergamotwing.example/platform"
+	"bergamotwing.example/release"
+	"bergamotwing.example/wire"
+)
+
+// view is an immutable snapshot of the control state.
+type view struct {
+	State      *release.State // nil until a configuration is known
+	Holds      []release.Hold
+	Registered []string    // ids of the entries in the table, as last read
+	Peers      []wire.Peer // entries known, without this one
+	StoreRead  time.Time   // start of the last successful reading of the version
+	StoreDown  bool        // the last reading failed
+}
+
+func (v *view) version() uint64 {
+	if v.State == nil {
+		return 0
+	}
+	return v.State.Version
+}
+
+// Messages of the control actor.
+type (
+	stateHeard struct{ state *release.State }
+	storeRead  struct {
+		state *release.State
+		began time.Time
+	}
+	storeFailed struct{}
+	holdAdded   struct{ holds []release.Hold }
+	entriesRead struct{ rows []platform.EntryRecord }
+	peerHeard   struct{ peers []wire.Peer }
+	ackTo       struct{ peer *peerLink } // confirm the version in force to a peer
+)
+
+// control is the entry's one thread for control state: a protoactor-go actor.
+// Others send it messages and read the published view.
+type control struct {
+	e      *Entry
+	system *actor.ActorSystem
+	pid    *actor.PID
+	now    atomic.Pointer[view]
+	// known is the moment, in nanoseconds since the entry's start, at which the
+	// version in force was last known to be current; 0 is never. Peers' beats
+	// raise it without passing through the actor.
+	known atomic.Int64
+}
+
+func newControl(e *Entry) *control {
+	quiet := actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
+		return slog.New(slog.NewTextHandler(io.Discard, nil))
+	})
+	c := &control{e: e, system: actor.NewActorSystem(quiet)}
+	c.now.Store(&view{})
+	c.pid = c.system.Root.Spawn(actor.PropsFromFunc(c.receive))
+	return c
+}
+
+// view returns the latest snapshot.
+func (c *control) view() *view { return c.now.Load() }
+
+func (c *control) send(m any) { c.system.Root.Send(c.pid, m) }
+
+// run starts the goroutines that read the store on the actor's behalf.
+func (c *control) run(ctx context.Context) {
+	c.e.background(ctx, c.readVersions)
+	c.e.background(ctx, c.register)
+	c.e.background(ctx, c.writeHolds)
+}
+
+func (c *control) stop() {
+	_ = c.system.Root.StopFuture(c.pid).Wait()
+	c.system.Shutdown()
+}
+
+func (c *control) receive(ctx actor.Context) {
+	next := *c.view()
+	switch m := ctx.Message().(type) {
+	case stateHeard:
+		c.adopt(&next, m.state)
+	case storeRead:
+		c.adopt(&next, m.state)
+		next.StoreDown = false
+		if m.began.After(next.StoreRead) {
+			next.StoreRead = m.began
+		}
+	case storeFailed:
+		next.StoreDown = true
+	case holdAdded:
+		c.addHolds(&next, m.holds)
+	case entriesRead:
+		c.members(&next, m.rows)
+	case peerHeard:
+		c.addPeers(&next, m.peers)
+	case ackTo:
+		m.peer.send(c.e, &wire.ConfigAck{Version: next.version()})
+		return
+	default:
+		return
+	}
+	c.publish(&next)
+	if m, ok := ctx.Message().(storeRead); ok && m.state.Version >= next.version() {
+		c.raiseKnown(m.began)
+	}
+}
+
+// adopt takes a configuration if it is newer; versions never go down.
+func (c *control) adopt(next *view, s *release.State) {
+	if s == nil || s.Version == 0 || s.Version <= next.version() {
+		return
+	}
+	next.State = s
+	next.Holds = slices.DeleteFunc(slices.Clone(next.Holds), func(h release.Hold) bool { return s.HasNote(h.NoteID) })
+}
+
+func (c *control) addHolds(next *view, holds []release.Hold) {
+	for _, h := range holds {
+		if next.State.HasNote(h.NoteID) || slices.Contains(next.Holds, h) {
+			continue
+		}
+		next.Holds = append(slices.Clone(next.Holds), h)
+	}
+}
+
+func (c *control) members(next *view, rows []platform.EntryRecord) {
+	next.Registered = nil
+	var peers []wire.Peer
+	for _, r := range rows {
+		next.Registered = append(next.Registered, r.ID)
+		peers = append(peers, wire.Peer{ID: r.ID, Incarnation: wire.Incarnation(r.Incarnation), Addr: r.Addr, Zone: r.Zone})
+	}
+	// An entry that is neither in the table nor linked is gone.
+	next.Peers = slices.DeleteFunc(slices.Clone(next.Peers), func(p wire.Peer) bool {
+		return !slices.Contains(next.Registered, p.ID) && c.e.peers.get(p.ID) == nil
+	})
+	c.addPeers(next, peers)
+}
+
+// addPeers merges what is heard of other entries.
+func (c *control) addPeers(next *view, heard []wire.Peer) {
+	peers := slices.Clone(next.Peers)
+	for _, p := range heard {
+		if p.ID == c.e.self.ID {
+			continue
+		}
+		i := slices.IndexFunc(peers, func(q wire.Peer) bool { return q.ID == p.ID })
+		if i < 0 {
+			peers = append(peers, p)
+			continue
+		}
+		peers[i] = p
+	}
+	next.Peers = peers
+}
+
+// publish makes next the snapshot and sends what changed to agents and peers.
+func (c *control) publish(next *view) {
+	last := c.view()
+	c.now.Store(next)
+	changed := next.version() != last.version() || !slices.Equal(next.Holds, last.Holds)
+	if changed {
+		c.e.log.Info().Uint64("version", next.version()).Interface("holds", next.Holds).Msg("configuration in force")
+		c.e.configChanged(next)
+	}
+	if !slices.Equal(next.Peers, last.Peers) {
+		c.e.agents.each(func(a *agentLink) { _ = a.link.Send(&wire.Config{Peers: c.e.allPeers(next)}) })
+	}
+}
+
+// allPeers returns all entries known, this one included.
+func (e *Entry) allPeers(v *view) []wire.Peer { return append(slices.Clone(v.Peers), e.self) }
+
+// configChanged puts a new configuration in force here and sends it on.
+func (e *Entry) configChanged(v *view) {
+	e.quotas.set(v.State, len(v.Peers)+1)
+	e.agents.each(func(a *agentLink) {
+		_ = a.link.Send(e.agentConfig(v))
+		e.services.get(a.service).setAgent(a)
+	})
+	e.peers.each(func(p *peerLink) { _ = p.link.Send(&wire.Config{State: v.State, Holds: v.Holds}) })
+	if v.State != nil {
+		e.services.each(func(s *service) { s.configure(v.State) })
+	}
+}
+
+// agentConfig returns what an agent needs of the configuration.
+func (e *Entry) agentConfig(v *view) *wire.Config {
+	if v.State == nil {
+		return &wire.Config{Holds: v.Holds}
+	}
+	s := *v.State
+	s.Teams = nil
+	return &wire.Config{State: &s, Holds: v.Holds}
+}
--- a/entry/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package entry is filled in below its doc comment.
-package entry
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,316 @@
+// Package entry is the process on an entry host: it takes callers' jobs, places
+// their tasks on agents, answers each ticket it issued exactly one way, and
+// carries release notes.
+//
+// Control state (configuration, members, vouching) lives in one actor that
+// publishes snapshots (control.go). Traffic reads them and never waits for it.
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/binary"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"bergamotwing.example/client/api"
+	"bergamotwing.example/ledger"
+	"bergamotwing.example/platform"
+	"bergamotwing.example/release/notestore"
+	"bergamotwing.example/settings"
+	"bergamotwing.example/telemetry"
+	"bergamotwing.example/wire"
+)
+
+// Times of the parts of an entry.
+const (
+	dispatchTick   = 5 * time.Millisecond // asks again, gives and expires
+	expireTick     = 50 * time.Millisecond
+	drainDelay     = time.Second // the balancer sees an unready entry this long before it closes
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 16 << 10
+)
+
+// Deps are what an entry is given by the program around it.
+type Deps struct {
+	Log     zerolog.Logger
+	Metrics *telemetry.Metrics
+	Table   platform.Table
+}
+
+// Addrs are the addresses an entry listens on, as IP:port.
+type Addrs struct {
+	Callers   string
+	Operators string
+	Links     string
+	Metrics   string // empty if not served
+}
+
+// Entry is one run of the process.
+type Entry struct {
+	cfg     settings.Entry
+	log     zerolog.Logger
+	metrics *telemetry.Metrics
+	table   platform.Table
+	notes   *notestore.Store
+	obs     wire.Observer
+
+	self       wire.Peer
+	secrets    [][]byte
+	ticketKeys []ledger.Key
+	linkTLS    *tls.Config
+	start      time.Time
+
+	book     *ledger.Book
+	control  *control
+	agents   *agentSet
+	peers    *peerSet
+	services *serviceSet
+	quotas   *quotas
+	heirs    *heirs
+	settler  *settler
+	forwards *forwards
+
+	stopping  atomic.Bool
+	openJobs  atomic.Int64
+	listeners listeners
+	wg        sync.WaitGroup
+}
+
+// New checks what the settings refer to and opens the listeners.
+func New(cfg settings.Entry, deps Deps) (*Entry, error) {
+	incarnation, err := newIncarnation()
+	if err != nil {
+		return nil, err
+	}
+	secrets, err := settings.LoadKeys(cfg.Keys)
+	if err != nil {
+		return nil, err
+	}
+	linkTLS, err := cfg.LinkTLS.Client()
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{
+		cfg:     cfg,
+		log:     deps.Log.With().Uint64("incarnation", uint64(incarnation)).Logger(),
+		metrics: deps.Metrics,
+		table:   deps.Table,
+		notes:   &notestore.Store{Table: deps.Table},
+		obs:     wire.Count(deps.Metrics),
+		secrets: secrets,
+		linkTLS: linkTLS,
+		start:   time.Now(),
+		book:    ledger.NewBook(cfg.ID, uint64(incarnation), cfg.Limits.ResultBytes),
+	}
+	for _, s := range secrets {
+		e.ticketKeys = append(e.ticketKeys, ledger.Key(s))
+	}
+	if err := e.listeners.open(cfg); err != nil {
+		return nil, err
+	}
+	e.self = wire.Peer{ID: cfg.ID, Incarnation: incarnation, Addr: linkAddr(cfg, e.listeners.links), Zone: cfg.Zone}
+	e.agents = newAgentSet()
+	e.peers = newPeerSet()
+	e.services = newServiceSet(e)
+	e.quotas = newQuotas()
+	e.heirs = newHeirs()
+	e.settler = newSettler(e)
+	e.forwards = newForwards()
+	e.control = newControl(e)
+	e.registerGauges()
+	return e, nil
+}
+
+// Addrs returns the bound addresses.
+func (e *Entry) Addrs() Addrs { return e.listeners.addrs() }
+
+// Run serves until ctx ends, then stops gracefully: no request is cut off.
+func (e *Entry) Run(ctx context.Context) error {
+	run, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	e.log.Info().Str("callers", e.Addrs().Callers).Str("links", e.Addrs().Links).Msg("entry started")
+	e.control.run(run)
+	e.background(run, e.dialPeers)
+	e.background(run, e.tick)
+	e.background(run, e.settler.run)
+	servers, err := e.serve()
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	e.stop(servers)
+	cancel()
+	e.agents.closeAll()
+	e.peers.closeAll()
+	e.wg.Wait()
+	e.control.stop()
+	e.log.Info().Msg("entry stopped")
+	return nil
+}
+
+func (e *Entry) background(ctx context.Context, f func(context.Context)) {
+	e.wg.Add(1)
+	go func() {
+		defer e.wg.Done()
+		f(ctx)
+	}()
+}
+
+// clock returns milliseconds on this process's monotonic clock, from 1.
+func (e *Entry) clock() int64 { return time.Since(e.start).Milliseconds() + 1 }
+
+// tick drives what depends on time alone.
+func (e *Entry) tick(ctx context.Context) {
+	fast := time.NewTicker(dispatchTick)
+	defer fast.Stop()
+	slow := time.NewTicker(expireTick)
+	defer slow.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-fast.C:
+			e.services.each(func(s *service) { s.poll() })
+		case <-slow.C:
+			e.services.each(func(s *service) { s.expire() })
+			e.agents.each(func(a *agentLink) { e.beatIfDue(a) })
+		}
+	}
+}
+
+// listeners holds the entry's sockets.
+type listeners struct {
+	callers, operators, links, metrics net.Listener
+}
+
+func (l *listeners) open(cfg settings.Entry) error {
+	for _, o := range []struct {
+		to   *net.Listener
+		addr string
+	}{
+		{&l.callers, cfg.Listen},
+		{&l.operators, cfg.OperatorListen},
+		{&l.links, cfg.LinkListen},
+		{&l.metrics, cfg.MetricsListen},
+	} {
+		if o.addr == "" {
+			continue
+		}
+		ln, err := net.Listen("tcp", o.addr)
+		if err != nil {
+			l.close()
+			return eris.Wrapf(err, "listen on %s", o.addr)
+		}
+		*o.to = ln
+	}
+	return nil
+}
+
+func (l *listeners) close() {
+	for _, ln := range []net.Listener{l.callers, l.operators, l.links, l.metrics} {
+		if ln != nil {
+			_ = ln.Close()
+		}
+	}
+}
+
+func (l *listeners) addrs() Addrs {
+	a := Addrs{Callers: l.callers.Addr().String(), Operators: l.operators.Addr().String(), Links: l.links.Addr().String()}
+	if l.metrics != nil {
+		a.Metrics = l.metrics.Addr().String()
+	}
+	return a
+}
+
+// linkAddr is the address others dial: the one set, or the bound one.
+func linkAddr(cfg settings.Entry, ln net.Listener) string {
+	if cfg.LinkAddr != "" && cfg.LinkAddr != cfg.LinkListen {
+		return cfg.LinkAddr
+	}
+	return ln.Addr().String()
+}
+
+type servers struct {
+	callers, operators, links, metrics *http.Server
+}
+
+// serve starts the HTTP servers.
+func (e *Entry) serve() (*servers, error) {
+	callersTLS, err := e.cfg.TLS.Server()
+	if err != nil {
+		return nil, err
+	}
+	linksTLS, err := e.cfg.LinkTLS.Server()
+	if err != nil {
+		return nil, err
+	}
+	s := &servers{
+		callers:   e.server(e.callerRoutes(), callersTLS),
+		operators: e.server(e.operatorRoutes(), callersTLS),
+		links:     e.server(e.linkRoutes(), linksTLS),
+		metrics:   e.server(e.metricsRoutes(), nil),
+	}
+	if e.cfg.HTTP2 {
+		p := new(http.Protocols)
+		p.SetHTTP1(true)
+		p.SetHTTP2(true)
+		p.SetUnencryptedHTTP2(true)
+		s.callers.Protocols = p
+	}
+	e.listen(s.callers, e.listeners.callers)
+	e.listen(s.operators, e.listeners.operators)
+	e.listen(s.links, e.listeners.links)
+	if e.listeners.metrics != nil {
+		e.listen(s.metrics, e.listeners.metrics)
+	}
+	return s, nil
+}
+
+func (e *Entry) server(h http.Handler, tlsConfig *tls.Config) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		TLSConfig:         tlsConfig,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+func (e *Entry) listen(s *http.Server, ln net.Listener) {
+	e.background(context.Background(), func(context.Context) {
+		var err error
+		if s.TLSConfig != nil {
+			err = s.ServeTLS(ln, "", "")
+		} else {
+			err = s.Serve(ln)
+		}
+		if !errors.Is(err, http.ErrServerClosed) {
+			e.log.Error().Err(err).Str("listen", ln.Addr().String()).Msg("listener failed")
+		}
+	})
+}
+
+func (e *Entry) metricsRoutes() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", e.metrics.Handler())
+	mux.HandleFunc("GET "+api.PathHealth, e.health)
+	return mux
+}
+
+func newIncarnation() (wire.Incarnation, error) {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return 0, eris.Wrap(err, "draw incarnation")
+	}
+	return wire.Incarnation(binary.BigEndian.Uint64(b[:])), nil
+}
--- /dev/null
+++ b/entry/forward.go
@@ -0,0 +1,186 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"bergamotwing.example/client/api"
+	"bergamotwing.example/ledger"
+	"bergamotwing.example/result"
+	"bergamotwing.example/wire"
+)
+
+// settleAfter is how long an issuer may be out of reach before its ticket is
+// settled without it.
+const settleAfter = 2 * time.Second
+
+// forwards matches the replies of peers to the requests that wait for them.
+type forwards struct {
+	mu      sync.Mutex
+	next    uint64
+	waiting map[uint64]*pendingForward
+}
+
+type pendingForward struct {
+	peer  *peerLink
+	reply chan *wire.ForwardReply // closed when the link ended
+}
+
+func newForwards() *forwards { return &forwards{waiting: map[uint64]*pendingForward{}} }
+
+func (f *forwards) add(p *peerLink) (uint64, *pendingForward) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.next++
+	w := &pendingForward{peer: p, reply: make(chan *wire.ForwardReply, 1)}
+	f.waiting[f.next] = w
+	return f.next, w
+}
+
+func (f *forwards) drop(id uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.waiting, id)
+}
+
+func (f *forwards) reply(m *wire.ForwardReply) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w, ok := f.waiting[m.Request]; ok {
+		delete(f.waiting, m.Request)
+		w.reply <- m
+	}
+}
+
+// peerGone wakes the requests that wait for a link that ended.
+func (f *forwards) peerGone(p *peerLink) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, w := range f.waiting {
+		if w.peer == p {
+			delete(f.waiting, id)
+			close(w.reply)
+		}
+	}
+}
+
+// forward sends a request to the run that issued its ticket, again after each
+// broken link, and settles the ticket if that run stays out of reach. The
+// request may be sent more than once: the issuer joins copies.
+func (e *Entry) forward(ctx context.Context, method string, t ledger.Ticket, text string, body []byte) api.Answer {
+	var missing time.Time
+	for ctx.Err() == nil {
+		p, closed := e.authority(t)
+		if p != nil {
+			missing = time.Time{}
+			if a, ok := e.forwardOnce(ctx, p, method, text, body); ok {
+				return a
+			}
+			e.metrics.Retried(result.PeerUnreachable)
+			continue
+		}
+		if missing.IsZero() {
+			missing = time.Now()
+		}
+		if closed || time.Since(missing) >= settleAfter {
+			return e.settler.settle(ctx, method, t, text, body)
+		}
+		pause(ctx, peerPoll)
+	}
+	return runningAnswer(text)
+}
+
+// authority returns the link to the run that answers for a ticket; closed is
+// true if that run is known to be gone.
+func (e *Entry) authority(t ledger.Ticket) (p *peerLink, closed bool) {
+	if heir := e.heirs.of(t.Incarnation); heir != "" {
+		return e.peers.get(heir), false
+	}
+	p = e.peers.get(t.Entry)
+	if p == nil {
+		return nil, false
+	}
+	if uint64(p.incarnation) != t.Incarnation {
+		return nil, true // the entry was replaced: the issuing run is over
+	}
+	return p, false
+}
+
+func (e *Entry) forwardOnce(ctx context.Context, p *peerLink, method, text string, body []byte) (api.Answer, bool) {
+	id, w := e.forwards.add(p)
+	defer e.forwards.drop(id)
+	if !p.send(e, &wire.Forward{Request: id, Method: method, Ticket: text, Body: body}) {
+		pause(ctx, peerPoll)
+		return api.Answer{}, false
+	}
+	select {
+	case m, ok := <-w.reply:
+		if !ok {
+			return api.Answer{}, false
+		}
+		var a api.Answer
+		if err := json.Unmarshal(m.Body, &a); err != nil {
+			return errorAnswer(text, result.Errorf(result.OutcomeUnknown, "unreadable answer of a peer")), true
+		}
+		return a, true
+	case <-ctx.Done():
+		return runningAnswer(text), true
+	}
+}
+
+// answerForward answers a request that a peer forwarded.
+func (e *Entry) answerForward(p *peerLink, m *wire.Forward) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		select {
+		case <-p.link.Done():
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	a := e.answerForwarded(ctx, m)
+	if ctx.Err() != nil {
+		return
+	}
+	body, err := json.Marshal(a)
+	if err != nil {
+		e.log.Error().Err(err).Msg("answer not encoded")
+		return
+	}
+	p.send(e, &wire.ForwardReply{Request: m.Request, Body: body})
+}
+
+func (e *Entry) answerForwarded(ctx context.Context, m *wire.Forward) api.Answer {
+	t, err := ledger.DecodeTicket(m.Ticket, e.ticketKeys)
+	if err != nil {
+		return errorAnswer(m.Ticket, err)
+	}
+	if t.Entry == e.self.ID && t.Incarnation == uint64(e.self.Incarnation) {
+		return e.requestHere(ctx, m.Method, t, m.Ticket, m.Body)
+	}
+	if book := e.heirs.book(t.Incarnation); book != nil {
+		return e.requestInherited(book, m.Method, t, m.Ticket, m.Body)
+	}
+	return errorAnswer(m.Ticket, result.Errorf(result.OutcomeUnknown, "the ticket belongs to another run"))
+}
+
+// requestInherited answers for a run that stopped and handed its ledger over.
+func (e *Entry) requestInherited(book *ledger.Book, method string, t ledger.Ticket, text string, body []byte) api.Answer {
+	if method == http.MethodPut {
+		rec, _, err := book.Open(t, digest(body), time.Now())
+		if err != nil {
+			return errorAnswer(text, err)
+		}
+		return outcomeAnswer(text, rec.Outcome())
+	}
+	if rec, used := book.Find(t.Seq); rec != nil {
+		return outcomeAnswer(text, rec.Outcome())
+	} else if used {
+		return errorAnswer(text, result.Errorf(result.OutcomeUnknown, "the answer is no longer kept"))
+	}
+	return errorAnswer(text, result.Errorf(result.IssuerClosed, "the issuing entry shut down"))
+}
--- /dev/null
+++ b/entry/handover.go
@@ -0,0 +1,183 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"bergamotwing.example/ledger"
+	"bergamotwing.example/result"
+	"bergamotwing.example/wire"
+)
+
+const (
+	handoverPart    = 200 // jobs in one message
+	handoverTimeout = 2 * time.Second
+	closeTimeout    = 5 * time.Second
+)
+
+// heirs knows who answers for the tickets of entries that stopped gracefully,
+// and keeps the ledgers that were handed to this one.
+type heirs struct {
+	mu        sync.Mutex
+	heirOf    map[uint64]string // by incarnation: id of the entry that answers
+	inherited map[uint64]*ledger.Book
+	partial   map[uint64]*ledger.Book // not yet whole
+	acks      map[uint64]chan struct{}
+}
+
+func newHeirs() *heirs {
+	return &heirs{
+		heirOf:    map[uint64]string{},
+		inherited: map[uint64]*ledger.Book{},
+		partial:   map[uint64]*ledger.Book{},
+		acks:      map[uint64]chan struct{}{},
+	}
+}
+
+// book returns the inherited ledger of a run, or nil.
+func (h *heirs) book(incarnation uint64) *ledger.Book {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.inherited[incarnation]
+}
+
+// of returns the entry that answers for a run that stopped, or "".
+func (h *heirs) of(incarnation uint64) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.heirOf[incarnation]
+}
+
+func (h *heirs) note(m *wire.Heir) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.heirOf[uint64(m.Incarnation)] = m.Heir
+}
+
+// receive takes a part of a ledger; after the last, this entry answers for it.
+func (h *heirs) receive(e *Entry, p *peerLink, m *wire.Handover) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	run := uint64(m.Incarnation)
+	book, ok := h.partial[run]
+	if !ok {
+		book = ledger.NewBook(m.Entry, run, e.cfg.Limits.ResultBytes)
+		book.Close()
+		h.partial[run] = book
+	}
+	for _, j := range m.Jobs {
+		book.Restore(j.Seq, j.Digest, outcomeOf(j), time.Now())
+	}
+	if !m.Last {
+		return
+	}
+	delete(h.partial, run)
+	h.inherited[run] = book
+	p.send(e, &wire.HandoverAck{Incarnation: m.Incarnation})
+	e.log.Info().Str("peer", p.id).Msg("ledger of a stopping entry taken over")
+}
+
+func outcomeOf(j wire.SettledJob) *ledger.Outcome {
+	return &ledger.Outcome{Code: j.Code, Detail: j.Detail, Started: j.Started, Tasks: j.Tasks, Results: j.Results}
+}
+
+// expectAck returns a channel that is closed once a peer has confirmed the
+// ledger of the run.
+func (h *heirs) expectAck(run wire.Incarnation) <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c := make(chan struct{})
+	h.acks[uint64(run)] = c
+	return c
+}
+
+func (h *heirs) acked(run wire.Incarnation) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if c, ok := h.acks[uint64(run)]; ok {
+		delete(h.acks, uint64(run))
+		close(c)
+	}
+}
+
+// stop ends the entry gracefully: no new jobs, the open ones are finished, the
+// ledger goes to a peer, and every request is answered before the listeners close.
+func (e *Entry) stop(s *servers) {
+	e.log.Info().Int64("open_jobs", e.openJobs.Load()).Msg("entry stops")
+	e.stopping.Store(true)
+	e.book.Close()
+	deadline := time.Now().Add(e.cfg.StopTimeout.D())
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	pause(ctx, drainDelay)
+	for e.openJobs.Load() > 0 && pause(ctx, dispatchTick) {
+	}
+	e.failOpenJobs()
+	e.handOver()
+	e.control.deregister()
+	closing, cancelClosing := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancelClosing()
+	for _, srv := range []*http.Server{s.callers, s.operators, s.metrics} {
+		if err := srv.Shutdown(closing); err != nil {
+			e.log.Warn().Err(err).Msg("a request was still open at the end")
+		}
+	}
+	_ = s.links.Close()
+	e.listeners.close()
+}
+
+// failOpenJobs ends what did not finish within the stop's time.
+func (e *Entry) failOpenJobs() {
+	e.services.each(func(s *service) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for id, j := range s.jobs {
+			s.fail(id, j, result.Stopping, result.OutcomeUnknown, "the entry stopped before the job had ended")
+		}
+	})
+}
+
+// handOver gives the ledger to a peer and tells the others.
+func (e *Entry) handOver() {
+	for _, p := range e.peers.list() {
+		acked := e.heirs.expectAck(e.self.Incarnation)
+		e.sendLedger(p)
+		select {
+		case <-acked:
+			e.peers.each(func(q *peerLink) { q.send(e, &wire.Heir{Incarnation: e.self.Incarnation, Heir: p.id}) })
+			e.log.Info().Str("peer", p.id).Msg("ledger handed over")
+			e.awaitFlush()
+			return
+		case <-p.link.Done():
+		case <-time.After(handoverTimeout):
+		}
+	}
+	e.log.Warn().Msg("no peer took the ledger over")
+}
+
+func (e *Entry) sendLedger(p *peerLink) {
+	m := &wire.Handover{Entry: e.self.ID, Incarnation: e.self.Incarnation}
+	e.book.Ended(func(seq uint64, d ledger.Digest, o *ledger.Outcome) {
+		m.Jobs = append(m.Jobs, wire.SettledJob{
+			Seq: seq, Digest: d, Code: o.Code, Detail: o.Detail, Started: o.Started, Tasks: o.Tasks, Results: o.Results,
+		})
+		if len(m.Jobs) == handoverPart {
+			p.send(e, m)
+			m = &wire.Handover{Entry: e.self.ID, Incarnation: e.self.Incarnation}
+		}
+	})
+	m.Last = true
+	p.send(e, m)
+}
+
+// awaitFlush waits until the links have written what was queued.
+func (e *Entry) awaitFlush() {
+	limit := time.Now().Add(time.Second)
+	for _, p := range e.peers.list() {
+		for p.link.Queued() > 0 && time.Now().Before(limit) {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
--- /dev/null
+++ b/entry/operators.go
@@ -0,0 +1,270 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/subtle"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"bergamotwing.example/client/api"
+	"bergamotwing.example/release"
+	"bergamotwing.example/result"
+	"bergamotwing.example/wire"
+)
+
+const (
+	maxNoteBytes  = 1 << 20
+	confirmWithin = time.Second // for a majority of the entries to confirm a note
+	confirmPoll   = 2 * time.Millisecond
+)
+
+// operatorRoutes serves operators.
+func (e *Entry) operatorRoutes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+api.PathNotes, e.applyNote)
+	mux.HandleFunc("GET "+api.PathNotes, e.listNotes)
+	mux.HandleFunc("GET "+api.PathNotes+"/{id}", e.showNote)
+	mux.HandleFunc("GET "+api.PathZones, e.listZones)
+	mux.HandleFunc("POST "+api.PathZones+"/{zone}/out", func(w http.ResponseWriter, r *http.Request) { e.moveZone(w, r, false) })
+	mux.HandleFunc("POST "+api.PathZones+"/{zone}/back", func(w http.ResponseWriter, r *http.Request) { e.moveZone(w, r, true) })
+	mux.HandleFunc("GET "+api.PathStatus, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, e.status()) })
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		e.refuse(w, result.Errorf(result.NotFound, "no such path: %s %s", r.Method, r.URL.Path))
+	})
+	return e.authorize(mux)
+}
+
+// authorize checks the operator's bearer token in constant time.
+func (e *Entry) authorize(next http.Handler) http.Handler {
+	want := []byte(e.cfg.OperatorToken)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if len(want) > 0 && subtle.ConstantTimeCompare([]byte(got), want) != 1 {
+			e.refuse(w, result.Errorf(result.Unauthorized, "the operator's token is missing or wrong"))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (e *Entry) applyNote(w http.ResponseWriter, r *http.Request) {
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxNoteBytes))
+	if err != nil {
+		e.refuse(w, result.Errorf(result.BodyTooLarge, "a note has at most %d bytes", maxNoteBytes))
+		return
+	}
+	note, err := release.ParseNote(text)
+	if err != nil {
+		e.answerNote(w, e.noteFailed(note.ID, err))
+		return
+	}
+	state, err := e.notes.ApplyNote(r.Context(), note)
+	if err != nil {
+		e.answerNote(w, e.noteFailed(note.ID, err))
+		return
+	}
+	e.answerNote(w, e.noteAccepted(r.Context(), note.ID, state))
+}
+
+// moveZone takes a zone out of service or back. Taking it out works without the
+// store too: it is held at once and written later.
+func (e *Entry) moveZone(w http.ResponseWriter, r *http.Request, inService bool) {
+	zone := r.PathValue("zone")
+	id := r.URL.Query().Get("note")
+	if id == "" {
+		id = newNoteID(zone, inService)
+	}
+	state, err := e.notes.ApplyZone(r.Context(), zone, inService, id)
+	if err == nil {
+		e.answerNote(w, e.noteAccepted(r.Context(), id, state))
+		return
+	}
+	if inService || !errors.Is(err, result.Errorf(result.StoreUnavailable, "")) {
+		e.answerNote(w, e.noteFailed(id, err))
+		return
+	}
+	e.answerNote(w, e.hold(r.Context(), zone, id))
+}
+
+func newNoteID(zone string, inService bool) string {
+	var b [6]byte
+	_, _ = rand.Read(b[:])
+	if inService {
+		return zone + "-back-" + hex.EncodeToString(b[:])
+	}
+	return zone + "-out-" + hex.EncodeToString(b[:])
+}
+
+// hold takes a zone out of service while the store is down.
+func (e *Entry) hold(ctx context.Context, zone, id string) api.NoteAnswer {
+	v := e.control.view()
+	if v.State == nil || v.State.Zones[zone] == (release.Zone{}) && !hasZone(v.State, zone) {
+		return e.noteFailed(id, result.Errorf(result.NoteInvalid, "zone %q is not in force", zone))
+	}
+	h := release.Hold{Zone: zone, NoteID: id}
+	e.control.send(holdAdded{holds: []release.Hold{h}})
+	_ = e.await(ctx, func() bool { return slices.Contains(e.control.view().Holds, h) })
+	a := e.noteAnswer(result.HeldNotDurable, id)
+	a.Detail = "out of service wherever this entry reaches; written as a note when the store is back"
+	return a
+}
+
+func hasZone(s *release.State, zone string) bool {
+	_, ok := s.Zones[zone]
+	return ok
+}
+
+// noteAccepted puts a durable note in force and waits for a majority of the
+// registered entries to have it: from then on none of them can vouch for the
+// version before without the store.
+func (e *Entry) noteAccepted(ctx context.Context, id string, state release.State) api.NoteAnswer {
+	e.log.Info().Str("note", id).Uint64("version", state.Version).Msg("note accepted")
+	e.control.send(stateHeard{state: &state})
+	code := result.OK
+	if !e.await(ctx, func() bool { return e.control.view().version() >= state.Version && e.majorityHas(state.Version) }) {
+		code = result.NoteUnconfirmed
+	}
+	a := e.noteAnswer(code, id)
+	a.Version = max(a.Version, state.Version)
+	return a
+}
+
+// await polls until done is true, for confirmWithin at the most.
+func (e *Entry) await(ctx context.Context, done func() bool) bool {
+	ctx, cancel := context.WithTimeout(ctx, confirmWithin)
+	defer cancel()
+	for !done() {
+		if !pause(ctx, confirmPoll) {
+			return done()
+		}
+	}
+	return true
+}
+
+// majorityHas reports whether a majority of the registered entries has at least
+// the version.
+func (e *Entry) majorityHas(version uint64) bool {
+	v := e.control.view()
+	have := 0
+	for _, id := range v.Registered {
+		p := e.peers.get(id)
+		if id == e.self.ID || p != nil && (p.acked.Load() >= version || p.report.Load().version >= version) {
+			have++
+		}
+	}
+	return have >= len(v.Registered)/2+1
+}
+
+func (e *Entry) noteFailed(id string, err error) api.NoteAnswer {
+	var coded *result.Error
+	if !errors.As(err, &coded) {
+		coded = result.Errorf(result.StoreUnavailable, "%v", err)
+	}
+	a := api.NoteAnswer{Code: coded.Code, Name: coded.Code.String(), Detail: coded.Detail, NoteID: id, Version: e.control.view().version()}
+	return a
+}
+
+func (e *Entry) noteAnswer(code result.Code, id string) api.NoteAnswer {
+	v := e.control.view()
+	a := api.NoteAnswer{Code: code, Name: code.String(), NoteID: id, Version: v.version()}
+	a.InForce, a.Missing = e.spread(v.version())
+	return a
+}
+
+func (e *Entry) answerNote(w http.ResponseWriter, a api.NoteAnswer) {
+	if a.Code != result.OK {
+		e.metrics.Refused(a.Code)
+	}
+	writeJSON(w, result.Lookup(a.Code).HTTPStatus, a)
+}
+
+// spread tells which processes have a version in force, as far as known here.
+func (e *Entry) spread(version uint64) (inForce, missing []string) {
+	v := e.control.view()
+	add := func(name string, has bool) {
+		if has {
+			inForce = append(inForce, name)
+		} else {
+			missing = append(missing, name)
+		}
+	}
+	add("entry "+e.self.ID, v.version() >= version)
+	for _, known := range v.Peers {
+		p := e.peers.get(known.ID)
+		add("entry "+known.ID, p != nil && (p.acked.Load() >= version || p.report.Load().version >= version))
+	}
+	for _, a := range e.agents.list() {
+		add("agent "+a.id, a.version.Load() >= version)
+	}
+	slices.Sort(inForce)
+	slices.Sort(missing)
+	return inForce, missing
+}
+
+func (e *Entry) listNotes(w http.ResponseWriter, r *http.Request) {
+	records, err := e.notes.List(r.Context())
+	if err != nil {
+		e.answerNote(w, e.noteFailed("", err))
+		return
+	}
+	slices.SortFunc(records, func(a, b release.NoteRecord) int { return int(b.Version) - int(a.Version) }) //nolint:gosec // small numbers
+	out := api.Notes{}
+	for _, rec := range records {
+		out.Notes = append(out.Notes, e.noteView(rec))
+	}
+	writeJSON(w, http.StatusOK, out)
+}
+
+func (e *Entry) noteView(rec release.NoteRecord) api.NoteView {
+	view := api.NoteView{Note: rec.Note, Version: rec.Version}
+	view.InForce, view.Missing = e.spread(rec.Version)
+	return view
+}
+
+func (e *Entry) showNote(w http.ResponseWriter, r *http.Request) {
+	rec, err := e.notes.Get(r.Context(), r.PathValue("id"))
+	if err != nil {
+		e.answerNote(w, e.noteFailed(r.PathValue("id"), err))
+		return
+	}
+	writeJSON(w, http.StatusOK, e.noteView(rec))
+}
+
+func (e *Entry) listZones(w http.ResponseWriter, _ *http.Request) {
+	v := e.control.view()
+	out := api.Zones{Version: v.version()}
+	if v.State != nil {
+		for name, z := range v.State.Zones {
+			out.Zones = append(out.Zones, e.zoneView(v, name, z))
+		}
+	}
+	slices.SortFunc(out.Zones, func(a, b api.ZoneView) int { return strings.Compare(a.Zone, b.Zone) })
+	writeJSON(w, http.StatusOK, out)
+}
+
+func (e *Entry) zoneView(v *view, name string, z release.Zone) api.ZoneView {
+	view := api.ZoneView{
+		Zone: name, InService: z.InService,
+		Held: slices.ContainsFunc(v.Holds, func(h release.Hold) bool { return h.Zone == name }),
+	}
+	for _, a := range e.agents.list() {
+		if a.zone == name {
+			view.Agents++
+			view.Slots += a.slots
+		}
+	}
+	return view
+}
+
+// wirePeers returns the peers sorted by id.
+func wirePeers(peers []wire.Peer) []wire.Peer {
+	out := slices.Clone(peers)
+	slices.SortFunc(out, func(a, b wire.Peer) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
--- /dev/null
+++ b/entry/service.go
@@ -0,0 +1,449 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"bergamotwing.example/ledger"
+	"bergamotwing.example/placement"
+	"bergamotwing.example/release"
+	"bergamotwing.example/result"
+	"bergamotwing.example/wire"
+)
+
+// serviceSet holds the services by name.
+type serviceSet struct {
+	e  *Entry
+	mu sync.RWMutex
+	by map[string]*service
+}
+
+func newServiceSet(e *Entry) *serviceSet { return &serviceSet{e: e, by: map[string]*service{}} }
+
+// get returns the service, made at its first use.
+func (s *serviceSet) get(name string) *service {
+	s.mu.RLock()
+	svc, ok := s.by[name]
+	s.mu.RUnlock()
+	if ok {
+		return svc
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if svc, ok := s.by[name]; ok {
+		return svc
+	}
+	svc = newService(s.e, name)
+	s.by[name] = svc
+	return svc
+}
+
+func (s *serviceSet) list() []*service {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	out := make([]*service, 0, len(s.by))
+	for _, svc := range s.by {
+		out = append(out, svc)
+	}
+	return out
+}
+
+func (s *serviceSet) each(f func(*service)) {
+	for _, svc := range s.list() {
+		f(svc)
+	}
+}
+
+// service places the open jobs of one service. Its lock also orders what is
+// sent to agents: a grant is noted in the ledger before it can be answered.
+type service struct {
+	e    *Entry
+	name string
+
+	mu    sync.Mutex
+	queue *placement.Queue
+	jobs  map[placement.JobID]*ledger.Job // open, or with tasks whose fate is open
+	lost  map[string]lostAgent
+}
+
+// lostAgent is an agent whose link broke while it held tasks.
+type lostAgent struct {
+	incarnation wire.Incarnation
+	at          time.Time
+}
+
+func newService(e *Entry, name string) *service {
+	s := &service{
+		e:     e,
+		name:  name,
+		queue: placement.NewQueue(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), //nolint:gosec // ties only
+		jobs:  map[placement.JobID]*ledger.Job{},
+		lost:  map[string]lostAgent{},
+	}
+	if v := e.control; v != nil && v.view().State != nil {
+		s.configure(v.view().State)
+	}
+	e.peers.each(func(p *peerLink) { s.queue.SetPeer(p.id) })
+	return s
+}
+
+func (s *service) configure(state *release.State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if pct := state.Settings.EjectMaxPct; pct > 0 {
+		s.queue.SetEjectLimit(pct)
+	}
+	if _, ok := state.Services[s.name]; !ok {
+		for id, j := range s.jobs {
+			s.fail(id, j, result.ServiceWithdrawn, result.OutcomeUnknown, "the service was withdrawn")
+		}
+	}
+}
+
+// submit admits a job and places what it can at once. The job is answered
+// through the book.
+func (s *service) submit(spec ledger.JobSpec, weight int) {
+	id := placement.JobID(spec.Ticket.Seq)
+	p := placement.Job{ID: id, Team: spec.Team, Weight: weight, Deadline: spec.Deadline, Tasks: make([]placement.Task, len(spec.Tasks))}
+	for i, t := range spec.Tasks {
+		p.Tasks[i] = placement.Task{Job: id, Index: i, MemoryMB: t.MemoryMB}
+	}
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j := ledger.NewJob(spec)
+	if code := s.queue.Admit(now, p); code != result.OK {
+		s.e.metrics.Refused(code)
+		j.Fail(code, code, "")
+		s.e.finish(j)
+		return
+	}
+	s.jobs[id] = j
+	s.queue.Add(now, p)
+	s.dispatch(now)
+}
+
+// dispatch sends what the queue decides. The lock is held.
+func (s *service) dispatch(now time.Time) {
+	d := s.queue.Dispatch(now)
+	for _, p := range d.Place {
+		s.grant(now, p)
+	}
+	for _, a := range d.Ask {
+		s.ask(a)
+	}
+	for _, g := range d.Give {
+		s.give(g)
+	}
+}
+
+func (s *service) grant(now time.Time, p placement.Placement) {
+	a := s.e.agents.get(p.Credit.Agent)
+	if a == nil || uint64(a.incarnation) != p.Credit.Incarnation {
+		s.queue.Refused(p.Credit.Agent)
+		s.queue.Again(now, p.Task)
+		return
+	}
+	j, ok := s.jobs[p.Task.Job]
+	if !ok {
+		s.queue.Unused(p.Credit)
+		return
+	}
+	attempt, ok := j.Grant(p.Task.Index, a.id, uint64(a.incarnation))
+	if !ok {
+		s.queue.Unused(p.Credit)
+		return
+	}
+	if a.link.Send(s.grantMessage(now, j, a, p, attempt)) == nil {
+		a.sentAt.Store(s.e.clock())
+		return
+	}
+	// The link was closed before the grant was queued, so it was not sent.
+	s.queue.Refused(a.id)
+	if j.Refuse(p.Task.Index, attempt, a.id, uint64(a.incarnation)) {
+		s.queue.Again(now, p.Task)
+	}
+}
+
+func (s *service) grantMessage(now time.Time, j *ledger.Job, a *agentLink, p placement.Placement, attempt int) *wire.Grant {
+	spec := &j.Spec
+	t := &spec.Tasks[p.Task.Index]
+	left := spec.Deadline.Sub(now).Milliseconds()
+	timeout := left
+	if state := s.e.control.view().State; state != nil {
+		if limit := state.Services[s.name].MaxTaskMS; limit > 0 {
+			timeout = min(timeout, limit)
+		}
+	}
+	return &wire.Grant{
+		Task:       wire.TaskRef{Ticket: ticketID(spec.Ticket), Index: p.Task.Index},
+		Attempt:    attempt,
+		Credit:     wire.SlotCredit{Slot: p.Credit.Slot, Epoch: p.Credit.Epoch},
+		Payload:    t.Payload,
+		Digest:     spec.Digest,
+		StartInMS:  left,
+		TimeoutMS:  timeout,
+		Idempotent: t.Idempotent,
+		Team:       spec.Team,
+		Vouch:      s.e.control.vouch(&a.clocks),
+		Held:       slotCredits(s.queue.Held(a.id)),
+	}
+}
+
+func ticketID(t ledger.Ticket) wire.TicketID {
+	return wire.TicketID{Entry: t.Entry, Incarnation: wire.Incarnation(t.Incarnation), Seq: t.Seq}
+}
+
+func (s *service) ask(a placement.Ask) {
+	p := s.e.peers.get(a.Peer)
+	if p == nil {
+		return
+	}
+	p.send(s.e, &wire.CreditAsk{Service: s.name, Want: a.Want, OldestMS: a.Oldest.Milliseconds()})
+}
+
+func (s *service) give(g placement.Give) {
+	p := s.e.peers.get(g.Peer)
+	credits := make([]wire.AgentCredit, len(g.Credits))
+	for i, c := range g.Credits {
+		credits[i] = wire.AgentCredit{Agent: c.Agent, Incarnation: wire.Incarnation(c.Incarnation), Credit: wire.SlotCredit{Slot: c.Slot, Epoch: c.Epoch}}
+	}
+	spare := []wire.ServiceCount{{Service: s.name, Count: s.queue.Spare()}}
+	if p == nil || !p.send(s.e, &wire.CreditGive{Service: s.name, Credits: credits, Spare: spare}) {
+		s.queue.AddCredits(g.Credits...)
+	}
+}
+
+// finished handles a task's result.
+func (s *service) finished(a *agentLink, m *wire.Result) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queue.Done(a.id, time.Duration(m.RunUS)*time.Microsecond, m.FailurePct, now)
+	if m.Credit != nil {
+		s.queue.AddCredits(a.credit(*m.Credit))
+	}
+	id, j := s.jobOf(m.Task.Ticket)
+	if j != nil && j.Finish(m.Task.Index, m.Attempt, a.id, uint64(a.incarnation), m.Code, m.Body) {
+		s.settleIfDone(id, j)
+	}
+	s.dispatch(now)
+}
+
+// refused handles a grant that was not started.
+func (s *service) refused(a *agentLink, m *wire.Refuse) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queue.Refused(a.id)
+	if m.Credit != nil {
+		s.queue.AddCredits(a.credit(*m.Credit))
+	}
+	id, j := s.jobOf(m.Task.Ticket)
+	if j == nil {
+		s.dispatch(now)
+		return
+	}
+	if m.Code == result.AlreadyStarted {
+		s.fail(id, j, result.OutcomeUnknown, result.OutcomeUnknown, "the agent had started the task before")
+		s.dispatch(now)
+		return
+	}
+	again := j.Refuse(m.Task.Index, m.Attempt, a.id, uint64(a.incarnation))
+	switch {
+	case m.Code == result.TicketFenced:
+		s.fail(id, j, result.SettledNotRun, result.SettledFailed, "another entry settled the ticket")
+	case again:
+		s.queue.Again(now, placement.Task{Job: id, Index: m.Task.Index, MemoryMB: j.Spec.Tasks[m.Task.Index].MemoryMB})
+	}
+	s.settleIfDone(id, j)
+	s.dispatch(now)
+}
+
+// jobOf returns the job of a ticket that this run issued, or nil.
+func (s *service) jobOf(t wire.TicketID) (placement.JobID, *ledger.Job) {
+	if t.Entry != s.e.self.ID || t.Incarnation != s.e.self.Incarnation {
+		return 0, nil
+	}
+	id := placement.JobID(t.Seq)
+	return id, s.jobs[id]
+}
+
+// settleIfDone answers a job that has its outcome and forgets it once no task's
+// fate is open. The lock is held.
+func (s *service) settleIfDone(id placement.JobID, j *ledger.Job) {
+	if j.Outcome() == nil {
+		return
+	}
+	s.queue.Remove(id)
+	s.e.finish(j)
+	if j.Open() == 0 {
+		delete(s.jobs, id)
+	}
+}
+
+// fail ends a job that has no outcome yet. The lock is held.
+func (s *service) fail(id placement.JobID, j *ledger.Job, notRun, ran result.Code, detail string) {
+	if !j.Fail(notRun, ran, detail) {
+		return
+	}
+	s.e.metrics.Refused(j.Outcome().Code)
+	s.settleIfDone(id, j)
+}
+
+func (s *service) offered(a *agentLink, credits []wire.SlotCredit) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range credits {
+		s.queue.AddCredits(a.credit(c))
+	}
+	s.dispatch(time.Now())
+}
+
+// poll repeats what depends on time: asks, gives, probation.
+func (s *service) poll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.queue.Waiting() > 0 || s.queue.Wanted() {
+		s.dispatch(time.Now())
+	}
+}
+
+// expire fails the jobs whose deadline has passed and the tasks of agents that
+// did not come back.
+func (s *service) expire() {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	started := func(id placement.JobID) bool { return s.jobs[id] != nil && s.jobs[id].Started() > 0 }
+	for _, id := range s.queue.Expired(now, started) {
+		j, ok := s.jobs[id]
+		if !ok {
+			s.queue.Remove(id)
+			continue
+		}
+		s.fail(id, j, result.DeadlineUnmet, result.DeadlinePassed, "")
+		s.queue.Remove(id)
+	}
+	for id, l := range s.lost {
+		if now.Sub(l.at) >= agentGrace {
+			delete(s.lost, id)
+			s.giveUp(id, l.incarnation)
+		}
+	}
+	for id, j := range s.jobs {
+		if j.Outcome() != nil && now.Sub(j.Spec.Deadline) > agentGrace {
+			delete(s.jobs, id)
+		}
+	}
+}
+
+// giveUp fails the jobs with tasks of unknown fate on an agent's run.
+func (s *service) giveUp(agent string, run wire.Incarnation) {
+	for id, j := range s.jobs {
+		if len(j.GrantedTo(agent, uint64(run))) > 0 {
+			s.fail(id, j, result.AgentLost, result.AgentLost, "agent "+agent+" is lost with a task whose fate is unknown")
+		}
+	}
+}
+
+// setAgent tells the queue what is known of an agent.
+func (s *service) setAgent(a *agentLink) {
+	v := s.e.control.view()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.e.agents.get(a.id) != a {
+		return
+	}
+	s.queue.SetAgent(placement.Agent{
+		ID: a.id, Slots: a.slots, MemoryMB: a.memoryMB,
+		Usable: !a.leaving.Load() && v.State.InService(a.zone, v.Holds),
+	})
+	s.dispatch(time.Now())
+}
+
+// agentLinked starts to use an agent's new link. Tasks granted over an earlier
+// link to the same run are asked after; those of an earlier run are lost.
+func (s *service) agentLinked(a *agentLink, old *agentLink) {
+	s.mu.Lock()
+	s.queue.RemoveAgent(a.id)
+	lost, wasLost := s.lost[a.id]
+	delete(s.lost, a.id)
+	if wasLost && lost.incarnation != a.incarnation {
+		s.giveUp(a.id, lost.incarnation)
+	}
+	if old != nil && old.incarnation != a.incarnation {
+		s.giveUp(a.id, old.incarnation)
+	}
+	var open []wire.TaskRef
+	a.resuming = map[wire.TaskRef]int{}
+	for _, j := range s.jobs {
+		for _, i := range j.GrantedTo(a.id, uint64(a.incarnation)) {
+			ref := wire.TaskRef{Ticket: ticketID(j.Spec.Ticket), Index: i}
+			a.resuming[ref] = j.Attempt(i)
+			open = append(open, ref)
+		}
+	}
+	if len(open) > 0 {
+		_ = a.link.Send(&wire.Resume{Tasks: open})
+	}
+	s.mu.Unlock()
+	s.setAgent(a)
+}
+
+// resumed learns what became of the tasks asked after.
+func (s *service) resumed(a *agentLink, m *wire.ResumeReply) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for n, ref := range m.Tasks {
+		id, j := s.jobOf(ref.Ticket)
+		if j == nil || n >= len(m.States) {
+			continue
+		}
+		switch m.States[n] {
+		case wire.TaskNeverSeen:
+			s.e.metrics.Retried(result.PeerUnreachable)
+			if j.Refuse(ref.Index, a.resuming[ref], a.id, uint64(a.incarnation)) {
+				s.queue.Again(now, placement.Task{Job: id, Index: ref.Index, MemoryMB: j.Spec.Tasks[ref.Index].MemoryMB})
+			}
+			s.settleIfDone(id, j)
+		case wire.TaskForgotten:
+			s.fail(id, j, result.OutcomeUnknown, result.OutcomeUnknown, "the agent no longer knows the task")
+		case wire.TaskRunning, wire.TaskFinished:
+		}
+	}
+	s.dispatch(now)
+}
+
+// agentGone forgets an agent's credits and starts the wait for its return.
+func (s *service) agentGone(a *agentLink) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queue.RemoveAgent(a.id)
+	s.lost[a.id] = lostAgent{incarnation: a.incarnation, at: time.Now()}
+}
+
+func (s *service) held(agent string) []wire.SlotCredit {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slotCredits(s.queue.Held(agent))
+}
+
+// cancelTicket ends a job at its caller's wish, if it is one of this service.
+func (s *service) cancelTicket(seq uint64) {
+	id := placement.JobID(seq)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j, ok := s.jobs[id]
+	if !ok {
+		return
+	}
+	for _, agent := range j.Agents() {
+		if a := s.e.agents.get(agent); a != nil {
+			_ = a.link.Send(&wire.Cancel{Ticket: ticketID(j.Spec.Ticket)})
+		}
+	}
+	s.fail(id, j, result.CancelledNotRun, result.Cancelled, "")
+}
--- /dev/null
+++ b/entry/settle.go
@@ -0,0 +1,332 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"bergamotwing.example/client/api"
+	"bergamotwing.example/ledger"
+	"bergamotwing.example/platform"
+	"bergamotwing.example/result"
+	"bergamotwing.example/wire"
+)
+
+// Times of settlements.
+const (
+	settleBatchEvery = 20 * time.Millisecond
+	settleBatchMax   = 500             // tickets in one fence row
+	fenceTimeout     = 1500 * time.Millisecond
+	settleAgainAfter = 250 * time.Millisecond // while tasks of the job still run
+	settleGiveUp     = 10 * time.Second       // a caller is told "unknown" after this long
+	fenceRowLifetime = 40 * time.Minute       // longer than agents keep records and tickets live
+)
+
+// settler settles the tickets of runs that do not answer, in batches.
+type settler struct {
+	e     *Entry
+	queue chan *settlement
+
+	mu      sync.Mutex
+	next    uint64
+	fences  map[uint64]*fenceRound
+	final   map[ledger.Ticket]finalVerdict
+	rowNext int
+}
+
+// settlement is one caller's wish to have a ticket settled.
+type settlement struct {
+	ticket   ledger.Ticket
+	evidence chan ledger.Evidence
+}
+
+// finalVerdict is a verdict that will not change.
+type finalVerdict struct {
+	digest  ledger.Digest
+	verdict ledger.Verdict
+	at      time.Time
+}
+
+// fenceRound collects the agents' replies to one Fence.
+type fenceRound struct {
+	tickets []wire.TicketID
+	replies chan fenceReply
+}
+
+type fenceReply struct {
+	agent *agentLink
+	reply *wire.FenceReply // nil: the agent's link ended
+}
+
+func newSettler(e *Entry) *settler {
+	return &settler{e: e, queue: make(chan *settlement, 4096), fences: map[uint64]*fenceRound{}, final: map[ledger.Ticket]finalVerdict{}}
+}
+
+// settle answers a request for a ticket whose issuer is out of reach.
+func (s *settler) settle(ctx context.Context, method string, t ledger.Ticket, text string, body []byte) api.Answer {
+	var sub *ledger.Submission
+	if method == http.MethodPut {
+		sub = submission(body)
+		if sub == nil {
+			return errorAnswer(text, result.Errorf(result.BadRequest, "the body is not a job"))
+		}
+	}
+	limit := time.Now().Add(settleGiveUp)
+	for {
+		v := s.verdict(ctx, t, sub)
+		s.e.log.Info().Str("issuer", t.Entry).Uint64("seq", t.Seq).Stringer("code", v.Code).Str("detail", v.Detail).Msg("settlement")
+		if v.Code != result.OutcomeUnknown || time.Now().After(limit) || !v.Pending || !pause(ctx, settleAgainAfter) {
+			s.e.metrics.Refused(v.Code)
+			return verdictAnswer(text, v)
+		}
+	}
+}
+
+func submission(body []byte) *ledger.Submission {
+	var job api.Job
+	if json.Unmarshal(body, &job) != nil || len(job.Tasks) == 0 {
+		return nil
+	}
+	return &ledger.Submission{Tasks: len(job.Tasks), Digest: digest(body)}
+}
+
+func verdictAnswer(text string, v ledger.Verdict) api.Answer {
+	return api.Answer{
+		Code: v.Code, Name: v.Code.String(), Detail: v.Detail, Ticket: text,
+		Started: v.Started, Tasks: v.Tasks, Results: v.Results,
+	}
+}
+
+// verdict fences the ticket and decides; final verdicts are kept.
+func (s *settler) verdict(ctx context.Context, t ledger.Ticket, sub *ledger.Submission) ledger.Verdict {
+	if v, ok := s.kept(t, sub); ok {
+		return v
+	}
+	w := &settlement{ticket: t, evidence: make(chan ledger.Evidence, 1)}
+	select {
+	case s.queue <- w:
+	case <-ctx.Done():
+		return ledger.Verdict{Code: result.OutcomeUnknown}
+	}
+	select {
+	case ev := <-w.evidence:
+		ev.Submission = sub
+		v := ledger.Settle(ev)
+		s.keep(t, sub, v)
+		return v
+	case <-ctx.Done():
+		return ledger.Verdict{Code: result.OutcomeUnknown}
+	}
+}
+
+func (s *settler) kept(t ledger.Ticket, sub *ledger.Submission) (ledger.Verdict, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f, ok := s.final[t]
+	if !ok || (sub != nil && f.digest != sub.Digest && f.verdict.Code != result.SettledNotRun) {
+		return ledger.Verdict{}, false
+	}
+	return f.verdict, true
+}
+
+func (s *settler) keep(t ledger.Ticket, sub *ledger.Submission, v ledger.Verdict) {
+	if sub == nil || (v.Code != result.SettledNotRun && v.Code != result.SettledFailed && v.Code != result.OK) {
+		return
+	}
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.final[t] = finalVerdict{digest: sub.Digest, verdict: v, at: now}
+	for k, f := range s.final {
+		if now.Sub(f.at) > ledger.TicketLifetime {
+			delete(s.final, k)
+		}
+	}
+}
+
+// run gathers settlements into batches.
+func (s *settler) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-s.queue:
+			batch := s.collect(ctx, first)
+			s.e.background(ctx, func(ctx context.Context) { s.settleBatch(ctx, batch) })
+		}
+	}
+}
+
+func (s *settler) collect(ctx context.Context, first *settlement) []*settlement {
+	batch := []*settlement{first}
+	due := time.After(settleBatchEvery)
+	for len(batch) < settleBatchMax {
+		select {
+		case w := <-s.queue:
+			batch = append(batch, w)
+		case <-due:
+			return batch
+		case <-ctx.Done():
+			return batch
+		}
+	}
+	return batch
+}
+
+// settleBatch gathers the evidence for a batch: the fence row first, then the
+// list of agents, then what each of them reports.
+func (s *settler) settleBatch(ctx context.Context, batch []*settlement) {
+	base := ledger.Evidence{Now: time.Now().Unix()}
+	agents, err := s.fenceInTable(ctx, batch)
+	if err == nil {
+		base.Fenced, base.Listed = true, true
+	} else {
+		s.e.log.Warn().Err(err).Msg("settlement without the store")
+	}
+	replies := s.fenceAgents(ctx, batch)
+	for i, w := range batch {
+		ev := base
+		ev.Issued = w.ticket.Issued
+		for _, row := range agents {
+			ev.Agents = append(ev.Agents, seen(row, replies[row.ID], i))
+		}
+		if err != nil {
+			for id, r := range replies {
+				ev.Agents = append(ev.Agents, seen(platform.AgentRecord{ID: id, Incarnation: uint64(r.agent.incarnation)}, r, i))
+			}
+		}
+		w.evidence <- ev
+	}
+}
+
+// fenceInTable writes the fence row and then lists the agents.
+func (s *settler) fenceInTable(ctx context.Context, batch []*settlement) ([]platform.AgentRecord, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.e.cfg.Platform.Timeout.D())
+	defer cancel()
+	row := platform.FenceRecord{At: time.Now().Unix()}
+	for _, w := range batch {
+		row.Tickets = append(row.Tickets, platform.TicketKey{Entry: w.ticket.Entry, Incarnation: w.ticket.Incarnation, Seq: w.ticket.Seq})
+	}
+	value, err := json.Marshal(row)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.e.table.Commit(ctx, platform.Op{Key: s.rowKey(), Value: value, Any: true}); err != nil {
+		return nil, err
+	}
+	rows, err := s.e.table.List(ctx, platform.PrefixAgents)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]platform.AgentRecord, 0, len(rows))
+	for _, r := range rows {
+		var a platform.AgentRecord
+		if err := json.Unmarshal(r.Value, &a); err != nil {
+			return nil, err
+		}
+		out = append(out, a)
+	}
+	return out, nil
+}
+
+func (s *settler) rowKey() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rowNext++
+	return fmt.Sprintf("%s%s/%016x-%08d", platform.PrefixFences, s.e.self.ID, uint64(s.e.self.Incarnation), s.rowNext)
+}
+
+// fenceAgents sends the fence to every linked agent and returns the replies by
+// agent id.
+func (s *settler) fenceAgents(ctx context.Context, batch []*settlement) map[string]fenceReply {
+	agents := s.e.agents.list()
+	round := &fenceRound{replies: make(chan fenceReply, 2*len(agents)+1)}
+	for _, w := range batch {
+		round.tickets = append(round.tickets, ticketID(w.ticket))
+	}
+	id := s.openRound(round)
+	defer s.closeRound(id)
+	open := 0
+	for _, a := range agents {
+		if a.link.Send(&wire.Fence{Request: id, Tickets: round.tickets}) == nil {
+			open++
+		}
+	}
+	out := map[string]fenceReply{}
+	timeout := time.After(fenceTimeout)
+	for open > 0 {
+		select {
+		case r := <-round.replies:
+			open--
+			if r.reply != nil && len(r.reply.Started) == len(batch) {
+				out[r.agent.id] = r
+			}
+		case <-timeout:
+			return out
+		case <-ctx.Done():
+			return out
+		}
+	}
+	return out
+}
+
+func (s *settler) openRound(r *fenceRound) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next++
+	s.fences[s.next] = r
+	return s.next
+}
+
+func (s *settler) closeRound(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.fences, id)
+}
+
+// answered takes an agent's reply to a fence.
+func (s *settler) answered(a *agentLink, m *wire.FenceReply) {
+	s.mu.Lock()
+	round, ok := s.fences[m.Request]
+	s.mu.Unlock()
+	if !ok {
+		return
+	}
+	select {
+	case round.replies <- fenceReply{agent: a, reply: m}:
+	default:
+	}
+}
+
+// agentGone tells the open rounds that a link ended.
+func (s *settler) agentGone(a *agentLink) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, round := range s.fences {
+		select {
+		case round.replies <- fenceReply{agent: a}:
+		default:
+		}
+	}
+}
+
+// seen turns an agent's row and its reply about ticket i into evidence.
+func seen(row platform.AgentRecord, r fenceReply, i int) ledger.AgentSeen {
+	out := ledger.AgentSeen{ID: row.ID, Incarnation: row.Incarnation, Left: row.Left}
+	for _, run := range row.Replaced {
+		out.Replaced = append(out.Replaced, ledger.ReplacedRun{Incarnation: run.Incarnation, At: run.At, Clean: run.Clean})
+	}
+	if r.reply == nil || uint64(r.agent.incarnation) != row.Incarnation {
+		return out
+	}
+	out.Answered = true
+	for _, t := range r.reply.Started[i] {
+		out.Started = append(out.Started, ledger.StartedReport{
+			Index: t.Index, Finished: t.Finished, Held: t.Held, Code: t.Code, Body: t.Body, Digest: t.Digest,
+		})
+	}
+	return out
+}
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -163,21 +163,18 @@
 	return b.records[seq], b.isUsed(seq)
 }
 
-// Finish ends a record; later calls for it change nothing.
-func (b *Book) Finish(seq uint64, o *Outcome, now time.Time) {
+// Finish ends a record. It returns false if the record had ended before.
+func (b *Book) Finish(seq uint64, o *Outcome, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	rec, ok := b.records[seq]
-	if !ok {
-		return
-	}
-	b.end(seq, rec, o, now)
+	return ok && b.end(seq, rec, o, now)
 }
 
-// end finishes rec and starts its retention.
-func (b *Book) end(seq uint64, rec *Record, o *Outcome, now time.Time) {
+// end finishes rec and starts its retention; it returns false if it had ended.
+func (b *Book) end(seq uint64, rec *Record, o *Outcome, now time.Time) bool {
 	if !rec.finish(o, now) {
-		return
+		return false
 	}
 	b.ended = append(b.ended, seq)
 	if rec.size > 0 {
@@ -185,6 +182,7 @@
 		b.bytes += rec.size
 	}
 	b.trim(now)
+	return true
 }
 
 // trim drops results over the byte limit and records past their lifetime.
--- a/ledger/job.go
+++ b/ledger/job.go
@@ -72,6 +72,9 @@
 // Started returns how many tasks may have started: granted and not refused.
 func (j *Job) Started() int { return j.granted + j.finished }
 
+// Open returns how many granted tasks have a fate that is still open.
+func (j *Job) Open() int { return j.granted }
+
 // Outcome returns the final answer, or nil while there is none.
 func (j *Job) Outcome() *Outcome { return j.outcome }
 
--- a/placement/peers.go
+++ b/placement/peers.go
@@ -43,6 +43,16 @@
 	}
 }
 
+// Wanted reports whether a peer's ask may be standing.
+func (q *Queue) Wanted() bool {
+	for _, p := range q.peers {
+		if p.want > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // PeerGave takes credits that a peer passed on.
 func (q *Queue) PeerGave(id string, credits []Credit) {
 	if p, ok := q.peers[id]; ok && len(credits) > 0 {
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -135,6 +135,12 @@
 // Refused notes that a placement on an agent was refused before its start.
 func (q *Queue) Refused(agent string) { q.eject.finished(agent) }
 
+// Unused takes back a credit of a placement that was not sent.
+func (q *Queue) Unused(c Credit) {
+	q.eject.finished(c.Agent)
+	q.AddCredits(c)
+}
+
 // SetAgent makes an agent known or changes what is known of it. Credits of an
 // agent that is not usable are kept but not spent.
 func (q *Queue) SetAgent(a Agent) { q.agents[a.ID] = a }
