Decide settlements from what the store and the agents say

Cause: an entry that settles another entry's ticket needs one place that says what is proved. Settle is pure: fence, list of agents, their reports and times in; code, reason and ordered results out.

A task that still runs gives outcome_unknown, not settled_failed, when the job can still become complete: a final failure that a later settlement turns into a complete answer would be two answers to one job. A run that stopped cleanly after the ticket's issue may have run tasks and forgotten them, so it rules out settled_not_run. Agents must keep the record of a start for StartRecordRetention (30 min = ticket lifetime + longest deadline + margin).

Ruled out: demanding a durable fence or every agent's answer for a complete answer. Each task starts at most once, so all results at hand are proof enough.

--- /dev/null
+++ b/ledger/settle.go
@@ -0,0 +1,166 @@
+package ledger
+
+import (
+	"fmt"
+	"time"
+
+	"bergamotwing.example/result"
+)
+
+const (
+	// ClockMargin is the largest difference assumed between the clocks of two hosts.
+	ClockMargin = 60 * time.Second
+
+	// StartRecordRetention is how long an agent keeps the record of a task it
+	// started, counted from the start. It covers a ticket's lifetime and the
+	// longest deadline.
+	StartRecordRetention = 30 * time.Minute
+)
+
+// Digest identifies the body of a job.
+type Digest [16]byte
+
+// Submission is what the asking caller's request says of the job.
+type Submission struct {
+	Tasks  int
+	Digest Digest
+}
+
+// Evidence is all that an entry knows when it settles a ticket it did not issue.
+// Times are Unix seconds.
+type Evidence struct {
+	Submission *Submission // nil when only the answer was asked for
+	Issued     int64       // of the ticket
+	Now        int64
+	Fenced     bool // the fence row is durable
+	Listed     bool // Agents is the whole list in the table, read after the fence was written
+	Agents     []AgentSeen
+}
+
+// AgentSeen is an agent's row in the table and its answer to the fence.
+type AgentSeen struct {
+	ID          string
+	Incarnation uint64
+	Left        int64 // when it stopped with no task running; 0 while it may run
+	Replaced    []ReplacedRun
+	Answered    bool // this incarnation has confirmed the fence
+	Started     []StartedReport
+}
+
+// ReplacedRun is an earlier incarnation of an agent.
+type ReplacedRun struct {
+	Incarnation uint64
+	At          int64 // when the next incarnation registered
+	Clean       bool  // it had stopped with no task running
+}
+
+// StartedReport is what an agent says of one task that it started.
+type StartedReport struct {
+	Index    int
+	Finished bool
+	Held     bool // Code and Body are still known
+	Code     result.Code
+	Body     []byte
+	Digest   Digest // of the job that the task belongs to
+}
+
+// Verdict is the outcome of a settlement. Code is SettledNotRun, OK,
+// SettledFailed, TicketReused or OutcomeUnknown; only the last may change when
+// the settlement is tried again.
+type Verdict struct {
+	Code    result.Code
+	Detail  string
+	Started int      // distinct tasks reported as started
+	Tasks   int      // 0 when the submission is not known
+	Results [][]byte // in task order, only with OK
+}
+
+// Settle decides the outcome of a ticket whose issuer does not answer. It says
+// that nothing ran, or that the job is complete, only when that is proved.
+func Settle(e Evidence) Verdict {
+	r := collectReports(e.Agents)
+	v := Verdict{Started: len(r.byIndex)}
+	if e.Submission != nil {
+		v.Tasks = e.Submission.Tasks
+	}
+	switch {
+	case e.Submission != nil && r.digestOtherThan(e.Submission.Digest):
+		return v.with(result.TicketReused, "the ticket was used for a job with another body")
+	case r.complete(e.Submission):
+		v.Results = r.results()
+		return v.with(result.OK, "")
+	}
+	if detail := e.unprovedStops(); detail != "" {
+		return v.with(result.OutcomeUnknown, detail)
+	}
+	if len(r.byIndex) == 0 {
+		return e.settleNoneReported(v)
+	}
+	if detail := r.pending(e.Submission); detail != "" {
+		return v.with(result.OutcomeUnknown, detail)
+	}
+	return v.with(result.SettledFailed, r.failure(e.Submission))
+}
+
+func (v Verdict) with(c result.Code, detail string) Verdict {
+	v.Code, v.Detail = c, detail
+	return v
+}
+
+// settleNoneReported decides when every run that may still start tasks has
+// confirmed the fence and none reports a start.
+func (e Evidence) settleNoneReported(v Verdict) Verdict {
+	if detail := e.lostRecords(); detail != "" {
+		return v.with(result.OutcomeUnknown, detail)
+	}
+	return v.with(result.SettledNotRun, "")
+}
+
+// unprovedStops says why tasks of the ticket may still start or run unseen; it
+// is empty when that is ruled out.
+func (e Evidence) unprovedStops() string {
+	if !e.Fenced {
+		return "the store has not confirmed the fence"
+	}
+	if !e.Listed {
+		return "the store has not listed the agents"
+	}
+	for _, a := range e.Agents {
+		if !a.Answered && a.Left == 0 {
+			return fmt.Sprintf("agent %s does not answer", a.ID)
+		}
+		for _, run := range a.Replaced {
+			if !run.Clean && e.mayFollowIssue(run.At) {
+				return fmt.Sprintf("agent %s was replaced after the ticket was issued, without a clean stop", a.ID)
+			}
+		}
+	}
+	return ""
+}
+
+// lostRecords says why a task may have run and ended without a record; it is
+// empty when that is ruled out.
+func (e Evidence) lostRecords() string {
+	if e.Now-e.Issued > seconds(StartRecordRetention-ClockMargin) {
+		return "the ticket is older than the agents' records"
+	}
+	for _, a := range e.Agents {
+		if !a.Answered && e.mayFollowIssue(a.Left) {
+			return fmt.Sprintf("agent %s stopped after the ticket was issued, its records are gone", a.ID)
+		}
+		for _, run := range a.Replaced {
+			if e.mayFollowIssue(run.At) {
+				return fmt.Sprintf("agent %s was replaced after the ticket was issued, its records are gone", a.ID)
+			}
+		}
+	}
+	return ""
+}
+
+// mayFollowIssue reports whether at, read on another host's clock, may be later
+// than the ticket's issue.
+func (e Evidence) mayFollowIssue(at int64) bool {
+	return at >= e.Issued-seconds(ClockMargin)
+}
+
+func seconds(d time.Duration) int64 { return int64(d / time.Second) }
--- /dev/null
+++ b/ledger/settle_model_test.go
@@ -0,0 +1,202 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"bergamotwing.example/result"
+)
+
+// modelRun is one true run of an agent; times are true seconds.
+type modelRun struct {
+	boot, end int64 // end is 0 while it lives
+	clean     bool  // stopped with no task running
+	frozen    bool  // replaced, but its process goes on later
+	started   []StartedReport
+}
+
+// modelWorld is the truth behind one settlement.
+type modelWorld struct {
+	tasks   int
+	digest  Digest
+	agents  [][]modelRun // per agent, oldest run first
+	reached []bool       // the newest run answers the fence
+	starts  int
+}
+
+func drawWorld(t *rapid.T) modelWorld {
+	w := modelWorld{tasks: rapid.IntRange(1, 4).Draw(t, "tasks"), digest: drawDigest(t)}
+	for range rapid.IntRange(0, 3).Draw(t, "agents") {
+		w.agents = append(w.agents, drawRuns(t))
+		w.reached = append(w.reached, rapid.Bool().Draw(t, "reached"))
+	}
+	for i := range w.tasks {
+		w.drawStart(t, i)
+	}
+	return w
+}
+
+func drawDigest(t *rapid.T) Digest {
+	return Digest{rapid.SampledFrom([]byte{1, 1, 1, 2}).Draw(t, "digest")}
+}
+
+func drawRuns(t *rapid.T) []modelRun {
+	n := rapid.IntRange(1, 3).Draw(t, "runs")
+	runs := make([]modelRun, 0, n)
+	at := issued - rapid.Int64Range(0, 100).Draw(t, "boot")
+	for range n {
+		end := at + rapid.Int64Range(1, 80).Draw(t, "life")
+		clean := rapid.Bool().Draw(t, "clean")
+		runs = append(runs, modelRun{boot: at, end: end, clean: clean, frozen: !clean && rapid.Bool().Draw(t, "frozen")})
+		at = end + rapid.Int64Range(0, 20).Draw(t, "pause")
+	}
+	last := &runs[len(runs)-1]
+	if !last.clean || rapid.Bool().Draw(t, "alive") {
+		last.end, last.clean, last.frozen = 0, false, false
+	}
+	return runs
+}
+
+// drawStart lets task i start at most once, in a run that lives after the issue.
+func (w *modelWorld) drawStart(t *rapid.T, i int) {
+	var runs []*modelRun
+	for _, agent := range w.agents {
+		for j := range agent {
+			if agent[j].end == 0 || agent[j].end > issued {
+				runs = append(runs, &agent[j])
+			}
+		}
+	}
+	if len(runs) == 0 || rapid.IntRange(0, 3).Draw(t, "start") == 0 {
+		return
+	}
+	run := rapid.SampledFrom(runs).Draw(t, "run")
+	s := StartedReport{Index: i, Digest: w.digest}
+	s.Finished = run.clean || rapid.IntRange(0, 4).Draw(t, "finished") > 0
+	s.Held = s.Finished && rapid.IntRange(0, 4).Draw(t, "held") > 0
+	if s.Held {
+		s.Body = fmt.Appendf(nil, "result %d", i)
+	}
+	s.Code = rapid.SampledFrom([]result.Code{result.OK, result.OK, result.OK, result.TaskFailed}).Draw(t, "code")
+	run.started = append(run.started, s)
+	w.starts++
+}
+
+// seen returns what the table and the agents say of the world, with every clock
+// off by up to half the margin.
+func (w *modelWorld) seen(t *rapid.T) []AgentSeen {
+	out := make([]AgentSeen, 0, len(w.agents))
+	half := seconds(ClockMargin) / 2
+	for i, runs := range w.agents {
+		skew := rapid.Int64Range(-half, half).Draw(t, "skew")
+		a := AgentSeen{ID: fmt.Sprintf("a%d", i), Incarnation: uint64(len(runs))}
+		for j, run := range runs[:len(runs)-1] {
+			a.Replaced = append(a.Replaced, ReplacedRun{Incarnation: uint64(j + 1), At: runs[j+1].boot + skew, Clean: run.clean})
+		}
+		last := runs[len(runs)-1]
+		if last.end != 0 {
+			a.Left = last.end + skew
+		} else if w.reached[i] {
+			a.Answered, a.Started = true, last.started
+		}
+		out = append(out, a)
+	}
+	return out
+}
+
+// mayStartMore reports whether a run that may hold a grant does not know the fence.
+func (w *modelWorld) mayStartMore() bool {
+	for i, runs := range w.agents {
+		for _, run := range runs {
+			if run.frozen && run.end > issued || run.end == 0 && !w.reached[i] {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// canComplete reports whether the results of all tasks are held, or will be, by live runs.
+func (w *modelWorld) canComplete() bool {
+	n := 0
+	for _, runs := range w.agents {
+		last := runs[len(runs)-1]
+		for _, s := range last.started {
+			if last.end == 0 && (!s.Finished || s.hasResult()) {
+				n++
+			}
+		}
+	}
+	return n == w.tasks
+}
+
+func (w *modelWorld) check(t *rapid.T, e Evidence, v Verdict) {
+	final := e.Fenced && e.Listed && !w.mayStartMore()
+	switch v.Code {
+	case result.SettledNotRun:
+		if w.starts > 0 || !final {
+			t.Fatalf("not run, but %d tasks started, final %v", w.starts, final)
+		}
+	case result.SettledFailed:
+		if w.starts == 0 || !final || w.canComplete() {
+			t.Fatalf("failed, but %d tasks started, final %v", w.starts, final)
+		}
+	case result.TicketReused:
+		if e.Submission.Digest == w.digest {
+			t.Fatal("reused, but the body is the same")
+		}
+	case result.OK:
+		w.checkComplete(t, e, v)
+	case result.OutcomeUnknown:
+		if v.Detail == "" {
+			t.Fatal("unknown for no reason")
+		}
+	default:
+		t.Fatalf("unexpected code %s", v.Code)
+	}
+}
+
+func (w *modelWorld) checkComplete(t *rapid.T, e Evidence, v Verdict) {
+	if w.starts != w.tasks || !w.canComplete() || e.Submission.Digest != w.digest {
+		t.Fatal("complete, but the truth is not")
+	}
+	for i, body := range v.Results {
+		if string(body) != fmt.Sprintf("result %d", i) {
+			t.Fatalf("result %d is %q", i, body)
+		}
+	}
+}
+
+func TestSettleNeverContradictsTheTruth(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := drawWorld(t)
+		e := Evidence{
+			Issued: issued,
+			Now:    issued + rapid.Int64Range(0, 900).Draw(t, "age"),
+			Fenced: rapid.IntRange(0, 5).Draw(t, "fenced") > 0,
+			Listed: rapid.IntRange(0, 5).Draw(t, "listed") > 0,
+			Agents: w.seen(t),
+		}
+		if rapid.IntRange(0, 3).Draw(t, "submitted") > 0 {
+			e.Submission = &Submission{Tasks: w.tasks, Digest: drawDigest(t)}
+		}
+		w.check(t, e, Settle(e))
+	})
+}
+
+func TestSettleDecidesWhenAllIsKnown(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := drawWorld(t)
+		for i, runs := range w.agents {
+			w.agents[i], w.reached[i] = []modelRun{{started: runs[len(runs)-1].started}}, true
+		}
+		e := Evidence{Submission: &Submission{Tasks: w.tasks, Digest: w.digest}, Issued: issued, Now: issued, Fenced: true, Listed: true, Agents: w.seen(t)}
+		v := Settle(e)
+		running := w.canComplete() && v.Code != result.OK
+		if (v.Code == result.OutcomeUnknown) != running {
+			t.Fatalf("got %s %q, tasks running %v", v.Code, v.Detail, running)
+		}
+	})
+}
