--- /dev/null
+++ b/agent/check.go
@@ -0,0 +1,54 @@
+package agent
+
+import (
+	"math"
+	"time"
+
+	"bergamotwing.example/result"
+	"bergamotwing.example/wire"
+)
+
+// checkGrant returns the reason why a grant must not start, or OK once its
+// credit is spent. The order of the checks decides which reason is told.
+func (a *Agent) checkGrant(s *session, g *wire.Grant, now, startBy time.Duration) result.Code {
+	if !validGrant(g) {
+		return result.BadMessage
+	}
+	if !a.snapshot().registered {
+		return result.NotRegistered
+	}
+	if issuerOf(g.Task.Ticket) != s.run {
+		return result.NotIssuer
+	}
+	if code := a.records.check(g.Task); code != result.OK {
+		return code
+	}
+	if code := a.mayStart(now, startBy); code != result.OK {
+		return code
+	}
+	if !a.slots.take(g.Credit) {
+		return result.StaleCredit
+	}
+	return result.OK
+}
+
+// mayStart is the part of the checks that time can change. It is made again
+// right before the task is sent.
+func (a *Agent) mayStart(now, startBy time.Duration) result.Code {
+	snap := a.snapshot()
+	switch {
+	case snap.leaving:
+		return result.EndpointLeaving
+	case !snap.inService:
+		return result.ZoneOut
+	case a.permission.remaining(snap.version(), now) <= 0:
+		return result.PermissionLapsed
+	case now >= startBy:
+		return result.StartTooLate
+	}
+	return result.OK
+}
+
+func validGrant(g *wire.Grant) bool {
+	return g.Task.Index >= 0 && g.Task.Index <= math.MaxInt32 && g.TimeoutMS > 0
+}
--- /dev/null
+++ b/agent/control.go
@@ -0,0 +1,225 @@
+package agent
+
+import (
+	"cmp"
+	"log/slog"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/rotisserie/eris"
+
+	"bergamotwing.example/release"
+	"bergamotwing.example/wire"
+)
+
+// Times of the control actor.
+const (
+	tickInterval  = 50 * time.Millisecond
+	sweepInterval = 10 * time.Second
+	renewBefore   = 700 * time.Millisecond // of the permission's lapse
+	pingInterval  = 150 * time.Millisecond // between pings for a permission
+	askTimeout    = time.Second
+)
+
+// Messages of the control actor.
+type (
+	tick   struct{}
+	linkUp struct {
+		session *session
+		hello   *wire.EntryHello
+	}
+	configHeard struct {
+		session *session
+		config  *wire.Config
+	}
+	slotsFreed   struct{}
+	registration struct{}
+	leaveRequest struct {
+		leaving bool
+		final   bool // the process stops: later requests to return are ignored
+	}
+	leaveReply struct{ leaving bool }
+)
+
+// control is the actor that owns the control state. Its fields besides
+// published belong to the actor alone.
+type control struct {
+	agent     *Agent
+	system    *actor.ActorSystem
+	pid       *actor.PID
+	published atomic.Pointer[snapshot]
+
+	next     snapshot
+	holds    *holdSet
+	stopping bool
+	lapsed   bool
+	pingedAt time.Duration
+	pingTurn int
+	sweptAt  time.Duration
+}
+
+func newControl(a *Agent) *control {
+	c := &control{agent: a, holds: newHoldSet(), lapsed: true}
+	c.published.Store(&snapshot{})
+	return c
+}
+
+func (c *control) start() error {
+	c.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
+		return slog.New(slog.DiscardHandler)
+	}))
+	props := actor.PropsFromProducer(func() actor.Actor { return c })
+	pid, err := c.system.Root.SpawnNamed(props, "control")
+	c.pid = pid
+	return eris.Wrap(err, "start control actor")
+}
+
+// stop ends the actor. Nothing may be told to it afterwards.
+func (c *control) stop() {
+	_ = c.system.Root.PoisonFuture(c.pid).Wait()
+	c.system.Shutdown()
+}
+
+// tell queues a message and returns at once.
+func (c *control) tell(m any) { c.system.Root.Send(c.pid, m) }
+
+// setLeaving waits until the request is in force and returns whether the
+// endpoint is leaving. It is not for goroutines that carry traffic.
+func (c *control) setLeaving(leaving, final bool) (bool, error) {
+	request := &leaveRequest{leaving: leaving, final: final}
+	reply, err := c.system.Root.RequestFuture(c.pid, request, askTimeout).Result()
+	if err != nil {
+		return false, eris.Wrap(err, "control actor")
+	}
+	return reply.(*leaveReply).leaving, nil
+}
+
+// Receive takes the actor's messages.
+func (c *control) Receive(ctx actor.Context) {
+	switch m := ctx.Message().(type) {
+	case *tick:
+		c.tick(c.agent.clock.now())
+	case *linkUp:
+		c.linkUp(m)
+	case *configHeard:
+		c.adopt(m.session, m.config.State, m.config.Holds, m.config.Peers)
+	case *slotsFreed:
+		c.offer(c.agent.clock.now())
+	case *registration:
+		c.next.registered = true
+		c.publish()
+	case *leaveRequest:
+		ctx.Respond(&leaveReply{leaving: c.leave(m)})
+	}
+}
+
+func (c *control) linkUp(m *linkUp) {
+	c.adopt(m.session, m.hello.State, m.hello.Holds, m.hello.Peers)
+	if c.next.leaving {
+		m.session.ping(c.agent.clock.now())
+	}
+}
+
+// adopt takes over a higher version and the holds that the sender reports,
+// confirms the version in force, and has new peers dialled.
+func (c *control) adopt(s *session, state *release.State, holds []release.Hold, peers []wire.Peer) {
+	if state != nil && state.Version > c.next.version() {
+		c.next.state = state
+		c.holds.adopted(state.NoteID, func(run entryRun) bool { return c.agent.links.get(run) != nil })
+	}
+	c.holds.replace(s.run, holds)
+	c.publish()
+	s.send(&wire.ConfigAck{Version: c.next.version()})
+	for _, p := range peers {
+		c.agent.dialers.learn(p)
+	}
+}
+
+// leave sets whether the endpoint is leaving and tells the entries.
+func (c *control) leave(m *leaveRequest) bool {
+	if c.stopping && !m.leaving {
+		return true
+	}
+	c.stopping = c.stopping || m.final
+	c.next.leaving = m.leaving
+	c.agent.running.setClosed(m.leaving)
+	c.publish()
+	now := c.agent.clock.now()
+	for _, s := range c.agent.links.all() {
+		s.ping(now)
+	}
+	return m.leaving
+}
+
+// publish makes the control state visible and opens or shuts the slots
+// accordingly.
+func (c *control) publish() {
+	c.next.inService = c.next.state.InService(c.agent.cfg.Zone, c.holds.all())
+	published := c.next
+	c.published.Store(&published)
+	now := c.agent.clock.now()
+	if !published.usable() {
+		c.agent.slots.shut()
+		return
+	}
+	c.agent.slots.open(now)
+	c.offer(now)
+}
+
+// offer sends the free slots' credits to entries, if grants on them could start.
+func (c *control) offer(now time.Duration) {
+	if !c.next.usable() || c.permitted(now) <= 0 {
+		return
+	}
+	for run, credits := range c.agent.slots.offer(now) {
+		c.agent.links.send(run, &wire.Offer{Credits: credits, Clock: now.Milliseconds()})
+	}
+}
+
+func (c *control) permitted(now time.Duration) time.Duration {
+	return c.agent.permission.remaining(c.next.version(), now)
+}
+
+func (c *control) tick(now time.Duration) {
+	c.renewPermission(now)
+	if n := c.agent.slots.expire(now); n > 0 {
+		c.agent.metrics.Count("bergamotwing_credit_leases_lapsed_total", "Credits taken back unconfirmed.", int64(n))
+	}
+	c.offer(now)
+	for _, s := range c.agent.links.all() {
+		s.watch(now)
+	}
+	if now-c.sweptAt >= sweepInterval {
+		c.sweptAt = now
+		c.agent.records.sweep(now)
+	}
+}
+
+// renewPermission asks one entry, in turn, for a vouch before the permission lapses.
+func (c *control) renewPermission(now time.Duration) {
+	remaining := c.permitted(now)
+	lapsed := remaining <= 0
+	if lapsed && !c.lapsed && c.next.usable() {
+		c.agent.metrics.Count("bergamotwing_permission_lapses_total", "Times the permission to start lapsed.", 1)
+	}
+	c.lapsed = lapsed
+	if remaining >= renewBefore || now-c.pingedAt < pingInterval || !c.next.usable() {
+		return
+	}
+	if s := c.nextInTurn(); s != nil {
+		c.pingedAt = now
+		s.ping(now)
+	}
+}
+
+func (c *control) nextInTurn() *session {
+	sessions := c.agent.links.all()
+	if len(sessions) == 0 {
+		return nil
+	}
+	slices.SortFunc(sessions, func(a, b *session) int { return cmp.Compare(a.run.id, b.run.id) })
+	c.pingTurn++
+	return sessions[c.pingTurn%len(sessions)]
+}
--- /dev/null
+++ b/agent/register.go
@@ -0,0 +1,151 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"bergamotwing.example/platform"
+	"bergamotwing.example/wire"
+)
+
+// replacedKept is how long the row of an agent names its earlier runs.
+const replacedKept = 30 * time.Minute
+
+// register writes the agent's row and reads the fences, again and again until
+// both are done or ctx ends.
+func (a *Agent) register(ctx context.Context) {
+	var pauses backoff
+	for ctx.Err() == nil {
+		err := a.registerOnce(ctx)
+		if err == nil {
+			a.control.tell(&registration{})
+			a.log.Info().Msg("registered")
+			return
+		}
+		a.metrics.Count("bergamotwing_registration_retries_total", "Attempts to register that failed.", 1)
+		a.log.Warn().Err(err).Msg("not registered yet")
+		pauses.wait(ctx)
+	}
+}
+
+func (a *Agent) registerOnce(ctx context.Context) error {
+	if err := a.writeRecord(ctx); err != nil {
+		return err
+	}
+	return a.loadFences(ctx)
+}
+
+// writeRecord replaces the row of the agent's earlier run. After a lost answer
+// the next attempt finds the row written or as it was.
+func (a *Agent) writeRecord(ctx context.Context) error {
+	row, earlier, err := a.readRecord(ctx)
+	if err != nil || earlier.Incarnation == uint64(a.incarnation) {
+		return err
+	}
+	record := platform.AgentRecord{
+		ID:          a.cfg.ID,
+		Incarnation: uint64(a.incarnation),
+		Zone:        a.cfg.Zone,
+		Service:     a.cfg.Service,
+		Booted:      a.booted.Unix(),
+	}
+	if row.Version != 0 {
+		record.Replaced = replacedRuns(earlier, time.Now())
+	}
+	return a.commitRecord(ctx, record, row.Version)
+}
+
+// replacedRuns returns the runs that earlier names and earlier itself, without
+// those replaced too long ago.
+func replacedRuns(earlier platform.AgentRecord, now time.Time) []platform.ReplacedRun {
+	var out []platform.ReplacedRun
+	oldest := now.Add(-replacedKept).Unix()
+	for _, run := range earlier.Replaced {
+		if run.At > oldest {
+			out = append(out, run)
+		}
+	}
+	return append(out, platform.ReplacedRun{
+		Incarnation: earlier.Incarnation,
+		At:          now.Unix(),
+		Clean:       earlier.Left != 0,
+	})
+}
+
+// markLeft notes that this run stopped with no task running and starts no more.
+func (a *Agent) markLeft(ctx context.Context) error {
+	var pauses backoff
+	for {
+		err := a.markLeftOnce(ctx)
+		if err == nil || !pauses.wait(ctx) {
+			return err
+		}
+	}
+}
+
+func (a *Agent) markLeftOnce(ctx context.Context) error {
+	row, record, err := a.readRecord(ctx)
+	if err != nil || record.Incarnation != uint64(a.incarnation) || record.Left != 0 {
+		return err
+	}
+	record.Left = time.Now().Unix()
+	return a.commitRecord(ctx, record, row.Version)
+}
+
+func (a *Agent) readRecord(ctx context.Context) (platform.Row, platform.AgentRecord, error) {
+	var record platform.AgentRecord
+	row, err := a.table.Get(ctx, a.recordKey())
+	if err != nil {
+		return row, record, eris.Wrap(err, "read agent record")
+	}
+	if row.Version == 0 {
+		return row, record, nil
+	}
+	err = json.Unmarshal(row.Value, &record)
+	return row, record, eris.Wrap(err, "decode agent record")
+}
+
+// commitRecord writes the row if it is still at version. An answer that was
+// lost is resolved by the caller's next reading.
+func (a *Agent) commitRecord(ctx context.Context, record platform.AgentRecord, version uint64) error {
+	value, err := json.Marshal(record)
+	if err != nil {
+		return eris.Wrap(err, "encode agent record")
+	}
+	op := platform.Op{Key: a.recordKey(), Value: value, IfVersion: version}
+	err = a.table.Commit(ctx, op)
+	if errors.Is(err, platform.ErrUnknown) {
+		a.metrics.Count("bergamotwing_store_unknown_total", "Writes whose answer was lost.", 1)
+	}
+	return eris.Wrap(err, "write agent record")
+}
+
+func (a *Agent) recordKey() string { return platform.PrefixAgents + a.cfg.ID }
+
+// loadFences takes over all fences of the table. A row that cannot be read
+// keeps the agent from starting tasks, since it may fence any ticket.
+func (a *Agent) loadFences(ctx context.Context) error {
+	rows, err := a.table.List(ctx, platform.PrefixFences)
+	if err != nil {
+		return eris.Wrap(err, "list fences")
+	}
+	now := a.clock.now()
+	for _, row := range rows {
+		var fence platform.FenceRecord
+		if err := json.Unmarshal(row.Value, &fence); err != nil {
+			return eris.Wrapf(err, "decode %s", row.Key)
+		}
+		for _, t := range fence.Tickets {
+			a.records.fence(ticketID(t), now)
+		}
+	}
+	return nil
+}
+
+func ticketID(t platform.TicketKey) wire.TicketID {
+	return wire.TicketID{Entry: t.Entry, Incarnation: wire.Incarnation(t.Incarnation), Seq: t.Seq}
+}
--- /dev/null
+++ b/agent/task.go
@@ -0,0 +1,133 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"bergamotwing.example/result"
+	"bergamotwing.example/wire"
+)
+
+// task is a grant that passed its checks, on the slot of its credit.
+type task struct {
+	grant    *wire.Grant
+	issuer   entryRun
+	received time.Time
+	startBy  time.Duration // on the agent's clock
+}
+
+// handleGrant starts a task or refuses it. It does not wait for the task.
+func (a *Agent) handleGrant(s *session, g *wire.Grant, now time.Duration) {
+	a.permission.hear(g.Vouch, now)
+	a.slots.confirm(s.run, g.Held, now)
+	a.slots.granted(s.run, now)
+	t := &task{grant: g, issuer: s.run, received: time.Now()}
+	t.startBy = now + time.Duration(g.StartInMS)*time.Millisecond
+	if code := a.checkGrant(s, g, now, t.startBy); code != result.OK {
+		a.refuse(t, code, a.creditInstead(g.Credit, s.run, code))
+		return
+	}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	if code := a.record(t, cancel, now); code != result.OK {
+		cancel(nil)
+		a.refuse(t, code, a.slots.release(g.Credit.Slot, s.run, now))
+		return
+	}
+	go a.run(ctx, cancel, t)
+}
+
+// record notes the start before anything is sent.
+func (a *Agent) record(t *task, cancel context.CancelCauseFunc, now time.Duration) result.Code {
+	if !a.running.add(t.grant.Task, cancel) {
+		return result.EndpointLeaving
+	}
+	code := a.records.begin(t.grant.Task, t.grant.Digest, now)
+	if code != result.OK {
+		a.running.remove(t.grant.Task)
+	}
+	return code
+}
+
+// creditInstead returns a fresh credit for a refused one, if a grant on it
+// could start.
+func (a *Agent) creditInstead(c credit, run entryRun, code result.Code) *credit {
+	if code == result.PermissionLapsed {
+		a.slots.giveBack([]credit{c})
+		return nil
+	}
+	return a.slots.renew(c, run, a.clock.now())
+}
+
+// run sends the task to the endpoint and reports what became of it.
+func (a *Agent) run(ctx context.Context, cancel context.CancelCauseFunc, t *task) {
+	defer cancel(nil)
+	defer a.running.remove(t.grant.Task)
+	ctx, stop := context.WithTimeout(ctx, time.Duration(t.grant.TimeoutMS)*time.Millisecond)
+	defer stop()
+	out := a.endpoint.do(ctx, call{
+		grant:    t.grant,
+		startBy:  t.received.Add(time.Duration(t.grant.StartInMS) * time.Millisecond),
+		mayStart: func() result.Code { return a.mayStart(a.clock.now(), t.startBy) },
+	})
+	if out.notStarted != result.OK {
+		a.notStarted(t, out)
+		return
+	}
+	a.finished(t, out, time.Since(t.received))
+}
+
+// notStarted takes the record of a task back of which nothing was sent.
+func (a *Agent) notStarted(t *task, out outcome) {
+	now := a.clock.now()
+	a.records.undo(t.grant.Task)
+	var fresh *credit
+	switch {
+	case out.unreachable:
+		a.failures.note(true)
+		a.slots.pause(t.grant.Credit.Slot, now+unreachablePause)
+	case out.notStarted == result.PermissionLapsed:
+		a.slots.pause(t.grant.Credit.Slot, now)
+	default:
+		fresh = a.slots.release(t.grant.Credit.Slot, t.issuer, now)
+	}
+	a.refuse(t, out.notStarted, fresh)
+}
+
+// finished records a result and sends it with the slot's new credit.
+func (a *Agent) finished(t *task, out outcome, ran time.Duration) {
+	held := &wire.Result{
+		Task:    t.grant.Task,
+		Attempt: t.grant.Attempt,
+		Code:    out.code,
+		Body:    out.body,
+		RunUS:   ran.Microseconds(),
+	}
+	a.records.finish(held)
+	a.failures.note(out.code != result.OK && out.code != result.Cancelled)
+	res := a.stamped(held)
+	res.Credit = a.slots.release(t.grant.Credit.Slot, t.issuer, a.clock.now())
+	a.links.send(t.issuer, res)
+	if res.Credit == nil {
+		a.control.tell(&slotsFreed{})
+	}
+}
+
+// stamped returns a copy of a held result with the agent's present condition.
+func (a *Agent) stamped(held *wire.Result) *wire.Result {
+	res := *held
+	res.Clock = a.clock.millis()
+	res.FailurePct = a.failures.pct()
+	return &res
+}
+
+// refuse reports that a grant was not started.
+func (a *Agent) refuse(t *task, code result.Code, fresh *credit) {
+	a.metrics.Refused(code)
+	a.links.send(t.issuer, &wire.Refuse{
+		Task:    t.grant.Task,
+		Attempt: t.grant.Attempt,
+		Code:    code,
+		Credit:  fresh,
+		Clock:   a.clock.millis(),
+	})
+}
