Serve Go and process metrics beside the counters

The load report needs each process's CPU seconds and resident memory. The collectors of client_golang give both under their usual names.

--- a/telemetry/instruments.go
+++ b/telemetry/instruments.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/attribute"
@@ -36,6 +37,10 @@
 // program, each with a registry of its own.
 func NewMetrics() (*Metrics, error) {
 	registry := prometheus.NewRegistry()
+	registry.MustRegister(
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		collectors.NewGoCollector(),
+	)
 	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo(), otelprom.WithoutTargetInfo())
 	if err != nil {
 		return nil, eris.Wrap(err, "metrics exporter")
