Integration harness and first tests of whole deployments

Starts real processes behind one fault-injecting proxy for each link target. A proxy in front of each pair of processes was ruled out: an entry announces one link address, so agents and peers that learn of it would get around the pair's proxy. The proxy reads the dialler's id in the first message of a link instead and applies faults by that id.

The tests of the harness's proxy run and pass.

--- /dev/null
+++ b/integration/harness/deployment.go
@@ -0,0 +1,227 @@
+package harness
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"bergamotwing.example/client/api"
+	"bergamotwing.example/release"
+)
+
+// Names and sizes of a deployment where Options leaves them open.
+const (
+	DefaultService = "postlink"
+	defaultEntries = 3
+	defaultSlots   = 8
+)
+
+// readyLimit bounds the start of a whole deployment.
+const readyLimit = 30 * time.Second
+
+// Limits of the service that a deployment starts with.
+const (
+	maxTaskMS   = 10_000
+	maxTasks    = 1000
+	maxPayloadB = 64 << 10
+)
+
+// Settings that a deployment starts with.
+const (
+	ejectMaxPct    = 50
+	retryBudgetPct = 20
+)
+
+// Options describe a deployment.
+type Options struct {
+	Entries   int           // default 3
+	Agents    int           // default one for each zone
+	Zones     []string      // entries and agents are spread over them in turn
+	Slots     int           // of each agent
+	Placement string        // default credits
+	LinkDelay time.Duration // one way, on every link and towards callers
+	// Answer returns the result that an endpoint gives to a payload.
+	Answer func(payload []byte) []byte
+}
+
+// Deployment is a running deployment: the platform's stand-in, entries, and
+// agents with an endpoint each. Every link goes through a proxy.
+type Deployment struct {
+	Platform *Standin
+	Entries  []*Entry
+	Agents   []*Agent
+	Zones    []string
+	Oracle   *Oracle
+	Operator *Caller
+	opts     Options
+}
+
+// New starts a deployment with one release note in force and waits until every
+// process is linked to every other and has it.
+func New(t testing.TB, opts Options) *Deployment {
+	t.Helper()
+	d := &Deployment{Operator: NewCaller(OperatorToken), opts: withDefaults(opts)}
+	t.Cleanup(d.Operator.Close)
+	d.Zones = d.opts.Zones
+	d.Platform = startStandin(t, "platform", "platform")
+	d.startEntries(t)
+	d.startAgents(t)
+	d.Oracle = newOracle(d.Agents, d.opts.Answer)
+	d.postFirstNote(t)
+	d.WaitReady(t, 1)
+	return d
+}
+
+func withDefaults(o Options) Options {
+	if o.Entries == 0 {
+		o.Entries = defaultEntries
+	}
+	if len(o.Zones) == 0 {
+		o.Zones = []string{"gent-noord", "brugge-oost", "kortrijk-zuid"}
+	}
+	if o.Agents == 0 {
+		o.Agents = len(o.Zones)
+	}
+	if o.Slots == 0 {
+		o.Slots = defaultSlots
+	}
+	if o.Placement == "" {
+		o.Placement = "credits"
+	}
+	return o
+}
+
+func (d *Deployment) startEntries(t testing.TB) {
+	t.Helper()
+	for i := range d.opts.Entries {
+		d.Entries = append(d.Entries, newEntry(t, d, i))
+	}
+	for _, e := range d.Entries {
+		e.start(t, d)
+	}
+}
+
+func (d *Deployment) startAgents(t testing.TB) {
+	t.Helper()
+	for i := range d.opts.Agents {
+		d.Agents = append(d.Agents, startAgent(t, d, i))
+	}
+}
+
+// FirstNote returns the release note that a deployment starts with.
+func (d *Deployment) FirstNote() release.Note {
+	zones := map[string]release.Zone{}
+	for _, z := range d.Zones {
+		zones[z] = release.Zone{InService: true}
+	}
+	service := release.Service{MaxTaskMS: maxTaskMS, MaxTasks: maxTasks, MaxPayloadB: maxPayloadB}
+	return release.Note{
+		ID:       "first",
+		Zones:    release.ZoneDelta{Add: zones},
+		Services: release.ServiceDelta{Add: map[string]release.Service{DefaultService: service}},
+		Settings: &release.Settings{EjectMaxPct: ejectMaxPct, RetryBudgetPct: retryBudgetPct},
+	}
+}
+
+// postFirstNote posts the first note until it is accepted: the same id with the
+// same content has the same outcome.
+func (d *Deployment) postFirstNote(t testing.TB) {
+	t.Helper()
+	var last string
+	Eventually(t, readyLimit, "the first note is accepted", func() bool {
+		answer, err := d.Operator.Note(t.Context(), d.Entries[0].OperatorURL, d.FirstNote())
+		now := fmt.Sprintf("first note: %s %s %v", answer.Name, answer.Detail, err)
+		if now != last {
+			t.Log(now)
+			last = now
+		}
+		return err == nil && answer.Code == 0
+	})
+}
+
+// WaitReady waits until every entry is ready, linked to every other, and sees
+// every agent at version or later.
+func (d *Deployment) WaitReady(t testing.TB, version uint64) {
+	t.Helper()
+	for _, e := range d.Entries {
+		Eventually(t, readyLimit, e.ID+" is ready with all links", func() bool {
+			status, err := d.Operator.Status(t.Context(), e.OperatorURL)
+			return err == nil && d.complete(status, version) && d.Operator.Ready(t.Context(), e.URL+api.PathHealth)
+		})
+	}
+}
+
+func (d *Deployment) complete(s api.Status, version uint64) bool {
+	linked, current := 0, 0
+	for _, e := range s.Entries {
+		if e.Linked && e.ID != s.Entry {
+			linked++
+		}
+	}
+	for _, a := range s.Agents {
+		if a.Version >= version {
+			current++
+		}
+	}
+	return s.Version >= version && linked == len(d.Entries)-1 && current == len(d.Agents)
+}
+
+// Zone returns the agents of a zone.
+func (d *Deployment) Zone(zone string) []*Agent {
+	var agents []*Agent
+	for _, a := range d.Agents {
+		if a.Zone == zone {
+			agents = append(agents, a)
+		}
+	}
+	return agents
+}
+
+// CutAgents swallows everything between the agents and all entries, both ways.
+func (d *Deployment) CutAgents(agents ...*Agent) {
+	for _, e := range d.Entries {
+		for _, a := range agents {
+			e.Links.DropDirection(ToTarget, a.ID)
+			e.Links.DropDirection(FromTarget, a.ID)
+		}
+	}
+}
+
+// HealAgents ends CutAgents.
+func (d *Deployment) HealAgents(agents ...*Agent) {
+	for _, e := range d.Entries {
+		for _, a := range agents {
+			e.Links.Heal(a.ID)
+		}
+	}
+}
+
+// CutPeers closes the links between an entry and all others until HealPeers.
+func (d *Deployment) CutPeers(entry *Entry) {
+	for _, e := range d.Entries {
+		if e != entry {
+			e.Links.Cut(entry.ID)
+			entry.Links.Cut(e.ID)
+		}
+	}
+}
+
+// HealPeers ends CutPeers.
+func (d *Deployment) HealPeers(entry *Entry) {
+	for _, e := range d.Entries {
+		if e != entry {
+			e.Links.Heal(entry.ID)
+			entry.Links.Heal(e.ID)
+		}
+	}
+}
+
+// Version returns the version that an entry has in force, or 0.
+func (d *Deployment) Version(ctx context.Context, e *Entry) uint64 {
+	status, err := d.Operator.Status(ctx, e.OperatorURL)
+	if err != nil {
+		return 0
+	}
+	return status.Version
+}
--- /dev/null
+++ b/integration/harness/nodes.go
@@ -0,0 +1,173 @@
+package harness
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/rotisserie/eris"
+
+	"bergamotwing.example/settings"
+)
+
+// Entry is an entry with the proxies in front of it.
+type Entry struct {
+	*Process
+	ID          string
+	Zone        string
+	URL         string // callers, through Callers
+	OperatorURL string
+	MetricsURL  string
+	Callers     *Proxy // from callers
+	Links       *Proxy // from agents and other entries; their ids are its sources
+	Store       *Proxy // to the platform
+	settings    settings.Entry
+}
+
+func newEntry(t testing.TB, d *Deployment, i int) *Entry {
+	t.Helper()
+	s := settings.DefaultEntry()
+	s.ID = fmt.Sprintf("entry%d", i)
+	s.Zone = d.Zones[i%len(d.Zones)]
+	s.Listen, s.OperatorListen = FreeAddr(t), FreeAddr(t)
+	s.LinkListen, s.MetricsListen = FreeAddr(t), FreeAddr(t)
+	s.OperatorToken = OperatorToken
+	s.Keys = keys()
+	s.Placement = d.opts.Placement
+	e := &Entry{
+		ID:          s.ID,
+		Zone:        s.Zone,
+		OperatorURL: "http://" + s.OperatorListen,
+		MetricsURL:  "http://" + s.MetricsListen + "/metrics",
+		Callers:     StartProxy(t, FreeAddr(t), s.Listen),
+		Links:       StartProxy(t, FreeAddr(t), s.LinkListen),
+		Store:       StartProxy(t, FreeAddr(t), d.Platform.Addr),
+	}
+	e.URL = "http://" + e.Callers.Addr
+	e.Links.Delay(d.opts.LinkDelay)
+	e.Callers.Delay(d.opts.LinkDelay)
+	s.LinkAddr = e.Links.Addr
+	s.Platform.URL = "http://" + e.Store.Addr
+	e.settings = s
+	return e
+}
+
+func (e *Entry) start(t testing.TB, d *Deployment) {
+	t.Helper()
+	for _, other := range d.Entries {
+		if other != e {
+			e.settings.Peers = append(e.settings.Peers, other.Links.Addr)
+		}
+	}
+	e.Process = StartProcess(t, e.ID, "entry", "--settings", writeSettings(t, e.ID, e.settings))
+}
+
+// Agent is an agent with its endpoint.
+type Agent struct {
+	*Process
+	ID         string
+	Zone       string
+	URL        string // the agent's own listener
+	MetricsURL string
+	Endpoint   *Standin
+	Store      *Proxy // to the platform
+}
+
+func startAgent(t testing.TB, d *Deployment, i int) *Agent {
+	t.Helper()
+	id := fmt.Sprintf("agent%d", i)
+	endpoint := startStandin(t, fmt.Sprintf("endpoint%d", i), "endpoint")
+	store := StartProxy(t, FreeAddr(t), d.Platform.Addr)
+	s := settings.DefaultAgent()
+	s.ID = id
+	s.Zone = d.Zones[i%len(d.Zones)]
+	s.Service = DefaultService
+	s.Endpoint = endpoint.URL
+	s.Slots = d.opts.Slots
+	s.Listen = FreeAddr(t)
+	s.Keys = keys()
+	s.Platform.URL = "http://" + store.Addr
+	for _, e := range d.Entries {
+		s.Entries = append(s.Entries, e.Links.Addr)
+	}
+	return &Agent{
+		Process:    StartProcess(t, id, "agent", "--settings", writeSettings(t, id, s)),
+		ID:         id,
+		Zone:       s.Zone,
+		URL:        "http://" + s.Listen,
+		MetricsURL: "http://" + s.Listen + "/metrics",
+		Endpoint:   endpoint,
+		Store:      store,
+	}
+}
+
+// pathLeaving is where an endpoint announces to its agent that it is leaving.
+const pathLeaving = "/leaving"
+
+// AnnounceLeaving tells the agent that its endpoint is leaving.
+func (a *Agent) AnnounceLeaving(ctx context.Context) error {
+	c := NewCaller("")
+	defer c.Close()
+	return c.call(ctx, http.MethodPost, a.URL+pathLeaving, nil, nil)
+}
+
+// Standin is a running stand-in for the platform or an endpoint.
+type Standin struct {
+	*Process
+	Addr string
+	URL  string
+	http *Caller
+}
+
+// Paths of the stand-ins.
+const (
+	pathControl = "/control"
+	pathStarts  = "/starts"
+)
+
+func startStandin(t testing.TB, name, kind string) *Standin {
+	t.Helper()
+	addr := FreeAddr(t)
+	s := &Standin{Addr: addr, URL: "http://" + addr, http: NewCaller("")}
+	s.Process = StartProcess(t, name, "standin", kind, "--listen", addr)
+	t.Cleanup(s.http.Close)
+	probe := pathControl
+	if kind == "endpoint" {
+		probe = pathStarts
+	}
+	Eventually(t, readyLimit, name+" answers", func() bool { return s.http.Ready(t.Context(), s.URL+probe) })
+	return s
+}
+
+// PlatformFaults are the faults of the platform's stand-in.
+type PlatformFaults struct {
+	DelayMS       int64 `json:"delayMs"`
+	Down          bool  `json:"down"`
+	LoseAnswers   bool  `json:"loseAnswers"`   // writes take effect, their answers are lost
+	ConflictEvery int   `json:"conflictEvery"` // every n-th write conflicts
+}
+
+// EndpointFaults are the faults of an endpoint's stand-in.
+type EndpointFaults struct {
+	FailAll     bool    `json:"failAll"`
+	SlowFactor  float64 `json:"slowFactor"`
+	NeverAnswer bool    `json:"neverAnswer"`
+	DelayMS     int64   `json:"delayMs"`
+}
+
+// Control sets the faults of a stand-in, a PlatformFaults or an EndpointFaults.
+func (s *Standin) Control(t testing.TB, faults any) {
+	t.Helper()
+	err := s.http.call(t.Context(), http.MethodPost, s.URL+pathControl, faults, nil)
+	if err != nil {
+		t.Fatalf("control of %s: %v", s.Name, err)
+	}
+}
+
+// Starts returns every start that an endpoint has seen.
+func (s *Standin) Starts(ctx context.Context) ([]Start, error) {
+	var starts []Start
+	err := s.http.call(ctx, http.MethodGet, s.URL+pathStarts, nil, &starts)
+	return starts, eris.Wrapf(err, "starts of %s", s.Name)
+}
--- /dev/null
+++ b/integration/harness/oracle.go
@@ -0,0 +1,178 @@
+package harness
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"bergamotwing.example/client/api"
+	"bergamotwing.example/ledger"
+	"bergamotwing.example/result"
+)
+
+// Start is one start of a task at an endpoint.
+type Start struct {
+	Task    string `json:"task"`
+	Attempt int    `json:"attempt"`
+	UnixMS  int64  `json:"unixMs"`
+	Zone    string `json:"-"`
+	Agent   string `json:"-"`
+}
+
+// At returns the time of the start.
+func (s Start) At() time.Time { return time.UnixMilli(s.UnixMS) }
+
+// Oracle compares the answers that callers got with what the endpoints started.
+type Oracle struct {
+	agents []*Agent
+	answer func(payload []byte) []byte
+
+	mu      sync.Mutex
+	records []record
+}
+
+// record is one answer.
+type record struct {
+	ticket string
+	job    api.Job
+	answer api.Answer
+}
+
+func newOracle(agents []*Agent, answer func([]byte) []byte) *Oracle {
+	return &Oracle{agents: agents, answer: answer}
+}
+
+// Record keeps an answer for Check.
+func (o *Oracle) Record(ticket string, job api.Job, answer api.Answer) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.records = append(o.records, record{ticket, job, answer})
+}
+
+// Answers counts the recorded answers by code.
+func (o *Oracle) Answers() map[result.Code]int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	counts := map[result.Code]int{}
+	for _, r := range o.records {
+		counts[r.answer.Code]++
+	}
+	return counts
+}
+
+// Starts returns the starts that all endpoints have seen.
+func (o *Oracle) Starts(ctx context.Context) ([]Start, error) {
+	var all []Start
+	for _, a := range o.agents {
+		starts, err := a.Endpoint.Starts(ctx)
+		if err != nil {
+			return nil, err
+		}
+		for _, s := range starts {
+			s.Zone, s.Agent = a.Zone, a.ID
+			all = append(all, s)
+		}
+	}
+	return all, nil
+}
+
+// MustStarts is Starts for a test; an error ends it.
+func (o *Oracle) MustStarts(t testing.TB) []Start {
+	t.Helper()
+	starts, err := o.Starts(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return starts
+}
+
+// StartsAfter returns the starts that match after a time.
+func (o *Oracle) StartsAfter(t testing.TB, after time.Time, match func(Start) bool) []Start {
+	t.Helper()
+	var late []Start
+	for _, s := range o.MustStarts(t) {
+		if s.At().After(after) && match(s) {
+			late = append(late, s)
+		}
+	}
+	return late
+}
+
+// InZone matches the starts of a zone.
+func InZone(zone string) func(Start) bool { return func(s Start) bool { return s.Zone == zone } }
+
+// NotInZone matches the starts of all other zones.
+func NotInZone(zone string) func(Start) bool { return func(s Start) bool { return s.Zone != zone } }
+
+// OfAgent matches the starts at an agent's endpoint.
+func OfAgent(id string) func(Start) bool { return func(s Start) bool { return s.Agent == id } }
+
+// Check fails the test for each task that started twice, each answer "not run"
+// of a job that started a task, and each whole answer that is not byte for byte
+// what its tasks should have given, once each.
+func (o *Oracle) Check(t testing.TB) {
+	t.Helper()
+	started := map[string]int{}
+	for _, s := range o.MustStarts(t) {
+		started[s.Task]++
+	}
+	for task, n := range started {
+		if n > 1 {
+			t.Errorf("task %s started %d times", task, n)
+		}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.records) == 0 {
+		t.Error("no answer was recorded")
+	}
+	for _, r := range o.records {
+		o.checkRecord(t, r, started)
+	}
+}
+
+func (o *Oracle) checkRecord(t testing.TB, r record, started map[string]int) {
+	t.Helper()
+	tasks := 0
+	for i := range r.job.Tasks {
+		tasks += min(1, started[taskName(t, r.ticket, i)])
+	}
+	switch {
+	case r.answer.Code == result.OK:
+		o.checkWhole(t, r, tasks)
+	case len(r.answer.Results) > 0:
+		t.Errorf("ticket %s: answer %s with %d results", r.ticket, r.answer.Name, len(r.answer.Results))
+	case result.Lookup(r.answer.Code).Ran == result.RanNo && tasks > 0:
+		t.Errorf("ticket %s: answer %s, but %d tasks started", r.ticket, r.answer.Name, tasks)
+	}
+}
+
+func (o *Oracle) checkWhole(t testing.TB, r record, started int) {
+	t.Helper()
+	if o.answer == nil {
+		t.Fatal("Options.Answer is not set")
+	}
+	if started != len(r.job.Tasks) || len(r.answer.Results) != len(r.job.Tasks) {
+		t.Errorf("ticket %s: %d tasks, %d started, %d results", r.ticket, len(r.job.Tasks), started, len(r.answer.Results))
+		return
+	}
+	for i, task := range r.job.Tasks {
+		if want := o.answer(task.Payload); !bytes.Equal(want, r.answer.Results[i]) {
+			t.Errorf("ticket %s: result %d is %d bytes and differs from the %d bytes expected",
+				r.ticket, i, len(r.answer.Results[i]), len(want))
+		}
+	}
+}
+
+// taskName is how endpoints name a task in their starts.
+func taskName(t testing.TB, ticket string, index int) string {
+	t.Helper()
+	id, err := ledger.DecodeTicket(ticket, []ledger.Key{ledger.Key(sharedKey)})
+	if err != nil {
+		t.Fatalf("ticket %s: %v", ticket, err)
+	}
+	return fmt.Sprintf("%s/%d/%d/%d", id.Entry, id.Incarnation, id.Seq, index)
+}
--- /dev/null
+++ b/integration/harness/process.go
@@ -0,0 +1,186 @@
+package harness
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Errors of processes.
+var (
+	ErrNotRunning  = errors.New("harness: process is not running")
+	ErrStopTimeout = errors.New("harness: process did not end in time")
+)
+
+// logTailBytes is how much of a process's log is printed when a test fails.
+const logTailBytes = 8 << 10
+
+// binaryFile is the path of the built binary; Build sets it.
+var binaryFile string
+
+// Build builds the binary into dir. TestMain calls it once.
+func Build(dir string) error {
+	binaryFile = filepath.Join(dir, "bergamotwing")
+	out, err := exec.Command("go", "build", "-o", binaryFile, "bergamotwing.example/cmd/bergamotwing").CombinedOutput() //nolint:gosec // fixed arguments
+	return eris.Wrapf(err, "build: %s", out)
+}
+
+// Process is one process of the binary. It can be started again with the same
+// arguments, and so on the same ports.
+type Process struct {
+	Name string
+	args []string
+	log  logBuffer
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{} // closed when cmd has ended
+}
+
+// StartProcess starts the binary with args. The process is ended, and its log
+// printed if the test failed, when the test is over.
+func StartProcess(t testing.TB, name string, args ...string) *Process {
+	t.Helper()
+	p := &Process{Name: name, args: args}
+	t.Cleanup(func() {
+		p.Kill()
+		if t.Failed() {
+			t.Logf("log of %s:\n%s", name, p.log.tail(logTailBytes))
+		}
+	})
+	p.Start(t)
+	return p
+}
+
+// Start starts the process, which must not be running.
+func (p *Process) Start(t testing.TB) {
+	t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cmd := exec.Command(binaryFile, p.args...) //nolint:gosec // the binary that Build made
+	cmd.Stdout, cmd.Stderr = &p.log, &p.log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		t.Fatalf("start %s: %v", p.Name, err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = cmd.Wait()
+	}()
+	p.cmd, p.done = cmd, done
+}
+
+// Running reports whether the process has not ended.
+func (p *Process) Running() bool {
+	_, done := p.current()
+	select {
+	case <-done:
+		return false
+	default:
+		return true
+	}
+}
+
+// PID returns the process id of the latest run.
+func (p *Process) PID() int {
+	cmd, _ := p.current()
+	return cmd.Process.Pid
+}
+
+// Kill ends the process with SIGKILL and waits for its end.
+func (p *Process) Kill() {
+	cmd, done := p.current()
+	if cmd == nil {
+		return
+	}
+	_ = cmd.Process.Kill()
+	<-done
+}
+
+// Freeze stops the process's execution with SIGSTOP.
+func (p *Process) Freeze() error { return p.signal(syscall.SIGSTOP) }
+
+// Thaw continues a frozen process.
+func (p *Process) Thaw() error { return p.signal(syscall.SIGCONT) }
+
+// Terminate sends SIGTERM and does not wait.
+func (p *Process) Terminate() error { return p.signal(syscall.SIGTERM) }
+
+// Stop sends SIGTERM and waits for a clean end within limit.
+func (p *Process) Stop(limit time.Duration) error {
+	if err := p.Terminate(); err != nil {
+		return err
+	}
+	return p.Wait(limit)
+}
+
+// Wait waits for the process's end and returns an error unless its exit status is 0.
+func (p *Process) Wait(limit time.Duration) error {
+	cmd, done := p.current()
+	select {
+	case <-done:
+	case <-time.After(limit):
+		return ErrStopTimeout
+	}
+	if code := cmd.ProcessState.ExitCode(); code != 0 {
+		return eris.Errorf("%s ended with status %d", p.Name, code)
+	}
+	return nil
+}
+
+// Restart kills the process if it runs and starts it again.
+func (p *Process) Restart(t testing.TB) {
+	t.Helper()
+	p.Kill()
+	p.Start(t)
+}
+
+// Log returns what the process has written so far, over all its runs.
+func (p *Process) Log() string { return p.log.tail(-1) }
+
+func (p *Process) current() (*exec.Cmd, chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd, p.done
+}
+
+func (p *Process) signal(s os.Signal) error {
+	if !p.Running() {
+		return ErrNotRunning
+	}
+	cmd, _ := p.current()
+	return eris.Wrapf(cmd.Process.Signal(s), "signal %s", p.Name)
+}
+
+// logBuffer collects a process's output.
+type logBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write appends b.
+func (l *logBuffer) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(b)
+}
+
+// tail returns the last n bytes, or all of them if n is negative.
+func (l *logBuffer) tail(n int) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.buf.Bytes()
+	if n >= 0 && len(b) > n {
+		b = b[len(b)-n:]
+	}
+	return string(b)
+}
--- /dev/null
+++ b/integration/harness/proxyconn.go
@@ -0,0 +1,168 @@
+package harness
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	chunkBytes  = 32 << 10
+	chunksQueue = 4096 // chunks under way in one direction
+)
+
+// chunk is a piece of a stream that leaves the proxy at due.
+type chunk struct {
+	data []byte
+	due  time.Time
+}
+
+// proxyConn is one connection through a Proxy.
+type proxyConn struct {
+	proxy *Proxy
+	in    net.Conn // from the client
+	out   net.Conn // to the target
+	name  atomic.Pointer[string]
+	lossy atomic.Bool // bytes were swallowed
+
+	mu   sync.Mutex
+	held chan struct{} // not nil while answers are held; closed at release
+	done chan struct{}
+	once sync.Once
+}
+
+func newProxyConn(p *Proxy, in, out net.Conn) *proxyConn {
+	return &proxyConn{proxy: p, in: in, out: out, done: make(chan struct{})}
+}
+
+// source returns the process that dialled, once it is known.
+func (c *proxyConn) source() string {
+	if s := c.name.Load(); s != nil {
+		return *s
+	}
+	return ""
+}
+
+func (c *proxyConn) close() {
+	c.once.Do(func() {
+		close(c.done)
+		_ = c.in.Close()
+		_ = c.out.Close()
+	})
+}
+
+// run carries both directions until one ends.
+func (c *proxyConn) run() {
+	var wg sync.WaitGroup
+	for _, d := range []Direction{ToTarget, FromTarget} {
+		queue := make(chan chunk, chunksQueue)
+		wg.Go(func() { c.read(d, queue) })
+		wg.Go(func() { c.write(d, queue) })
+	}
+	wg.Wait()
+}
+
+func (c *proxyConn) read(d Direction, queue chan<- chunk) {
+	defer close(queue)
+	src := c.in
+	if d == FromTarget {
+		src = c.out
+	}
+	hello := helloReader{}
+	for {
+		buf := make([]byte, chunkBytes)
+		n, err := src.Read(buf)
+		if d == ToTarget && c.name.Load() == nil {
+			c.setName(hello.add(buf[:n]))
+		}
+		if n > 0 && !c.forward(d, buf[:n], queue) {
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (c *proxyConn) setName(name string) {
+	if name != "" {
+		c.name.Store(&name)
+	}
+}
+
+// forward queues data unless a fault swallows it; it returns false when the
+// connection has ended.
+func (c *proxyConn) forward(d Direction, data []byte, queue chan<- chunk) bool {
+	f := c.proxy.faultsOf(c.source())
+	if f.cut {
+		c.close()
+		return false
+	}
+	if f.drop[d] {
+		c.lossy.Store(true)
+		return true
+	}
+	select {
+	case queue <- chunk{data: data, due: time.Now().Add(f.delay)}:
+		return true
+	case <-c.done:
+		return false
+	}
+}
+
+func (c *proxyConn) write(d Direction, queue <-chan chunk) {
+	defer c.close()
+	dst := c.out
+	if d == FromTarget {
+		dst = c.in
+	}
+	for ch := range queue {
+		if !c.waitUntil(ch.due) || d == FromTarget && !c.waitReleased() {
+			return
+		}
+		if _, err := dst.Write(ch.data); err != nil {
+			return
+		}
+	}
+}
+
+func (c *proxyConn) waitUntil(due time.Time) bool {
+	wait := time.Until(due)
+	if wait <= 0 {
+		return true
+	}
+	select {
+	case <-time.After(wait):
+		return true
+	case <-c.done:
+		return false
+	}
+}
+
+func (c *proxyConn) hold(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case on && c.held == nil:
+		c.held = make(chan struct{})
+	case !on && c.held != nil:
+		close(c.held)
+		c.held = nil
+	}
+}
+
+func (c *proxyConn) waitReleased() bool {
+	c.mu.Lock()
+	held := c.held
+	c.mu.Unlock()
+	if held == nil {
+		return true
+	}
+	select {
+	case <-held:
+		return true
+	case <-c.done:
+		return false
+	}
+}
