--- /dev/null
+++ b/standin/table.go
@@ -0,0 +1,106 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+
+	"bergamotwing.example/platform"
+)
+
+// reading wraps a handler of reads with the faults and the count.
+func (p *Platform) reading(serve http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !p.enter(w) {
+			return
+		}
+		p.mu.Lock()
+		p.counts.Reads++
+		p.mu.Unlock()
+		serve(w, r)
+	}
+}
+
+func (p *Platform) serveRow(w http.ResponseWriter, r *http.Request) {
+	key := r.URL.Query().Get("key")
+	p.mu.Lock()
+	row, ok := p.rows[key]
+	p.mu.Unlock()
+	if !ok {
+		row.Key = key
+	}
+	p.waitHalf()
+	writeJSON(w, row)
+}
+
+func (p *Platform) serveList(w http.ResponseWriter, r *http.Request) {
+	rows := p.list(r.URL.Query().Get("prefix"))
+	p.waitHalf()
+	writeJSON(w, rows)
+}
+
+func (p *Platform) list(prefix string) []platform.Row {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	rows := make([]platform.Row, 0)
+	for key, row := range p.rows {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows
+}
+
+func (p *Platform) serveCommit(w http.ResponseWriter, r *http.Request) {
+	var tx platform.Transaction
+	body := http.MaxBytesReader(w, r.Body, platform.MaxCommitBytes)
+	if err := json.NewDecoder(body).Decode(&tx); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !p.enter(w) {
+		return
+	}
+	status := http.StatusNoContent
+	if !p.commit(tx.Ops) {
+		status = http.StatusConflict
+	}
+	p.answerWrite(w, status)
+}
+
+// commit makes all writes or none and reports which.
+func (p *Platform) commit(ops []platform.Op) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.commits++
+	forced := p.faults.ConflictEvery > 0 && p.commits%uint64(p.faults.ConflictEvery) == 0 //nolint:gosec // positive
+	if forced || !p.holds(ops) {
+		p.counts.Conflicts++
+		return false
+	}
+	p.counts.Writes++
+	p.counts.Version++
+	for _, op := range ops {
+		p.apply(op)
+	}
+	return true
+}
+
+func (p *Platform) holds(ops []platform.Op) bool {
+	for _, op := range ops {
+		if !op.Any && p.rows[op.Key].Version != op.IfVersion {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Platform) apply(op platform.Op) {
+	if op.Delete {
+		delete(p.rows, op.Key)
+		return
+	}
+	p.rows[op.Key] = platform.Row{Key: op.Key, Value: op.Value, Version: p.counts.Version}
+}
