Client for callers and operators

Cause: callers need one answer for a job although answers get lost, and operators need commands that can be sent again.

A lost answer is asked for again under the same ticket through another entry. After it, a refusal that speaks for one request only (overloaded, stopping) is not taken as proof that nothing ran: only codes that settle a ticket are. That rules out taking a new ticket on any 'not run' code, which could double a task that an earlier try had started.

Nothing is measured yet.

--- a/client/doc.go
+++ b/client/doc.go
@@ -1,2 +1,9 @@
-// Package client is filled in below its doc comment.
+// Package client submits jobs to the entries of a deployment and drives the
+// operators' API.
+//
+// Submit answers each job once: with its whole answer, or with an error whose
+// type says what may have run. A lost answer is asked for again under the same
+// ticket, so that no task starts twice; a new ticket is used only after proof
+// that nothing ran under the one before. Retries are bounded by a budget that
+// all jobs of a client share.
 package client
