Settlement: a result that is no longer held leaves the outcome unknown

Cause: the verdict said settled_failed when every task had finished but an agent had dropped a result. The issuer may have answered that job as complete before it was lost, so the two answers would contradict each other. Ruled out: keeping results for longer, which only makes the case rarer.

--- a/ledger/reports.go
+++ b/ledger/reports.go
@@ -98,18 +98,23 @@
 	if !r.consistent() || (s != nil && len(r.byIndex) != s.Tasks) {
 		return ""
 	}
-	running := 0
+	running, dropped := 0, 0
 	for _, report := range r.byIndex {
-		if report.Finished && !report.hasResult() {
+		switch {
+		case report.Finished && report.Held && report.Code != result.OK:
 			return ""
-		}
-		if !report.Finished {
+		case !report.Finished:
 			running++
+		case !report.Held:
+			dropped++
 		}
 	}
 	if running > 0 {
 		return fmt.Sprintf("%d tasks are still running", running)
 	}
+	if dropped > 0 {
+		return fmt.Sprintf("%d results are no longer held; the issuer may have answered with them", dropped)
+	}
 	return "the number of tasks is not known; submit the job again under its ticket"
 }
 
@@ -126,9 +131,6 @@
 	}
 	for i := range len(r.byIndex) {
 		report := r.byIndex[i]
-		if report.Finished && !report.Held {
-			return fmt.Sprintf("the result of task %d is no longer held", i)
-		}
 		if report.Finished && report.Code != result.OK {
 			return fmt.Sprintf("task %d ended with %s", i, report.Code)
 		}
--- a/ledger/settle.go
+++ b/ledger/settle.go
@@ -17,9 +17,6 @@
 	StartRecordRetention = 30 * time.Minute
 )
 
-// Digest identifies the body of a job.
-type Digest [16]byte
-
 // Submission is what the asking caller's request says of the job.
 type Submission struct {
 	Tasks  int
@@ -73,6 +70,7 @@
 	Started int      // distinct tasks reported as started
 	Tasks   int      // 0 when the submission is not known
 	Results [][]byte // in task order, only with OK
+	Pending bool     // tasks still run: the outcome will be known once they end
 }
 
 // Settle decides the outcome of a ticket whose issuer does not answer. It says
@@ -97,6 +95,7 @@
 		return e.settleNoneReported(v)
 	}
 	if detail := r.pending(e.Submission); detail != "" {
+		v.Pending = true
 		return v.with(result.OutcomeUnknown, detail)
 	}
 	return v.with(result.SettledFailed, r.failure(e.Submission))
