Permission holds across a change of version; configuration goes out before its vouch

Cause: a vouch for the version before was worth nothing after an agent adopted the next one, and an entry published a new version before it sent it, so each note would have made all agents refuse grants for some milliseconds. A vouch for V says that nothing later than V was accepted by its moment, so it also holds for every version after V.

--- a/agent/permission.go
+++ b/agent/permission.go
@@ -8,12 +8,16 @@
 	"bergamotwing.example/wire"
 )
 
-// permission keeps the newest vouch heard: of the highest version, and for it
-// the latest echo. A vouch for a version above the one in force stops starts
-// until that configuration is adopted.
+// permission keeps the latest moment that an entry has vouched for and the
+// highest version that any vouch named.
+//
+// A vouch for a version says that no later one had been accepted by its moment,
+// so it holds for every configuration from that version on. A vouch for a
+// version above the one in force stops starts until that one is adopted.
 type permission struct {
-	mu     sync.Mutex
-	newest wire.Vouch
+	mu      sync.Mutex
+	highest uint64 // version
+	echo    int64  // ms on this process's clock
 }
 
 // hear takes a vouch into account. Echoes from the future are ignored.
@@ -23,11 +27,8 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	higher := v.Version > p.newest.Version
-	later := v.Version == p.newest.Version && v.Echo > p.newest.Echo
-	if higher || later {
-		p.newest = v
-	}
+	p.highest = max(p.highest, v.Version)
+	p.echo = max(p.echo, v.Echo)
 }
 
 // remaining returns how long starts are still permitted under version; it is
@@ -35,16 +36,15 @@
 func (p *permission) remaining(version uint64, now time.Duration) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if version == 0 || p.newest.Version != version {
+	if version == 0 || version < p.highest || p.echo == 0 {
 		return 0
 	}
-	end := time.Duration(p.newest.Echo)*time.Millisecond + release.PermissionLifetime
-	return end - now
+	return time.Duration(p.echo)*time.Millisecond + release.PermissionLifetime - now
 }
 
 // age returns the time since the moment that was last vouched for.
 func (p *permission) age(now time.Duration) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return now - time.Duration(p.newest.Echo)*time.Millisecond
+	return now - time.Duration(p.echo)*time.Millisecond
 }
--- a/entry/control.go
+++ b/entry/control.go
@@ -167,10 +167,14 @@
 }
 
 // publish makes next the snapshot and sends what changed to agents and peers.
+// They get a configuration before any vouch that names its version.
 func (c *control) publish(next *view) {
 	last := c.view()
-	c.now.Store(next)
 	changed := next.version() != last.version() || !slices.Equal(next.Holds, last.Holds)
+	if changed {
+		c.e.sendConfig(next)
+	}
+	c.now.Store(next)
 	if changed {
 		c.e.log.Info().Uint64("version", next.version()).Interface("holds", next.Holds).Msg("configuration in force")
 		c.e.configChanged(next)
@@ -183,14 +187,15 @@
 // allPeers returns all entries known, this one included.
 func (e *Entry) allPeers(v *view) []wire.Peer { return append(slices.Clone(v.Peers), e.self) }
 
-// configChanged puts a new configuration in force here and sends it on.
+func (e *Entry) sendConfig(v *view) {
+	e.agents.each(func(a *agentLink) { _ = a.link.Send(e.agentConfig(v)) })
+	e.peers.each(func(p *peerLink) { _ = p.link.Send(&wire.Config{State: v.State, Holds: v.Holds}) })
+}
+
+// configChanged puts a new configuration in force here.
 func (e *Entry) configChanged(v *view) {
 	e.quotas.set(v.State, len(v.Peers)+1)
-	e.agents.each(func(a *agentLink) {
-		_ = a.link.Send(e.agentConfig(v))
-		e.services.get(a.service).setAgent(a)
-	})
-	e.peers.each(func(p *peerLink) { _ = p.link.Send(&wire.Config{State: v.State, Holds: v.Holds}) })
+	e.agents.each(func(a *agentLink) { e.services.get(a.service).setAgent(a) })
 	if v.State != nil {
 		e.services.each(func(s *service) { s.configure(v.State) })
 	}
--- /dev/null
+++ b/placement/queue_test.go
@@ -0,0 +1,226 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bergamotwing.example/result"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func newTestQueue(agents, slots int) *Queue {
+	q := NewQueue(rand.New(rand.NewPCG(1, 2)))
+	for i := range agents {
+		q.SetAgent(Agent{ID: agentID(i), Slots: slots, MemoryMB: 100, Usable: true})
+	}
+	return q
+}
+
+func agentID(i int) string { return fmt.Sprintf("agent-%d", i) }
+
+func testJob(id int, team string, tasks int) Job {
+	j := Job{ID: JobID(id), Team: team, Weight: 1, Deadline: start.Add(time.Minute)}
+	for i := range tasks {
+		j.Tasks = append(j.Tasks, Task{Job: j.ID, Index: i})
+	}
+	return j
+}
+
+func credit(agent, slot int, epoch uint64) Credit {
+	return Credit{Agent: agentID(agent), Incarnation: 1, Slot: slot, Epoch: epoch}
+}
+
+func TestTeamsShareSlotsWhateverOneOfThemSubmits(t *testing.T) {
+	q := newTestQueue(1, 8)
+	q.Add(start, testJob(1, "flood", 100))
+	q.Add(start.Add(time.Millisecond), testJob(2, "quiet", 4))
+	for i := range 8 {
+		q.AddCredits(credit(0, i, 1))
+	}
+	quiet := 0
+	for _, p := range q.Dispatch(start).Place {
+		if p.Task.Job == 2 {
+			quiet++
+		}
+	}
+	if quiet != 4 {
+		t.Fatalf("quiet team got %d of 8 slots, want its 4 tasks placed", quiet)
+	}
+}
+
+func TestTaskThatFitsNoAgentIsRefused(t *testing.T) {
+	q := newTestQueue(2, 8)
+	j := testJob(1, "", 2)
+	j.Tasks[1].MemoryMB = 101
+	if got := q.Admit(start, j); got != result.NeverFits {
+		t.Fatalf("got %s", got)
+	}
+}
+
+func TestJobThatCannotMeetItsDeadlineIsRefusedEarly(t *testing.T) {
+	q := newTestQueue(1, 1)
+	for range runTimeSamples {
+		q.Done(agentID(0), time.Second, 0, start)
+	}
+	j := testJob(1, "", 100)
+	if got := q.Admit(start, j); got != result.OK {
+		t.Fatalf("first job: got %s", got)
+	}
+	q.Add(start, j)
+	late := testJob(2, "", 1)
+	late.Deadline = start.Add(10 * time.Second)
+	if got := q.Admit(start, late); got != result.Overloaded {
+		t.Fatalf("got %s", got)
+	}
+}
+
+func TestFailingAgentLosesItsShareButNeverMoreThanTheLimit(t *testing.T) {
+	q := newTestQueue(10, 1)
+	for i := range 10 {
+		q.Done(agentID(i), time.Millisecond, 60+i, start)
+	}
+	q.Dispatch(start)
+	out := 0
+	for i := range 10 {
+		if q.Ejected(agentID(i), start) {
+			out++
+		}
+	}
+	if out != 3 {
+		t.Fatalf("%d of 10 ejected, want 3", out)
+	}
+	if !q.Ejected(agentID(9), start) {
+		t.Fatal("the worst agent is not ejected")
+	}
+}
+
+func TestPeerWithOlderTaskGetsTheCredit(t *testing.T) {
+	q := newTestQueue(1, 2)
+	q.SetPeer("p")
+	q.Add(start, testJob(1, "", 5))
+	q.PeerWants(start, "p", 1, time.Second)
+	q.AddCredits(credit(0, 0, 1))
+	d := q.Dispatch(start)
+	if len(d.Give) != 1 || len(d.Place) != 0 {
+		t.Fatalf("got %+v", d)
+	}
+	q.AddCredits(credit(0, 0, 2))
+	if d := q.Dispatch(start); len(d.Place) != 1 {
+		t.Fatalf("next credit: got %+v", d)
+	}
+}
+
+// TestQueueNeitherLosesNorDoublesWork drives a queue with random events and
+// holds it against what went in: each task is placed at most once at a time,
+// each credit spent or given at most once, and no task waits beside a usable
+// credit.
+func TestQueueNeitherLosesNorDoublesWork(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &queueWorld{t: t, q: newTestQueue(3, 4), now: start, placed: map[Task]Credit{}, live: map[Credit]bool{}}
+		w.q.SetPeer("p")
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": w.submit,
+			"offer":  w.offer,
+			"finish": w.finish,
+			"refuse": w.refuse,
+			"wants":  w.peerWants,
+			"":       w.check,
+		})
+	})
+}
+
+type queueWorld struct {
+	t      *rapid.T
+	q      *Queue
+	now    time.Time
+	jobs   int
+	open   int // tasks neither placed nor finished
+	epoch  uint64
+	placed map[Task]Credit
+	live   map[Credit]bool // held by the queue
+}
+
+func (w *queueWorld) submit(t *rapid.T) {
+	w.jobs++
+	n := rapid.IntRange(1, 5).Draw(t, "tasks")
+	w.q.Add(w.now, testJob(w.jobs, fmt.Sprint(w.jobs%3), n))
+	w.open += n
+	w.dispatch(t)
+}
+
+func (w *queueWorld) offer(t *rapid.T) {
+	w.epoch++
+	c := credit(rapid.IntRange(0, 2).Draw(t, "agent"), rapid.IntRange(0, 3).Draw(t, "slot"), w.epoch)
+	for old := range w.live {
+		if old.Agent == c.Agent && old.Slot == c.Slot {
+			delete(w.live, old)
+		}
+	}
+	w.live[c] = true
+	w.q.AddCredits(c)
+	w.dispatch(t)
+}
+
+func (w *queueWorld) finish(t *rapid.T) {
+	for task, c := range w.placed {
+		delete(w.placed, task)
+		w.q.Done(c.Agent, time.Millisecond, 0, w.now)
+		break
+	}
+	w.dispatch(t)
+}
+
+func (w *queueWorld) refuse(t *rapid.T) {
+	for task, c := range w.placed {
+		delete(w.placed, task)
+		w.open++
+		w.q.Refused(c.Agent)
+		w.q.Again(w.now, task)
+		break
+	}
+	w.dispatch(t)
+}
+
+func (w *queueWorld) peerWants(t *rapid.T) {
+	w.q.PeerWants(w.now, "p", rapid.IntRange(0, 3).Draw(t, "want"), time.Duration(rapid.IntRange(0, 50).Draw(t, "oldest"))*time.Millisecond)
+	w.dispatch(t)
+}
+
+func (w *queueWorld) dispatch(t *rapid.T) {
+	w.now = w.now.Add(time.Millisecond)
+	d := w.q.Dispatch(w.now)
+	for _, p := range d.Place {
+		if _, twice := w.placed[p.Task]; twice {
+			t.Fatalf("task %+v placed twice", p.Task)
+		}
+		w.spend(t, p.Credit)
+		w.placed[p.Task] = p.Credit
+		w.open--
+	}
+	for _, g := range d.Give {
+		for _, c := range g.Credits {
+			w.spend(t, c)
+		}
+	}
+}
+
+func (w *queueWorld) spend(t *rapid.T, c Credit) {
+	if !w.live[c] {
+		t.Fatalf("credit %+v spent, but not held", c)
+	}
+	delete(w.live, c)
+}
+
+func (w *queueWorld) check(t *rapid.T) {
+	if w.q.Waiting() != w.open || w.q.Spare() != len(w.live) {
+		t.Fatalf("waiting %d, want %d; spare %d, want %d", w.q.Waiting(), w.open, w.q.Spare(), len(w.live))
+	}
+	if w.open > 0 && len(w.live) > 0 {
+		t.Fatalf("%d tasks wait beside %d credits", w.open, len(w.live))
+	}
+}
