--- a/release/state.go
+++ b/release/state.go
@@ -2,7 +2,7 @@
 // them: services, availability zones, teams and settings, under a version that
 // only goes up.
 //
-// It is pure: reading and writing the platform's table is done in entry.
+// It is pure: reading and writing the platform's table is done in notestore.
 package release
 
 import "time"
