Commands of the binary, and the trial of the whole path

Cause: operators and callers need tools, and the processes a way to start. Exit codes tell a script whether work ran, did not run or may have run.

The trial reads starts from the stand-in endpoints and refuses a run in which an answered task was never seen to start, so that a change of their format cannot pass for a success.

Run so far: usage errors and exit codes by hand.

--- a/client/operator.go
+++ b/client/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/url"
 	"time"
@@ -92,8 +93,10 @@
 
 // command posts until an entry confirms or refuses.
 func (o *Operator) command(ctx context.Context, path string, body []byte) (*api.NoteAnswer, error) {
+	sent := false
 	for retry := 0; ; retry++ {
 		a, err := post(ctx, o, path, body)
+		sent = sent || mayHaveTakenEffect(a, err)
 		if err == nil && accepted(a.Code) {
 			return a, nil
 		}
@@ -101,7 +104,7 @@
 			err = &result.Error{Code: a.Code, Detail: a.Detail}
 		}
 		if !o.again(ctx, retry, a) {
-			return a, commandError(err)
+			return a, commandError(err, sent)
 		}
 	}
 }
@@ -133,6 +136,16 @@
 	return a, nil
 }
 
+// mayHaveTakenEffect reports whether a try of a command may have changed
+// something although its answer does not say so.
+func mayHaveTakenEffect(a *api.NoteAnswer, err error) bool {
+	if err == nil {
+		return result.Lookup(a.Code).Ran != result.RanNo
+	}
+	var lost *callError
+	return !errors.As(err, &lost) || lost.sent
+}
+
 func accepted(c result.Code) bool {
 	return c == result.OK || c == result.HeldNotDurable || c == result.NoteUnconfirmed
 }
--- a/client/query.go
+++ b/client/query.go
@@ -56,7 +56,7 @@
 			break
 		}
 	}
-	return new(T), commandError(err)
+	return new(T), commandError(err, false)
 }
 
 func get[T any](ctx context.Context, o *Operator, path string) (*T, error) {
@@ -77,14 +77,15 @@
 	return nil, &callError{sent: true, err: errMismatch}
 }
 
-// commandError gives an error without an answer a result code.
-func commandError(err error) error {
+// commandError gives an error without an answer a result code. sent says that an
+// earlier try may have taken effect.
+func commandError(err error, sent bool) error {
 	var coded *result.Error
 	if errors.As(err, &coded) {
 		return coded
 	}
 	var lost *callError
-	if errors.As(err, &lost) && !lost.sent {
+	if errors.As(err, &lost) && !lost.sent && !sent {
 		return &NotRunError{Err: result.Errorf(result.PeerUnreachable, "no entry could be reached"), Cause: err}
 	}
 	return &UnknownError{Err: result.Errorf(result.OutcomeUnknown, "no entry answered"), Cause: err}
--- a/cmd/bergamotwing/main.go
+++ b/cmd/bergamotwing/main.go
@@ -2,4 +2,10 @@
 // the commands of its operators and callers.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"bergamotwing.example/command"
+)
+
+func main() { os.Exit(command.Run(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/command/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package command is filled in below its doc comment.
-package command
--- /dev/null
+++ b/command/internal/trial/processes.go
@@ -0,0 +1,108 @@
+package trial
+
+import (
+	"context"
+	"time"
+
+	"bergamotwing.example/agent"
+	"bergamotwing.example/entry"
+	"bergamotwing.example/platform"
+	"bergamotwing.example/settings"
+	"bergamotwing.example/telemetry"
+)
+
+// entryProcess is a running entry.
+type entryProcess struct {
+	addrs entry.Addrs
+	done  chan struct{}
+}
+
+// agentProcess is a running agent.
+type agentProcess struct {
+	agent  *agent.Agent
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// killer is an agent that can stop at once, without finishing its tasks.
+type killer interface{ Kill() }
+
+const (
+	logLevel    = "info"
+	stopTimeout = settings.Duration(2 * time.Second)
+)
+
+func (c *cluster) startEntry(id, zone string) error {
+	s := settings.DefaultEntry()
+	s.ID, s.Zone = id, zone
+	s.Listen, s.OperatorListen, s.LinkListen = loopback, loopback, loopback
+	s.OperatorToken = c.token
+	s.Peers = c.linkAddrs()
+	s.Keys = c.keys()
+	s.Platform = c.platformSettings()
+	s.StopTimeout = stopTimeout
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		return err
+	}
+	log := telemetry.NewLog(c.log, logLevel, "entry", id, zone)
+	e, err := entry.New(s, entry.Deps{Log: log, Metrics: metrics, Table: c.table()})
+	if err != nil {
+		return err
+	}
+	p := &entryProcess{addrs: e.Addrs(), done: make(chan struct{})}
+	c.entries = append(c.entries, p)
+	go func() {
+		defer close(p.done)
+		if err := e.Run(c.ctx); err != nil {
+			log.Error().Err(err).Msg("entry ended")
+		}
+	}()
+	return nil
+}
+
+func (c *cluster) startAgent(service, zone, id, endpointURL string) error {
+	s := settings.DefaultAgent()
+	s.ID, s.Zone, s.Service, s.Endpoint = id, zone, service, endpointURL
+	s.Slots, s.Connections = slots, connections
+	s.Listen = loopback
+	s.Entries = c.linkAddrs()
+	s.Keys = c.keys()
+	s.Platform = c.platformSettings()
+	s.StopTimeout = stopTimeout
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		return err
+	}
+	log := telemetry.NewLog(c.log, logLevel, "agent", id, zone)
+	a, err := agent.New(s, agent.Deps{Log: log, Metrics: metrics, Table: c.table()})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(c.ctx)
+	p := &agentProcess{agent: a, cancel: cancel, done: make(chan struct{})}
+	c.agents[id] = p
+	go func() {
+		defer close(p.done)
+		if err := a.Run(ctx); err != nil {
+			log.Error().Err(err).Msg("agent ended")
+		}
+	}()
+	return nil
+}
+
+func (c *cluster) table() platform.Table {
+	p := c.platformSettings()
+	return platform.NewClient(platform.ClientConfig{URL: p.URL, Token: p.Token, Timeout: p.Timeout.D()})
+}
+
+// stopAgent stops an agent, abruptly if it can, and reports whether it could.
+func (c *cluster) stopAgent(id string) bool {
+	p := c.agents[id]
+	k, abrupt := any(p.agent).(killer)
+	if abrupt {
+		k.Kill()
+	}
+	p.cancel()
+	return abrupt
+}
--- /dev/null
+++ b/command/internal/trial/starts.go
@@ -0,0 +1,64 @@
+package trial
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const startsPath = "/starts"
+
+// start is one start of a task as an endpoint recorded it.
+type start struct {
+	Echo string `json:"echo"`
+	AtMS int64  `json:"atMs"` // Unix milliseconds
+}
+
+// startList is the answer to GET /starts.
+type startList struct {
+	Starts []start `json:"starts"`
+}
+
+// seenStart is a start with the endpoint that made it.
+type seenStart struct {
+	endpoint, zone string
+	at             time.Time
+}
+
+// startsByTask lists the starts of every task at all endpoints.
+type startsByTask map[string][]seenStart
+
+func (c *cluster) starts(ctx context.Context) (startsByTask, error) {
+	all := startsByTask{}
+	for _, e := range c.endpoints {
+		list, err := getStarts(ctx, e.server.url())
+		if err != nil {
+			return nil, eris.Wrapf(err, "starts of %s", e.id)
+		}
+		for _, s := range list.Starts {
+			all[s.Echo] = append(all[s.Echo], seenStart{endpoint: e.id, zone: e.zone, at: time.UnixMilli(s.AtMS)})
+		}
+	}
+	return all, nil
+}
+
+func getStarts(ctx context.Context, base string) (*startList, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+startsPath, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	list := new(startList)
+	return list, json.NewDecoder(resp.Body).Decode(list)
+}
--- /dev/null
+++ b/command/options.go
@@ -0,0 +1,77 @@
+package command
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"bergamotwing.example/client"
+	"bergamotwing.example/result"
+)
+
+// operatorOptions say how to reach the operators' API.
+type operatorOptions struct {
+	Operators []string      `long:"operators" value-name:"URL" env:"BERGAMOTWING_OPERATORS" env-delim:"," description:"operators' base URL of an entry; may be given several times"`
+	TokenFile string        `long:"token-file" value-name:"FILE" env:"BERGAMOTWING_TOKEN_FILE" description:"file with the operators' token"`
+	Timeout   time.Duration `long:"timeout" default:"15s" description:"give up after this time"`
+	JSON      bool          `long:"json" description:"print JSON"`
+}
+
+// callerOptions say how to reach the callers' API.
+type callerOptions struct {
+	Entries   []string      `long:"entries" value-name:"URL" env:"BERGAMOTWING_ENTRIES" env-delim:"," description:"callers' base URL of an entry; may be given several times"`
+	TokenFile string        `long:"token-file" value-name:"FILE" env:"BERGAMOTWING_TOKEN_FILE" description:"file with the caller's token"`
+	Timeout   time.Duration `long:"timeout" default:"60s" description:"give up after this time"`
+	JSON      bool          `long:"json" description:"print JSON"`
+}
+
+func (o *operatorOptions) connect() (*client.Operator, error) {
+	if len(o.Operators) == 0 {
+		return nil, usagef("no entry: give --operators URL or set BERGAMOTWING_OPERATORS")
+	}
+	token, err := readToken(o.TokenFile)
+	if err != nil {
+		return nil, err
+	}
+	return client.NewOperator(client.Config{Entries: o.Operators, Token: token})
+}
+
+func (o *callerOptions) connect() (*client.Client, error) {
+	if len(o.Entries) == 0 {
+		return nil, usagef("no entry: give --entries URL or set BERGAMOTWING_ENTRIES")
+	}
+	token, err := readToken(o.TokenFile)
+	if err != nil {
+		return nil, err
+	}
+	return client.New(client.Config{Entries: o.Entries, Token: token, TicketPack: 1})
+}
+
+func readToken(file string) (string, error) {
+	if file == "" {
+		return "", nil
+	}
+	text, err := os.ReadFile(file) //nolint:gosec // the operator names the file
+	if err != nil {
+		return "", result.Errorf(result.BadSettings, "%v", err)
+	}
+	return strings.TrimSpace(string(text)), nil
+}
+
+// untilSignal returns a context that ends at SIGINT or SIGTERM. After the first
+// signal a second one kills the process as usual.
+func untilSignal() (context.Context, context.CancelFunc) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	context.AfterFunc(ctx, stop)
+	return ctx, stop
+}
+
+// within is untilSignal with a timeout.
+func within(timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, stop := untilSignal()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	return ctx, func() { cancel(); stop() }
+}
--- /dev/null
+++ b/command/process.go
@@ -0,0 +1,16 @@
+package command
+
+import (
+	"bergamotwing.example/platform"
+	"bergamotwing.example/settings"
+)
+
+// processOptions are common to the commands that run a process.
+type processOptions struct {
+	Settings string `long:"settings" value-name:"FILE" required:"yes" description:"settings file, JSON with comments"`
+	Check    bool   `long:"check-settings" description:"check the settings file and exit"`
+}
+
+func connectPlatform(p settings.Platform) platform.Table {
+	return platform.NewClient(platform.ClientConfig{URL: p.URL, Token: p.Token, Timeout: p.Timeout.D()})
+}
--- /dev/null
+++ b/command/try.go
@@ -0,0 +1,61 @@
+package command
+
+import (
+	"errors"
+	"io"
+	"os"
+
+	"bergamotwing.example/command/internal/trial"
+)
+
+const tryHelp = `Tries the whole path in one process over loopback: a platform stand-in, two
+entries, agents and stand-in endpoints in six zones. Both users submit jobs
+while a zone leaves and returns and an agent is stopped. Prints what happened
+with response times against the ideal, and exits 0 only if every answer was
+right. Takes under 20 s.
+
+Examples:
+$ bergamotwing try
+$ bergamotwing try --seed 7 --log try.log`
+
+// errTrial ends a trial in which something was wrong; the report says what.
+var errTrial = errors.New("the trial found faults")
+
+type tryCommand struct {
+	out  *output
+	Seed uint64 `long:"seed" default:"1" description:"seed of arrivals and run times"`
+	Log  string `long:"log" value-name:"FILE" description:"write the processes' logs to this file"`
+}
+
+// Execute runs the trial and prints its report.
+func (c *tryCommand) Execute([]string) error {
+	log, err := openLog(c.Log)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
+	ctx, stop := untilSignal()
+	defer stop()
+	report, err := trial.Run(ctx, trial.Config{Seed: c.Seed, Log: log, Progress: c.out.stderr})
+	if err != nil {
+		return err
+	}
+	if err := report.Write(c.out.stdout); err != nil {
+		return err
+	}
+	if len(report.Faults) > 0 {
+		return errTrial
+	}
+	return nil
+}
+
+type discardCloser struct{ io.Writer }
+
+func (discardCloser) Close() error { return nil }
+
+func openLog(file string) (io.WriteCloser, error) {
+	if file == "" {
+		return discardCloser{io.Discard}, nil
+	}
+	return os.Create(file) //nolint:gosec // the user names the file
+}
