--- /dev/null
+++ b/load/submit.go
@@ -0,0 +1,127 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"bergamotwing.example/client/api"
+	"bergamotwing.example/result"
+)
+
+// Submitter carries a caller's job to an entry and returns the answer. It must
+// be safe for concurrent use.
+type Submitter interface {
+	Submit(ctx context.Context, caller, entry int, job api.Job) (api.Answer, error)
+}
+
+// ticketsPerCall is how many tickets a caller takes at a time.
+const ticketsPerCall = 50
+
+// httpSubmitter submits through net/http; each caller has a client of its own
+// and keeps unused tickets of each entry.
+type httpSubmitter struct {
+	entries []string
+	callers []*httpCaller
+}
+
+type httpCaller struct {
+	client  *http.Client
+	mu      sync.Mutex
+	tickets map[int][]string // by entry
+}
+
+// newHTTPSubmitter returns the default Submitter.
+func newHTTPSubmitter(entries []string, callers int, timeout time.Duration) *httpSubmitter {
+	s := &httpSubmitter{entries: entries}
+	for range callers {
+		transport := &http.Transport{MaxIdleConnsPerHost: ticketsPerCall}
+		s.callers = append(s.callers, &httpCaller{
+			client:  &http.Client{Transport: transport, Timeout: timeout},
+			tickets: map[int][]string{},
+		})
+	}
+	return s
+}
+
+// Submit submits a job under a ticket of the entry.
+func (s *httpSubmitter) Submit(ctx context.Context, caller, entry int, job api.Job) (api.Answer, error) {
+	c, base := s.callers[caller], s.entries[entry]
+	ticket, err := c.ticket(ctx, base, entry)
+	if err != nil {
+		return api.Answer{}, err
+	}
+	body, err := json.Marshal(job)
+	if err != nil {
+		return api.Answer{}, eris.Wrap(err, "encode job")
+	}
+	var answer api.Answer
+	err = call(ctx, c.client, http.MethodPut, base+api.PathJobs+"/"+ticket, "", body, &answer)
+	return answer, err
+}
+
+func (s *httpSubmitter) close() {
+	for _, c := range s.callers {
+		c.client.CloseIdleConnections()
+	}
+}
+
+func (c *httpCaller) ticket(ctx context.Context, base string, entry int) (string, error) {
+	if ticket, ok := c.take(entry); ok {
+		return ticket, nil
+	}
+	var more struct {
+		api.Tickets
+		api.Answer // of a refusal
+	}
+	url := fmt.Sprintf("%s%s?count=%d", base, api.PathTickets, ticketsPerCall)
+	if err := call(ctx, c.client, http.MethodPost, url, "", nil, &more); err != nil {
+		return "", err
+	}
+	if len(more.Tickets.Tickets) == 0 {
+		return "", result.Errorf(more.Code, "no tickets: %s", more.Detail)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tickets[entry] = append(c.tickets[entry], more.Tickets.Tickets[1:]...)
+	return more.Tickets.Tickets[0], nil
+}
+
+func (c *httpCaller) take(entry int) (string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept := c.tickets[entry]
+	if len(kept) == 0 {
+		return "", false
+	}
+	c.tickets[entry] = kept[:len(kept)-1]
+	return kept[len(kept)-1], true
+}
+
+// call makes one HTTP call and decodes the JSON answer, whatever its status.
+func call(ctx context.Context, client *http.Client, method, url, token string, body []byte, out any) error {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, "request")
+	}
+	if token != "" {
+		req.Header.Set("Authorization", "Bearer "+token)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return eris.Wrap(err, "call")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return eris.Wrap(err, "read answer")
+	}
+	return eris.Wrapf(json.Unmarshal(answer, out), "answer with status %d", resp.StatusCode)
+}
