Settings: every wrong key reported with line, value and range; keys and TLS

Only the first wrong setting was reported, without its line, and durations in nanoseconds. Addresses are IP numbers now: the validator's tcp_addr resolved names, so checking a file could ask a name server. Values of secrets, and of misspelt keys that may hold one, are never quoted.

--- a/settings/decode.go
+++ b/settings/decode.go
@@ -1,27 +1,29 @@
 package settings
 
 import (
-	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
-	"os"
+	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/go-playground/validator/v10"
-	"github.com/tailscale/hujson"
 
 	"bergamotwing.example/result"
+	"bergamotwing.example/strictjson"
 )
 
 // UnmarshalJSON reads a duration from text such as "250ms".
 func (d *Duration) UnmarshalJSON(b []byte) error {
 	var text string
 	if err := json.Unmarshal(b, &text); err != nil {
-		return result.Errorf(result.BadSettings, "a duration is text such as \"250ms\"")
+		return result.Errorf(result.BadSettings, "must be %s", d.Describe())
 	}
 	v, err := time.ParseDuration(text)
 	if err != nil {
-		return result.Errorf(result.BadSettings, "duration %q: use a form such as \"250ms\"", text)
+		return result.Errorf(result.BadSettings, "must be %s", d.Describe())
 	}
 	*d = Duration(v)
 	return nil
@@ -30,28 +32,67 @@
 // MarshalJSON writes a duration as text.
 func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(time.Duration(d).String()) }
 
-func load(file string, into any) error {
-	text, err := os.ReadFile(file) //nolint:gosec // the operator names the file
-	if err != nil {
-		return result.Errorf(result.BadSettings, "%v", err)
+// Describe implements strictjson.Describer.
+func (d Duration) Describe() string { return `a duration in quotes such as "250ms" or "2s"` }
+
+// report collects the problems of one file, at most one for each key.
+type report struct {
+	doc      *strictjson.Document
+	problems []strictjson.Problem
+}
+
+// fail adds a problem of a key, unless it has one already.
+func (r *report) fail(key, format string, args ...any) {
+	if !r.failed(key) {
+		r.problems = append(r.problems, r.doc.Problem(key, fmt.Sprintf(format, args...)))
 	}
-	plain, err := hujson.Standardize(text)
-	if err != nil {
-		return result.Errorf(result.BadSettings, "%s: %v", file, err)
+}
+
+// failed reports whether a key, one around it or one in it has a problem.
+func (r *report) failed(key string) bool {
+	return slices.ContainsFunc(r.problems, func(p strictjson.Problem) bool {
+		return within(key, p.Key) || within(p.Key, key)
+	})
+}
+
+// within reports whether key is outer or a key in it.
+func within(key, outer string) bool {
+	rest, ok := strings.CutPrefix(key, outer)
+	return ok && (rest == "" || outer == "" || rest[0] == '.' || rest[0] == '[')
+}
+
+// error returns all problems in the order of the file, one a line.
+func (r *report) error(file string) error {
+	if len(r.problems) == 0 {
+		return nil
 	}
-	dec := json.NewDecoder(bytes.NewReader(plain))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(into); err != nil {
-		return result.Errorf(result.BadSettings, "%s:%d: %v", file, lineAt(plain, dec.InputOffset()), err)
+	slices.SortStableFunc(r.problems, func(a, b strictjson.Problem) int { return cmp.Compare(a.Line, b.Line) })
+	lines := make([]string, len(r.problems))
+	for i, p := range r.problems {
+		lines[i] = fmt.Sprintf("%s:%d: %s", file, p.Line, hideSecret(p))
 	}
-	var invalid validator.ValidationErrors
-	if err := validator.New().Struct(into); errors.As(err, &invalid) {
-		f := invalid[0]
-		return result.Errorf(result.BadSettings, "%s: %s must satisfy %s=%s", file, f.Namespace(), f.Tag(), f.Param())
+	return result.Errorf(result.BadSettings, "%s", strings.Join(lines, "\n"))
+}
+
+// hideSecret drops the value of a key that holds a secret.
+func hideSecret(p strictjson.Problem) strictjson.Problem {
+	name := strings.ToLower(p.Key[strings.LastIndexByte(p.Key, '.')+1:])
+	if strings.HasSuffix(name, "secret") || strings.HasSuffix(name, "token") {
+		p.Value = ""
 	}
-	return nil
+	return p
 }
 
-func lineAt(text []byte, offset int64) int {
-	return 1 + bytes.Count(text[:min(int(offset), len(text))], []byte("\n"))
+// decode reads text over the defaults in into and checks every key by its tag.
+func decode(text []byte, into any) *report {
+	doc, problems := strictjson.Decode(text, into)
+	r := &report{doc: doc, problems: problems}
+	var invalid validator.ValidationErrors
+	if err := rules().Struct(into); errors.As(err, &invalid) {
+		for _, f := range invalid {
+			_, key, _ := strings.Cut(f.Namespace(), ".")
+			r.fail(key, "%s", explain(f, into, key))
+		}
+	}
+	return r
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -24,13 +24,13 @@
 // Key is a shared secret, inline or in a file. The first of a list signs; all
 // of them are accepted, so that keys can be rotated.
 type Key struct {
-	Secret     string `json:"secret" validate:"required_without=SecretFile,omitempty,min=16,max=256"`
+	Secret     string `json:"secret" validate:"required_without=SecretFile,excluded_with=SecretFile,omitempty,min=16,max=256"`
 	SecretFile string `json:"secretFile" validate:"omitempty,file"`
 }
 
 // Platform says how to reach the platform's table and object store.
 type Platform struct {
-	URL     string   `json:"url" validate:"required,url"`
+	URL     string   `json:"url" validate:"required,base_url"`
 	Token   string   `json:"token" validate:"max=256"`
 	Timeout Duration `json:"timeout" validate:"min=50000000,max=30000000000"` // 50ms-30s
 }
@@ -49,15 +49,15 @@
 
 // Entry holds the settings of an entry.
 type Entry struct {
-	ID             string   `json:"id" validate:"required,max=64,hostname_rfc1123"`
-	Zone           string   `json:"zone" validate:"required,max=64"`
-	Listen         string   `json:"listen" validate:"required,tcp_addr"`         // callers
-	OperatorListen string   `json:"operatorListen" validate:"required,tcp_addr"` // operators
+	ID             string   `json:"id" validate:"required,name"`
+	Zone           string   `json:"zone" validate:"required,name"`
+	Listen         string   `json:"listen" validate:"required,listen"`         // callers
+	OperatorListen string   `json:"operatorListen" validate:"required,listen"` // operators
 	OperatorToken  string   `json:"operatorToken" validate:"omitempty,min=16,max=256"`
-	LinkListen     string   `json:"linkListen" validate:"required,tcp_addr"` // agents and peers
-	LinkAddr       string   `json:"linkAddr" validate:"omitempty,tcp_addr"`  // as others dial it; default LinkListen
-	MetricsListen  string   `json:"metricsListen" validate:"omitempty,tcp_addr"`
-	Peers          []string `json:"peers" validate:"max=64,dive,tcp_addr"` // link addresses known beforehand
+	LinkListen     string   `json:"linkListen" validate:"required,listen"` // agents and peers
+	LinkAddr       string   `json:"linkAddr" validate:"omitempty,dial"`    // as others dial it; default LinkListen, empty if that has port 0
+	MetricsListen  string   `json:"metricsListen" validate:"omitempty,listen"`
+	Peers          []string `json:"peers" validate:"max=64,unique,dive,dial"` // link addresses known beforehand
 	Keys           []Key    `json:"keys" validate:"required,min=1,max=8,dive"`
 	Platform       Platform `json:"platform" validate:"required"`
 	TLS            TLS      `json:"tls"`     // callers and operators
@@ -71,15 +71,15 @@
 
 // Agent holds the settings of an agent.
 type Agent struct {
-	ID          string   `json:"id" validate:"required,max=64,hostname_rfc1123"`
-	Zone        string   `json:"zone" validate:"required,max=64"`
-	Service     string   `json:"service" validate:"required,max=64"`
-	Endpoint    string   `json:"endpoint" validate:"required,url"` // base URL of the endpoint beside the agent
+	ID          string   `json:"id" validate:"required,name"`
+	Zone        string   `json:"zone" validate:"required,name"`
+	Service     string   `json:"service" validate:"required,name"`
+	Endpoint    string   `json:"endpoint" validate:"required,base_url"` // base URL of the endpoint beside the agent
 	Slots       int      `json:"slots" validate:"min=1,max=1024"`
 	Connections int      `json:"connections" validate:"min=1,max=4096"`
 	MemoryMB    int      `json:"memoryMb" validate:"min=1,max=16777216"`
-	Listen      string   `json:"listen" validate:"required,tcp_addr"` // the endpoint announces its leaving here; metrics, health
-	Entries     []string `json:"entries" validate:"required,min=1,max=64,dive,tcp_addr"`
+	Listen      string   `json:"listen" validate:"required,listen"` // the endpoint announces its leaving here; metrics, health
+	Entries     []string `json:"entries" validate:"required,min=1,max=64,unique,dive,dial"`
 	Keys        []Key    `json:"keys" validate:"required,min=1,max=8,dive"`
 	Platform    Platform `json:"platform" validate:"required"`
 	LinkTLS     TLS      `json:"linkTls"`
