--- a/release/apply.go
+++ b/release/apply.go
@@ -35,8 +35,8 @@
 }
 
 // SetZone returns the note that puts a zone in or out of service and the state
-// after it. Unlike Apply it takes a zone that is so already, so that the note's
-// id is in force afterwards.
+// after it. Unlike Apply it accepts a note that changes nothing, so that the
+// note's id is in force afterwards.
 func SetZone(s State, zone string, inService bool, noteID string) (State, Note, error) {
 	n := Note{
 		ID:             noteID,
--- a/release/apply_test.go
+++ b/release/apply_test.go
@@ -1,6 +1,7 @@
 package release_test
 
 import (
+	"encoding/json"
 	"errors"
 	"strings"
 	"testing"
@@ -203,8 +204,15 @@
 		if err != nil && !errors.Is(err, code(result.NoteInvalid)) {
 			t.Fatal(err)
 		}
-		if err == nil && n.Check() != nil {
-			t.Fatalf("accepted %+v: %v", n, n.Check())
+		if err != nil {
+			return
+		}
+		again, err := json.Marshal(n)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if back, err := release.ParseNote(again); err != nil || !back.Equal(n) {
+			t.Fatalf("%+v was written as %s: %v", n, again, err)
 		}
 	})
 }
--- a/release/notestore/apply.go
+++ b/release/notestore/apply.go
@@ -38,7 +38,7 @@
 // ApplyZone accepts a note that puts a zone in or out of service, written
 // against the version in force. When another note comes first it is written
 // again, unless that note touches the same zone. It is idempotent by noteID and
-// takes a zone that is so already. Errors are those of ApplyNote.
+// succeeds if the zone is already in that state. Errors are those of ApplyNote.
 func (s Store) ApplyZone(ctx context.Context, zone string, inService bool, noteID string) (release.State, error) {
 	if !release.ValidName(noteID) {
 		return release.State{}, result.Errorf(result.NoteInvalid, "note id %q is malformed", noteID)
