--- a/command/load.go
+++ b/command/load.go
@@ -25,7 +25,8 @@
 
 // Execute runs the load and prints the report.
 func (c *loadCommand) Execute([]string) error {
-	if len(c.Entries) == 0 {
+	entries := nonEmpty(c.Entries)
+	if len(entries) == 0 {
 		return usagef("no entry: give --entries URL or set BERGAMOTWING_ENTRIES")
 	}
 	token, err := readToken(c.TokenFile)
@@ -35,7 +36,7 @@
 	ctx, stop := untilSignal()
 	defer stop()
 	report, err := load.Run(ctx, load.Options{
-		Entries: c.Entries, Token: token, Service: c.Service, Duration: c.Duration,
+		Entries: entries, Token: token, Service: c.Service, Duration: c.Duration,
 		JobsPerSecond: c.JobsPerSecond, TasksPerJob: c.TasksPerJob, Seed: c.Seed,
 	}, c.out.stderr)
 	if err != nil {
--- a/command/options.go
+++ b/command/options.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -29,25 +30,32 @@
 }
 
 func (o *operatorOptions) connect() (*client.Operator, error) {
-	if len(o.Operators) == 0 {
+	urls := nonEmpty(o.Operators)
+	if len(urls) == 0 {
 		return nil, usagef("no entry: give --operators URL or set BERGAMOTWING_OPERATORS")
 	}
 	token, err := readToken(o.TokenFile)
 	if err != nil {
 		return nil, err
 	}
-	return client.NewOperator(client.Config{Entries: o.Operators, Token: token})
+	return client.NewOperator(client.Config{Entries: urls, Token: token})
 }
 
 func (o *callerOptions) connect() (*client.Client, error) {
-	if len(o.Entries) == 0 {
+	urls := nonEmpty(o.Entries)
+	if len(urls) == 0 {
 		return nil, usagef("no entry: give --entries URL or set BERGAMOTWING_ENTRIES")
 	}
 	token, err := readToken(o.TokenFile)
 	if err != nil {
 		return nil, err
 	}
-	return client.New(client.Config{Entries: o.Entries, Token: token, TicketPack: 1})
+	return client.New(client.Config{Entries: urls, Token: token, TicketPack: 1})
+}
+
+// nonEmpty drops the empty items that an empty environment variable brings.
+func nonEmpty(items []string) []string {
+	return slices.DeleteFunc(slices.Clone(items), func(s string) bool { return s == "" })
 }
 
 func readToken(file string) (string, error) {
