Tests of redirects, of an unknown outcome before a refusal and of unsent tickets

Cause: changing the code on a scratch copy showed three rules that no test held: a redirected PUT, a refusal after outcome_unknown, and an operator's command whose last try was not sent though an earlier one was. Each such change now fails a test.

--- a/client/fake_test.go
+++ b/client/fake_test.go
@@ -89,6 +89,11 @@
 	}
 }
 
+func redirect(w http.ResponseWriter, _ string) {
+	w.Header().Set("Location", "/v1/elsewhere")
+	w.WriteHeader(http.StatusTemporaryRedirect)
+}
+
 func repeated(r reply, count int) []reply {
 	all := make([]reply, count)
 	for i := range all {
--- a/client/operator_test.go
+++ b/client/operator_test.go
@@ -58,7 +58,9 @@
 
 func TestCommandThatMayHaveTakenEffectIsNotCalledNotRun(t *testing.T) {
 	a := newFake(t, "a", repeated(lose, 3)...)
-	_, err := newTestOperator(t, a.url, "http://127.0.0.1:1").ZoneBack(t.Context(), "gent-noord", "n")
+	o := newTestOperator(t, a.url, "http://127.0.0.1:1")
+	o.cfg.MaxAttempts = 2
+	_, err := o.ZoneBack(t.Context(), "gent-noord", "n")
 	if typeName(err) != "unknown" {
 		t.Errorf("lost: error %v", err)
 	}
--- a/client/submit_test.go
+++ b/client/submit_test.go
@@ -44,7 +44,7 @@
 		"more data":      raw(200, `{"code":0,"ticket":"a-1","results":["eA=="]}{}`),
 		"wrong status":   raw(503, `{"code":0,"ticket":"a-1","results":["eA=="]}`),
 		"balancer page":  raw(502, `<html>`),
-		"redirect":       raw(307, ``),
+		"redirect":       redirect,
 	} {
 		t.Run(name, func(t *testing.T) {
 			a := newFake(t, "a", r)
@@ -70,13 +70,15 @@
 
 func TestRefusalAfterALostAnswerDoesNotFreeTheTicket(t *testing.T) {
 	for _, code := range []result.Code{result.Overloaded, result.Stopping, result.NoVersion, result.BadTicket, result.TicketExpired, result.QuotaExceeded} {
-		a := newFake(t, "a", append([]reply{lose}, repeated(refuse(code), 3)...)...)
-		_, err := newTestClient(t, nil, a).Submit(t.Context(), oneTask())
-		var unknown *UnknownError
-		if !errors.As(err, &unknown) || unknown.Ticket != "a-1" || !errors.Is(err, &result.Error{Code: result.OutcomeUnknown}) {
-			t.Errorf("%s: error %v", code, err)
+		for _, first := range []reply{lose, refuse(result.OutcomeUnknown)} {
+			a := newFake(t, "a", append([]reply{first}, repeated(refuse(code), 3)...)...)
+			_, err := newTestClient(t, nil, a).Submit(t.Context(), oneTask())
+			var unknown *UnknownError
+			if !errors.As(err, &unknown) || unknown.Ticket != "a-1" || !errors.Is(err, &result.Error{Code: result.OutcomeUnknown}) {
+				t.Errorf("%s: error %v", code, err)
+			}
+			wantCalls(t, a, "PUT a-1", "PUT a-1", "PUT a-1", "PUT a-1")
 		}
-		wantCalls(t, a, "PUT a-1", "PUT a-1", "PUT a-1", "PUT a-1")
 	}
 }
 
@@ -147,6 +149,11 @@
 	if _, err := c.Submit(t.Context(), oneTask()); err != nil {
 		t.Fatal(err)
 	}
+	c = newTestClient(t, func(cfg *Config) { cfg.Entries = []string{"http://127.0.0.1:1", b.url} })
+	c.pool.packs[0].tickets = []agedTicket{{"never-sent", time.Now()}, {"spare", time.Now()}}
+	if answer, err := c.Submit(t.Context(), oneTask()); err != nil || answer.Ticket == "never-sent" {
+		t.Errorf("a ticket of an unreachable entry: answer %+v, error %v", answer, err)
+	}
 	c = newTestClient(t, func(cfg *Config) { cfg.Entries = []string{"http://127.0.0.1:1"} })
 	_, err := c.Submit(t.Context(), oneTask())
 	if typeName(err) != "not run" || !errors.Is(err, &result.Error{Code: result.PeerUnreachable}) {
