Exit codes in docs/CODES.md; the trial reports starts in the zone and retries

Cause: the exit codes stood in the help only, and the trial did not show how long tasks still started in a zone that was out.

--- a/command/codes.go
+++ b/command/codes.go
@@ -90,5 +90,24 @@
 			return err
 		}
 	}
+	return writeExitCodes(w)
+}
+
+const exitIntro = `
+## Exit codes of the commands
+
+| Exit code | Meaning |
+| ---: | --- |
+`
+
+func writeExitCodes(w io.Writer) error {
+	if _, err := io.WriteString(w, exitIntro); err != nil {
+		return err
+	}
+	for code, meaning := range exitMeanings {
+		if _, err := fmt.Fprintf(w, "| %d | %s |\n", code, meaning); err != nil {
+			return err
+		}
+	}
 	return nil
 }
--- a/command/exit.go
+++ b/command/exit.go
@@ -22,6 +22,18 @@
 	ExitPending  = 7 // accepted, but not confirmed everywhere yet
 )
 
+// exitMeanings says in words what each exit code means.
+var exitMeanings = [...]string{
+	ExitOK:       "done",
+	ExitFailed:   "failed, or the job failed and some of its tasks may have run",
+	ExitUsage:    "wrong use of the command line",
+	ExitNotRun:   "not run: nothing was done and nothing will be",
+	ExitUnknown:  "outcome unknown: send the same ticket or note id again",
+	ExitConflict: "conflict: another note came first, or an id was used before",
+	ExitSettings: "a settings file, note file or job file is wrong",
+	ExitPending:  "accepted, but not confirmed everywhere yet",
+}
+
 // usageError is a command line that cannot be run.
 type usageError struct{ text string }
 
--- a/command/internal/trial/check.go
+++ b/command/internal/trial/check.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"time"
 
 	"bergamotwing.example/client"
 	"bergamotwing.example/release"
@@ -21,6 +22,7 @@
 		t.checkRecord(r, starts)
 	}
 	t.checkStarts(starts)
+	t.reportClients()
 	t.report.fill(t.journal)
 	return nil
 }
@@ -75,14 +77,29 @@
 // checkStarts finds doubled starts and starts in the zone that was out.
 func (t *trial) checkStarts(starts startsByTask) {
 	late := t.outage.out.Add(release.StopBound)
+	during, last := 0, time.Duration(0)
 	for echo, seen := range starts {
 		if len(seen) > 1 {
 			t.report.fault("%s: started %d times", echo, len(seen))
 		}
 		for _, s := range seen {
-			if s.zone == outZone && s.at.After(late) && s.at.Before(t.outage.back) {
+			if s.zone != outZone || s.at.Before(t.outage.out) || !s.at.Before(t.outage.back) {
+				continue
+			}
+			during++
+			last = max(last, s.at.Sub(t.outage.out))
+			if s.at.After(late) {
 				t.report.fault("%s: started in %s %s after it was out", echo, outZone, s.at.Sub(t.outage.out))
 			}
 		}
 	}
+	t.report.event("%d tasks started in %s after it was answered as out, the last after %s", during, outZone, last.Round(time.Millisecond))
+}
+
+// reportClients adds what the users' clients had to try again.
+func (t *trial) reportClients() {
+	for i, c := range t.clients {
+		s := c.Stats()
+		t.report.event("client of %s: %d jobs, tries made again by reason %v", users[i].name, s.FirstTries, s.Retries)
+	}
 }
--- a/command/run.go
+++ b/command/run.go
@@ -6,26 +6,17 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/jessevdk/go-flags"
 
 	"bergamotwing.example/client"
 )
 
-const longHelp = `Bergamotwing dispatches sub-second tasks to endpoints in several
-availability zones.
-
-Exit codes:
-0  done
-1  failed, or the job failed and some of its tasks may have run
-2  wrong use of the command line
-3  not run: nothing was done and nothing will be
-4  outcome unknown: send the same ticket or note id again
-5  conflict: another note came first, or an id was used before
-6  a settings file, note file or job file is wrong
-7  accepted, but not confirmed everywhere yet
-
-Docs: README.md, docs/DESIGN.md, docs/CODES.md, docs/GLOSSARY.md`
+const (
+	helpHead = "Bergamotwing dispatches sub-second tasks to endpoints in several\navailability zones.\n\nExit codes:\n"
+	helpFoot = "\nDocs: README.md, docs/DESIGN.md, docs/CODES.md, docs/GLOSSARY.md"
+)
 
 // output is where a command writes.
 type output struct {
@@ -37,7 +28,7 @@
 func Run(args []string, stdout, stderr io.Writer) int {
 	out := &output{stdout: stdout, stderr: stderr}
 	parser := flags.NewNamedParser("bergamotwing", flags.HelpFlag|flags.PassDoubleDash)
-	parser.LongDescription = longHelp
+	parser.LongDescription = longHelp()
 	if err := addCommands(parser.Command, commands(out)); err != nil {
 		return out.report(err)
 	}
@@ -48,6 +39,15 @@
 	return out.report(err)
 }
 
+func longHelp() string {
+	var text strings.Builder
+	text.WriteString(helpHead)
+	for code, meaning := range exitMeanings {
+		_, _ = fmt.Fprintf(&text, "%d  %s\n", code, meaning)
+	}
+	return text.String() + helpFoot
+}
+
 // report prints an error and returns its exit code.
 func (o *output) report(err error) int {
 	var parse *flags.Error
