Harness and trial read the starts as the endpoint stand-in records them

The names of fields and paths had been guessed while the parts were written apart. Before: the trial and every whole answer in the integration tests failed for the format.

--- a/command/internal/trial/starts.go
+++ b/command/internal/trial/starts.go
@@ -15,12 +15,7 @@
 // start is one start of a task as an endpoint recorded it.
 type start struct {
 	Echo string `json:"echo"`
-	AtMS int64  `json:"atMs"` // Unix milliseconds
-}
-
-// startList is the answer to GET /starts.
-type startList struct {
-	Starts []start `json:"starts"`
+	AtMS int64  `json:"at"` // Unix milliseconds
 }
 
 // seenStart is a start with the endpoint that made it.
@@ -39,14 +34,14 @@
 		if err != nil {
 			return nil, eris.Wrapf(err, "starts of %s", e.id)
 		}
-		for _, s := range list.Starts {
+		for _, s := range list {
 			all[s.Echo] = append(all[s.Echo], seenStart{endpoint: e.id, zone: e.zone, at: time.UnixMilli(s.AtMS)})
 		}
 	}
 	return all, nil
 }
 
-func getStarts(ctx context.Context, base string) (*startList, error) {
+func getStarts(ctx context.Context, base string) ([]start, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+startsPath, nil)
 	if err != nil {
 		return nil, err
@@ -59,6 +54,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("status %d", resp.StatusCode)
 	}
-	list := new(startList)
-	return list, json.NewDecoder(resp.Body).Decode(list)
+	var list []start
+	err = json.NewDecoder(resp.Body).Decode(&list)
+	return list, err
 }
--- a/entry/settle.go
+++ b/entry/settle.go
@@ -18,7 +18,7 @@
 // Times of settlements.
 const (
 	settleBatchEvery = 20 * time.Millisecond
-	settleBatchMax   = 500             // tickets in one fence row
+	settleBatchMax   = 500 // tickets in one fence row
 	fenceTimeout     = 1500 * time.Millisecond
 	settleAgainAfter = 250 * time.Millisecond // while tasks of the job still run
 	settleGiveUp     = 10 * time.Second       // a caller is told "unknown" after this long
--- a/integration/harness/nodes.go
+++ b/integration/harness/nodes.go
@@ -103,7 +103,7 @@
 }
 
 // pathLeaving is where an endpoint announces to its agent that it is leaving.
-const pathLeaving = "/leaving"
+const pathLeaving = "/leave"
 
 // AnnounceLeaving tells the agent that its endpoint is leaving.
 func (a *Agent) AnnounceLeaving(ctx context.Context) error {
--- a/integration/harness/oracle.go
+++ b/integration/harness/oracle.go
@@ -17,7 +17,7 @@
 type Start struct {
 	Task    string `json:"task"`
 	Attempt int    `json:"attempt"`
-	UnixMS  int64  `json:"unixMs"`
+	UnixMS  int64  `json:"at"`
 	Zone    string `json:"-"`
 	Agent   string `json:"-"`
 }
@@ -182,5 +182,5 @@
 	if err != nil {
 		t.Fatalf("ticket %s: %v", ticket, err)
 	}
-	return fmt.Sprintf("%s/%d/%d/%d", id.Entry, id.Incarnation, id.Seq, index)
+	return fmt.Sprintf("%s/%x/%d/%d", id.Entry, id.Incarnation, id.Seq, index)
 }
--- a/integration/main_test.go
+++ b/integration/main_test.go
@@ -13,6 +13,7 @@
 	"bergamotwing.example/integration/harness"
 	"bergamotwing.example/release"
 	"bergamotwing.example/result"
+	"bergamotwing.example/standin"
 )
 
 // stopBound is how long after its acceptance an order may take to be in force.
@@ -22,7 +23,7 @@
 const answerLimit = 20 * time.Second
 
 // expectedAnswer returns the result that an endpoint stand-in gives to a payload.
-var expectedAnswer func(payload []byte) []byte
+var expectedAnswer = standin.Answer
 
 func TestMain(m *testing.M) { os.Exit(run(m)) }
 
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -139,14 +139,15 @@
 
 // run records the start before anything else.
 func (e *Endpoint) run(w http.ResponseWriter, r *http.Request, faults EndpointFaults, payload []byte) {
-	digest := sha256.Sum256(payload)
-	e.starts.add(newStart(r.Header, digest))
+	p := parsePayload(payload)
+	start := newStart(r.Header, sha256.Sum256(payload))
+	start.Echo = p.Echo
+	e.starts.add(start)
 	e.started.Add(1)
 	if faults.NeverAnswer {
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
-	p := parsePayload(payload)
 	if !faults.FailAll {
 		wait(runTime(p, faults))
 	}
--- a/standin/starts.go
+++ b/standin/starts.go
@@ -14,8 +14,9 @@
 	Task       string `json:"task"`
 	Attempt    int    `json:"attempt"`
 	Idempotent bool   `json:"idempotent,omitempty"`
-	At         int64  `json:"at"`     // Unix ms
-	Digest     string `json:"digest"` // SHA-256 of the payload, in hex
+	At         int64  `json:"at"`             // Unix ms
+	Digest     string `json:"digest"`         // SHA-256 of the payload, in hex
+	Echo       string `json:"echo,omitempty"` // of the payload
 }
 
 // startLog only grows, so that a slice of it may be read without the lock.
