--- a/wire/codec.go
+++ b/wire/codec.go
@@ -1,6 +1,9 @@
 package wire
 
 import (
+	"bytes"
+	"sync"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
@@ -9,18 +12,23 @@
 
 // Limits on what is decoded from a link.
 const (
-	MaxFrameBytes   = 64 << 20
+	MaxMessageBytes = 64 << 20
+	MaxFrameBytes   = MaxMessageBytes + maxBatchBytes
 	maxArrayItems   = 1 << 20
 	maxNestedLevels = 16
 )
 
+// maxPooledBytes keeps the buffers of rare large messages out of the pools.
+const maxPooledBytes = 1 << 20
+
 var (
 	encMode = mustEnc()
 	decMode = mustDec()
+	buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 )
 
-func mustEnc() cbor.EncMode {
-	m, err := cbor.EncOptions{}.EncMode()
+func mustEnc() cbor.UserBufferEncMode {
+	m, err := cbor.EncOptions{}.UserBufferEncMode()
 	if err != nil {
 		panic(err)
 	}
@@ -28,7 +36,12 @@
 }
 
 func mustDec() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxArrayElements: maxArrayItems, MaxNestedLevels: maxNestedLevels}.DecMode()
+	m, err := cbor.DecOptions{
+		MaxArrayElements: maxArrayItems,
+		MaxNestedLevels:  maxNestedLevels,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+	}.DecMode()
 	if err != nil {
 		panic(err)
 	}
@@ -37,38 +50,65 @@
 
 // AppendMessage appends the encoding of m to frame: its kind, then its body.
 func AppendMessage(frame []byte, m Message) ([]byte, error) {
-	kind, err := encMode.Marshal(uint8(m.kind()))
-	if err != nil {
-		return frame, eris.Wrap(err, "encode kind")
+	buf := bytes.NewBuffer(frame)
+	if err := encode(buf, m); err != nil {
+		return frame, err
 	}
-	body, err := encMode.Marshal(m)
-	if err != nil {
-		return frame, eris.Wrapf(err, "encode %s", m.kind())
+	return buf.Bytes(), nil
+}
+
+// encode appends m to buf. The error has code BadMessage.
+func encode(buf *bytes.Buffer, m Message) error {
+	before := buf.Len()
+	if err := encMode.MarshalToBuffer(uint8(m.kind()), buf); err != nil {
+		return eris.Wrap(result.Errorf(result.BadMessage, "encode kind: %v", err), "encode")
+	}
+	if err := encMode.MarshalToBuffer(m, buf); err != nil {
+		return eris.Wrap(result.Errorf(result.BadMessage, "%s: %v", m.kind(), err), "encode")
+	}
+	if n := buf.Len() - before; n > MaxMessageBytes {
+		return eris.Wrap(result.Errorf(result.BadMessage, "%s has %d bytes", m.kind(), n), "encode")
+	}
+	return nil
+}
+
+func putBuffer(buf *bytes.Buffer) {
+	if buf.Cap() > maxPooledBytes {
+		return
 	}
-	frame = append(frame, kind...)
-	return append(frame, body...), nil
+	buf.Reset()
+	buffers.Put(buf)
 }
 
-// DecodeFrame returns the messages of a frame in order. A malformed frame gives
-// an error with code BadMessage and no messages.
+// DecodeFrame returns the messages of a frame in order. They share no memory
+// with it. A malformed frame gives an error with code BadMessage and no
+// messages.
 func DecodeFrame(frame []byte) ([]Message, error) {
 	var out []Message
 	for len(frame) > 0 {
-		var kind uint8
-		rest, err := decMode.UnmarshalFirst(frame, &kind)
+		m, rest, err := decodeMessage(frame)
 		if err != nil {
-			return nil, result.Errorf(result.BadMessage, "kind: %v", err)
-		}
-		m := newMessage(Kind(kind))
-		if m == nil {
-			return nil, result.Errorf(result.BadMessage, "unknown kind %d", kind)
-		}
-		rest, err = decMode.UnmarshalFirst(rest, m)
-		if err != nil {
-			return nil, result.Errorf(result.BadMessage, "%s: %v", Kind(kind), err)
+			return nil, err
 		}
 		out = append(out, m)
 		frame = rest
 	}
 	return out, nil
 }
+
+func decodeMessage(frame []byte) (Message, []byte, error) {
+	var kind uint8
+	rest, err := decMode.UnmarshalFirst(frame, &kind)
+	if err != nil {
+		return nil, nil, result.Errorf(result.BadMessage, "kind: %v", err)
+	}
+	m := newMessage(Kind(kind))
+	if m == nil {
+		return nil, nil, result.Errorf(result.BadMessage, "unknown kind %d", kind)
+	}
+	rest, err = decMode.UnmarshalFirst(rest, m)
+	if err != nil {
+		return nil, nil, result.Errorf(result.BadMessage, "%s: %v", Kind(kind), err)
+	}
+	return m, rest, nil
+}
--- a/wire/link.go
+++ b/wire/link.go
@@ -1,35 +1,30 @@
 package wire
 
 import (
+	"bytes"
 	"context"
-	"crypto/tls"
-	"net"
+	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
 	"github.com/rotisserie/eris"
+
+	"bergamotwing.example/result"
 )
 
 // Sizes and times of a link.
 const (
-	sendQueueMessages = 16384
-	maxBatchBytes     = 256 << 10
-	writeTimeout      = 5 * time.Second
-	dialTimeout       = 2 * time.Second
+	maxBatchBytes = 256 << 10
+	writeTimeout  = 5 * time.Second
+	dialTimeout   = 2 * time.Second
 )
 
 // ErrClosed is returned by Send once the link is closed or its queue is full.
 var ErrClosed = eris.New("link is closed")
 
-// Observer counts the messages of links. Implementations must be safe for
-// concurrent use.
-type Observer interface {
-	Sent(kind Kind, bytes int)
-	Received(kind Kind)
-}
-
 // Handler takes the messages of a link in the order they were sent. It runs on
 // the link's reading goroutine, so it must not wait for the link.
 type Handler func(m Message)
@@ -40,34 +35,12 @@
 	conn   *websocket.Conn
 	remote string
 	obs    Observer
-	queue  chan Message
+	queue  *sendQueue
 	done   chan struct{}
 	once   sync.Once
-}
 
-// Dial opens a link to addr (IP:port); path is /link/agent or /link/peer. A nil
-// tlsConfig means plain TCP. token is sent as a bearer token.
-func Dial(ctx context.Context, addr, path, token string, tlsConfig *tls.Config, obs Observer) (*Link, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	scheme := "ws://"
-	if tlsConfig != nil {
-		scheme = "wss://"
-	}
-	transport := &http.Transport{TLSClientConfig: tlsConfig, DialContext: (&net.Dialer{}).DialContext}
-	opts := &websocket.DialOptions{
-		HTTPClient: &http.Client{Transport: transport},
-		HTTPHeader: http.Header{"Authorization": {"Bearer " + token}},
-	}
-	conn, resp, err := websocket.Dial(ctx, scheme+addr+path, opts)
-	if resp != nil && resp.Body != nil && err != nil {
-		_ = resp.Body.Close()
-	}
-	if err != nil {
-		transport.CloseIdleConnections()
-		return nil, eris.Wrapf(err, "dial %s", addr)
-	}
-	return newLink(conn, addr, obs), nil
+	made     time.Time
+	received atomic.Int64 // nanoseconds from made to the last received frame
 }
 
 // Accept upgrades an incoming request to a link. On error the response has been
@@ -86,8 +59,9 @@
 		conn:   conn,
 		remote: remote,
 		obs:    obs,
-		queue:  make(chan Message, sendQueueMessages),
+		queue:  newSendQueue(),
 		done:   make(chan struct{}),
+		made:   time.Now(),
 	}
 }
 
@@ -97,55 +71,65 @@
 // Done is closed when the link is.
 func (l *Link) Done() <-chan struct{} { return l.done }
 
-// Send queues m and returns at once. A full queue closes the link: the other
-// side has stopped reading.
+// Idle returns the time since the last whole frame was received, or since the
+// link was made. It grows without bound when the connection is lost silently.
+func (l *Link) Idle() time.Duration {
+	return time.Since(l.made) - time.Duration(l.received.Load())
+}
+
+// Send encodes m, queues it and returns without waiting for the connection; m
+// may be changed afterwards. A full queue closes the link: the other side has
+// stopped reading. A message that is too large is refused with BadMessage.
 func (l *Link) Send(m Message) error {
-	select {
-	case <-l.done:
-		return ErrClosed
-	default:
+	buf := buffers.Get().(*bytes.Buffer)
+	defer putBuffer(buf)
+	if err := encode(buf, m); err != nil {
+		return err
 	}
-	select {
-	case l.queue <- m:
-		return nil
-	default:
+	if !l.queue.add(buf.Bytes()) {
 		l.Close()
 		return ErrClosed
 	}
+	l.obs.Sent(m.kind(), buf.Len())
+	return nil
 }
 
-// Close ends the link without waiting for queued messages.
+// Close ends the link and returns at once; queued messages are dropped.
 func (l *Link) Close() {
 	l.once.Do(func() {
+		l.queue.close()
 		close(l.done)
-		_ = l.conn.CloseNow()
+		go func() { _ = l.conn.CloseNow() }()
 	})
 }
 
 // Serve writes queued messages and hands incoming ones to h until the link or
 // ctx ends. No call of h is running or follows once Serve has returned.
 func (l *Link) Serve(ctx context.Context, h Handler) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	stop := context.AfterFunc(ctx, l.Close)
+	defer stop()
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
-		l.write(ctx)
+		l.write()
 	}()
-	err := l.read(ctx, h)
+	err := l.read(h)
 	l.Close()
-	cancel()
 	<-written
+	if ctx.Err() != nil {
+		return eris.Wrap(context.Cause(ctx), "serve link")
+	}
 	return err
 }
 
-func (l *Link) read(ctx context.Context, h Handler) error {
+func (l *Link) read(h Handler) error {
+	var frame bytes.Buffer
 	for {
-		_, frame, err := l.conn.Read(ctx)
-		if err != nil {
-			return eris.Wrap(err, "read link")
+		if err := l.readFrame(&frame); err != nil {
+			return err
 		}
-		messages, err := DecodeFrame(frame)
+		l.received.Store(int64(time.Since(l.made)))
+		messages, err := DecodeFrame(frame.Bytes())
 		if err != nil {
 			return err
 		}
@@ -156,45 +140,44 @@
 	}
 }
 
-func (l *Link) write(ctx context.Context) {
+// readFrame replaces the content of frame with the next frame.
+func (l *Link) readFrame(frame *bytes.Buffer) error {
+	if frame.Cap() > maxPooledBytes {
+		*frame = bytes.Buffer{}
+	}
+	frame.Reset()
+	kind, r, err := l.conn.Reader(context.Background())
+	if err != nil {
+		return eris.Wrap(err, "read link")
+	}
+	if kind != websocket.MessageBinary {
+		return result.Errorf(result.BadMessage, "frame is not binary")
+	}
+	_, err = frame.ReadFrom(r)
+	if errors.Is(err, websocket.ErrMessageTooBig) {
+		return result.Errorf(result.BadMessage, "frame is over %d bytes", MaxFrameBytes)
+	}
+	return eris.Wrap(err, "read link")
+}
+
+func (l *Link) write() {
 	defer l.Close()
+	timeout := time.AfterFunc(writeTimeout, l.Close)
+	defer timeout.Stop()
 	for {
+		timeout.Stop()
 		select {
-		case <-ctx.Done():
-			return
 		case <-l.done:
 			return
-		case m := <-l.queue:
-			if err := l.writeBatch(ctx, m); err != nil {
+		case <-l.queue.ready:
+		}
+		for frame := l.queue.take(); frame != nil; frame = l.queue.take() {
+			timeout.Reset(writeTimeout)
+			err := l.conn.Write(context.Background(), websocket.MessageBinary, frame.Bytes())
+			putBuffer(frame)
+			if err != nil {
 				return
 			}
 		}
 	}
 }
-
-// writeBatch sends first and what else is queued by now in one frame.
-func (l *Link) writeBatch(ctx context.Context, first Message) error {
-	var frame []byte
-	m := first
-	for {
-		before := len(frame)
-		next, err := AppendMessage(frame, m)
-		if err != nil {
-			return err
-		}
-		frame = next
-		l.obs.Sent(m.kind(), len(frame)-before)
-		if len(frame) >= maxBatchBytes {
-			break
-		}
-		select {
-		case m = <-l.queue:
-			continue
-		default:
-		}
-		break
-	}
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	return eris.Wrap(l.conn.Write(ctx, websocket.MessageBinary, frame), "write link")
-}
