--- a/telemetry/instruments.go
+++ b/telemetry/instruments.go
@@ -8,7 +8,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rotisserie/eris"
-	"go.opentelemetry.io/otel/attribute"
 	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
 	sdk "go.opentelemetry.io/otel/sdk/metric"
@@ -27,7 +26,9 @@
 	sentBytes     metric.Int64Counter
 	receivedTotal metric.Int64Counter
 
-	attrs    sync.Map // label value -> metric.MeasurementOption, made once each
+	reasons *labelOptions[result.Code]
+	kinds   *labelOptions[string]
+
 	mu       sync.Mutex
 	counters map[string]metric.Int64Counter
 }
@@ -41,7 +42,13 @@
 		return nil, eris.Wrap(err, "metrics exporter")
 	}
 	meter := sdk.NewMeterProvider(sdk.WithReader(exporter)).Meter("bergamotwing")
-	in := &instruments{meter: meter, registry: registry, counters: map[string]metric.Int64Counter{}}
+	in := &instruments{
+		meter:    meter,
+		registry: registry,
+		reasons:  newLabelOptions("reason", result.Code.String),
+		kinds:    newLabelOptions("kind", func(kind string) string { return kind }),
+		counters: map[string]metric.Int64Counter{},
+	}
 	for _, c := range []struct {
 		to         *metric.Int64Counter
 		name, help string
@@ -61,32 +68,22 @@
 	return &Metrics{instruments: in}, nil
 }
 
-func (in *instruments) label(key, value string) metric.MeasurementOption {
-	id := key + "=" + value
-	if o, ok := in.attrs.Load(id); ok {
-		return o.(metric.MeasurementOption)
-	}
-	o := metric.WithAttributeSet(attribute.NewSet(attribute.String(key, value)))
-	in.attrs.Store(id, o)
-	return o
-}
-
 func (in *instruments) refused(c result.Code) {
-	in.refusedTotal.Add(context.Background(), 1, in.label("reason", c.String()))
+	in.refusedTotal.Add(context.Background(), 1, in.reasons.of(c)...)
 }
 
 func (in *instruments) retried(c result.Code) {
-	in.retriedTotal.Add(context.Background(), 1, in.label("reason", c.String()))
+	in.retriedTotal.Add(context.Background(), 1, in.reasons.of(c)...)
 }
 
 func (in *instruments) sent(kind string, bytes int) {
-	l := in.label("kind", kind)
-	in.sentTotal.Add(context.Background(), 1, l)
-	in.sentBytes.Add(context.Background(), int64(bytes), l)
+	options := in.kinds.of(kind)
+	in.sentTotal.Add(context.Background(), 1, options...)
+	in.sentBytes.Add(context.Background(), int64(bytes), options...)
 }
 
 func (in *instruments) received(kind string) {
-	in.receivedTotal.Add(context.Background(), 1, in.label("kind", kind))
+	in.receivedTotal.Add(context.Background(), 1, in.kinds.of(kind)...)
 }
 
 func (in *instruments) gauge(name, help string, read func() float64) {
