--- a/ledger/ticket.go
+++ b/ledger/ticket.go
@@ -9,6 +9,7 @@
 	"crypto/sha256"
 	"encoding/base64"
 	"encoding/binary"
+	"strings"
 	"time"
 
 	"bergamotwing.example/result"
@@ -53,6 +54,9 @@
 	if len(text) > maxTicketBytes {
 		return Ticket{}, result.Errorf(result.BadTicket, "ticket is too long")
 	}
+	if strings.ContainsAny(text, "\r\n") { // skipped by the decoder, so a ticket would have several texts
+		return Ticket{}, result.Errorf(result.BadTicket, "ticket is malformed")
+	}
 	b, err := base64.RawURLEncoding.Strict().DecodeString(text)
 	if err != nil || len(b) < ticketFixed+macBytes+1 || b[0] != ticketVersion {
 		return Ticket{}, result.Errorf(result.BadTicket, "ticket is malformed")
