Check the directions of the modules' dependencies

Cause: the layout rests on narrow arrows, but within the workspace an import that go.mod does not require still builds. The test reads go.work and the go.mod files: no cycles, entry and agent never reach each other, the client reaches neither of them nor wire, placement, ledger and release require only result, and every import of a module is required by its go.mod.

--- /dev/null
+++ b/integration/arrows_test.go
@@ -0,0 +1,168 @@
+package integration_test
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"golang.org/x/mod/modfile"
+)
+
+const modulePrefix = "bergamotwing.example/"
+
+// arrows maps each module of the workspace to the modules that it requires.
+type arrows map[string][]string
+
+// workspace returns the directories of go.work relative to this one.
+func workspace(t *testing.T) []string {
+	t.Helper()
+	data, err := os.ReadFile("../go.work")
+	if err != nil {
+		t.Fatal(err)
+	}
+	work, err := modfile.ParseWork("go.work", data, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dirs := make([]string, len(work.Use))
+	for i, use := range work.Use {
+		dirs[i] = filepath.Join("..", use.Path)
+	}
+	return dirs
+}
+
+func readModule(t *testing.T, dir string) (name string, requires []string) {
+	t.Helper()
+	path := filepath.Join(dir, "go.mod")
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file, err := modfile.Parse(path, data, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range file.Require {
+		if to, ok := strings.CutPrefix(r.Mod.Path, modulePrefix); ok {
+			requires = append(requires, to)
+		}
+	}
+	return strings.TrimPrefix(file.Module.Mod.Path, modulePrefix), requires
+}
+
+func readArrows(t *testing.T) arrows {
+	t.Helper()
+	all := arrows{}
+	for _, dir := range workspace(t) {
+		name, requires := readModule(t, dir)
+		all[name] = requires
+	}
+	return all
+}
+
+// reaches reports whether from requires to, directly or through others.
+func (a arrows) reaches(from, to string) bool {
+	seen := map[string]bool{from: true}
+	for next := []string{from}; len(next) > 0; next = next[1:] {
+		for _, m := range a[next[0]] {
+			if m == to {
+				return true
+			}
+			if !seen[m] {
+				seen[m] = true
+				next = append(next, m)
+			}
+		}
+	}
+	return false
+}
+
+func TestModulesDependInOneDirection(t *testing.T) {
+	all := readArrows(t)
+	for name := range all {
+		if all.reaches(name, name) {
+			t.Errorf("%s requires itself through others", name)
+		}
+	}
+}
+
+func TestModulesKeepApart(t *testing.T) {
+	all := readArrows(t)
+	never := map[string][]string{
+		"entry":  {"agent", "command"},
+		"agent":  {"entry", "command"},
+		"client": {"entry", "agent", "wire"},
+	}
+	for from, modules := range never {
+		if _, ok := all[from]; !ok {
+			t.Errorf("no module %s", from)
+		}
+		for _, to := range modules {
+			if all.reaches(from, to) {
+				t.Errorf("%s requires %s", from, to)
+			}
+		}
+	}
+}
+
+func TestPureModulesRequireOnlyResult(t *testing.T) {
+	all := readArrows(t)
+	for name, allowed := range map[string][]string{"result": nil, "placement": {"result"}, "ledger": {"result"}, "release": {"result"}} {
+		requires, ok := all[name]
+		if !ok {
+			t.Errorf("no module %s", name)
+		}
+		for _, to := range requires {
+			if !slices.Contains(allowed, to) {
+				t.Errorf("%s requires %s", name, to)
+			}
+		}
+	}
+}
+
+func TestImportsAreRequiredByTheirModule(t *testing.T) {
+	for _, dir := range workspace(t) {
+		name, requires := readModule(t, dir)
+		for _, to := range importedModules(t, dir) {
+			if to != name && !slices.Contains(requires, to) {
+				t.Errorf("%s imports %s, but go.mod does not require it", name, to)
+			}
+		}
+	}
+}
+
+// importedModules returns the workspace's modules that the Go files under dir import.
+func importedModules(t *testing.T, dir string) []string {
+	t.Helper()
+	var out []string
+	err := filepath.WalkDir(dir, func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || filepath.Ext(path) != ".go" {
+			return err
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ImportsOnly)
+		if err != nil {
+			return err
+		}
+		for _, spec := range file.Imports {
+			imported, err := strconv.Unquote(spec.Path.Value)
+			if err != nil {
+				return err
+			}
+			if to, ok := strings.CutPrefix(imported, modulePrefix); ok {
+				module, _, _ := strings.Cut(to, "/")
+				out = append(out, module)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
