--- a/wire/token.go
+++ b/wire/token.go
@@ -7,25 +7,25 @@
 	"strings"
 )
 
-// linkPurpose keeps link tokens apart from other uses of the same key.
+// linkPurpose is what a link token authenticates.
 const linkPurpose = "bergamotwing link"
 
-// LinkToken returns the bearer token that opens a link under key.
+// LinkToken returns the bearer token of links for a shared key.
 func LinkToken(key []byte) string {
 	h := hmac.New(sha256.New, key)
 	h.Write([]byte(linkPurpose))
 	return hex.EncodeToString(h.Sum(nil))
 }
 
-// CheckLinkToken reports whether an Authorization header carries the token of
-// one of the keys. It takes the same time for every wrong token.
+// CheckLinkToken reports whether an Authorization header carries the link token
+// of one of the keys. It compares in constant time.
 func CheckLinkToken(header string, keys [][]byte) bool {
-	token, found := strings.CutPrefix(header, "Bearer ")
+	token, ok := strings.CutPrefix(header, "Bearer ")
 	valid := false
 	for _, key := range keys {
 		if hmac.Equal([]byte(token), []byte(LinkToken(key))) {
 			valid = true
 		}
 	}
-	return found && valid
+	return ok && valid
 }
