--- a/entry/handover.go
+++ b/entry/handover.go
@@ -15,6 +15,7 @@
 	handoverPart    = 200 // jobs in one message
 	handoverTimeout = 2 * time.Second
 	closeTimeout    = 5 * time.Second
+	flushTimeout    = time.Second
 )
 
 // heirs knows who answers for the tickets of entries that stopped gracefully,
@@ -174,10 +175,11 @@
 
 // awaitFlush waits until the links have written what was queued.
 func (e *Entry) awaitFlush() {
-	limit := time.Now().Add(time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
 	for _, p := range e.peers.list() {
-		for p.link.Queued() > 0 && time.Now().Before(limit) {
-			time.Sleep(time.Millisecond)
+		for p.link.Queued() > 0 && pause(ctx, dispatchTick) {
 		}
 	}
+	pause(ctx, peerPoll) // what was taken last is on its way
 }
--- a/wire/link.go
+++ b/wire/link.go
@@ -94,6 +94,9 @@
 	return nil
 }
 
+// Queued returns how many bytes wait to be written.
+func (l *Link) Queued() int { return l.queue.size() }
+
 // Close ends the link and returns at once; queued messages are dropped.
 func (l *Link) Close() {
 	l.once.Do(func() {
@@ -181,4 +184,3 @@
 		}
 	}
 }
-
--- a/wire/queue.go
+++ b/wire/queue.go
@@ -62,6 +62,13 @@
 	return frame
 }
 
+// size returns how many bytes wait to be taken.
+func (q *sendQueue) size() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.bytes
+}
+
 // close drops what is queued and refuses what follows.
 func (q *sendQueue) close() {
 	q.mu.Lock()
