Ask the endpoint for an absolute path; tell the caller why a task failed

Cause: every task failed with task_failed. The failing answer, now passed on in the detail, was the endpoint's 400: joining /task to a base URL without a path gives a relative request target. Ruled out: the headers and the body, which the stand-in takes from a plain client.

--- a/agent/endpoint.go
+++ b/agent/endpoint.go
@@ -68,6 +68,9 @@
 	if err != nil {
 		return nil, result.Errorf(result.BadSettings, "endpoint: %v", err)
 	}
+	if base.Path == "" {
+		base.Path = "/" // else the joined path is relative, which no server takes
+	}
 	plain := &net.Dialer{Timeout: endpointDialTimeout}
 	encrypted := &tls.Dialer{NetDialer: plain}
 	return &endpoint{
--- a/ledger/job.go
+++ b/ledger/job.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"bergamotwing.example/result"
@@ -47,6 +49,9 @@
 	dropped // it never started and never will
 )
 
+// maxFailureDetail bounds what is kept of a failed task's answer, in bytes.
+const maxFailureDetail = 200
+
 type task struct {
 	phase   phase
 	attempt int
@@ -129,7 +134,7 @@
 		return true
 	}
 	if code != result.OK {
-		j.Fail(code, code, "")
+		j.Fail(code, code, failureDetail(i, body))
 		return true
 	}
 	j.tasks[i].result = body
@@ -139,6 +144,16 @@
 	return true
 }
 
+// failureDetail is what a caller is told of a failed task: its index and the
+// start of what the endpoint answered.
+func failureDetail(i int, body []byte) string {
+	detail := fmt.Sprintf("task %d", i)
+	if len(body) > 0 {
+		detail += ": " + strings.ToValidUTF8(strings.TrimSpace(string(body[:min(len(body), maxFailureDetail)])), "?")
+	}
+	return detail
+}
+
 func (j *Job) complete() {
 	o := &Outcome{Code: result.OK, Started: len(j.tasks), Tasks: len(j.tasks), Results: make([][]byte, len(j.tasks))}
 	for i := range j.tasks {
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -140,7 +140,8 @@
 // run records the start before anything else.
 func (e *Endpoint) run(w http.ResponseWriter, r *http.Request, faults EndpointFaults, payload []byte) {
 	p := parsePayload(payload)
-	start := newStart(r.Header, sha256.Sum256(payload))
+	digest := sha256.Sum256(payload)
+	start := newStart(r.Header, digest)
 	start.Echo = p.Echo
 	e.starts.add(start)
 	e.started.Add(1)
