--- a/wire/link.go
+++ b/wire/link.go
@@ -124,19 +124,21 @@
 
 func (l *Link) read(h Handler) error {
 	var frame bytes.Buffer
+	var messages []Message
 	for {
 		if err := l.readFrame(&frame); err != nil {
 			return err
 		}
 		l.received.Store(int64(time.Since(l.made)))
-		messages, err := DecodeFrame(frame.Bytes())
-		if err != nil {
+		var err error
+		if messages, err = appendMessages(messages[:0], frame.Bytes()); err != nil {
 			return err
 		}
 		for _, m := range messages {
 			l.obs.Received(m.kind())
 			h(m)
 		}
+		clear(messages)
 	}
 }
 
