Renew permissions and credits by traffic: longer lifetimes, no needless dialling

The permission's safety does not need the vouch lifetime on top: its moment and the agent's echo lie before the note that ends it, so its own lifetime alone is the bound. It grows from 1.5 s to 2.5 s, under the 3 s of the target. The lease of a credit grows from 1 s to 1.6 s, under the 2 s in which the slots of a frozen entry must be back, and a beat confirms it after 1.2 s without traffic. Entries no longer dial a peer that is linked already.

--- a/agent/control.go
+++ b/agent/control.go
@@ -18,8 +18,8 @@
 const (
 	tickInterval  = 50 * time.Millisecond
 	sweepInterval = 10 * time.Second
-	renewBefore   = 700 * time.Millisecond // of the permission's lapse
-	pingInterval  = 150 * time.Millisecond // between pings for a permission
+	renewBefore   = 900 * time.Millisecond // of the permission's lapse
+	pingInterval  = 450 * time.Millisecond // between pings; entries answer after their next reading of the version
 	askTimeout    = time.Second
 )
 
--- a/agent/slots.go
+++ b/agent/slots.go
@@ -9,7 +9,7 @@
 
 // Times of slot credits.
 const (
-	creditLease      = time.Second            // a credit unconfirmed for longer is taken back
+	creditLease      = 1600 * time.Millisecond // a credit unconfirmed for longer is taken back
 	rampTime         = time.Second            // from opening until all slots are offered
 	unreachablePause = 250 * time.Millisecond // before a slot is offered again after a failed dial
 )
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -15,7 +15,7 @@
 // Times of an agent's link.
 const (
 	helloTimeout  = 2 * time.Second
-	beatAgentIdle = 400 * time.Millisecond // held credits are confirmed if nothing else was sent for this long
+	beatAgentIdle = 1200 * time.Millisecond // held credits are confirmed if nothing else was sent for this long; under the agents' lease
 	agentGrace    = 3 * time.Second        // after its link broke, its tasks are given up
 )
 
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -100,6 +100,11 @@
 	}
 }
 
+// linkedTo reports whether the entry at addr is linked, by whichever side.
+func (s *peerSet) linkedTo(addr string) bool {
+	return slices.ContainsFunc(s.list(), func(p *peerLink) bool { return p.addr == addr })
+}
+
 func (s *peerSet) closeAll() { s.each(func(p *peerLink) { p.link.Close() }) }
 
 // dialPeers keeps a dialling goroutine for each address heard of, and sends
@@ -134,6 +139,10 @@
 func (e *Entry) dialPeer(ctx context.Context, addr string) {
 	wait := redialFirst
 	for ctx.Err() == nil && e.knowsAddr(addr) {
+		if e.peers.linkedTo(addr) {
+			pause(ctx, redialFirst)
+			continue
+		}
 		link, err := wire.Dial(ctx, addr, "/link/peer", wire.LinkToken(e.secrets[0]), e.linkTLS, e.obs)
 		if err == nil {
 			began := time.Now()
--- a/integration/measure_test.go
+++ b/integration/measure_test.go
@@ -41,8 +41,8 @@
 	measuredDeadline = time.Minute
 )
 
-const tableHeader = `| entries | placement | utilization | seed | jobs | offered | /ideal mean | p50 | p99 | p99.9 | /run p99 | wasted/task | tasks/s | not whole | wrong | no answer | late p99 ms | entry CPU s | agent CPU s | max RSS MB | control kB/s |
-|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|`
+const tableHeader = `| entries | placement | utilization | seed | jobs | offered | mean/central | p99/central | job/ideal mean | p50 | p99 | p99.9 | /run p99 | wasted/task | tasks/s | not whole | wrong | no answer | late p99 ms | entry CPU s | agent CPU s | max RSS MB | control kB/s |
+|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|`
 
 // experiment is one measured load on one deployment.
 type experiment struct {
@@ -123,6 +123,10 @@
 		t.Fatal(err)
 	}
 	fmt.Println(x.row(report))
+	for _, m := range report.Messages {
+		fmt.Printf("  %-14s %.3f a task\n", m.Kind, m.PerTask)
+	}
+	fmt.Printf("  refused %v, retried %v\n", report.Refused, report.Retried)
 	for _, e := range report.Events {
 		fmt.Printf("zone %s out=%t: %s %s, answered after %.3f s\n", e.Zone, e.Out, e.Answer, e.Error, e.AnsweredSeconds-e.SentSeconds)
 		if e.Answer != result.OK.String() {
@@ -186,8 +190,8 @@
 		}
 	}
 	entryCPU, agentCPU, rss, control := totals(r.Processes)
-	return fmt.Sprintf("| %d | %s | %g | %d | %d | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.1f | %.0f | %d | %d | %.2f | %.2f | %.2f | %.1f | %.1f |",
-		x.entries, x.placement, x.utilization, x.seed, r.Jobs, r.OfferedLoad,
+	return fmt.Sprintf("| %d | %s | %g | %d | %d | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.1f | %.0f | %d | %d | %.2f | %.2f | %.2f | %.1f | %.1f |",
+		x.entries, x.placement, x.utilization, x.seed, r.Jobs, r.OfferedLoad, r.MeanOverCentral, r.P99OverCentral,
 		r.VersusIdeal.Mean, r.VersusIdeal.P50, r.VersusIdeal.P99, r.VersusIdeal.P999, r.VersusRun.P99,
 		r.WastedPerTask, r.TasksPerSecond, notWhole, r.WrongAnswers, r.NoAnswer, r.GeneratorLateMS.P99,
 		entryCPU, agentCPU, rss/1e6, control/1e3)
--- a/load/report.go
+++ b/load/report.go
@@ -19,6 +19,8 @@
 	SpanSeconds      float64       `json:"spanSeconds"`      // from the first arrival to the last answer
 	OfferedLoad      float64       `json:"offeredLoad"`      // run times of all tasks over the slots, over the time of arrivals
 	VersusIdeal      Summary       `json:"versusIdeal"`      // response time over that of a central queue
+	MeanOverCentral  float64       `json:"meanOverCentral"`  // mean response over the mean of a central queue
+	P99OverCentral   float64       `json:"p99OverCentral"`   // 99th percentile over that of a central queue
 	VersusRun        Summary       `json:"versusRun"`        // response time over the job's longest run time
 	ResponseMS       Summary       `json:"responseMs"`       // of whole answers
 	GeneratorLateMS  Summary       `json:"generatorLateMs"`  // of the generator's own submissions
@@ -109,7 +111,7 @@
 
 // addOutcomes adds what became of the jobs.
 func (p *Report) addOutcomes(r *runner) {
-	response, late := newHistogram(), newHistogram()
+	response, central, late := newHistogram(), newHistogram(), newHistogram()
 	ideals := ideal(r.arrivals, r.opts.slots(), r.opts.Network)
 	var run time.Duration
 	whole := 0
@@ -124,6 +126,7 @@
 		}
 		whole += len(a.Tasks)
 		record(response, milliseconds(out.response))
+		record(central, milliseconds(ideals[i]))
 		record(p.versusIdeal, ratio(out.response, ideals[i]))
 		if longest := a.longestRun(); longest > 0 {
 			record(p.versusRun, ratio(out.response, longest))
@@ -133,6 +136,9 @@
 	p.TasksPerSecond = float64(whole) / p.SpanSeconds
 	p.VersusIdeal, p.VersusRun = summary(p.versusIdeal), summary(p.versusRun)
 	p.ResponseMS, p.GeneratorLateMS = summary(response), summary(late)
+	if c := summary(central); c.Mean > 0 {
+		p.MeanOverCentral, p.P99OverCentral = p.ResponseMS.Mean/c.Mean, p.ResponseMS.P99/c.P99
+	}
 }
 
 func (p *Report) count(out outcome) {
--- a/release/state.go
+++ b/release/state.go
@@ -75,12 +75,14 @@
 	return true
 }
 
-// Times that together bound how long a task may still start in a zone after a
-// note has taken it out of service: an entry vouches for a version it read at
-// most VouchLifetime ago, and an agent relies on a vouch for
-// PermissionLifetime. Their sum stays under StopBound.
+// Times that bound how long a task may still start in a zone after a note has
+// taken it out of service. An agent relies on a vouch for PermissionLifetime,
+// counted on its own clock from a reading that it had sent before the moment
+// vouched for; so no task starts later than PermissionLifetime after the note
+// was accepted, which leaves half a second under StopBound. An entry that has
+// not known the version to be current for VouchLifetime renews no permission.
 const (
 	VouchLifetime      = 1200 * time.Millisecond
-	PermissionLifetime = 1500 * time.Millisecond
+	PermissionLifetime = 2500 * time.Millisecond
 	StopBound          = 3 * time.Second
 )
