Home entries: the tickets of a service with few slots come from few entries

Now an entry passes a wish for tickets that names a service on to the service's home entries, one for each 256 slots, chosen by rendezvous hashing over the entries linked. Safety does not depend on the choice: a job still belongs to the run that issued its ticket.

--- a/client/api/api.go
+++ b/client/api/api.go
@@ -9,7 +9,7 @@
 
 // Paths of the callers' and the operators' listeners.
 const (
-	PathTickets = "/v1/tickets" // POST ?count=N: Tickets
+	PathTickets = "/v1/tickets" // POST ?count=N&service=S: Tickets of an entry that places S's tasks
 	PathJobs    = "/v1/jobs"    // POST, PUT|GET|DELETE /{ticket}: Answer
 	PathHealth  = "/healthz"    // callers: 200 ready, 503 not
 	PathNotes   = "/v1/notes"   // operators: POST a note, GET the list, GET /{id}
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -16,6 +16,8 @@
 	"bergamotwing.example/result"
 )
 
+var errStopping = result.Errorf(result.Stopping, "the entry is shutting down")
+
 // callerRoutes serves callers.
 func (e *Entry) callerRoutes() http.Handler {
 	mux := http.NewServeMux()
@@ -58,31 +60,12 @@
 		e.refuse(w, result.Errorf(result.TooManyTickets, "count is at most %d", e.cfg.Limits.Tickets))
 		return
 	}
-	tickets := e.book.Issue(count, time.Now())
-	if tickets == nil {
-		e.refuse(w, result.Errorf(result.Stopping, "the entry is shutting down"))
-		return
-	}
-	out := api.Tickets{Tickets: make([]string, len(tickets))}
-	for i, t := range tickets {
-		out.Tickets[i] = t.Encode(e.ticketKeys[0])
-	}
-	writeJSON(w, http.StatusOK, out)
-}
-
-// submitOnce takes a job from a caller that never submits again.
-func (e *Entry) submitOnce(w http.ResponseWriter, r *http.Request) {
-	body, err := e.readBody(w, r)
-	if err != nil {
-		e.refuse(w, err)
-		return
-	}
-	tickets := e.book.Issue(1, time.Now())
-	if tickets == nil {
-		e.refuse(w, result.Errorf(result.Stopping, "the entry is shutting down"))
+	tickets := e.ticketsFor(r.Context(), r.URL.Query().Get("service"), count)
+	if len(tickets) == 0 {
+		e.refuse(w, errStopping)
 		return
 	}
-	e.answer(w, e.submitHere(r.Context(), tickets[0], tickets[0].Encode(e.ticketKeys[0]), body))
+	writeJSON(w, http.StatusOK, api.Tickets{Tickets: tickets})
 }
 
 func (e *Entry) submit(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/entry/homes.go
@@ -0,0 +1,173 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"hash/fnv"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"bergamotwing.example/client/api"
+	"bergamotwing.example/wire"
+)
+
+// A service with few slots is placed best by few entries: slots that are split
+// over many entries are idle at one while tasks wait at another, and to move
+// them costs messages. So the tickets of a service come from its home entries,
+// one for each slotsPerHome slots. Entries choose the homes alike from the
+// members they know; where they differ, only messages are lost, since a job
+// belongs to the run that issued its ticket in any case.
+const (
+	slotsPerHome  = 256
+	methodTickets = "TICKETS" // Forward.Method: the peer issues tickets; the body is their number
+	ticketTimeout = 250 * time.Millisecond
+)
+
+// homes returns the ids of a service's home entries.
+func (e *Entry) homes(service string) []string {
+	ids := e.homeCandidates()
+	slices.SortFunc(ids, func(a, b string) int {
+		ha, hb := homeRank(service, a), homeRank(service, b)
+		switch {
+		case ha > hb:
+			return -1
+		case ha < hb:
+			return 1
+		default:
+			return 0
+		}
+	})
+	slots := 0
+	for _, a := range e.agents.list() {
+		if a.service == service {
+			slots += a.slots
+		}
+	}
+	n := (slots + slotsPerHome - 1) / slotsPerHome
+	return ids[:min(max(1, n), len(ids))]
+}
+
+// homeCandidates returns the entries linked now, this one among them; those in
+// a zone out of service only if there are no others.
+func (e *Entry) homeCandidates() []string {
+	v := e.control.view()
+	var in, all []string
+	add := func(id, zone string) {
+		all = append(all, id)
+		if v.State.InService(zone, v.Holds) {
+			in = append(in, id)
+		}
+	}
+	if !e.stopping.Load() {
+		add(e.self.ID, e.self.Zone)
+	}
+	for _, p := range e.peers.list() {
+		if !p.leaving.Load() {
+			add(p.id, p.zone)
+		}
+	}
+	if len(in) > 0 {
+		return in
+	}
+	return all
+}
+
+// homeRank orders the entries for a service (rendezvous hashing).
+func homeRank(service, entry string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(service))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(entry))
+	x := h.Sum64() // mixed, because close inputs give close sums
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return x
+}
+
+// ticketsFor returns n tickets of a home entry of the service, or of this one
+// if no home answers in time.
+func (e *Entry) ticketsFor(ctx context.Context, service string, n int) []string {
+	homes := e.homes(service)
+	if service != "" && len(homes) > 0 && !slices.Contains(homes, e.self.ID) {
+		if tickets := e.peerTickets(ctx, homes[rand.N(len(homes))], n); len(tickets) > 0 { //nolint:gosec // spreads load
+			return tickets
+		}
+	}
+	return e.ownTickets(n)
+}
+
+func (e *Entry) ownTickets(n int) []string {
+	issued := e.book.Issue(n, time.Now())
+	out := make([]string, len(issued))
+	for i, t := range issued {
+		out[i] = t.Encode(e.ticketKeys[0])
+	}
+	return out
+}
+
+// peerTickets asks a peer for tickets; none if it does not answer in time.
+func (e *Entry) peerTickets(ctx context.Context, peer string, n int) []string {
+	p := e.peers.get(peer)
+	if p == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, ticketTimeout)
+	defer cancel()
+	id, w := e.forwards.add(p)
+	defer e.forwards.drop(id)
+	if !p.send(e, &wire.Forward{Request: id, Method: methodTickets, Body: []byte(strconv.Itoa(n))}) {
+		return nil
+	}
+	select {
+	case m, ok := <-w.reply:
+		var t api.Tickets
+		if ok && json.Unmarshal(m.Body, &t) == nil {
+			return t.Tickets
+		}
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+// issueToPeer answers a peer's wish for tickets.
+func (e *Entry) issueToPeer(p *peerLink, m *wire.Forward) {
+	n, err := strconv.Atoi(string(m.Body))
+	if err != nil || n < 1 || n > e.cfg.Limits.Tickets {
+		n = 0
+	}
+	body, err := json.Marshal(api.Tickets{Tickets: e.ownTickets(n)})
+	if err != nil {
+		return
+	}
+	p.send(e, &wire.ForwardReply{Request: m.Request, Body: body})
+}
+
+// serviceOf returns the service that a job's body names, if it can be read.
+func serviceOf(body []byte) string {
+	var job struct {
+		Service string `json:"service"`
+	}
+	_ = json.Unmarshal(body, &job)
+	return job.Service
+}
+
+// submitOnce takes a job from a caller that never submits again.
+func (e *Entry) submitOnce(w http.ResponseWriter, r *http.Request) {
+	body, err := e.readBody(w, r)
+	if err != nil {
+		e.refuse(w, err)
+		return
+	}
+	tickets := e.ticketsFor(r.Context(), serviceOf(body), 1)
+	if len(tickets) == 0 {
+		e.refuse(w, errStopping)
+		return
+	}
+	r.SetPathValue("ticket", tickets[0])
+	r.Method = http.MethodPut
+	e.route(w, r, body)
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -44,6 +44,7 @@
 	heardAt atomic.Int64  // entry clock, ms
 	sentAt  atomic.Int64  // entry clock, ms
 	fast    atomic.Bool   // it asked for frequent beats
+	leaving atomic.Bool   // it is stopping
 }
 
 // send queues m; it returns false if the link is closed.
@@ -252,6 +253,10 @@
 	case *wire.ConfigAck:
 		p.acked.Store(m.Version)
 	case *wire.Forward:
+		if m.Method == methodTickets {
+			e.issueToPeer(p, m)
+			return
+		}
 		e.background(context.Background(), func(context.Context) { e.answerForward(p, m) })
 	case *wire.ForwardReply:
 		e.forwards.reply(m)
@@ -274,6 +279,7 @@
 	}
 	p.report.Store(&peerReport{version: m.Version, echo: m.Echo})
 	p.fast.Store(m.Fast)
+	p.leaving.Store(m.Leaving)
 	e.control.send(holdAdded{holds: m.Holds})
 	e.control.vouchedBy(m.Vouch)
 	if m.Version < e.control.view().version() {
@@ -319,6 +325,7 @@
 		Holds:   v.Holds,
 		Spare:   spare,
 		Fast:    v.StoreDown,
+		Leaving: e.stopping.Load(),
 	})
 }
 
--- a/load/submit.go
+++ b/load/submit.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"sync"
 	"time"
 
@@ -32,10 +33,16 @@
 	callers []*httpCaller
 }
 
+// ticketKey is what unused tickets are kept by.
+type ticketKey struct {
+	entry   int
+	service string
+}
+
 type httpCaller struct {
 	client  *http.Client
 	mu      sync.Mutex
-	tickets map[int][]string // by entry
+	tickets map[ticketKey][]string
 }
 
 // newHTTPSubmitter returns the default Submitter.
@@ -45,7 +52,7 @@
 		transport := &http.Transport{MaxIdleConnsPerHost: ticketsPerCall}
 		s.callers = append(s.callers, &httpCaller{
 			client:  &http.Client{Transport: transport, Timeout: timeout},
-			tickets: map[int][]string{},
+			tickets: map[ticketKey][]string{},
 		})
 	}
 	return s
@@ -54,7 +61,7 @@
 // Submit submits a job under a ticket of the entry.
 func (s *httpSubmitter) Submit(ctx context.Context, caller, entry int, job api.Job) (api.Answer, error) {
 	c, base := s.callers[caller], s.entries[entry]
-	ticket, err := c.ticket(ctx, base, entry)
+	ticket, err := c.ticket(ctx, base, ticketKey{entry: entry, service: job.Service})
 	if err != nil {
 		return api.Answer{}, err
 	}
@@ -73,16 +80,16 @@
 	}
 }
 
-func (c *httpCaller) ticket(ctx context.Context, base string, entry int) (string, error) {
-	if ticket, ok := c.take(entry); ok {
+func (c *httpCaller) ticket(ctx context.Context, base string, key ticketKey) (string, error) {
+	if ticket, ok := c.take(key); ok {
 		return ticket, nil
 	}
 	var more struct {
 		api.Tickets
 		api.Answer // of a refusal
 	}
-	url := fmt.Sprintf("%s%s?count=%d", base, api.PathTickets, ticketsPerCall)
-	if err := call(ctx, c.client, http.MethodPost, url, "", nil, &more); err != nil {
+	target := fmt.Sprintf("%s%s?count=%d&service=%s", base, api.PathTickets, ticketsPerCall, url.QueryEscape(key.service))
+	if err := call(ctx, c.client, http.MethodPost, target, "", nil, &more); err != nil {
 		return "", err
 	}
 	if len(more.Tickets.Tickets) == 0 {
@@ -90,18 +97,18 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.tickets[entry] = append(c.tickets[entry], more.Tickets.Tickets[1:]...)
+	c.tickets[key] = append(c.tickets[key], more.Tickets.Tickets[1:]...)
 	return more.Tickets.Tickets[0], nil
 }
 
-func (c *httpCaller) take(entry int) (string, bool) {
+func (c *httpCaller) take(key ticketKey) (string, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	kept := c.tickets[entry]
+	kept := c.tickets[key]
 	if len(kept) == 0 {
 		return "", false
 	}
-	c.tickets[entry] = kept[:len(kept)-1]
+	c.tickets[key] = kept[:len(kept)-1]
 	return kept[len(kept)-1], true
 }
 
--- a/placement/peers.go
+++ b/placement/peers.go
@@ -110,13 +110,13 @@
 			break
 		}
 		g := Give{Peer: id}
-		for p.want > 0 {
+		for n := p.want + max(0, q.spare.count-p.want)/2; n > 0; n-- {
 			c, ok := q.spare.take(func(agent string) bool { return q.usable(now, agent, 0) })
 			if !ok {
 				break
 			}
 			g.Credits = append(g.Credits, c)
-			p.want--
+			p.want = max(0, p.want-1)
 		}
 		if len(g.Credits) == 0 {
 			break
