A short job passes a long one that arrived shortly before

Jobs of a team now go in the order in which they are due: arrival plus four times the time that all slots together need for the job, from run times seen. The order is fixed at arrival, so a long job is passed only by jobs that arrive within that time.

--- a/entry/service.go
+++ b/entry/service.go
@@ -142,7 +142,7 @@
 	a := s.e.agents.get(p.Credit.Agent)
 	if a == nil || uint64(a.incarnation) != p.Credit.Incarnation {
 		s.queue.Refused(p.Credit.Agent)
-		s.queue.Again(now, p.Task)
+		s.queue.Again(p.Task)
 		return
 	}
 	j, ok := s.jobs[p.Task.Job]
@@ -162,7 +162,7 @@
 	// The link was closed before the grant was queued, so it was not sent.
 	s.queue.Refused(a.id)
 	if j.Refuse(p.Task.Index, attempt, a.id, uint64(a.incarnation)) {
-		s.queue.Again(now, p.Task)
+		s.queue.Again(p.Task)
 	}
 }
 
@@ -255,7 +255,7 @@
 	case m.Code == result.TicketFenced:
 		s.fail(id, j, result.SettledNotRun, result.SettledFailed, "another entry settled the ticket")
 	case again:
-		s.queue.Again(now, placement.Task{Job: id, Index: m.Task.Index, MemoryMB: j.Spec.Tasks[m.Task.Index].MemoryMB})
+		s.queue.Again(placement.Task{Job: id, Index: m.Task.Index, MemoryMB: j.Spec.Tasks[m.Task.Index].MemoryMB})
 	}
 	s.settleIfDone(id, j)
 	s.dispatch(now)
@@ -406,7 +406,7 @@
 		case wire.TaskNeverSeen:
 			s.e.metrics.Retried(result.PeerUnreachable)
 			if j.Refuse(ref.Index, a.resuming[ref], a.id, uint64(a.incarnation)) {
-				s.queue.Again(now, placement.Task{Job: id, Index: ref.Index, MemoryMB: j.Spec.Tasks[ref.Index].MemoryMB})
+				s.queue.Again(placement.Task{Job: id, Index: ref.Index, MemoryMB: j.Spec.Tasks[ref.Index].MemoryMB})
 			}
 			s.settleIfDone(id, j)
 		case wire.TaskForgotten:
--- a/placement/fair.go
+++ b/placement/fair.go
@@ -1,9 +1,12 @@
 package placement
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // fairQueue orders waiting tasks: teams share by weight (start-time fair
-// queueing over tasks), jobs of one team go in the order of arrival.
+// queueing over tasks), jobs of one team go in the order in which they are due.
 type fairQueue struct {
 	teams   map[string]*teamQueue
 	virtual float64 // virtual time of the last task taken
@@ -19,15 +22,16 @@
 }
 
 type waitingJob struct {
-	id       JobID
-	arrived  time.Time
-	deadline time.Time
-	tasks    []Task
+	id      JobID
+	arrived time.Time
+	due     time.Time
+	tasks   []Task
 }
 
 func newFairQueue() *fairQueue { return &fairQueue{teams: map[string]*teamQueue{}} }
 
-func (f *fairQueue) push(now time.Time, j Job) {
+// push adds a job that arrived now and is due then.
+func (f *fairQueue) push(now, due time.Time, j Job) {
 	t, ok := f.teams[j.Team]
 	if !ok {
 		t = &teamQueue{name: j.Team}
@@ -37,18 +41,28 @@
 	if t.count == 0 {
 		t.finish = max(t.finish, f.virtual)
 	}
-	t.jobs = append(t.jobs, &waitingJob{id: j.ID, arrived: now, deadline: j.Deadline, tasks: append([]Task(nil), j.Tasks...)})
+	t.insert(&waitingJob{id: j.ID, arrived: now, due: due, tasks: append([]Task(nil), j.Tasks...)})
 	t.count += len(j.Tasks)
 	f.waiting += len(j.Tasks)
 }
 
-// pushBack puts a refused task back at the head of its team.
-func (f *fairQueue) pushBack(now time.Time, j Job, task Task, arrived time.Time) {
-	t, ok := f.teams[j.Team]
-	if ok {
+// insert keeps the jobs in the order in which they are due.
+func (t *teamQueue) insert(j *waitingJob) {
+	i, _ := slices.BinarySearchFunc(t.jobs, j, func(a, b *waitingJob) int {
+		if a.due.After(b.due) {
+			return 1
+		}
+		return -1 // equals stay in the order of arrival
+	})
+	t.jobs = slices.Insert(t.jobs, i, j)
+}
+
+// pushBack makes a refused task of a job wait again, before its other tasks.
+func (f *fairQueue) pushBack(arrived, due time.Time, j Job, task Task) {
+	if t, ok := f.teams[j.Team]; ok {
 		for _, w := range t.jobs {
 			if w.id == j.ID {
-				w.tasks = append([]Task{task}, w.tasks...)
+				w.tasks = slices.Insert(w.tasks, 0, task)
 				t.count++
 				f.waiting++
 				return
@@ -56,12 +70,7 @@
 		}
 	}
 	j.Tasks = []Task{task}
-	f.push(now, j)
-	t = f.teams[j.Team]
-	last := t.jobs[len(t.jobs)-1]
-	last.arrived = arrived
-	copy(t.jobs[1:], t.jobs[:len(t.jobs)-1])
-	t.jobs[0] = last
+	f.push(arrived, due, j)
 }
 
 // next returns the team whose turn it is, or nil.
@@ -131,7 +140,6 @@
 			if !found || j.arrived.Before(first) {
 				first, found = j.arrived, true
 			}
-			break // jobs of one team are in the order of arrival
 		}
 	}
 	return first, found
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -7,6 +7,10 @@
 	"bergamotwing.example/result"
 )
 
+// dueFactor is how much longer than its own work a job may take before it is
+// due; see Queue.due.
+const dueFactor = 4
+
 // Queue holds one service's waiting tasks and the credits that this entry may
 // spend on them.
 type Queue struct {
@@ -26,7 +30,7 @@
 	weight   int
 	deadline time.Time
 	arrived  time.Time
-	open     int // tasks waiting or granted
+	due      time.Time
 }
 
 // NewQueue returns an empty queue. rng breaks ties between peers.
@@ -106,8 +110,18 @@
 
 // Add puts an admitted job into the queue.
 func (q *Queue) Add(now time.Time, j Job) {
-	q.meta[j.ID] = jobMeta{team: j.Team, weight: j.Weight, deadline: j.Deadline, arrived: now, open: len(j.Tasks)}
-	q.fair.push(now, j)
+	m := jobMeta{team: j.Team, weight: j.Weight, deadline: j.Deadline, arrived: now, due: q.due(now, len(j.Tasks))}
+	q.meta[j.ID] = m
+	q.fair.push(now, m.due, j)
+}
+
+// due returns when a job of n tasks that arrives now is due: after dueFactor
+// times the time that all slots together need for it. A short job so passes a
+// long one that arrived shortly before, but no job waits for ever behind others.
+func (q *Queue) due(now time.Time, n int) time.Time {
+	mean, _ := q.run.mean()
+	slots := max(1, q.usableSlots())
+	return now.Add(time.Duration(dueFactor * float64(n) * float64(mean) / float64(slots)))
 }
 
 // Remove drops a job's waiting tasks and forgets the job.
@@ -117,12 +131,12 @@
 }
 
 // Again makes a task that was refused before its start placeable again.
-func (q *Queue) Again(now time.Time, t Task) {
+func (q *Queue) Again(t Task) {
 	m, ok := q.meta[t.Job]
 	if !ok {
 		return
 	}
-	q.fair.pushBack(now, Job{ID: t.Job, Team: m.team, Weight: m.weight, Deadline: m.deadline}, t, m.arrived)
+	q.fair.pushBack(m.arrived, m.due, Job{ID: t.Job, Team: m.team, Weight: m.weight, Deadline: m.deadline}, t)
 }
 
 // Done notes the end of a task on an agent and its run time.
@@ -191,7 +205,9 @@
 func (q *Queue) Dispatch(now time.Time) Decision {
 	q.eject.refresh(now, len(q.agents))
 	var d Decision
-	d.Give = q.giveOlder(now)
+	if q.Wanted() {
+		d.Give = q.giveOlder(now)
+	}
 	for {
 		t := q.fair.next()
 		if t == nil {
--- a/placement/queue_test.go
+++ b/placement/queue_test.go
@@ -180,7 +180,7 @@
 		delete(w.placed, task)
 		w.open++
 		w.q.Refused(c.Agent)
-		w.q.Again(w.now, task)
+		w.q.Again(task)
 		break
 	}
 	w.dispatch(t)
@@ -224,3 +224,20 @@
 		t.Fatalf("%d tasks wait beside %d credits", w.open, len(w.live))
 	}
 }
+
+func TestShortJobPassesALongOneThatArrivedShortlyBefore(t *testing.T) {
+	q := newTestQueue(1, 8)
+	for range runTimeSamples {
+		q.Done(agentID(0), time.Second, 0, start)
+	}
+	q.Add(start, testJob(1, "", 400)) // due after 4 × 50 s
+	q.Add(start.Add(time.Second), testJob(2, "", 1))
+	q.Add(start.Add(300*time.Second), testJob(3, "", 1))
+	for i := range 2 {
+		q.AddCredits(credit(0, i, 1))
+	}
+	d := q.Dispatch(start.Add(300 * time.Second))
+	if len(d.Place) != 2 || d.Place[0].Task.Job != 2 || d.Place[1].Task.Job != 1 {
+		t.Fatalf("got %+v, want the early short job, then the long one before the late short one", d.Place)
+	}
+}
