--- /dev/null
+++ b/agent/control_state_test.go
@@ -0,0 +1,90 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bergamotwing.example/platform"
+	"bergamotwing.example/release"
+	"bergamotwing.example/wire"
+)
+
+func TestPermissionCountsOnlyVouchesForTheVersionInForce(t *testing.T) {
+	const now = 10 * time.Second
+	for _, c := range []struct {
+		name    string
+		vouches []wire.Vouch
+		want    time.Duration
+	}{
+		{"none", nil, 0},
+		{"no echo", []wire.Vouch{{Version: 5}}, 0},
+		{"echo from the future", []wire.Vouch{{Version: 5, Echo: 10001}}, 0},
+		{"fresh", []wire.Vouch{{Version: 5, Echo: 9900}}, release.PermissionLifetime - 100*time.Millisecond},
+		{"older echo later", []wire.Vouch{{Version: 5, Echo: 9900}, {Version: 5, Echo: 9000}}, release.PermissionLifetime - 100*time.Millisecond},
+		{"lower version", []wire.Vouch{{Version: 4, Echo: 9900}}, 0},
+		{"higher version heard of", []wire.Vouch{{Version: 5, Echo: 9900}, {Version: 6, Echo: 9800}}, 0},
+		{"lapsed", []wire.Vouch{{Version: 5, Echo: 8400}}, -100 * time.Millisecond},
+	} {
+		var p permission
+		for _, v := range c.vouches {
+			p.hear(v, now)
+		}
+		if got := p.remaining(5, now); got != c.want {
+			t.Errorf("%s: remaining %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+func TestHoldsLastUntilTheirSourceOrTheirNoteEndsThem(t *testing.T) {
+	first, second := release.Hold{Zone: "z", NoteID: "n1"}, release.Hold{Zone: "z", NoteID: "n2"}
+	linked := func(run entryRun) bool { return run == entryB }
+	h := newHoldSet()
+	h.replace(entryA, []release.Hold{first})
+	h.replace(entryB, []release.Hold{first})
+	h.replace(entryB, []release.Hold{first, second})
+	if got := len(h.all()); got != 3 {
+		t.Errorf("%d holds, want 3", got)
+	}
+	h.adopted("n1", linked)
+	if diff := cmp.Diff([]release.Hold{second}, h.all()); diff != "" {
+		t.Error(diff)
+	}
+	h.replace(entryB, nil)
+	if got := h.all(); got != nil {
+		t.Errorf("holds left: %v", got)
+	}
+}
+
+func TestFailurePctLooksAtRecentTasksOnly(t *testing.T) {
+	var f failures
+	var got []int
+	for _, failed := range []bool{true, false, false, true} {
+		f.note(failed)
+		got = append(got, f.pct())
+	}
+	for range failureWindow - 1 {
+		f.note(false)
+	}
+	got = append(got, f.pct())
+	f.note(false)
+	got = append(got, f.pct())
+	if diff := cmp.Diff([]int{100, 50, 33, 50, 6, 0}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestReplacedRunsKeepYoungOnesAndAddTheLast(t *testing.T) {
+	now := time.Unix(100000, 0)
+	old, young := now.Add(-replacedKept).Unix(), now.Add(-time.Minute).Unix()
+	earlier := platform.AgentRecord{
+		Incarnation: 3,
+		Left:        99,
+		Replaced:    []platform.ReplacedRun{{Incarnation: 1, At: old}, {Incarnation: 2, At: young}},
+	}
+	want := []platform.ReplacedRun{{Incarnation: 2, At: young}, {Incarnation: 3, At: 100000, Clean: true}}
+	if diff := cmp.Diff(want, replacedRuns(earlier, now)); diff != "" {
+		t.Error(diff)
+	}
+}
--- /dev/null
+++ b/agent/fakes_test.go
@@ -0,0 +1,272 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"bergamotwing.example/platform"
+	"bergamotwing.example/release"
+	"bergamotwing.example/settings"
+	"bergamotwing.example/telemetry"
+	"bergamotwing.example/wire"
+)
+
+const (
+	testKey  = "a shared secret for tests"
+	testZone = "gent-noord"
+	patience = 10 * time.Second
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// memTable is a table in memory whose next calls can be made to fail.
+type memTable struct {
+	mu   sync.Mutex
+	rows map[string]platform.Row
+	fail []error // of the next Commits; with ErrUnknown the write still takes effect
+}
+
+func newMemTable() *memTable { return &memTable{rows: map[string]platform.Row{}} }
+
+func (m *memTable) Get(_ context.Context, key string) (platform.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.rows[key], nil
+}
+
+func (m *memTable) List(_ context.Context, prefix string) ([]platform.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []platform.Row
+	for key, row := range m.rows {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, row)
+		}
+	}
+	return out, nil
+}
+
+func (m *memTable) Commit(_ context.Context, ops ...platform.Op) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var err error
+	if len(m.fail) > 0 {
+		err, m.fail = m.fail[0], m.fail[1:]
+	}
+	if err != nil && err != platform.ErrUnknown { //nolint:errorlint // set by the test
+		return err
+	}
+	for _, op := range ops {
+		if m.rows[op.Key].Version != op.IfVersion {
+			return platform.ErrConflict
+		}
+		m.rows[op.Key] = platform.Row{Key: op.Key, Value: op.Value, Version: op.IfVersion + 1}
+	}
+	return err
+}
+
+// fakeEntry accepts an agent's link, vouches on request and keeps the credits
+// it is offered alive.
+type fakeEntry struct {
+	t       *testing.T
+	server  *httptest.Server
+	self    wire.Peer
+	state   *release.State
+	vouches atomic.Bool
+	got     chan wire.Message
+	credits chan wire.SlotCredit
+
+	mu    sync.Mutex
+	link  *wire.Link
+	clock int64 // newest reading of the agent's clock
+}
+
+type noCount struct{}
+
+func (noCount) Sent(wire.Kind, int) {}
+func (noCount) Received(wire.Kind)  {}
+
+func newFakeEntry(t *testing.T) *fakeEntry {
+	e := &fakeEntry{
+		t:       t,
+		self:    wire.Peer{ID: "entry-1", Incarnation: 77},
+		state:   &release.State{Version: 5, NoteID: "n5", Zones: map[string]release.Zone{testZone: {InService: true}}},
+		got:     make(chan wire.Message, 1024),
+		credits: make(chan wire.SlotCredit, 1024),
+	}
+	e.vouches.Store(true)
+	e.server = httptest.NewServer(http.HandlerFunc(e.accept))
+	t.Cleanup(e.server.Close)
+	t.Cleanup(e.cut)
+	return e
+}
+
+func (e *fakeEntry) accept(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != linkPath || !wire.CheckLinkToken(r.Header.Get("Authorization"), [][]byte{[]byte(testKey)}) {
+		http.Error(w, "not allowed", http.StatusUnauthorized)
+		return
+	}
+	link, err := wire.Accept(w, r, noCount{})
+	if err != nil {
+		return
+	}
+	_ = link.Serve(context.Background(), func(m wire.Message) { e.handle(link, m) })
+}
+
+func (e *fakeEntry) handle(link *wire.Link, m wire.Message) {
+	switch m := m.(type) {
+	case *wire.AgentHello:
+		e.mu.Lock()
+		e.link, e.clock = link, m.Clock
+		e.mu.Unlock()
+		_ = link.Send(&wire.EntryHello{Self: e.self, State: e.state, Vouch: e.vouch(m.Clock)})
+	case *wire.AgentPing:
+		_ = link.Send(&wire.EntryBeat{Vouch: e.vouch(m.Clock)})
+	case *wire.Offer:
+		for _, c := range m.Credits {
+			e.credits <- c
+		}
+		return
+	}
+	e.got <- m
+}
+
+// vouch answers a clock reading, and remembers it for grants.
+func (e *fakeEntry) vouch(clock int64) wire.Vouch {
+	if !e.vouches.Load() {
+		return wire.Vouch{}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.clock = max(e.clock, clock)
+	return wire.Vouch{Version: e.state.Version, Echo: e.clock}
+}
+
+func (e *fakeEntry) send(m wire.Message) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_ = e.link.Send(m)
+}
+
+// cut closes the link, if there is one.
+func (e *fakeEntry) cut() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.link != nil {
+		e.link.Close()
+	}
+}
+
+// credit waits for a slot credit.
+func (e *fakeEntry) credit() wire.SlotCredit {
+	e.t.Helper()
+	select {
+	case c := <-e.credits:
+		return c
+	case <-time.After(patience):
+		e.t.Fatal("no credit was offered")
+		return wire.SlotCredit{}
+	}
+}
+
+// grant sends a grant of task (seq, index) on a credit.
+func (e *fakeEntry) grant(seq uint64, index int, c wire.SlotCredit) {
+	e.send(e.newGrant(seq, index, c))
+}
+
+func (e *fakeEntry) newGrant(seq uint64, index int, c wire.SlotCredit) *wire.Grant {
+	return &wire.Grant{
+		Task:      e.task(seq, index),
+		Attempt:   1,
+		Credit:    c,
+		Payload:   []byte("payload"),
+		StartInMS: 5000,
+		TimeoutMS: 5000,
+		Vouch:     e.vouch(0),
+	}
+}
+
+func (e *fakeEntry) task(seq uint64, index int) wire.TaskRef {
+	ticket := wire.TicketID{Entry: e.self.ID, Incarnation: e.self.Incarnation, Seq: seq}
+	return wire.TaskRef{Ticket: ticket, Index: index}
+}
+
+// await returns the next message of a type that the agent sent.
+func await[M wire.Message](e *fakeEntry) M {
+	e.t.Helper()
+	timeout := time.After(patience)
+	for {
+		select {
+		case m := <-e.got:
+			if want, ok := m.(M); ok {
+				return want
+			}
+		case <-timeout:
+			var none M
+			e.t.Fatalf("no %T came", none)
+			return none
+		}
+	}
+}
+
+// runAgent runs an agent until the test ends or the returned function is called.
+func runAgent(t *testing.T, endpoint string, table platform.Table, e *fakeEntry) (*Agent, func()) {
+	t.Helper()
+	cfg := settings.DefaultAgent()
+	cfg.ID, cfg.Zone, cfg.Service, cfg.Endpoint = "agent-1", testZone, "postlink", endpoint
+	cfg.Listen, cfg.Slots = "127.0.0.1:0", 1
+	cfg.Entries = []string{e.server.Listener.Addr().String()}
+	cfg.Keys = []settings.Key{{Secret: testKey}}
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err := New(cfg, Deps{Log: zerolog.Nop(), Metrics: metrics, Table: table})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := a.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	}()
+	stop := sync.OnceFunc(func() {
+		cancel()
+		<-done
+	})
+	t.Cleanup(stop)
+	return a, stop
+}
+
+// gatedEndpoint answers a task when release is called.
+type gatedEndpoint struct {
+	server  *httptest.Server
+	started chan string
+	gate    chan struct{}
+}
+
+func newGatedEndpoint(t *testing.T) *gatedEndpoint {
+	g := &gatedEndpoint{started: make(chan string, 64), gate: make(chan struct{}, 64)}
+	g.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.started <- r.Header.Get(headerTask)
+		select {
+		case <-g.gate:
+			_, _ = w.Write([]byte("done"))
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(g.server.Close)
+	return g
+}
