--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -144,7 +144,7 @@
 	runAgent(t, g.server.URL, newMemTable(), e)
 	await[*wire.AgentHello](e)
 	e.grant(1, 0, e.credit())
-	<-g.started
+	g.awaitStart(t)
 	e.cut()
 	await[*wire.AgentHello](e)
 	tasks := []wire.TaskRef{e.task(1, 0), e.task(1, 1)}
@@ -215,7 +215,7 @@
 	e, g := newFakeEntry(t), newGatedEndpoint(t)
 	a, _ := runAgent(t, g.server.URL, newMemTable(), e)
 	e.grant(1, 0, e.credit())
-	<-g.started
+	g.awaitStart(t)
 	if got := post(t, a, "/leave"); got != http.StatusOK {
 		t.Fatalf("leave: %d", got)
 	}
@@ -238,7 +238,7 @@
 	e, g, table := newFakeEntry(t), newGatedEndpoint(t), newMemTable()
 	_, stop := runAgent(t, g.server.URL, table, e)
 	e.grant(1, 0, e.credit())
-	<-g.started
+	g.awaitStart(t)
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
@@ -295,7 +295,7 @@
 	e, g := newFakeEntry(t), newGatedEndpoint(t)
 	runAgent(t, g.server.URL, newMemTable(), e)
 	e.grant(1, 0, e.credit())
-	<-g.started
+	g.awaitStart(t)
 	e.send(&wire.Cancel{Ticket: e.task(2, 0).Ticket})
 	e.send(&wire.Cancel{Ticket: e.task(1, 0).Ticket})
 	res := await[*wire.Result](e)
--- a/agent/endpoint.go
+++ b/agent/endpoint.go
@@ -11,6 +11,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -64,14 +65,14 @@
 }
 
 func newEndpoint(cfg settings.Agent) (*endpoint, error) {
-	base, err := url.Parse(cfg.Endpoint)
+	target, err := url.Parse(strings.TrimSuffix(cfg.Endpoint, "/") + taskPath)
 	if err != nil {
 		return nil, result.Errorf(result.BadSettings, "endpoint: %v", err)
 	}
 	plain := &net.Dialer{Timeout: endpointDialTimeout}
 	encrypted := &tls.Dialer{NetDialer: plain}
 	return &endpoint{
-		target: base.JoinPath(taskPath),
+		target: target,
 		transport: &http.Transport{
 			DialContext:         guarded(plain.DialContext, false),
 			DialTLSContext:      guarded(encrypted.DialContext, true),
--- a/agent/fakes_test.go
+++ b/agent/fakes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -260,6 +261,7 @@
 func newGatedEndpoint(t *testing.T) *gatedEndpoint {
 	g := &gatedEndpoint{started: make(chan string, 64), gate: make(chan struct{}, 64)}
 	g.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // the end of the body lets the server notice a closed connection
 		g.started <- r.Header.Get(headerTask)
 		select {
 		case <-g.gate:
@@ -270,3 +272,13 @@
 	t.Cleanup(g.server.Close)
 	return g
 }
+
+// awaitStart waits until the endpoint has a task's request.
+func (g *gatedEndpoint) awaitStart(t *testing.T) {
+	t.Helper()
+	select {
+	case <-g.started:
+	case <-time.After(patience):
+		t.Fatal("no task reached the endpoint")
+	}
+}
