Agent: ping less often while no entry can vouch, count redials and registration retries by reason

A lapsed permission was pinged for every 150 ms, also in a store outage in which no entry can answer; it is every 400 ms now, as often as entries read the store.

--- a/agent/control.go
+++ b/agent/control.go
@@ -17,12 +17,17 @@
 // Times of the control actor.
 const (
 	tickInterval  = 50 * time.Millisecond
-	sweepInterval = 10 * time.Second
-	renewBefore   = 700 * time.Millisecond // of the permission's lapse
-	pingInterval  = 150 * time.Millisecond // between pings for a permission
+	sweepInterval = time.Second
 	askTimeout    = time.Second
 )
 
+// Times of the pings for a fresh vouch.
+const (
+	renewBefore        = 700 * time.Millisecond // of the permission's lapse
+	pingInterval       = 150 * time.Millisecond
+	lapsedPingInterval = 400 * time.Millisecond // no entry may be able to vouch
+)
+
 // Messages of the control actor.
 type (
 	tick   struct{}
@@ -199,13 +204,16 @@
 
 // renewPermission asks one entry, in turn, for a vouch before the permission lapses.
 func (c *control) renewPermission(now time.Duration) {
+	if !c.next.usable() {
+		return
+	}
 	remaining := c.permitted(now)
-	lapsed := remaining <= 0
-	if lapsed && !c.lapsed && c.next.usable() {
-		c.agent.metrics.Count("bergamotwing_permission_lapses_total", "Times the permission to start lapsed.", 1)
+	c.countLapse(remaining <= 0)
+	interval := pingInterval
+	if c.lapsed {
+		interval = lapsedPingInterval
 	}
-	c.lapsed = lapsed
-	if remaining >= renewBefore || now-c.pingedAt < pingInterval || !c.next.usable() {
+	if remaining >= renewBefore || now-c.pingedAt < interval {
 		return
 	}
 	if s := c.nextInTurn(); s != nil {
@@ -214,6 +222,13 @@
 	}
 }
 
+func (c *control) countLapse(lapsed bool) {
+	if lapsed && !c.lapsed {
+		c.agent.metrics.Count("bergamotwing_permission_lapses_total", "Times the permission to start lapsed.", 1)
+	}
+	c.lapsed = lapsed
+}
+
 func (c *control) nextInTurn() *session {
 	sessions := c.agent.links.all()
 	if len(sessions) == 0 {
--- a/agent/control_state_test.go
+++ b/agent/control_state_test.go
@@ -59,7 +59,7 @@
 
 func TestFailurePctLooksAtRecentTasksOnly(t *testing.T) {
 	var f failures
-	var got []int
+	got := make([]int, 0, 6)
 	for _, failed := range []bool{true, false, false, true} {
 		f.note(failed)
 		got = append(got, f.pct())
--- a/agent/dial.go
+++ b/agent/dial.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"bergamotwing.example/result"
 	"bergamotwing.example/wire"
 )
 
@@ -18,7 +19,7 @@
 // dialers keeps one link to each entry that the settings or an entry names.
 type dialers struct {
 	agent  *Agent
-	ctx    context.Context //nolint:containedctx // ends all links
+	ctx    context.Context // ends all links
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
@@ -94,6 +95,7 @@
 	a := d.agent
 	link, err := wire.Dial(d.ctx, addr, linkPath, a.token, a.linkTLS, messageCounter{a.metrics})
 	if err != nil {
+		a.metrics.Retried(result.PeerUnreachable)
 		a.log.Debug().Err(err).Str("addr", addr).Msg("entry not reached")
 		return entryRun{}, false
 	}
--- a/agent/records_test.go
+++ b/agent/records_test.go
@@ -83,7 +83,7 @@
 	want := []wire.TaskState{
 		wire.TaskForgotten, wire.TaskFinished, wire.TaskFinished, wire.TaskRunning, wire.TaskNeverSeen,
 	}
-	var got []wire.TaskState
+	got := make([]wire.TaskState, 0, len(want))
 	for i := range want {
 		state, _ := r.resume(taskOf(1, i))
 		got = append(got, state)
--- a/agent/register.go
+++ b/agent/register.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"bergamotwing.example/platform"
+	"bergamotwing.example/result"
 	"bergamotwing.example/wire"
 )
 
@@ -26,7 +27,7 @@
 			a.log.Info().Msg("registered")
 			return
 		}
-		a.metrics.Count("bergamotwing_registration_retries_total", "Attempts to register that failed.", 1)
+		a.metrics.Retried(result.StoreUnavailable)
 		a.log.Warn().Err(err).Msg("not registered yet")
 		pauses.wait(ctx)
 	}
--- a/agent/slots_test.go
+++ b/agent/slots_test.go
@@ -36,7 +36,7 @@
 	table := newSlotTable(8)
 	table.link(entryA, 0)
 	table.open(0)
-	var got []int
+	got := make([]int, 0, 3)
 	for _, at := range []time.Duration{0, rampTime / 2, rampTime} {
 		got = append(got, len(table.offer(at)[entryA]))
 	}
