Agent: the zone test waits for the acknowledgement of its own configuration

It could take the acknowledgement of the hello for that of the hold and send its grant before the hold was adopted. With the undo of unsent starts removed on a scratch copy it failed for that reason; the check itself is unchanged.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -172,6 +172,7 @@
 	e, g := newFakeEntry(t), openEndpoint(t)
 	runAgent(t, g.server.URL, newMemTable(), e)
 	c := e.credit()
+	awaitAck(e, 5) // of the hello
 	e.send(&wire.Config{Holds: []release.Hold{{Zone: testZone, NoteID: "n6"}}})
 	awaitAck(e, 5)
 	e.grant(1, 0, c)
