--- a/entry/agents.go
+++ b/entry/agents.go
@@ -17,6 +17,8 @@
 	helloTimeout  = 2 * time.Second
 	beatAgentIdle = 1200 * time.Millisecond // held credits are confirmed if nothing else was sent for this long; under the agents' lease
 	agentGrace    = 3 * time.Second         // after its link broke, its tasks are given up
+	agentSilent   = 4 * time.Second         // an agent that runs tasks of this entry is never quiet for so long
+	pingAnswerMax = 500 * time.Millisecond  // a ping is answered by then, with or without a vouch
 )
 
 // agentLink is one agent's run as this entry knows it through one link.
@@ -39,6 +41,7 @@
 	heardAt    atomic.Int64 // entry clock, ms
 	sentAt     atomic.Int64 // entry clock, ms, of the last message that confirms held credits
 	pinged     atomic.Bool  // it waits for a renewal of its permission
+	pingedAt   atomic.Int64 // entry clock, ms
 }
 
 // agentSet holds the agents linked now.
@@ -209,6 +212,7 @@
 	if a.leaving.Swap(m.Leaving) != m.Leaving {
 		e.services.get(a.service).setAgent(a)
 	}
+	a.pingedAt.Store(e.clock())
 	a.pinged.Store(true)
 }
 
@@ -220,14 +224,22 @@
 	}
 }
 
-// beatIfDue confirms held credits to an agent that was sent nothing lately.
-func (e *Entry) beatIfDue(a *agentLink) {
-	if e.clock()-a.sentAt.Load() < beatAgentIdle.Milliseconds() {
-		return
-	}
-	if len(e.services.get(a.service).held(a.id)) > 0 {
+// watch does what is due for an agent: answers a ping that no reading of the
+// version answered, confirms held credits if nothing was sent lately, and closes
+// the link of one that went silent over tasks of this entry.
+func (e *Entry) watch(a *agentLink) {
+	now := e.clock()
+	s := e.services.get(a.service)
+	switch {
+	case a.pinged.Load() && now-a.pingedAt.Load() >= pingAnswerMax.Milliseconds():
+		e.answerPing(a)
+	case now-a.sentAt.Load() >= beatAgentIdle.Milliseconds() && len(s.held(a.id)) > 0:
 		e.beat(a)
 	}
+	if now-a.heardAt.Load() >= agentSilent.Milliseconds() && s.runsOn(a) {
+		e.log.Warn().Str("agent", a.id).Msg("agent is silent over running tasks")
+		a.link.Close()
+	}
 }
 
 func (e *Entry) beat(a *agentLink) {
--- a/entry/service.go
+++ b/entry/service.go
@@ -348,6 +348,18 @@
 	}
 }
 
+// runsOn reports whether tasks of this entry are granted to an agent's run.
+func (s *service) runsOn(a *agentLink) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, j := range s.jobs {
+		if len(j.GrantedTo(a.id, uint64(a.incarnation))) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // setAgent tells the queue what is known of an agent.
 func (s *service) setAgent(a *agentLink) {
 	v := s.e.control.view()
--- a/placement/peers.go
+++ b/placement/peers.go
@@ -7,9 +7,10 @@
 
 // peerState is what the queue believes of another entry.
 type peerState struct {
-	spare   int       // credits it said it could spare
-	askedAt time.Time // our last ask that it has not met
-	want    int       // credits it asked us for and did not get yet
+	spare   int           // credits it said it could spare
+	askedAt time.Time     // our last ask that it has not met
+	backoff time.Duration // before it is asked again; doubles with each unmet ask
+	want    int           // credits it asked us for and did not get yet
 	wantAt  time.Time
 	head    time.Time // arrival of its oldest waiting task, on our clock
 }
@@ -56,7 +57,7 @@
 // PeerGave takes credits that a peer passed on.
 func (q *Queue) PeerGave(id string, credits []Credit) {
 	if p, ok := q.peers[id]; ok && len(credits) > 0 {
-		p.askedAt = time.Time{}
+		p.askedAt, p.backoff = time.Time{}, 0
 	}
 	q.AddCredits(credits...)
 }
@@ -71,7 +72,7 @@
 	if p == nil {
 		return nil
 	}
-	p.askedAt = now
+	p.askedAt, p.backoff = now, min(max(askAgainAfter, 2*p.backoff), askAgainMax)
 	p.spare = 0
 	q.lastAsk = now
 	return []Ask{{Peer: id, Want: q.fair.waiting, Oldest: q.Oldest(now)}}
@@ -90,7 +91,7 @@
 	q.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
 	for _, id := range ids {
 		p := q.peers[id]
-		if !p.askedAt.IsZero() && now.Sub(p.askedAt) < askAgainAfter {
+		if !p.askedAt.IsZero() && now.Sub(p.askedAt) < p.backoff && p.spare == 0 {
 			continue
 		}
 		if best == nil || p.spare > best.spare {
@@ -101,7 +102,8 @@
 }
 
 // give passes credits that nothing waits for here on to the peers that asked,
-// oldest waiting task first.
+// oldest waiting task first: what a peer asked for and half of the surplus, or
+// all of it if no job came here lately.
 func (q *Queue) give(now time.Time) []Give {
 	var out []Give
 	for q.spare.count > 0 {
@@ -109,23 +111,33 @@
 		if p == nil {
 			break
 		}
-		g := Give{Peer: id}
-		for n := p.want + max(0, q.spare.count-p.want)/2; n > 0; n-- {
-			c, ok := q.spare.take(func(agent string) bool { return q.usable(now, agent, 0) })
-			if !ok {
-				break
-			}
-			g.Credits = append(g.Credits, c)
-			p.want = max(0, p.want-1)
+		n := p.want + max(0, q.spare.count-p.want)/2
+		if now.Sub(q.lastJob) >= idleAfter {
+			n = q.spare.count
 		}
+		g := Give{Peer: id, Credits: q.takeUpTo(now, n)}
 		if len(g.Credits) == 0 {
 			break
 		}
+		p.want = max(0, p.want-len(g.Credits))
 		out = append(out, g)
 	}
 	return out
 }
 
+// takeUpTo removes up to n usable credits.
+func (q *Queue) takeUpTo(now time.Time, n int) []Credit {
+	var out []Credit
+	for len(out) < n {
+		c, ok := q.spare.take(func(agent string) bool { return q.usable(now, agent, 0) })
+		if !ok {
+			break
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
 // giveOlder passes credits on to peers whose oldest task has waited longer than
 // ours, so that tasks start about in the order of arrival over all entries.
 func (q *Queue) giveOlder(now time.Time) []Give {
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -21,6 +21,7 @@
 	spare   creditPool
 	peers   map[string]*peerState
 	lastAsk time.Time
+	lastJob time.Time
 	eject   ejector
 	run     runTimes
 }
@@ -112,6 +113,7 @@
 func (q *Queue) Add(now time.Time, j Job) {
 	m := jobMeta{team: j.Team, weight: j.Weight, deadline: j.Deadline, arrived: now, due: q.due(now, len(j.Tasks))}
 	q.meta[j.ID] = m
+	q.lastJob = now
 	q.fair.push(now, m.due, j)
 }
 
