--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -314,3 +314,13 @@
 		t.Errorf("credits %v and %v after %v", first, second, time.Since(began))
 	}
 }
+
+func TestPeerNamedByAnEntryIsLinkedToo(t *testing.T) {
+	first, second := newFakeEntry(t), newFakeEntry(t)
+	second.self = wire.Peer{ID: "entry-2", Incarnation: 78, Addr: second.server.Listener.Addr().String()}
+	runAgent(t, openEndpoint(t).server.URL, newMemTable(), first)
+	await[*wire.AgentHello](first)
+	first.send(&wire.Config{Peers: []wire.Peer{first.self, second.self}})
+	await[*wire.AgentHello](second)
+	awaitAck(second, 5)
+}
