--- a/entry/control.go
+++ b/entry/control.go
@@ -137,7 +137,7 @@
 
 func (c *control) members(next *view, rows []platform.EntryRecord) {
 	next.Registered = nil
-	var peers []wire.Peer
+	peers := make([]wire.Peer, 0, len(rows))
 	for _, r := range rows {
 		next.Registered = append(next.Registered, r.ID)
 		peers = append(peers, wire.Peer{ID: r.ID, Incarnation: wire.Incarnation(r.Incarnation), Addr: r.Addr, Zone: r.Zone})
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -143,7 +143,7 @@
 				wait = redialFirst
 			}
 		}
-		if !pause(ctx, wait/2+rand.N(wait)) {
+		if !pause(ctx, wait/2+rand.N(wait)) { //nolint:gosec // spreads load, keeps no secret
 			return
 		}
 		wait = min(2*wait, redialLongest)
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -50,7 +50,7 @@
 	for {
 		if err := c.registerOnce(ctx); err != nil && ctx.Err() == nil {
 			c.e.log.Warn().Err(err).Msg("registration in the table failed")
-			if !pause(ctx, time.Second+rand.N(time.Second)) {
+			if !pause(ctx, time.Second+rand.N(time.Second)) { //nolint:gosec // spreads load, keeps no secret
 				return
 			}
 			continue
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -243,11 +243,11 @@
 
 // CreditAsk asks a peer for credits; the peer remembers what it cannot give yet.
 type CreditAsk struct {
-	Service string         `cbor:"1,keyasint"`
-	Want    int            `cbor:"2,keyasint"` // 0 withdraws an earlier ask
+	Service string `cbor:"1,keyasint"`
+	Want    int    `cbor:"2,keyasint"` // 0 withdraws an earlier ask
 	// OldestMS is how long the sender's oldest waiting task has waited.
-	OldestMS int64 `cbor:"4,keyasint"`
-	Spare   []ServiceCount `cbor:"3,keyasint,omitempty"`
+	OldestMS int64          `cbor:"4,keyasint"`
+	Spare    []ServiceCount `cbor:"3,keyasint,omitempty"`
 }
 
 // CreditGive passes credits on to a peer.
@@ -259,10 +259,10 @@
 
 // Forward hands a caller's request on to the entry that issued its ticket.
 type Forward struct {
-	Request  uint64 `cbor:"1,keyasint"`
-	Method   string `cbor:"2,keyasint"`
-	Ticket   string `cbor:"3,keyasint"`
-	Body     []byte `cbor:"4,keyasint"`
+	Request uint64 `cbor:"1,keyasint"`
+	Method  string `cbor:"2,keyasint"`
+	Ticket  string `cbor:"3,keyasint"`
+	Body    []byte `cbor:"4,keyasint"`
 }
 
 // ForwardReply answers Forward.
