Kill an agent abruptly in the trial; a refusal that names its ticket is final

Cause: the trial stopped its agent gracefully, so that nothing showed what callers are told when an agent dies. (*agent.Agent).Kill closes the links first and cuts the tasks off after, so that no result is reported. The trial waits for a start at that endpoint, so that a running task is lost each time, and excuses only jobs answered agent_lost or outcome_unknown; before, any failure of a job with a task there was excused.

The client kept to a ticket after a lost answer until one of five codes came. An entry's refused submission consumes its ticket, so every refusal with code Ran no that names the ticket is final. Entries no longer name the ticket where that does not hold: a job not found, a forwarded ticket that cannot be decoded, a body that settlement cannot read. Tests changed: TestRefusalAfterALostAnswerDoesNotFreeTheTicket and TestTicketOfTheCallerIsNeverReplaced had refusals made before the ticket was read, but named it; they now refuse as entries do, without the name, and named refusals have tests of their own.

The agent read secrets and certificates by code of its own, which trimmed all white space of a secret file where settings trims the line end: an agent and an entry with the same file could disagree. It uses package settings now.

Ruled out: closing links after the tasks end (results would be sent).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -41,6 +41,8 @@
 	token       string
 	linkTLS     *tls.Config
 	listener    net.Listener
+	killed      context.Context //nolint:containedctx // ends with Kill
+	kill        context.CancelFunc
 
 	permission permission
 	failures   failures
@@ -69,6 +71,7 @@
 		records:     newRecords(cfg.ResultBytes),
 		links:       newLinks(),
 	}
+	a.killed, a.kill = context.WithCancel(context.Background())
 	a.dialers = newDialers(a)
 	a.control = newControl(a)
 	if err := a.configure(); err != nil {
@@ -83,12 +86,12 @@
 	if len(a.cfg.Keys) == 0 {
 		return result.Errorf(result.BadSettings, "keys: at least one is needed")
 	}
-	secret, err := secretOf(a.cfg.Keys[0])
+	secrets, err := settings.LoadKeys(a.cfg.Keys)
 	if err != nil {
 		return err
 	}
-	a.token = wire.LinkToken(secret)
-	if a.linkTLS, err = clientTLS(a.cfg.LinkTLS); err != nil {
+	a.token = wire.LinkToken(secrets[0])
+	if a.linkTLS, err = a.cfg.LinkTLS.Client(); err != nil {
 		return err
 	}
 	if a.endpoint, err = newEndpoint(a.cfg); err != nil {
@@ -135,6 +138,9 @@
 // more, running tasks finish and their results are sent, all within
 // StopTimeout. It returns an error if tasks were cut off. It is called once.
 func (a *Agent) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(a.killed, cancel)()
 	if err := a.control.start(); err != nil {
 		return err
 	}
@@ -148,7 +154,7 @@
 		a.dialers.dial(addr, 0)
 	}
 	<-ctx.Done()
-	err := a.drain()
+	err := a.end()
 	stopTicks()
 	a.dialers.stop()
 	a.stopHTTP(server)
@@ -158,6 +164,14 @@
 	return err
 }
 
+// end drains the agent, unless it was killed.
+func (a *Agent) end() error {
+	if a.killed.Err() != nil {
+		return errKilled
+	}
+	return a.drain()
+}
+
 func (a *Agent) serveHTTP(server *http.Server) {
 	if err := server.Serve(a.listener); !errors.Is(err, http.ErrServerClosed) {
 		a.log.Error().Err(eris.Wrap(err, "serve http")).Msg("listener ended")
--- a/agent/drain.go
+++ b/agent/drain.go
@@ -22,7 +22,7 @@
 // drain lets no task start any more, waits for the running ones, and notes in
 // the table that the agent left.
 func (a *Agent) drain() error {
-	ctx, cancel := context.WithTimeout(context.Background(), a.cfg.StopTimeout.D())
+	ctx, cancel := context.WithTimeout(a.killed, a.cfg.StopTimeout.D())
 	defer cancel()
 	if _, err := a.control.setLeaving(true, true); err != nil {
 		a.running.setClosed(true)
--- a/client/fake_test.go
+++ b/client/fake_test.go
@@ -82,6 +82,13 @@
 	}
 }
 
+// refuseUnnamed refuses one request without having read its ticket.
+func refuseUnnamed(code result.Code) reply {
+	return func(w http.ResponseWriter, _ string) {
+		writeJSON(w, result.Lookup(code).HTTPStatus, api.Answer{Code: code, Name: code.String()})
+	}
+}
+
 func raw(status int, body string) reply {
 	return func(w http.ResponseWriter, _ string) {
 		w.WriteHeader(status)
--- a/client/submit_test.go
+++ b/client/submit_test.go
@@ -68,10 +68,10 @@
 	}
 }
 
-func TestRefusalAfterALostAnswerDoesNotFreeTheTicket(t *testing.T) {
+func TestUnnamedRefusalAfterALostAnswerDoesNotFreeTheTicket(t *testing.T) {
 	for _, code := range []result.Code{result.Overloaded, result.Stopping, result.NoVersion, result.BadTicket, result.TicketExpired, result.QuotaExceeded} {
 		for _, first := range []reply{lose, refuse(result.OutcomeUnknown)} {
-			a := newFake(t, "a", append([]reply{first}, repeated(refuse(code), 3)...)...)
+			a := newFake(t, "a", append([]reply{first}, repeated(refuseUnnamed(code), 3)...)...)
 			_, err := newTestClient(t, nil, a).Submit(t.Context(), oneTask())
 			var unknown *UnknownError
 			if !errors.As(err, &unknown) || unknown.Ticket != "a-1" || !errors.Is(err, &result.Error{Code: result.OutcomeUnknown}) {
@@ -82,6 +82,41 @@
 	}
 }
 
+func TestNamedRefusalAfterALostAnswerFreesTheTicket(t *testing.T) {
+	for _, code := range []result.Code{result.Stopping, result.NoVersion, result.TicketExpired, result.TooManyOpenJobs, result.IssuerClosed} {
+		for _, first := range []reply{lose, refuse(result.OutcomeUnknown)} {
+			a := newFake(t, "a", first, refuse(code))
+			answer, err := newTestClient(t, nil, a).Submit(t.Context(), oneTask())
+			if err != nil || answer.Ticket == "a-1" {
+				t.Errorf("%s: answer %+v, error %v", code, answer, err)
+			}
+		}
+	}
+	for _, code := range []result.Code{result.Overloaded, result.QuotaExceeded, result.NeverFits, result.UnknownService, result.BadRequest} {
+		a := newFake(t, "a", lose, refuse(code))
+		_, err := newTestClient(t, nil, a).Submit(t.Context(), oneTask())
+		if typeName(err) != "not run" || !errors.Is(err, &result.Error{Code: code}) {
+			t.Errorf("%s: error %v", code, err)
+		}
+		wantCalls(t, a, "PUT a-1", "PUT a-1")
+	}
+}
+
+func TestRefusalNamingAnotherTicketProvesNothing(t *testing.T) {
+	other := raw(503, `{"code":200,"ticket":"other"}`)
+	a := newFake(t, "a", append([]reply{lose}, repeated(other, 3)...)...)
+	if _, err := newTestClient(t, nil, a).Submit(t.Context(), oneTask()); typeName(err) != "unknown" {
+		t.Errorf("error %v", err)
+	}
+}
+
+func TestJobNotFoundNeverSettlesATicket(t *testing.T) {
+	a := newFake(t, "a", lose, refuse(result.NotFound))
+	if _, err := newTestClient(t, nil, a).Submit(t.Context(), oneTask()); typeName(err) != "unknown" {
+		t.Errorf("error %v", err)
+	}
+}
+
 func TestSettledTicketIsFreeAfterALostAnswer(t *testing.T) {
 	a := newFake(t, "a", lose, refuse(result.OutcomeUnknown), refuse(result.SettledNotRun))
 	if _, err := newTestClient(t, nil, a).Submit(t.Context(), oneTask()); err != nil {
@@ -210,7 +245,7 @@
 }
 
 func TestTicketOfTheCallerIsNeverReplaced(t *testing.T) {
-	a := newFake(t, "a", refuse(result.Stopping), refuse(result.IssuerClosed))
+	a := newFake(t, "a", refuseUnnamed(result.Stopping), refuse(result.IssuerClosed))
 	_, err := newTestClient(t, nil, a).SubmitTicket(t.Context(), "mine", oneTask())
 	if typeName(err) != "not run" || !errors.Is(err, &result.Error{Code: result.IssuerClosed}) {
 		t.Errorf("error %v", err)
--- a/client/verdict.go
+++ b/client/verdict.go
@@ -28,15 +28,13 @@
 // errMismatch is an answer that cannot be the answer to the request.
 var errMismatch = errors.New("the answer does not match the request")
 
-// finalNotRun holds the codes that settle a ticket for good. Any other refusal
-// speaks for one request only, and proves nothing about an earlier try under
-// the same ticket whose answer was lost.
-var finalNotRun = map[result.Code]bool{
-	result.DeadlineUnmet:    true,
-	result.SettledNotRun:    true,
-	result.CancelledNotRun:  true,
-	result.IssuerClosed:     true,
-	result.ServiceWithdrawn: true,
+// settles reports whether a refusal is proof that nothing ran under the ticket
+// and nothing will: a refused submission consumes its ticket, and the refusal
+// names it. One that names no ticket speaks for a single request and proves
+// nothing about an earlier try whose answer was lost. NotFound settles nothing,
+// since asking for a job consumes no ticket.
+func settles(ticket string, a *api.Answer) bool {
+	return a.Ticket == ticket && a.Code != result.NotFound && result.Lookup(a.Code).Ran == result.RanNo
 }
 
 // returned holds the codes that allow a new ticket but that another try at once
@@ -81,7 +79,7 @@
 		return verdict{step: finish, err: unknown(ticket, coded)}
 	case info.Ran != result.RanNo:
 		return verdict{step: finish, err: &FailedError{Ticket: ticket, Err: coded}}
-	case uncertain && !finalNotRun[a.Code]:
+	case uncertain && !settles(ticket, a):
 		return judgeUncertainRefusal(ticket, info, coded)
 	}
 	return verdict{step: stepAfterRefusal(info), err: &NotRunError{Ticket: ticket, Err: coded}, reason: info.Name}
--- a/command/codes.go
+++ b/command/codes.go
@@ -73,9 +73,12 @@
 **Ran** says whether work of the request may have run: *no* means that none did and none will.
 **Submit again** says what a caller may do: *same ticket* joins the job or finds its answer, *new
 ticket* is safe because nothing ran, *never* means that the same request fails again. For notes and
-zone commands, read *note id* for *ticket*. After a lost answer, a caller keeps to the same ticket
-until a code that settles it comes: deadline_unmet, settled_not_run, cancelled_not_run, issuer_closed
-or service_withdrawn.
+zone commands, read *note id* for *ticket*.
+
+A refused submission consumes its ticket. So a refusal that names the ticket and whose code has *Ran:
+no* is final for it: nothing ran under it and nothing will, also if an earlier answer was lost. A refusal without
+the ticket's name was made before the ticket was read. It speaks for that one request, and a caller
+whose earlier answer was lost keeps to the same ticket. not_found settles no ticket.
 
 | Code | Name | HTTP | Ran | Submit again | Meaning |
 | ---: | --- | ---: | --- | --- | --- |
--- a/command/internal/trial/check.go
+++ b/command/internal/trial/check.go
@@ -21,6 +21,7 @@
 	for _, r := range t.journal.records {
 		t.checkRecord(r, starts)
 	}
+	t.report.event("%d jobs lost a task at agent %s and were answered so", t.lost, stoppedAgentID)
 	t.checkStarts(starts)
 	t.reportClients()
 	t.report.fill(t.journal)
@@ -32,9 +33,11 @@
 		t.checkAnswer(r, starts)
 		return
 	}
-	if !t.excused(r, starts) {
-		t.report.fault("%s, %s: %v", r.payloads[0].Echo, r.phase, r.err)
+	if t.excused(r) {
+		t.lost++
+		return
 	}
+	t.report.fault("%s, %s: %v", r.payloads[0].Echo, r.phase, r.err)
 }
 
 // checkAnswer checks a complete answer byte for byte, and that each of its
@@ -51,8 +54,8 @@
 }
 
 // excused reports whether a job may have failed: it was open when the agent was
-// stopped abruptly, and lost a task there.
-func (t *trial) excused(r *record, starts startsByTask) bool {
+// stopped abruptly, and the answer says that a task was lost there.
+func (t *trial) excused(r *record) bool {
 	if !t.stopped.abrupt || r.started.Add(r.took).Before(t.stopped.at) {
 		return false
 	}
@@ -60,18 +63,8 @@
 	if errors.As(r.err, &notRun) {
 		return false
 	}
-	return errors.Is(r.err, &result.Error{Code: result.AgentLost}) || startedAt(r, starts, stoppedAgentID)
-}
-
-func startedAt(r *record, starts startsByTask, endpoint string) bool {
-	for _, p := range r.payloads {
-		for _, s := range starts[p.Echo] {
-			if s.endpoint == endpoint {
-				return true
-			}
-		}
-	}
-	return false
+	return errors.Is(r.err, &result.Error{Code: result.AgentLost}) ||
+		errors.Is(r.err, &result.Error{Code: result.OutcomeUnknown})
 }
 
 // checkStarts finds doubled starts and starts in the zone that was out.
--- a/command/internal/trial/check_test.go
+++ b/command/internal/trial/check_test.go
@@ -61,9 +61,10 @@
 	}
 }
 
-func TestOnlyJobsOfTheStoppedAgentMayFail(t *testing.T) {
+func TestOnlyJobsLostWithTheStoppedAgentMayFail(t *testing.T) {
 	failed := &client.FailedError{Err: &result.Error{Code: result.TaskFailed}}
 	lost := &client.FailedError{Err: &result.Error{Code: result.AgentLost}}
+	unknown := &client.UnknownError{Err: &result.Error{Code: result.OutcomeUnknown}}
 	notRun := &client.NotRunError{Err: &result.Error{Code: result.Overloaded}}
 	there := startsByTask{"a": {seenAt(stoppedAgentID, "kortrijk-zuid", base)}}
 	elsewhere := startsByTask{"a": {seenAt("e", "gwent", base)}}
@@ -75,12 +76,14 @@
 		stopped stoppedAgent
 		excused bool
 	}{
-		{"task there", failed, there, abrupt, true},
+		{"task there", lost, there, abrupt, true},
 		{"grant lost", lost, startsByTask{}, abrupt, true},
+		{"answer lost", unknown, there, abrupt, true},
+		{"another failure there", failed, there, abrupt, false},
 		{"task elsewhere", failed, elsewhere, abrupt, false},
 		{"refused", notRun, there, abrupt, false},
 		{"graceful stop", lost, there, stoppedAgent{at: abrupt.at}, false},
-		{"answered before", failed, there, stoppedAgent{at: base.Add(time.Second), abrupt: true}, false},
+		{"answered before", lost, there, stoppedAgent{at: base.Add(time.Second), abrupt: true}, false},
 	} {
 		r := rightRecord("a")
 		r.answer, r.err = nil, c.err
--- a/command/internal/trial/events.go
+++ b/command/internal/trial/events.go
@@ -96,13 +96,15 @@
 	return nil
 }
 
-func (t *trial) stopAgent(context.Context) error {
-	t.stopped.at = time.Now()
-	t.stopped.abrupt = t.cluster.stopAgent(stoppedAgentID)
-	how := "gracefully (the agent has no abrupt stop)"
-	if t.stopped.abrupt {
-		how = "abruptly, its links closed"
+// killAgent kills the agent right after a task started at its endpoint, so that
+// a running task is lost.
+func (t *trial) killAgent(ctx context.Context) error {
+	if err := t.cluster.untilStart(ctx, stoppedAgentID); err != nil {
+		return err
 	}
-	t.report.event("agent %s stopped %s", stoppedAgentID, how)
+	t.stopped.at = time.Now()
+	t.stopped.abrupt = true
+	t.cluster.killAgent(stoppedAgentID)
+	t.report.event("agent %s stopped abruptly, its links closed", stoppedAgentID)
 	return nil
 }
--- a/command/internal/trial/processes.go
+++ b/command/internal/trial/processes.go
@@ -1,7 +1,6 @@
 package trial
 
 import (
-	"context"
 	"time"
 
 	"bergamotwing.example/agent"
@@ -19,14 +18,10 @@
 
 // agentProcess is a running agent.
 type agentProcess struct {
-	agent  *agent.Agent
-	cancel context.CancelFunc
-	done   chan struct{}
+	agent *agent.Agent
+	done  chan struct{}
 }
 
-// killer is an agent that can stop at once, without finishing its tasks.
-type killer interface{ Kill() }
-
 const (
 	logLevel    = "info"
 	stopTimeout = settings.Duration(2 * time.Second)
@@ -79,12 +74,11 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(c.ctx)
-	p := &agentProcess{agent: a, cancel: cancel, done: make(chan struct{})}
+	p := &agentProcess{agent: a, done: make(chan struct{})}
 	c.agents[id] = p
 	go func() {
 		defer close(p.done)
-		if err := a.Run(ctx); err != nil {
+		if err := a.Run(c.ctx); err != nil {
 			log.Error().Err(err).Msg("agent ended")
 		}
 	}()
@@ -96,13 +90,5 @@
 	return platform.NewClient(platform.ClientConfig{URL: p.URL, Token: p.Token, Timeout: p.Timeout.D()})
 }
 
-// stopAgent stops an agent, abruptly if it can, and reports whether it could.
-func (c *cluster) stopAgent(id string) bool {
-	p := c.agents[id]
-	k, abrupt := any(p.agent).(killer)
-	if abrupt {
-		k.Kill()
-	}
-	p.cancel()
-	return abrupt
-}
+// killAgent ends an agent abruptly.
+func (c *cluster) killAgent(id string) { c.agents[id].agent.Kill() }
--- a/command/internal/trial/starts.go
+++ b/command/internal/trial/starts.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -41,6 +42,27 @@
 	return all, nil
 }
 
+// startPoll is shorter than the shortest task, so that one seen to start still runs.
+const startPoll = 2 * time.Millisecond
+
+// untilStart waits until the next start of a task at an endpoint.
+func (c *cluster) untilStart(ctx context.Context, endpointID string) error {
+	i := slices.IndexFunc(c.endpoints, func(e *endpoint) bool { return e.id == endpointID })
+	for before := -1; ; {
+		list, err := getStarts(ctx, c.endpoints[i].server.url())
+		if err != nil {
+			return err
+		}
+		if before >= 0 && len(list) > before {
+			return nil
+		}
+		before = len(list)
+		if err := pause(ctx, startPoll); err != nil {
+			return err
+		}
+	}
+}
+
 func getStarts(ctx context.Context, base string) ([]start, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+startsPath, nil)
 	if err != nil {
--- a/command/internal/trial/trial.go
+++ b/command/internal/trial/trial.go
@@ -44,6 +44,7 @@
 	journal  *journal
 	report   *Report
 	stopped  stoppedAgent
+	lost     int // jobs answered as lost with the stopped agent
 	outage   outage
 }
 
@@ -117,7 +118,7 @@
 		{"steady load", steadyTime, func(context.Context) error { return nil }},
 		{outZone + " out", zoneOutTime, t.zoneOut},
 		{outZone + " back", zoneInTime, t.zoneBack},
-		{"agent " + stoppedAgentID + " stopped", agentTime, t.stopAgent},
+		{"agent " + stoppedAgentID + " stopped", agentTime, t.killAgent},
 	}
 }
 
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -255,7 +255,8 @@
 	case used:
 		return errorAnswer(text, result.Errorf(result.OutcomeUnknown, "the answer is no longer kept"))
 	default:
-		return errorAnswer(text, result.Errorf(result.NotFound, "no job was submitted under this ticket"))
+		// Not named: the ticket may still be submitted.
+		return errorAnswer("", result.Errorf(result.NotFound, "no job was submitted under this ticket"))
 	}
 }
 
@@ -318,6 +319,9 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
+// errorAnswer answers with an error's code. A refusal that names the ticket is
+// final for it: callers take it as proof that nothing ran under the ticket and
+// nothing will. Refusals of one request alone leave the ticket empty.
 func errorAnswer(ticket string, err error) api.Answer {
 	var coded *result.Error
 	if !errors.As(err, &coded) {
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -157,7 +157,7 @@
 func (e *Entry) answerForwarded(ctx context.Context, m *wire.Forward) api.Answer {
 	t, err := ledger.DecodeTicket(m.Ticket, e.ticketKeys)
 	if err != nil {
-		return errorAnswer(m.Ticket, err)
+		return errorAnswer("", err)
 	}
 	if t.Entry == e.self.ID && t.Incarnation == uint64(e.self.Incarnation) {
 		return e.requestHere(ctx, m.Method, t, m.Ticket, m.Body)
--- a/entry/settle.go
+++ b/entry/settle.go
@@ -71,7 +71,7 @@
 	if method == http.MethodPut {
 		sub = submission(body)
 		if sub == nil {
-			return errorAnswer(text, result.Errorf(result.BadRequest, "the body is not a job"))
+			return errorAnswer("", result.Errorf(result.BadRequest, "the body is not a job"))
 		}
 	}
 	limit := time.Now().Add(settleGiveUp)
--- a/integration/harness/caller.go
+++ b/integration/harness/caller.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -24,8 +25,11 @@
 }
 
 // NewCaller returns a caller; token is the operators' and may be empty.
-func NewCaller(token string) *Caller {
-	return &Caller{http: &http.Client{Timeout: callTimeout, Transport: &http.Transport{}}, token: token}
+func NewCaller(token string) *Caller { return NewTLSCaller(token, nil) }
+
+// NewTLSCaller returns a caller that trusts what config says; nil is for plain HTTP.
+func NewTLSCaller(token string, config *tls.Config) *Caller {
+	return &Caller{http: &http.Client{Timeout: callTimeout, Transport: &http.Transport{TLSClientConfig: config}}, token: token}
 }
 
 // Close closes idle connections.
--- a/integration/harness/deployment.go
+++ b/integration/harness/deployment.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"testing"
 	"time"
 
 	"bergamotwing.example/client/api"
 	"bergamotwing.example/release"
+	"bergamotwing.example/settings"
 )
 
 // Names and sizes of a deployment where Options leaves them open.
@@ -43,6 +45,10 @@
 	LinkDelay time.Duration // one way, on every link and towards callers
 	// Answer returns the result that an endpoint gives to a payload.
 	Answer func(payload []byte) []byte
+	// EntrySettings and AgentSettings change the settings before the start.
+	EntrySettings func(*settings.Entry)
+	AgentSettings func(*settings.Agent)
+	ClientTLS     *tls.Config // of the operators, if the entries serve TLS
 }
 
 // Deployment is a running deployment: the platform's stand-in, entries, and
@@ -61,7 +67,7 @@
 // process is linked to every other and has it.
 func New(t testing.TB, opts Options) *Deployment {
 	t.Helper()
-	d := &Deployment{Operator: NewCaller(OperatorToken), opts: withDefaults(opts)}
+	d := &Deployment{Operator: NewTLSCaller(OperatorToken, opts.ClientTLS), opts: withDefaults(opts)}
 	t.Cleanup(d.Operator.Close)
 	d.Zones = d.opts.Zones
 	d.Platform = startStandin(t, "platform", "platform")
@@ -89,6 +95,12 @@
 	if o.Placement == "" {
 		o.Placement = "credits"
 	}
+	if o.EntrySettings == nil {
+		o.EntrySettings = func(*settings.Entry) {}
+	}
+	if o.AgentSettings == nil {
+		o.AgentSettings = func(*settings.Agent) {}
+	}
 	return o
 }
 
--- a/integration/harness/nodes.go
+++ b/integration/harness/nodes.go
@@ -35,16 +35,21 @@
 	s.OperatorToken = OperatorToken
 	s.Keys = keys()
 	s.Placement = d.opts.Placement
+	d.opts.EntrySettings(&s)
+	scheme := "http://"
+	if s.TLS.CertFile != "" {
+		scheme = "https://"
+	}
 	e := &Entry{
 		ID:          s.ID,
 		Zone:        s.Zone,
-		OperatorURL: "http://" + s.OperatorListen,
+		OperatorURL: scheme + s.OperatorListen,
 		MetricsURL:  "http://" + s.MetricsListen + "/metrics",
 		Callers:     StartProxy(t, FreeAddr(t), s.Listen),
 		Links:       StartProxy(t, FreeAddr(t), s.LinkListen),
 		Store:       StartProxy(t, FreeAddr(t), d.Platform.Addr),
 	}
-	e.URL = "http://" + e.Callers.Addr
+	e.URL = scheme + e.Callers.Addr
 	e.Links.Delay(d.opts.LinkDelay)
 	e.Callers.Delay(d.opts.LinkDelay)
 	s.LinkAddr = e.Links.Addr
@@ -91,6 +96,7 @@
 	for _, e := range d.Entries {
 		s.Entries = append(s.Entries, e.Links.Addr)
 	}
+	d.opts.AgentSettings(&s)
 	return &Agent{
 		Process:    StartProcess(t, id, "agent", "--settings", writeSettings(t, id, s)),
 		ID:         id,
