--- a/integration/harness/nodes.go
+++ b/integration/harness/nodes.go
@@ -34,6 +34,7 @@
 	s.LinkListen, s.MetricsListen = FreeAddr(t), FreeAddr(t)
 	s.OperatorToken = OperatorToken
 	s.Keys = keys()
+	s.Peers = []string{} // known once all entries have their proxies
 	s.Placement = d.opts.Placement
 	d.opts.EntrySettings(&s)
 	scheme := "http://"
