--- a/command/status.go
+++ b/command/status.go
@@ -50,9 +50,6 @@
 	for _, w := range s.Warnings {
 		out.printf("WARNING  %s\n", w)
 	}
-	for _, h := range s.Holds {
-		out.printf("WARNING  zone %s is held out of service by note %s, which is not durable yet\n", h.Zone, h.NoteID)
-	}
 	for _, t := range []*table{entryTable(s), agentTable(s), serviceTable(s)} {
 		out.printf("\n")
 		if err := t.write(out.stdout); err != nil {
--- a/entry/status.go
+++ b/entry/status.go
@@ -95,7 +95,7 @@
 		out = append(out, "this entry cannot vouch for the version: agents that rely on it alone start nothing")
 	}
 	for _, h := range s.Holds {
-		out = append(out, fmt.Sprintf("zone %s is held out of service, not durable yet", h.Zone))
+		out = append(out, fmt.Sprintf("zone %s is held out of service by note %s, not durable yet", h.Zone, h.NoteID))
 	}
 	for _, p := range s.Entries {
 		if !p.Linked {
