--- a/entry/peers.go
+++ b/entry/peers.go
@@ -44,6 +44,7 @@
 	heardAt atomic.Int64  // entry clock, ms
 	sentAt  atomic.Int64  // entry clock, ms
 	fast    atomic.Bool   // it asked for frequent beats
+	leaving atomic.Bool   // it is stopping
 }
 
 // send queues m; it returns false if the link is closed.
@@ -100,6 +101,11 @@
 	}
 }
 
+// linkedTo reports whether the entry at addr is linked, by whichever side.
+func (s *peerSet) linkedTo(addr string) bool {
+	return slices.ContainsFunc(s.list(), func(p *peerLink) bool { return p.addr == addr })
+}
+
 func (s *peerSet) closeAll() { s.each(func(p *peerLink) { p.link.Close() }) }
 
 // dialPeers keeps a dialling goroutine for each address heard of, and sends
@@ -134,6 +140,10 @@
 func (e *Entry) dialPeer(ctx context.Context, addr string) {
 	wait := redialFirst
 	for ctx.Err() == nil && e.knowsAddr(addr) {
+		if e.peers.linkedTo(addr) {
+			pause(ctx, redialFirst)
+			continue
+		}
 		link, err := wire.Dial(ctx, addr, "/link/peer", wire.LinkToken(e.secrets[0]), e.linkTLS, e.obs)
 		if err == nil {
 			began := time.Now()
@@ -243,6 +253,10 @@
 	case *wire.ConfigAck:
 		p.acked.Store(m.Version)
 	case *wire.Forward:
+		if m.Method == methodTickets {
+			e.issueToPeer(p, m)
+			return
+		}
 		e.background(context.Background(), func(context.Context) { e.answerForward(p, m) })
 	case *wire.ForwardReply:
 		e.forwards.reply(m)
@@ -265,6 +279,7 @@
 	}
 	p.report.Store(&peerReport{version: m.Version, echo: m.Echo})
 	p.fast.Store(m.Fast)
+	p.leaving.Store(m.Leaving)
 	e.control.send(holdAdded{holds: m.Holds})
 	e.control.vouchedBy(m.Vouch)
 	if m.Version < e.control.view().version() {
@@ -310,6 +325,7 @@
 		Holds:   v.Holds,
 		Spare:   spare,
 		Fast:    v.StoreDown,
+		Leaving: e.stopping.Load(),
 	})
 }
 
