Agents keep the record of a start as long as settlement relies on it

Cause: settlement answers settled_not_run for tickets up to 29 minutes old when no agent reports a start (ledger.StartRecordRetention less the clocks' margin), but agents forgot starts after 15 minutes. For a ticket from 16 to 29 minutes old a job that had run could be answered as not run. Found when the memory of the records was measured for docs/CAPACITY.md.

--- a/agent/records.go
+++ b/agent/records.go
@@ -8,10 +8,11 @@
 	"bergamotwing.example/wire"
 )
 
-// How long the record of starts goes back at least. Tickets and the deadlines
-// of their jobs are over well before.
+// How long the record of starts and of fences goes back at least. Settlement
+// takes a start that no agent reports for one that never was, for tickets up to
+// ledger.StartRecordRetention old: startsKept must not be shorter.
 const (
-	startsKept = 15 * time.Minute
+	startsKept = 30 * time.Minute
 	fencesKept = 30 * time.Minute
 )
 
--- a/ledger/settle.go
+++ b/ledger/settle.go
@@ -12,8 +12,8 @@
 	ClockMargin = 60 * time.Second
 
 	// StartRecordRetention is how long an agent keeps the record of a task it
-	// started, counted from the start. It covers a ticket's lifetime and the
-	// longest deadline.
+	// started, counted from the start (startsKept in package agent). It covers a
+	// ticket's lifetime and the longest deadline.
 	StartRecordRetention = 30 * time.Minute
 )
 
