--- a/integration/harness/nodes.go
+++ b/integration/harness/nodes.go
@@ -34,17 +34,23 @@
 	s.LinkListen, s.MetricsListen = FreeAddr(t), FreeAddr(t)
 	s.OperatorToken = OperatorToken
 	s.Keys = keys()
+	s.Peers = []string{} // known once all entries have their proxies
 	s.Placement = d.opts.Placement
+	d.opts.EntrySettings(&s)
+	scheme := "http://"
+	if s.TLS.CertFile != "" {
+		scheme = "https://"
+	}
 	e := &Entry{
 		ID:          s.ID,
 		Zone:        s.Zone,
-		OperatorURL: "http://" + s.OperatorListen,
+		OperatorURL: scheme + s.OperatorListen,
 		MetricsURL:  "http://" + s.MetricsListen + "/metrics",
 		Callers:     StartProxy(t, FreeAddr(t), s.Listen),
 		Links:       StartProxy(t, FreeAddr(t), s.LinkListen),
 		Store:       StartProxy(t, FreeAddr(t), d.Platform.Addr),
 	}
-	e.URL = "http://" + e.Callers.Addr
+	e.URL = scheme + e.Callers.Addr
 	e.Links.Delay(d.opts.LinkDelay)
 	e.Callers.Delay(d.opts.LinkDelay)
 	s.LinkAddr = e.Links.Addr
@@ -77,7 +83,7 @@
 func startAgent(t testing.TB, d *Deployment, i int) *Agent {
 	t.Helper()
 	id := fmt.Sprintf("agent%d", i)
-	endpoint := startStandin(t, fmt.Sprintf("endpoint%d", i), "endpoint")
+	endpoint := startEndpoint(t, d, i)
 	store := StartProxy(t, FreeAddr(t), d.Platform.Addr)
 	s := settings.DefaultAgent()
 	s.ID = id
@@ -91,6 +97,7 @@
 	for _, e := range d.Entries {
 		s.Entries = append(s.Entries, e.Links.Addr)
 	}
+	d.opts.AgentSettings(&s)
 	return &Agent{
 		Process:    StartProcess(t, id, "agent", "--settings", writeSettings(t, id, s)),
 		ID:         id,
@@ -102,6 +109,14 @@
 	}
 }
 
+func startEndpoint(t testing.TB, d *Deployment, i int) *Standin {
+	t.Helper()
+	if d.opts.OneEndpoint && i > 0 {
+		return d.Agents[0].Endpoint
+	}
+	return startStandin(t, fmt.Sprintf("endpoint%d", i), "endpoint")
+}
+
 // pathLeaving is where an endpoint announces to its agent that it is leaving.
 const pathLeaving = "/leave"
 
