Measure overload: useful work, wasted starts, true refusals

The load goes through the client library, so that retries count, and the answers are compared with the starts at the endpoints by the payloads' echo.

--- a/integration/harness/oracle.go
+++ b/integration/harness/oracle.go
@@ -18,6 +18,7 @@
 	Task    string `json:"task"`
 	Attempt int    `json:"attempt"`
 	UnixMS  int64  `json:"at"`
+	Echo    string `json:"echo"` // of the payload
 	Zone    string `json:"-"`
 	Agent   string `json:"-"`
 }
