Refuse and drop jobs that would start and then miss their deadline

Cause: admission compared the expected end with the deadline, from the mean run time. Under overload every accepted job then ended close to its deadline, and a job with one long task missed it after its other tasks had run. A job that started was kept to the end even when its waiting tasks could no longer fit, and with nothing waiting a job of any size was let in.

Now time is kept for the longest of the job's tasks (from the run times seen, at most half of the job's time), the slots in use count where they are more than an equal share, a job that waited is held against its deadline again before its first task starts (deadline_unmet, not run), and a job whose waiting tasks cannot end in time even on all slots ends at once. Without a recent run time nothing is refused, so that an old mean cannot lock callers out.

The test of early refusal let a job in that needs 100 s and has 60 s; such a job is refused now, and the test asks for that besides a job that fits.

--- a/entry/service.go
+++ b/entry/service.go
@@ -127,6 +127,9 @@
 // dispatch sends what the queue decides. The lock is held.
 func (s *service) dispatch(now time.Time) {
 	d := s.queue.Dispatch(now)
+	for _, id := range d.Drop {
+		s.drop(id)
+	}
 	for _, p := range d.Place {
 		s.grant(now, p)
 	}
@@ -138,6 +141,13 @@
 	}
 }
 
+// drop answers a job that started nothing and would miss its deadline.
+func (s *service) drop(id placement.JobID) {
+	if j, ok := s.jobs[id]; ok {
+		s.fail(id, j, result.DeadlineUnmet, result.DeadlinePassed, "")
+	}
+}
+
 func (s *service) grant(now time.Time, p placement.Placement) {
 	a := s.e.agents.get(p.Credit.Agent)
 	if a == nil || uint64(a.incarnation) != p.Credit.Incarnation {
@@ -316,8 +326,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	started := func(id placement.JobID) bool { return s.jobs[id] != nil && s.jobs[id].Started() > 0 }
-	for _, id := range s.queue.Expired(now, started) {
+	for _, id := range s.queue.Expired(now) {
 		j, ok := s.jobs[id]
 		if !ok {
 			s.queue.Remove(id)
--- /dev/null
+++ b/placement/admission_test.go
@@ -0,0 +1,140 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"bergamotwing.example/result"
+)
+
+// newSlowQueue returns a queue that has seen tasks of a second.
+func newSlowQueue(agents, slots int) *Queue {
+	q := newTestQueue(agents, slots)
+	for range runTimeSamples {
+		q.Done(agentID(0), time.Second, 0, start)
+	}
+	return q
+}
+
+func wantAdmit(t *testing.T, q *Queue, now time.Time, j Job, want result.Code) {
+	t.Helper()
+	if got := q.Admit(now, j); got != want {
+		t.Fatalf("job %d: got %s, want %s", j.ID, got, want)
+	}
+}
+
+func TestJobThatCannotMeetItsDeadlineIsRefusedEarly(t *testing.T) {
+	q := newSlowQueue(1, 1)
+	wantAdmit(t, q, start, testJob(1, "", 100), result.Overloaded)
+	j := testJob(2, "", 40)
+	wantAdmit(t, q, start, j, result.OK)
+	q.Add(start, j)
+	late := testJob(3, "", 1)
+	late.Deadline = start.Add(10 * time.Second)
+	wantAdmit(t, q, start, late, result.Overloaded)
+}
+
+func TestTimeIsKeptForTheLongestTaskOfAJob(t *testing.T) {
+	q := newTestQueue(1, 1)
+	for i := range 200 {
+		q.Done(agentID(0), time.Duration(1+i%100)*10*time.Millisecond, 0, start)
+	}
+	q.Add(start, testJob(1, "", 5))
+	j := testJob(2, "", 1)
+	j.Deadline = start.Add(3 * time.Second) // 2.5 s of waiting and 0.9 s for a long task
+	wantAdmit(t, q, start, j, result.Overloaded)
+	j.Deadline = start.Add(4 * time.Second)
+	wantAdmit(t, q, start, j, result.OK)
+}
+
+func TestShortDeadlineIsNotRefusedBecauseOfRareLongTasks(t *testing.T) {
+	q := newTestQueue(1, 8)
+	for i := range 100 {
+		run := 10 * time.Millisecond
+		if i%20 == 0 {
+			run = 5 * time.Second
+		}
+		q.Done(agentID(0), run, 0, start)
+	}
+	j := testJob(1, "", 4)
+	j.Deadline = start.Add(time.Second)
+	wantAdmit(t, q, start, j, result.OK)
+}
+
+func TestOldRunTimesRefuseNothing(t *testing.T) {
+	q := newSlowQueue(1, 1)
+	now := start.Add(runTimeFresh)
+	j := testJob(1, "", 100)
+	j.Deadline = now.Add(10 * time.Second)
+	wantAdmit(t, q, now, j, result.OK)
+}
+
+func TestEntryWithAllTheLoadCountsTheSlotsItUses(t *testing.T) {
+	q := newSlowQueue(3, 10)
+	q.SetPeer("p")
+	q.SetPeer("q")
+	q.Add(start, testJob(1, "", 130))
+	for agent := range 3 {
+		for slot := range 10 {
+			q.AddCredits(credit(agent, slot, 1))
+		}
+	}
+	q.Dispatch(start)
+	j := testJob(2, "", 1)
+	j.Deadline = start.Add(6 * time.Second) // 100 wait for 30 slots
+	wantAdmit(t, q, start, j, result.OK)
+}
+
+func TestJobThatWaitedTooLongIsDroppedBeforeItStarts(t *testing.T) {
+	q := newSlowQueue(1, 1)
+	q.Add(start, testJob(1, "", 40))
+	now := start.Add(30 * time.Second)
+	q.Done(agentID(0), time.Second, 0, now)
+	q.AddCredits(credit(0, 0, 1))
+	d := q.Dispatch(now)
+	if len(d.Drop) != 1 || d.Drop[0] != 1 || len(d.Place) != 0 || q.Waiting() != 0 {
+		t.Fatalf("got %+v with %d waiting", d, q.Waiting())
+	}
+}
+
+func TestStartedJobIsNotDropped(t *testing.T) {
+	q := newSlowQueue(1, 1)
+	q.Add(start, testJob(1, "", 40))
+	q.AddCredits(credit(0, 0, 1))
+	q.Dispatch(start)
+	now := start.Add(30 * time.Second)
+	q.Done(agentID(0), time.Second, 0, now)
+	q.AddCredits(credit(0, 0, 2))
+	if d := q.Dispatch(now); len(d.Drop) != 0 || len(d.Place) != 1 {
+		t.Fatalf("got %+v", d)
+	}
+}
+
+func TestJobWhoseWaitingTasksCannotEndInTimeExpires(t *testing.T) {
+	q := newSlowQueue(1, 1)
+	q.Add(start, testJob(1, "", 40))
+	q.AddCredits(credit(0, 0, 1))
+	q.Dispatch(start)
+	now := start.Add(22 * time.Second)
+	q.Done(agentID(0), time.Second, 0, now)
+	if got := q.Expired(now.Add(-2 * time.Second)); len(got) != 0 {
+		t.Fatalf("39 tasks have 40 s: expired %v", got)
+	}
+	if got := q.Expired(now); len(got) != 1 {
+		t.Fatalf("39 tasks have 38 s: expired %v", got)
+	}
+}
+
+func TestJobWhoseTasksAllRunExpiresAtItsDeadlineOnly(t *testing.T) {
+	q := newSlowQueue(1, 1)
+	j := testJob(1, "", 1)
+	q.Add(start, j)
+	q.AddCredits(credit(0, 0, 1))
+	q.Dispatch(start)
+	if got := q.Expired(j.Deadline.Add(-time.Millisecond)); len(got) != 0 {
+		t.Fatalf("expired %v", got)
+	}
+	if got := q.Expired(j.Deadline); len(got) != 1 {
+		t.Fatalf("expired %v", got)
+	}
+}
--- a/placement/eject.go
+++ b/placement/eject.go
@@ -64,6 +64,15 @@
 	}
 }
 
+// runningTasks returns how many tasks run on all agents.
+func (e *ejector) runningTasks() int {
+	n := 0
+	for _, s := range e.states {
+		n += s.running
+	}
+	return n
+}
+
 func (e *ejector) remove(agent string) { delete(e.states, agent) }
 
 func (e *ejector) ejected(now time.Time, agent string) bool {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -66,6 +66,7 @@
 // Decision is what an entry has to send after an event.
 type Decision struct {
 	Place []Placement
+	Drop  []JobID // removed from the queue; they started nothing and would miss their deadline
 	Ask   []Ask
 	Give  []Give
 }
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -3,8 +3,6 @@
 import (
 	"math/rand/v2"
 	"time"
-
-	"bergamotwing.example/result"
 )
 
 // Queue holds one service's waiting tasks and the credits that this entry may
@@ -12,7 +10,7 @@
 type Queue struct {
 	rng     *rand.Rand
 	fair    *fairQueue
-	meta    map[JobID]jobMeta
+	meta    map[JobID]*jobMeta
 	agents  map[string]Agent
 	spare   creditPool
 	peers   map[string]*peerState
@@ -26,7 +24,8 @@
 	weight   int
 	deadline time.Time
 	arrived  time.Time
-	open     int // tasks waiting or granted
+	tasks    int
+	waiting  int // tasks
 }
 
 // NewQueue returns an empty queue. rng breaks ties between peers.
@@ -34,7 +33,7 @@
 	return &Queue{
 		rng:    rng,
 		fair:   newFairQueue(),
-		meta:   map[JobID]jobMeta{},
+		meta:   map[JobID]*jobMeta{},
 		agents: map[string]Agent{},
 		spare:  newCreditPool(),
 		peers:  map[string]*peerState{},
@@ -57,35 +56,6 @@
 	return now.Sub(first)
 }
 
-// Admit says whether a job may join the queue: OK, NeverFits, or Overloaded
-// when its deadline cannot be met behind what waits already.
-func (q *Queue) Admit(now time.Time, j Job) result.Code {
-	if !q.fits(j.Tasks) {
-		return result.NeverFits
-	}
-	wait, known := q.Estimate(j.Team, j.Weight, len(j.Tasks))
-	if known && q.fair.waiting > 0 && now.Add(wait).After(j.Deadline) {
-		return result.Overloaded
-	}
-	return result.OK
-}
-
-// Estimate returns how long a job of n tasks would take to finish, from the
-// run times seen and this entry's share of the slots.
-func (q *Queue) Estimate(team string, weight, n int) (time.Duration, bool) {
-	mean, known := q.run.mean()
-	if !known {
-		return 0, false
-	}
-	slots := q.usableSlots()
-	if slots == 0 {
-		return 0, false
-	}
-	share := max(1, float64(slots)/float64(1+len(q.peers)))
-	ahead := q.fair.shareAhead(team, weight, n)
-	return time.Duration((ahead/share + 1) * float64(mean)), true
-}
-
 // fits reports whether each task fits an agent known in any zone. With no agent
 // known, nothing is said against it.
 func (q *Queue) fits(tasks []Task) bool {
@@ -106,7 +76,10 @@
 
 // Add puts an admitted job into the queue.
 func (q *Queue) Add(now time.Time, j Job) {
-	q.meta[j.ID] = jobMeta{team: j.Team, weight: j.Weight, deadline: j.Deadline, arrived: now, open: len(j.Tasks)}
+	q.meta[j.ID] = &jobMeta{
+		team: j.Team, weight: j.Weight, deadline: j.Deadline, arrived: now,
+		tasks: len(j.Tasks), waiting: len(j.Tasks),
+	}
 	q.fair.push(now, j)
 }
 
@@ -122,12 +95,13 @@
 	if !ok {
 		return
 	}
+	m.waiting++
 	q.fair.pushBack(now, Job{ID: t.Job, Team: m.team, Weight: m.weight, Deadline: m.deadline}, t, m.arrived)
 }
 
 // Done notes the end of a task on an agent and its run time.
 func (q *Queue) Done(agent string, run time.Duration, failurePct int, now time.Time) {
-	q.run.add(run)
+	q.run.add(now, run)
 	q.eject.observe(now, agent, failurePct)
 	q.eject.finished(agent)
 }
@@ -192,19 +166,7 @@
 	q.eject.refresh(now, len(q.agents))
 	var d Decision
 	d.Give = q.giveOlder(now)
-	for {
-		t := q.fair.next()
-		if t == nil {
-			break
-		}
-		need := t.jobs[0].tasks[0].MemoryMB
-		c, ok := q.spare.take(func(agent string) bool { return q.usable(now, agent, need) })
-		if !ok {
-			break
-		}
-		task, _ := q.fair.take(t)
-		q.eject.started(c.Agent)
-		d.Place = append(d.Place, Placement{Task: task, Credit: c})
+	for q.placeNext(now, &d) {
 	}
 	if q.fair.waiting > 0 {
 		d.Ask = q.ask(now)
@@ -214,17 +176,30 @@
 	return d
 }
 
-// Expired returns the jobs whose deadline has passed, or that have started
-// nothing and can no longer finish in time; started tells which have.
-func (q *Queue) Expired(now time.Time, started func(JobID) bool) []JobID {
-	least := q.run.least()
-	var out []JobID
-	for id, m := range q.meta {
-		late := !now.Before(m.deadline)
-		hopeless := !started(id) && now.Add(least).After(m.deadline)
-		if late || hopeless {
-			out = append(out, id)
-		}
+// placeNext places the next task or drops its job. It returns false if nothing
+// waits or no credit can be spent on the task.
+func (q *Queue) placeNext(now time.Time, d *Decision) bool {
+	t := q.fair.next()
+	if t == nil {
+		return false
+	}
+	job := t.jobs[0]
+	m := q.meta[job.id]
+	if m != nil && q.tooLate(now, m) {
+		q.Remove(job.id)
+		d.Drop = append(d.Drop, job.id)
+		return true
 	}
-	return out
+	need := job.tasks[0].MemoryMB
+	c, ok := q.spare.take(func(agent string) bool { return q.usable(now, agent, need) })
+	if !ok {
+		return false
+	}
+	task, _ := q.fair.take(t)
+	if m != nil {
+		m.waiting--
+	}
+	q.eject.started(c.Agent)
+	d.Place = append(d.Place, Placement{Task: task, Credit: c})
+	return true
 }
--- a/placement/queue_test.go
+++ b/placement/queue_test.go
@@ -62,23 +62,6 @@
 	}
 }
 
-func TestJobThatCannotMeetItsDeadlineIsRefusedEarly(t *testing.T) {
-	q := newTestQueue(1, 1)
-	for range runTimeSamples {
-		q.Done(agentID(0), time.Second, 0, start)
-	}
-	j := testJob(1, "", 100)
-	if got := q.Admit(start, j); got != result.OK {
-		t.Fatalf("first job: got %s", got)
-	}
-	q.Add(start, j)
-	late := testJob(2, "", 1)
-	late.Deadline = start.Add(10 * time.Second)
-	if got := q.Admit(start, late); got != result.Overloaded {
-		t.Fatalf("got %s", got)
-	}
-}
-
 func TestFailingAgentLosesItsShareButNeverMoreThanTheLimit(t *testing.T) {
 	q := newTestQueue(10, 1)
 	for i := range 10 {
