--- a/agent/control.go
+++ b/agent/control.go
@@ -72,9 +72,11 @@
 }
 
 func (c *control) start() error {
-	c.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
-		return slog.New(slog.DiscardHandler)
-	}))
+	c.system = actor.NewActorSystem(
+		actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) }),
+		// Messages to a stopped actor start a goroutine that lives this long.
+		actor.WithDeadLetterThrottleInterval(time.Millisecond),
+	)
 	props := actor.PropsFromProducer(func() actor.Actor { return c })
 	pid, err := c.system.Root.SpawnNamed(props, "control")
 	c.pid = pid
--- a/agent/kill_test.go
+++ b/agent/kill_test.go
@@ -20,21 +20,21 @@
 
 const testTimeout = 10 * time.Second
 
-// memoryTable is a table that keeps the last value of each row.
-type memoryTable struct {
+// countingTable is a table that keeps the last value of each row.
+type countingTable struct {
 	mu   sync.Mutex
 	rows map[string]platform.Row
 }
 
-func (m *memoryTable) Get(_ context.Context, key string) (platform.Row, error) {
+func (m *countingTable) Get(_ context.Context, key string) (platform.Row, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.rows[key], nil
 }
 
-func (m *memoryTable) List(context.Context, string) ([]platform.Row, error) { return nil, nil }
+func (m *countingTable) List(context.Context, string) ([]platform.Row, error) { return nil, nil }
 
-func (m *memoryTable) Commit(_ context.Context, ops ...platform.Op) error {
+func (m *countingTable) Commit(_ context.Context, ops ...platform.Op) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, op := range ops {
@@ -43,9 +43,9 @@
 	return nil
 }
 
-// fakeEntry is the other end of an agent's link. It spends the first credit it
+// spendingEntry is the other end of an agent's link. It spends the first credit it
 // is offered on a task.
-type fakeEntry struct {
+type spendingEntry struct {
 	server *httptest.Server
 	mu     sync.Mutex
 	kinds  []wire.Kind // of all messages received
@@ -54,9 +54,9 @@
 
 var fakeRun = wire.Peer{ID: "entry1", Incarnation: 7}
 
-func newFakeEntry(t *testing.T, metrics *telemetry.Metrics) *fakeEntry {
+func newSpendingEntry(t *testing.T, metrics *telemetry.Metrics) *spendingEntry {
 	t.Helper()
-	f := &fakeEntry{ended: make(chan struct{})}
+	f := &spendingEntry{ended: make(chan struct{})}
 	f.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		link, err := wire.Accept(w, r, messageCounter{metrics})
 		if err != nil {
@@ -69,7 +69,7 @@
 	return f
 }
 
-func (f *fakeEntry) handle(link *wire.Link, m wire.Message) {
+func (f *spendingEntry) handle(link *wire.Link, m wire.Message) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.kinds = append(f.kinds, wire.KindOf(m))
@@ -86,7 +86,7 @@
 	}
 }
 
-func (f *fakeEntry) seen() []wire.Kind {
+func (f *spendingEntry) seen() []wire.Kind {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return append([]wire.Kind(nil), f.kinds...)
@@ -106,7 +106,7 @@
 	return s.URL, started, cutOff
 }
 
-func await[T any](t *testing.T, what string, from <-chan T) T {
+func awaitChan[T any](t *testing.T, what string, from <-chan T) T {
 	t.Helper()
 	select {
 	case v := <-from:
@@ -118,7 +118,7 @@
 }
 
 // newTestAgent returns an agent with one slot, linked to entry.
-func newTestAgent(t *testing.T, entry *fakeEntry, endpointURL string, table platform.Table) *Agent {
+func newTestAgent(t *testing.T, entry *spendingEntry, endpointURL string, table platform.Table) *Agent {
 	t.Helper()
 	cfg := settings.DefaultAgent()
 	cfg.ID, cfg.Zone, cfg.Service, cfg.Endpoint, cfg.Listen = "agent1", "gwent", "hire-desk", endpointURL, "127.0.0.1:0"
@@ -143,31 +143,31 @@
 	return metrics
 }
 
-func newMemoryTable() *memoryTable { return &memoryTable{rows: map[string]platform.Row{}} }
+func newCountingTable() *countingTable { return &countingTable{rows: map[string]platform.Row{}} }
 
 // agentWrites returns how often the agent's row was written.
-func (m *memoryTable) agentWrites() uint64 {
+func (m *countingTable) agentWrites() uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.rows[platform.PrefixAgents+"agent1"].Version
 }
 
 func TestKilledAgentCutsItsTasksOffAndTellsNoOne(t *testing.T) {
-	entry := newFakeEntry(t, newTestMetrics(t))
+	entry := newSpendingEntry(t, newTestMetrics(t))
 	endpointURL, started, cutOff := hangingEndpoint(t)
-	table := newMemoryTable()
+	table := newCountingTable()
 	a := newTestAgent(t, entry, endpointURL, table)
 	ended := make(chan error, 1)
 	go func() { ended <- a.Run(context.Background()) }()
-	await(t, "a task starts", started)
+	awaitChan(t, "a task starts", started)
 	registered := table.agentWrites()
 
 	a.Kill()
-	if err := await(t, "the agent ends", ended); !errors.Is(err, errKilled) {
+	if err := awaitChan(t, "the agent ends", ended); !errors.Is(err, errKilled) {
 		t.Errorf("error %v", err)
 	}
-	await(t, "the task is cut off", cutOff)
-	await(t, "the link ends", entry.ended)
+	awaitChan(t, "the task is cut off", cutOff)
+	awaitChan(t, "the link ends", entry.ended)
 	for _, kind := range entry.seen() {
 		if kind == wire.KindResult || kind == wire.KindRefuse {
 			t.Errorf("the entry was told: %v", entry.seen())
@@ -179,17 +179,17 @@
 }
 
 func TestKilledAgentEndsWhileItDrains(t *testing.T) {
-	entry := newFakeEntry(t, newTestMetrics(t))
+	entry := newSpendingEntry(t, newTestMetrics(t))
 	endpointURL, started, cutOff := hangingEndpoint(t)
-	a := newTestAgent(t, entry, endpointURL, newMemoryTable())
+	a := newTestAgent(t, entry, endpointURL, newCountingTable())
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- a.Run(ctx) }()
-	await(t, "a task starts", started)
+	awaitChan(t, "a task starts", started)
 	stop()
 	a.Kill()
-	if err := await(t, "the agent ends", ended); err == nil {
+	if err := awaitChan(t, "the agent ends", ended); err == nil {
 		t.Error("a stop that cut a task off gave no error")
 	}
-	await(t, "the task is cut off", cutOff)
+	awaitChan(t, "the task is cut off", cutOff)
 }
