Keep the latest note ids in the state; name the note that came first

Cause: release.State.Recent was read by HasNote but written by nothing, so a hold never ended: the zone stayed out of service at every process that had heard of the hold, also after it was taken back. Operators' answers with code note_conflict left conflictsAt empty, since noteFailed did not look for notestore.ConflictError; TestTwoOperatorsRace failed for that.

Ruled out: the race itself. The store let one note of each pair in, and the versions agreed at every process; only the name was missing.

--- a/entry/operators.go
+++ b/entry/operators.go
@@ -14,6 +14,7 @@
 
 	"bergamotwing.example/client/api"
 	"bergamotwing.example/release"
+	"bergamotwing.example/release/notestore"
 	"bergamotwing.example/result"
 	"bergamotwing.example/wire"
 )
@@ -167,6 +168,10 @@
 		coded = result.Errorf(result.StoreUnavailable, "%v", err)
 	}
 	a := api.NoteAnswer{Code: coded.Code, Name: coded.Code.String(), Detail: coded.Detail, NoteID: id, Version: e.control.view().version()}
+	var conflict *notestore.ConflictError
+	if errors.As(err, &conflict) {
+		a.ConflictsAt = conflict.NoteID
+	}
 	return a
 }
 
--- a/release/apply.go
+++ b/release/apply.go
@@ -80,7 +80,7 @@
 
 // step makes the changes of a note that has been checked.
 func step(s State, n Note) (State, error) {
-	next := State{Version: s.Version + 1, NoteID: n.ID, Settings: s.Settings}
+	next := State{Version: s.Version + 1, NoteID: n.ID, Settings: s.Settings, Recent: appendRecent(s.Recent, n.ID)}
 	if s.Version == 0 {
 		next.Settings = DefaultSettings()
 	}
@@ -103,6 +103,12 @@
 	return next, nil
 }
 
+// appendRecent returns the newest RecentNotes of the ids and id, in a new slice.
+func appendRecent(ids []string, id string) []string {
+	kept := ids[max(0, len(ids)-RecentNotes+1):]
+	return append(slices.Clone(kept), id)
+}
+
 func applyDelta[T any](kind string, in, add, change map[string]T, withdraw []string, most int) (map[string]T, error) {
 	out := make(map[string]T, len(in)+len(add))
 	maps.Copy(out, in)
--- a/release/apply_test.go
+++ b/release/apply_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -82,6 +83,77 @@
 	})
 }
 
+func TestNoteIsKnownOnceAppliedAndUntilRecentNotesHaveFollowed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := release.State{Zones: map[string]release.Zone{"gwent": {}}}
+		count := rapid.IntRange(1, 3*release.RecentNotes).Draw(t, "notes")
+		for i := range count {
+			next, _, err := release.SetZone(s, "gwent", rapid.Bool().Draw(t, "inService"), fmt.Sprintf("n%d", i))
+			if err != nil {
+				t.Fatal(err)
+			}
+			s = next
+		}
+		for i := range count {
+			id := fmt.Sprintf("n%d", i)
+			if want := i >= count-release.RecentNotes; s.HasNote(id) != want {
+				t.Fatalf("note %d of %d: known is %t", i, count, !want)
+			}
+		}
+	})
+}
+
+func TestAppliedNoteIsKnownAndThoseBeforeItStay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawState(t)
+		n := drawNote(t, s.Version)
+		next, err := release.Apply(s, n)
+		if err != nil {
+			return
+		}
+		if !next.HasNote(n.ID) {
+			t.Fatalf("note %q is not among %v", n.ID, next.Recent)
+		}
+		for _, id := range s.Recent {
+			if !next.HasNote(id) {
+				t.Fatalf("note %q was lost", id)
+			}
+		}
+	})
+}
+
+// setZone applies a zone order, which must succeed.
+func setZone(t *testing.T, s release.State, inService bool, id string) release.State {
+	t.Helper()
+	next, _, err := release.SetZone(s, "gwent", inService, id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return next
+}
+
+func TestHoldEndsWithItsNoteAlsoWhenAnotherNoteFollowed(t *testing.T) {
+	s := release.State{Version: 1, Zones: map[string]release.Zone{"gwent": {InService: true}}}
+	holds := []release.Hold{{Zone: "gwent", NoteID: "out"}}
+	if s.InService("gwent", holds) || s.InService("powys", nil) {
+		t.Error("a held zone or an unknown one is in service")
+	}
+	if other := setZone(t, s, true, "other"); other.InService("gwent", holds) {
+		t.Error("another note ended the hold")
+	}
+	out := setZone(t, s, false, "out")
+	if out.InService("gwent", holds) {
+		t.Error("the zone is in service under the note that took it out")
+	}
+	back := setZone(t, out, true, "back")
+	if !back.InService("gwent", holds) {
+		t.Error("the zone was taken back and the hold still blocks it")
+	}
+	if later := setZone(t, back, true, "later"); !later.InService("gwent", holds) {
+		t.Error("the hold blocks the zone after another note")
+	}
+}
+
 func code(c result.Code) error { return &result.Error{Code: c} }
 
 func TestMergeKeepsTheHigherVersionInAnyOrder(t *testing.T) {
