End a hold by its own note only; write it before an order back

Cause: when the store is back, an order to take a zone back could be written before the note of an open hold. The hold's note then followed and took the zone out again, against the operator's later order. Besides, a hold whose note had fallen out of the latest 64, or whose zone had been withdrawn, could never end, and one such hold kept all others from being written; a hold under the id of a note in force was answered as held although it was not.

An order back now writes the notes of the zone's open holds first. An entry remembers which holds are over, so that a peer's report does not bring them back.

Ruled out: the store. It held both notes, the order back as the older one.

--- a/agent/control.go
+++ b/agent/control.go
@@ -127,7 +127,7 @@
 func (c *control) adopt(s *session, state *release.State, holds []release.Hold, peers []wire.Peer) {
 	if state != nil && state.Version > c.next.version() {
 		c.next.state = state
-		c.holds.adopted(state.NoteID, func(run entryRun) bool { return c.agent.links.get(run) != nil })
+		c.holds.adopted(func(run entryRun) bool { return c.agent.links.get(run) != nil })
 	}
 	c.holds.replace(s.run, holds)
 	c.publish()
--- a/agent/holds.go
+++ b/agent/holds.go
@@ -6,16 +6,13 @@
 	"bergamotwing.example/release"
 )
 
-// holdSet keeps the holds that each run of an entry reports, until it reports
-// others or the note with a hold's id is in force.
+// holdSet keeps the holds that each run of an entry reports until it reports
+// others. Those whose note is in force are told by release.State.InService.
 type holdSet struct {
 	bySource map[entryRun][]release.Hold
-	ended    map[string]bool // note ids
 }
 
-func newHoldSet() *holdSet {
-	return &holdSet{bySource: map[entryRun][]release.Hold{}, ended: map[string]bool{}}
-}
+func newHoldSet() *holdSet { return &holdSet{bySource: map[entryRun][]release.Hold{}} }
 
 // replace sets the holds that source reports.
 func (h *holdSet) replace(source entryRun, holds []release.Hold) {
@@ -26,11 +23,10 @@
 	h.bySource[source] = slices.Clone(holds)
 }
 
-// adopted ends the holds of the note that is now in force. Holds of sources
-// that are no longer linked end too: the store took a note since, and the
-// linked entries report the holds that are still open.
-func (h *holdSet) adopted(noteID string, linked func(entryRun) bool) {
-	h.ended[noteID] = true
+// adopted ends the holds of sources that are no longer linked, when a note is
+// in force: the store took it since, and the linked entries report the holds
+// that are still open.
+func (h *holdSet) adopted(linked func(entryRun) bool) {
 	for source := range h.bySource {
 		if !linked(source) {
 			delete(h.bySource, source)
@@ -38,15 +34,11 @@
 	}
 }
 
-// all returns the holds in force.
+// all returns the holds that are reported.
 func (h *holdSet) all() []release.Hold {
 	var out []release.Hold
 	for _, holds := range h.bySource {
-		for _, hold := range holds {
-			if !h.ended[hold.NoteID] {
-				out = append(out, hold)
-			}
-		}
+		out = append(out, holds...)
 	}
 	return out
 }
--- a/entry/control.go
+++ b/entry/control.go
@@ -41,6 +41,10 @@
 	}
 	storeFailed struct{}
 	holdAdded   struct{ holds []release.Hold }
+	holdEnded   struct {
+		noteID string
+		state  *release.State // after the note; nil if the hold has no object any more
+	}
 	entriesRead struct{ rows []platform.EntryRecord }
 	peerHeard   struct{ peers []wire.Peer }
 	ackTo       struct{ peer *peerLink } // confirm the version in force to a peer
@@ -53,6 +57,7 @@
 	system *actor.ActorSystem
 	pid    *actor.PID
 	now    atomic.Pointer[view]
+	ended  map[string]bool // note ids of holds that are over; the actor's own
 	// known is the moment, in nanoseconds since the entry's start, at which the
 	// version in force was last known to be current; 0 is never. Peers' beats
 	// raise it without passing through the actor.
@@ -63,7 +68,7 @@
 	quiet := actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
 		return slog.New(slog.NewTextHandler(io.Discard, nil))
 	})
-	c := &control{e: e, system: actor.NewActorSystem(quiet)}
+	c := &control{e: e, system: actor.NewActorSystem(quiet), ended: map[string]bool{}}
 	c.now.Store(&view{})
 	c.pid = c.system.Root.Spawn(actor.PropsFromFunc(c.receive))
 	return c
@@ -101,6 +106,10 @@
 		next.StoreDown = true
 	case holdAdded:
 		c.addHolds(&next, m.holds)
+	case holdEnded:
+		c.adopt(&next, m.state)
+		c.ended[m.noteID] = true
+		next.Holds = slices.DeleteFunc(slices.Clone(next.Holds), func(h release.Hold) bool { return h.NoteID == m.noteID })
 	case entriesRead:
 		c.members(&next, m.rows)
 	case peerHeard:
@@ -128,7 +137,7 @@
 
 func (c *control) addHolds(next *view, holds []release.Hold) {
 	for _, h := range holds {
-		if next.State.HasNote(h.NoteID) || slices.Contains(next.Holds, h) {
+		if c.ended[h.NoteID] || next.State.HasNote(h.NoteID) || slices.Contains(next.Holds, h) {
 			continue
 		}
 		next.Holds = append(slices.Clone(next.Holds), h)
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -81,7 +81,7 @@
 	if id == "" {
 		id = newNoteID(zone, inService)
 	}
-	state, err := e.notes.ApplyZone(r.Context(), zone, inService, id)
+	state, err := e.applyZone(r.Context(), zone, inService, id)
 	if err == nil {
 		e.answerNote(w, e.noteAccepted(r.Context(), id, state))
 		return
@@ -93,6 +93,20 @@
 	e.answerNote(w, e.hold(r.Context(), zone, id))
 }
 
+// applyZone writes a zone order. Open holds of the zone are older than an order
+// to take it back, so their notes are written first.
+func (e *Entry) applyZone(ctx context.Context, zone string, inService bool, id string) (release.State, error) {
+	for _, h := range e.control.view().Holds {
+		if !inService || h.Zone != zone {
+			continue
+		}
+		if err := e.control.writeHold(ctx, h); err != nil {
+			return release.State{}, err
+		}
+	}
+	return e.notes.ApplyZone(ctx, zone, inService, id)
+}
+
 func newNoteID(zone string, inService bool) string {
 	var b [6]byte
 	_, _ = rand.Read(b[:])
@@ -110,7 +124,9 @@
 	}
 	h := release.Hold{Zone: zone, NoteID: id}
 	e.control.send(holdAdded{holds: []release.Hold{h}})
-	_ = e.await(ctx, func() bool { return slices.Contains(e.control.view().Holds, h) })
+	if !e.await(ctx, func() bool { return slices.Contains(e.control.view().Holds, h) }) {
+		return e.noteFailed(id, result.Errorf(result.StoreUnavailable, "the store is down and a note with id %q came before", id))
+	}
 	a := e.noteAnswer(result.HeldNotDurable, id)
 	a.Detail = "out of service wherever this entry reaches; written as a note when the store is back"
 	return a
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"time"
 
 	"bergamotwing.example/platform"
 	"bergamotwing.example/release"
+	"bergamotwing.example/result"
 )
 
 // Times of the entry's use of the store.
@@ -112,16 +114,27 @@
 func (c *control) writeHolds(ctx context.Context) {
 	for pause(ctx, holdWriteEvery) {
 		for _, h := range c.view().Holds {
-			state, err := c.e.notes.ApplyZone(ctx, h.Zone, false, h.NoteID)
-			if err != nil {
+			if err := c.writeHold(ctx, h); err != nil {
 				c.e.log.Warn().Err(err).Str("zone", h.Zone).Msg("stop order is not durable yet")
-				break
 			}
-			c.send(stateHeard{state: &state})
 		}
 	}
 }
 
+// writeHold writes the note of a hold and ends the hold. A hold of a zone that
+// was withdrawn meanwhile ends without a note.
+func (c *control) writeHold(ctx context.Context, h release.Hold) error {
+	state, err := c.e.notes.ApplyZone(ctx, h.Zone, false, h.NoteID)
+	switch {
+	case err == nil:
+		c.send(holdEnded{noteID: h.NoteID, state: &state})
+	case errors.Is(err, &result.Error{Code: result.NoteInvalid}):
+		c.send(holdEnded{noteID: h.NoteID})
+		return nil
+	}
+	return err
+}
+
 // pause waits for d; it returns false if ctx ended.
 func pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(max(0, d))
