Send beats between entries on time under load

Cause: an entry sent a beat to a peer only if it had sent the peer nothing for the interval, but only beats carry the version and the clock that the majority is counted from. Under load the asks and gifts of credits kept beats away, so with the store down the confirmed moment grew old and the agents' permission lapsed again and again.

Ruled out: a lost member of the majority (the lapses came with all entries up and linked) and the clock ring (it covers 1.9 s).

--- a/entry/control.go
+++ b/entry/control.go
@@ -115,7 +115,7 @@
 	case peerHeard:
 		c.addPeers(&next, m.peers)
 	case ackTo:
-		m.peer.send(c.e, &wire.ConfigAck{Version: next.version()})
+		m.peer.send(&wire.ConfigAck{Version: next.version()})
 		return
 	default:
 		return
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -112,7 +112,7 @@
 func (e *Entry) forwardOnce(ctx context.Context, p *peerLink, method, text string, body []byte) (api.Answer, bool) {
 	id, w := e.forwards.add(p)
 	defer e.forwards.drop(id)
-	if !p.send(e, &wire.Forward{Request: id, Method: method, Ticket: text, Body: body}) {
+	if !p.send(&wire.Forward{Request: id, Method: method, Ticket: text, Body: body}) {
 		pause(ctx, peerPoll)
 		return api.Answer{}, false
 	}
@@ -151,7 +151,7 @@
 		e.log.Error().Err(err).Msg("answer not encoded")
 		return
 	}
-	p.send(e, &wire.ForwardReply{Request: m.Request, Body: body})
+	p.send(&wire.ForwardReply{Request: m.Request, Body: body})
 }
 
 func (e *Entry) answerForwarded(ctx context.Context, m *wire.Forward) api.Answer {
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -76,7 +76,7 @@
 	}
 	delete(h.partial, run)
 	h.inherited[run] = book
-	p.send(e, &wire.HandoverAck{Incarnation: m.Incarnation})
+	p.send(&wire.HandoverAck{Incarnation: m.Incarnation})
 	e.log.Info().Str("peer", p.id).Msg("ledger of a stopping entry taken over")
 }
 
@@ -147,7 +147,7 @@
 		e.sendLedger(p)
 		select {
 		case <-acked:
-			e.peers.each(func(q *peerLink) { q.send(e, &wire.Heir{Incarnation: e.self.Incarnation, Heir: p.id}) })
+			e.peers.each(func(q *peerLink) { q.send(&wire.Heir{Incarnation: e.self.Incarnation, Heir: p.id}) })
 			e.log.Info().Str("peer", p.id).Msg("ledger handed over")
 			e.awaitFlush()
 			return
@@ -165,12 +165,12 @@
 			Seq: seq, Digest: d, Code: o.Code, Detail: o.Detail, Started: o.Started, Tasks: o.Tasks, Results: o.Results,
 		})
 		if len(m.Jobs) == handoverPart {
-			p.send(e, m)
+			p.send(m)
 			m = &wire.Handover{Entry: e.self.ID, Incarnation: e.self.Incarnation}
 		}
 	})
 	m.Last = true
-	p.send(e, m)
+	p.send(m)
 }
 
 // awaitFlush waits until the links have written what was queued.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -42,15 +42,12 @@
 	acked   atomic.Uint64 // version it has confirmed
 	clock   atomic.Int64  // newest clock reading received from it
 	heardAt atomic.Int64  // entry clock, ms
-	sentAt  atomic.Int64  // entry clock, ms
+	beatAt  atomic.Int64  // entry clock, ms, of the last beat sent: no other message carries its report
 	fast    atomic.Bool   // it asked for frequent beats
 }
 
 // send queues m; it returns false if the link is closed.
-func (p *peerLink) send(e *Entry, m wire.Message) bool {
-	p.sentAt.Store(e.clock())
-	return p.link.Send(m) == nil
-}
+func (p *peerLink) send(m wire.Message) bool { return p.link.Send(m) == nil }
 
 // peerSet holds the entries linked now.
 type peerSet struct {
@@ -143,7 +140,7 @@
 				wait = redialFirst
 			}
 		}
-		if !pause(ctx, wait/2+rand.N(wait)) {
+		if !pause(ctx, wait/2+rand.N(wait)) { //nolint:gosec // jitter
 			return
 		}
 		wait = min(2*wait, redialLongest)
@@ -269,7 +266,7 @@
 	e.control.vouchedBy(m.Vouch)
 	if m.Version < e.control.view().version() {
 		v := e.control.view()
-		p.send(e, &wire.Config{State: v.State, Holds: v.Holds})
+		p.send(&wire.Config{State: v.State, Holds: v.Holds})
 	}
 	for _, c := range m.Spare {
 		e.services.get(c.Service).peerSpare(p.id, c.Count)
@@ -289,7 +286,7 @@
 		if p.fast.Load() || e.control.view().StoreDown {
 			every = peerBeatFast
 		}
-		if now-p.sentAt.Load() >= every.Milliseconds() {
+		if now-p.beatAt.Load() >= every.Milliseconds() {
 			e.beatPeer(p)
 		}
 	}
@@ -298,11 +295,12 @@
 func (e *Entry) beatPeer(p *peerLink) {
 	// The echo is read before the version: the version is then at least as new
 	// as the moment the echo stands for.
+	p.beatAt.Store(e.clock())
 	echo := p.clock.Load()
 	v := e.control.view()
 	var spare []wire.ServiceCount
 	e.services.each(func(s *service) { spare = append(spare, s.spare()) })
-	p.send(e, &wire.PeerBeat{
+	p.send(&wire.PeerBeat{
 		Clock:   e.clock(),
 		Echo:    echo,
 		Version: v.version(),
--- a/entry/service.go
+++ b/entry/service.go
@@ -200,7 +200,7 @@
 	if p == nil {
 		return
 	}
-	p.send(s.e, &wire.CreditAsk{Service: s.name, Want: a.Want, OldestMS: a.Oldest.Milliseconds()})
+	p.send(&wire.CreditAsk{Service: s.name, Want: a.Want, OldestMS: a.Oldest.Milliseconds()})
 }
 
 func (s *service) give(g placement.Give) {
@@ -210,7 +210,7 @@
 		credits[i] = wire.AgentCredit{Agent: c.Agent, Incarnation: wire.Incarnation(c.Incarnation), Credit: wire.SlotCredit{Slot: c.Slot, Epoch: c.Epoch}}
 	}
 	spare := []wire.ServiceCount{{Service: s.name, Count: s.queue.Spare()}}
-	if p == nil || !p.send(s.e, &wire.CreditGive{Service: s.name, Credits: credits, Spare: spare}) {
+	if p == nil || !p.send(&wire.CreditGive{Service: s.name, Credits: credits, Spare: spare}) {
 		s.queue.AddCredits(g.Credits...)
 	}
 }
