Confirm the version while the store hangs, and by registered runs only

Three faults in what an entry takes for a majority that knows the version:

- A store that does not answer was noticed after 1.2 s, the whole lifetime of a vouch, and the majority was asked only between two readings.
Now it is asked every 200 ms once no reading has succeeded for 800 ms.
- An entry restarted during an outage counted as one that confirms, though it had forgotten the version it had confirmed before.
With one that never heard of the note it made up a majority for the version before.
Now only runs in the table count, and an entry registers after its first reading of the version.
- The row of an entry not renewed for 30 s was removed by any entry, also after an outage of the store, or by a minority in a partition; majorities on the two sides then need not overlap.
Now it is removed only if the entry is not linked and a majority is.
The members also include entries linked when the table was read, so that an entry that registers first does not count itself as a majority of one for 5 s.

Ruled out: the agents. They kept to PermissionLifetime in each case.

--- a/client/api/api.go
+++ b/client/api/api.go
@@ -134,6 +134,7 @@
 	VouchAgeMS int64          `json:"vouchAgeMs"` // since the version was last known current; -1 never
 	Holds      []release.Hold `json:"holds,omitempty"`
 	OpenJobs   int            `json:"openJobs"`
+	Members    []string       `json:"members,omitempty"` // ids of the entries that majorities are counted of
 	Entries    []EntryView    `json:"entries"`
 	Agents     []AgentView    `json:"agents"`
 	Services   []ServiceView  `json:"services"`
--- a/entry/control.go
+++ b/entry/control.go
@@ -19,7 +19,8 @@
 type view struct {
 	State      *release.State // nil until a configuration is known
 	Holds      []release.Hold
-	Registered []string    // ids of the entries in the table, as last read
+	Registered []wire.Peer // entries in the table, as last read
+	Members    []string    // ids of these and of the entries linked at that time; majorities are of them
 	Peers      []wire.Peer // entries known, without this one
 	StoreRead  time.Time   // start of the last successful reading of the version
 	StoreDown  bool        // the last reading failed
@@ -82,6 +83,7 @@
 // run starts the goroutines that read the store on the actor's behalf.
 func (c *control) run(ctx context.Context) {
 	c.e.background(ctx, c.readVersions)
+	c.e.background(ctx, c.confirmVersions)
 	c.e.background(ctx, c.register)
 	c.e.background(ctx, c.writeHolds)
 }
@@ -145,19 +147,39 @@
 }
 
 func (c *control) members(next *view, rows []platform.EntryRecord) {
-	next.Registered = nil
-	var peers []wire.Peer
+	peers := make([]wire.Peer, 0, len(rows))
 	for _, r := range rows {
-		next.Registered = append(next.Registered, r.ID)
 		peers = append(peers, wire.Peer{ID: r.ID, Incarnation: wire.Incarnation(r.Incarnation), Addr: r.Addr, Zone: r.Zone})
 	}
+	next.Registered = peers
+	next.Members = c.e.withLinked(ids(peers))
 	// An entry that is neither in the table nor linked is gone.
 	next.Peers = slices.DeleteFunc(slices.Clone(next.Peers), func(p wire.Peer) bool {
-		return !slices.Contains(next.Registered, p.ID) && c.e.peers.get(p.ID) == nil
+		registered := slices.ContainsFunc(peers, func(r wire.Peer) bool { return r.ID == p.ID })
+		return !registered && c.e.peers.get(p.ID) == nil
 	})
 	c.addPeers(next, peers)
 }
 
+func ids(peers []wire.Peer) []string {
+	out := make([]string, len(peers))
+	for i, p := range peers {
+		out[i] = p.ID
+	}
+	return out
+}
+
+// withLinked adds the ids of the entries linked now.
+func (e *Entry) withLinked(members []string) []string {
+	out := slices.Clone(members)
+	e.peers.each(func(p *peerLink) {
+		if !slices.Contains(out, p.id) {
+			out = append(out, p.id)
+		}
+	})
+	return out
+}
+
 // addPeers merges what is heard of other entries.
 func (c *control) addPeers(next *view, heard []wire.Peer) {
 	peers := slices.Clone(next.Peers)
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -164,18 +164,18 @@
 	return true
 }
 
-// majorityHas reports whether a majority of the registered entries has at least
-// the version.
+// majorityHas reports whether a majority of the entries, registered or linked,
+// has at least the version.
 func (e *Entry) majorityHas(version uint64) bool {
-	v := e.control.view()
+	members := e.withLinked(e.control.view().Members)
 	have := 0
-	for _, id := range v.Registered {
+	for _, id := range members {
 		p := e.peers.get(id)
 		if id == e.self.ID || p != nil && (p.acked.Load() >= version || p.report.Load().version >= version) {
 			have++
 		}
 	}
-	return have >= len(v.Registered)/2+1
+	return have >= len(members)/2+1
 }
 
 func (e *Entry) noteFailed(id string, err error) api.NoteAnswer {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -283,7 +283,7 @@
 			continue
 		}
 		every := peerBeatEvery
-		if p.fast.Load() || e.control.view().StoreDown {
+		if p.fast.Load() || e.control.storeLate() {
 			every = peerBeatFast
 		}
 		if now-p.beatAt.Load() >= every.Milliseconds() {
@@ -307,7 +307,7 @@
 		Vouch:   e.control.vouch(&p.clocks),
 		Holds:   v.Holds,
 		Spare:   spare,
-		Fast:    v.StoreDown,
+		Fast:    e.control.storeLate(),
 	})
 }
 
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -5,17 +5,23 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"bergamotwing.example/platform"
 	"bergamotwing.example/release"
 	"bergamotwing.example/result"
+	"bergamotwing.example/wire"
 )
 
 // Times of the entry's use of the store.
 const (
 	versionReadEvery = 400 * time.Millisecond
+	storeLateAfter   = 2 * versionReadEvery // without a successful reading the store counts as down
+	confirmEvery     = 200 * time.Millisecond
 	registerEvery    = 5 * time.Second
+	registerPoll     = 200 * time.Millisecond
+	firstReadPoll    = 20 * time.Millisecond
 	entryRowLifetime = 30 * time.Second // a row not renewed for this long is removed
 	holdWriteEvery   = 500 * time.Millisecond
 )
@@ -29,7 +35,6 @@
 			c.send(storeRead{state: state, began: began})
 		} else {
 			c.send(storeFailed{})
-			c.confirmByMajority()
 		}
 		if !pause(ctx, versionReadEvery-time.Since(began)) {
 			return
@@ -37,6 +42,23 @@
 	}
 }
 
+// confirmVersions confirms the version through the other entries while the
+// store does not answer in time.
+func (c *control) confirmVersions(ctx context.Context) {
+	for pause(ctx, confirmEvery) {
+		if c.storeLate() {
+			c.confirmByMajority()
+		}
+	}
+}
+
+// storeLate reports whether the store does not tell the version in time: its
+// last answer was a failure, or a reading is under way for too long.
+func (c *control) storeLate() bool {
+	v := c.view()
+	return v.StoreDown || time.Since(v.StoreRead) > storeLateAfter
+}
+
 func (c *control) readState(ctx context.Context) (*release.State, error) {
 	ctx, cancel := context.WithTimeout(ctx, release.VouchLifetime)
 	defer cancel()
@@ -47,22 +69,56 @@
 	return &state, nil
 }
 
-// register renews this entry's row and reads the others'.
+// register renews this entry's row and reads the others'. It begins once the
+// version has been read: a registered run counts in the majority.
 func (c *control) register(ctx context.Context) {
+	for c.view().StoreRead.IsZero() {
+		if !pause(ctx, firstReadPoll) {
+			return
+		}
+	}
 	for {
 		if err := c.registerOnce(ctx); err != nil && ctx.Err() == nil {
 			c.e.log.Warn().Err(err).Msg("registration in the table failed")
-			if !pause(ctx, time.Second+rand.N(time.Second)) {
+			if !pause(ctx, time.Second+rand.N(time.Second)) { //nolint:gosec // jitter
 				return
 			}
 			continue
 		}
-		if !pause(ctx, registerEvery) {
+		if !c.untilRenewal(ctx) {
 			return
 		}
 	}
 }
 
+// untilRenewal waits until the rows are to be read again: after registerEvery,
+// or sooner if an entry is linked whose run was not among them. It returns
+// false if ctx ended.
+func (c *control) untilRenewal(ctx context.Context) bool {
+	for waited := time.Duration(0); waited < registerEvery; waited += registerPoll {
+		if !pause(ctx, registerPoll) {
+			return false
+		}
+		if c.linkedUnregistered() {
+			break
+		}
+	}
+	return true
+}
+
+func (c *control) linkedUnregistered() bool {
+	v := c.view()
+	for _, p := range c.e.peers.list() {
+		registered := slices.ContainsFunc(v.Registered, func(r wire.Peer) bool {
+			return r.ID == p.id && r.Incarnation == p.incarnation
+		})
+		if !registered {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *control) registerOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, c.e.cfg.Platform.Timeout.D())
 	defer cancel()
@@ -83,24 +139,57 @@
 	return nil
 }
 
-// liveEntries decodes the rows and removes those that are no longer renewed.
+// liveEntries decodes the rows and removes those that are no longer renewed. It
+// removes none unless a majority of the entries in the rows is linked: entries
+// on the other side of a partition go on vouching as long as they are a
+// majority, so their rows must still count on this side.
 func (c *control) liveEntries(ctx context.Context, rows []platform.Row) []platform.EntryRecord {
-	var out []platform.EntryRecord
+	entries := c.decodeEntries(rows)
+	linked := 0
+	for _, e := range entries {
+		if c.isLinked(e.ID) {
+			linked++
+		}
+	}
+	var live []platform.EntryRecord
+	for _, e := range entries {
+		if linked < len(entries)/2+1 || !c.removeIfGone(ctx, e) {
+			live = append(live, e.EntryRecord)
+		}
+	}
+	return live
+}
+
+// entryRow is an entry's row at the version it was read.
+type entryRow struct {
+	platform.EntryRecord
+	version uint64
+}
+
+func (c *control) decodeEntries(rows []platform.Row) []entryRow {
+	out := make([]entryRow, 0, len(rows))
 	for _, row := range rows {
-		var r platform.EntryRecord
-		if err := json.Unmarshal(row.Value, &r); err != nil {
+		e := entryRow{version: row.Version}
+		if err := json.Unmarshal(row.Value, &e.EntryRecord); err != nil {
 			c.e.log.Error().Err(err).Str("key", row.Key).Msg("unreadable row")
 			continue
 		}
-		if time.Since(time.Unix(r.Renewed, 0)) > entryRowLifetime {
-			_ = c.e.table.Commit(ctx, platform.Op{Key: row.Key, Delete: true, IfVersion: row.Version})
-			continue
-		}
-		out = append(out, r)
+		out = append(out, e)
 	}
 	return out
 }
 
+func (c *control) isLinked(id string) bool { return id == c.e.self.ID || c.e.peers.get(id) != nil }
+
+// removeIfGone removes the row of an entry that neither renews it nor is linked.
+func (c *control) removeIfGone(ctx context.Context, r entryRow) bool {
+	if c.isLinked(r.ID) || time.Since(time.Unix(r.Renewed, 0)) <= entryRowLifetime {
+		return false
+	}
+	op := platform.Op{Key: platform.PrefixEntries + r.ID, Delete: true, IfVersion: r.version}
+	return c.e.table.Commit(ctx, op) == nil
+}
+
 // deregister removes this entry's row at a graceful stop.
 func (c *control) deregister() {
 	ctx, cancel := context.WithTimeout(context.Background(), c.e.cfg.Platform.Timeout.D())
--- /dev/null
+++ b/entry/registry_test.go
@@ -0,0 +1,82 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bergamotwing.example/platform"
+	"bergamotwing.example/wire"
+)
+
+// deletions is a table that notes which rows are deleted.
+type deletions struct {
+	platform.Table
+	keys []string
+	err  error
+}
+
+func (d *deletions) Commit(_ context.Context, ops ...platform.Op) error {
+	if d.err != nil {
+		return d.err
+	}
+	for _, op := range ops {
+		d.keys = append(d.keys, op.Key)
+	}
+	return nil
+}
+
+// entryRows returns rows last renewed at a time.
+func entryRows(t *testing.T, renewed time.Time, ids ...string) []platform.Row {
+	t.Helper()
+	rows := make([]platform.Row, 0, len(ids))
+	for _, id := range ids {
+		value, err := json.Marshal(platform.EntryRecord{ID: id, Renewed: renewed.Unix()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		rows = append(rows, platform.Row{Key: platform.PrefixEntries + id, Value: value, Version: 1})
+	}
+	return rows
+}
+
+func TestRowsOfLostEntriesAreRemovedOnlyWithAMajorityLinked(t *testing.T) {
+	old, fresh := time.Now().Add(-2*entryRowLifetime), time.Now()
+	for name, c := range map[string]struct {
+		rows    []platform.Row
+		linked  []string
+		err     error
+		removed []string
+	}{
+		"alone of three":             {rows: entryRows(t, old, "a", "b", "c")},
+		"two of three":               {rows: entryRows(t, old, "a", "b", "c"), linked: []string{"b"}, removed: []string{"c"}},
+		"two of three, all renewed":  {rows: entryRows(t, fresh, "a", "b", "c"), linked: []string{"b"}},
+		"all linked after an outage": {rows: entryRows(t, old, "a", "b", "c"), linked: []string{"b", "c"}},
+		"row renewed at the same time": {
+			rows: entryRows(t, old, "a", "b", "c"), linked: []string{"b"}, err: platform.ErrConflict,
+		},
+	} {
+		table := &deletions{err: c.err}
+		e := &Entry{self: wire.Peer{ID: "a"}, peers: newPeerSet(), table: table}
+		for _, id := range c.linked {
+			e.peers.swap(&peerLink{id: id})
+		}
+		live := (&control{e: e}).liveEntries(t.Context(), c.rows)
+		var removed []string
+		for _, id := range []string{"a", "b", "c"} {
+			if !slices.ContainsFunc(live, func(r platform.EntryRecord) bool { return r.ID == id }) {
+				removed = append(removed, id)
+			}
+		}
+		if diff := cmp.Diff(c.removed, removed); diff != "" {
+			t.Errorf("%s: removed (-want +got):\n%s", name, diff)
+		}
+		if len(table.keys) != len(removed) {
+			t.Errorf("%s: rows deleted: %v", name, table.keys)
+		}
+	}
+}
--- a/entry/status.go
+++ b/entry/status.go
@@ -21,7 +21,7 @@
 	v := e.control.view()
 	s := api.Status{
 		Entry: e.self.ID, Version: v.version(), Holds: v.Holds, OpenJobs: int(e.openJobs.Load()),
-		StoreAgeMS: -1, VouchAgeMS: -1,
+		StoreAgeMS: -1, VouchAgeMS: -1, Members: v.Members,
 	}
 	if v.State != nil {
 		s.NoteID = v.State.NoteID
--- a/entry/vouch.go
+++ b/entry/vouch.go
@@ -97,26 +97,23 @@
 }
 
 // confirmByMajority raises the known moment to the one by which a majority of
-// the registered entries had reported no higher version. A note is accepted
+// the entries had reported no higher version. A note is accepted
 // only when a majority has it, so no later note can have been accepted by then.
+//
+// A run that is not registered does not count: it has forgotten what the run
+// before it had confirmed, and may not have read the store since.
 func (c *control) confirmByMajority() {
 	v := c.view()
 	if v.State == nil || len(v.Registered) == 0 {
 		return
 	}
 	echoes := make([]int64, 0, len(v.Registered))
-	for _, id := range v.Registered {
-		if id == c.e.self.ID {
-			echoes = append(echoes, c.e.clock())
-			continue
-		}
-		if p := c.e.peers.get(id); p != nil {
-			if r := p.report.Load(); r.version == v.version() {
-				echoes = append(echoes, r.echo)
-			}
+	for _, r := range v.Registered {
+		if echo, ok := c.reported(r, v.version()); ok {
+			echoes = append(echoes, echo)
 		}
 	}
-	majority := len(v.Registered)/2 + 1
+	majority := len(v.Members)/2 + 1
 	if len(echoes) < majority {
 		return
 	}
@@ -125,3 +122,17 @@
 		c.raiseKnown(c.e.start.Add(time.Duration(at-1) * time.Millisecond))
 	}
 }
+
+// reported returns the moment, on this entry's clock, at which a registered run
+// had the version as its newest, and false if it did not say so.
+func (c *control) reported(run wire.Peer, version uint64) (int64, bool) {
+	if run.ID == c.e.self.ID {
+		return c.e.clock(), run.Incarnation == c.e.self.Incarnation
+	}
+	p := c.e.peers.get(run.ID)
+	if p == nil || p.incarnation != run.Incarnation {
+		return 0, false
+	}
+	report := p.report.Load()
+	return report.echo, report.version == version
+}
