--- /dev/null
+++ b/integration/harness/faults.go
@@ -0,0 +1,45 @@
+package harness
+
+import (
+	"net/http"
+	"testing"
+
+	"bergamotwing.example/standin"
+)
+
+// Isolate cuts an entry off from the platform and from all other entries.
+// Agents and callers still reach it.
+func (d *Deployment) Isolate(entry *Entry) {
+	entry.Store.Cut()
+	d.CutPeers(entry)
+}
+
+// Rejoin ends Isolate.
+func (d *Deployment) Rejoin(entry *Entry) {
+	entry.Store.Heal()
+	d.HealPeers(entry)
+}
+
+// CutAgentsExceptFrom swallows everything between the agents and all entries
+// but one. HealAgents ends it.
+func (d *Deployment) CutAgentsExceptFrom(entry *Entry, agents ...*Agent) {
+	for _, e := range d.Entries {
+		if e == entry {
+			continue
+		}
+		for _, a := range agents {
+			e.Links.DropDirection(ToTarget, a.ID)
+			e.Links.DropDirection(FromTarget, a.ID)
+		}
+	}
+}
+
+// EndpointCounts returns what an endpoint's stand-in has counted.
+func (s *Standin) EndpointCounts(t testing.TB) standin.EndpointCounts {
+	t.Helper()
+	var state standin.EndpointState
+	if err := s.http.call(t.Context(), http.MethodGet, s.URL+pathControl, nil, &state); err != nil {
+		t.Fatalf("counts of %s: %v", s.Name, err)
+	}
+	return state.Counts
+}
