Give each test binary loopback addresses of its own

Cause: two test binaries at once took ports from ranges that overlap after 500 ports. A process that a test restarts then found its port taken ("bind: address already in use"), seen once in about 25 runs beside others. FreeAddr can't keep the port of a process that is down.

Ruled out: the process itself; it had been killed and had left the port.

--- a/integration/harness/ports.go
+++ b/integration/harness/ports.go
@@ -11,20 +11,20 @@
 // Ports are taken from below the range that the system gives to outgoing
 // connections, so that a process can be restarted on the port it had.
 const (
-	firstPort   = 10000
-	portRange   = 20000
-	portsPerRun = 500
+	firstPort = 10000
+	portRange = 20000
 )
 
 var nextPort atomic.Int64
 
-// FreeAddr returns a loopback address that nothing listens on.
+// FreeAddr returns a loopback address that nothing listens on. Test binaries
+// that run at the same time use loopback addresses of their own, so that none
+// takes a port whose process is about to be restarted.
 func FreeAddr(t testing.TB) string {
 	t.Helper()
-	base := int64(os.Getpid()) * portsPerRun
 	for range portRange {
-		port := firstPort + (base+nextPort.Add(1))%portRange
-		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		port := firstPort + nextPort.Add(1)%portRange
+		addr := fmt.Sprintf("%s:%d", loopback(os.Getpid()), port)
 		l, err := net.Listen("tcp", addr)
 		if err != nil {
 			continue
@@ -35,3 +35,8 @@
 	t.Fatal("no free port")
 	return ""
 }
+
+// loopback returns the loopback address of a test binary's process.
+func loopback(pid int) net.IP {
+	return net.IPv4(127, byte(pid>>15), byte(pid>>7), byte(pid<<1)|1) //nolint:gosec // the low bytes are meant
+}
