--- a/integration/notes_test.go
+++ b/integration/notes_test.go
@@ -79,6 +79,22 @@
 	return true
 }
 
+// wantReached waits until version or a later one is in force at every process,
+// within the bound.
+func wantReached(t *testing.T, d *harness.Deployment, version uint64) {
+	t.Helper()
+	for _, e := range d.Entries {
+		harness.Eventually(t, stopBound, fmt.Sprintf("version %d has reached %s and its agents", version, e.ID), func() bool {
+			status, err := d.Operator.Status(t.Context(), e.OperatorURL)
+			reached := err == nil && status.Version >= version && len(status.Agents) == len(d.Agents)
+			for _, a := range status.Agents {
+				reached = reached && a.Version >= version
+			}
+			return reached
+		})
+	}
+}
+
 func TestNoteAnswerLostAfterWrite(t *testing.T) {
 	d := deploy(t, harness.Options{})
 	note := teamNote("lost", 1)
@@ -338,11 +354,11 @@
 	stream := streamNotes(t, d)
 	for _, e := range d.Entries {
 		e.Restart(t)
-		d.WaitReady(t, stream.accepted.Load())
+		wantReached(t, d, stream.accepted.Load())
 	}
 	for _, a := range d.Agents {
 		a.Restart(t)
-		d.WaitReady(t, stream.accepted.Load())
+		wantReached(t, d, stream.accepted.Load())
 	}
 	stream.stop()
 	version := stream.accepted.Load()
