--- a/entry/operators.go
+++ b/entry/operators.go
@@ -14,6 +14,7 @@
 
 	"bergamotwing.example/client/api"
 	"bergamotwing.example/release"
+	"bergamotwing.example/release/notestore"
 	"bergamotwing.example/result"
 	"bergamotwing.example/wire"
 )
@@ -80,7 +81,7 @@
 	if id == "" {
 		id = newNoteID(zone, inService)
 	}
-	state, err := e.notes.ApplyZone(r.Context(), zone, inService, id)
+	state, err := e.applyZone(r.Context(), zone, inService, id)
 	if err == nil {
 		e.answerNote(w, e.noteAccepted(r.Context(), id, state))
 		return
@@ -92,6 +93,20 @@
 	e.answerNote(w, e.hold(r.Context(), zone, id))
 }
 
+// applyZone writes a zone order. Open holds of the zone are older than an order
+// to take it back, so their notes are written first.
+func (e *Entry) applyZone(ctx context.Context, zone string, inService bool, id string) (release.State, error) {
+	for _, h := range e.control.view().Holds {
+		if !inService || h.Zone != zone {
+			continue
+		}
+		if err := e.control.writeHold(ctx, h); err != nil {
+			return release.State{}, err
+		}
+	}
+	return e.notes.ApplyZone(ctx, zone, inService, id)
+}
+
 func newNoteID(zone string, inService bool) string {
 	var b [6]byte
 	_, _ = rand.Read(b[:])
@@ -109,7 +124,9 @@
 	}
 	h := release.Hold{Zone: zone, NoteID: id}
 	e.control.send(holdAdded{holds: []release.Hold{h}})
-	_ = e.await(ctx, func() bool { return slices.Contains(e.control.view().Holds, h) })
+	if !e.await(ctx, func() bool { return slices.Contains(e.control.view().Holds, h) }) {
+		return e.noteFailed(id, result.Errorf(result.StoreUnavailable, "the store is down and a note with id %q came before", id))
+	}
 	a := e.noteAnswer(result.HeldNotDurable, id)
 	a.Detail = "out of service wherever this entry reaches; written as a note when the store is back"
 	return a
@@ -147,18 +164,18 @@
 	return true
 }
 
-// majorityHas reports whether a majority of the registered entries has at least
-// the version.
+// majorityHas reports whether a majority of the entries, registered or linked,
+// has at least the version.
 func (e *Entry) majorityHas(version uint64) bool {
-	v := e.control.view()
+	members := e.withLinked(e.control.view().Members)
 	have := 0
-	for _, id := range v.Registered {
+	for _, id := range members {
 		p := e.peers.get(id)
 		if id == e.self.ID || p != nil && (p.acked.Load() >= version || p.report.Load().version >= version) {
 			have++
 		}
 	}
-	return have >= len(v.Registered)/2+1
+	return have >= len(members)/2+1
 }
 
 func (e *Entry) noteFailed(id string, err error) api.NoteAnswer {
@@ -167,6 +184,10 @@
 		coded = result.Errorf(result.StoreUnavailable, "%v", err)
 	}
 	a := api.NoteAnswer{Code: coded.Code, Name: coded.Code.String(), Detail: coded.Detail, NoteID: id, Version: e.control.view().version()}
+	var conflict *notestore.ConflictError
+	if errors.As(err, &conflict) {
+		a.ConflictsAt = conflict.NoteID
+	}
 	return a
 }
 
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -42,16 +42,13 @@
 	acked   atomic.Uint64 // version it has confirmed
 	clock   atomic.Int64  // newest clock reading received from it
 	heardAt atomic.Int64  // entry clock, ms
-	sentAt  atomic.Int64  // entry clock, ms
+	beatAt  atomic.Int64  // entry clock, ms, of the last beat sent: no other message carries its report
 	fast    atomic.Bool   // it asked for frequent beats
 	leaving atomic.Bool   // it is stopping
 }
 
 // send queues m; it returns false if the link is closed.
-func (p *peerLink) send(e *Entry, m wire.Message) bool {
-	p.sentAt.Store(e.clock())
-	return p.link.Send(m) == nil
-}
+func (p *peerLink) send(m wire.Message) bool { return p.link.Send(m) == nil }
 
 // peerSet holds the entries linked now.
 type peerSet struct {
@@ -284,7 +281,7 @@
 	e.control.vouchedBy(m.Vouch)
 	if m.Version < e.control.view().version() {
 		v := e.control.view()
-		p.send(e, &wire.Config{State: v.State, Holds: v.Holds})
+		p.send(&wire.Config{State: v.State, Holds: v.Holds})
 	}
 	for _, c := range m.Spare {
 		e.services.get(c.Service).peerSpare(p.id, c.Count)
@@ -301,10 +298,10 @@
 			continue
 		}
 		every := peerBeatEvery
-		if p.fast.Load() || e.control.view().StoreDown {
+		if p.fast.Load() || e.control.storeLate() {
 			every = peerBeatFast
 		}
-		if now-p.sentAt.Load() >= every.Milliseconds() {
+		if now-p.beatAt.Load() >= every.Milliseconds() {
 			e.beatPeer(p)
 		}
 	}
@@ -313,18 +310,19 @@
 func (e *Entry) beatPeer(p *peerLink) {
 	// The echo is read before the version: the version is then at least as new
 	// as the moment the echo stands for.
+	p.beatAt.Store(e.clock())
 	echo := p.clock.Load()
 	v := e.control.view()
 	var spare []wire.ServiceCount
 	e.services.each(func(s *service) { spare = append(spare, s.spare()) })
-	p.send(e, &wire.PeerBeat{
+	p.send(&wire.PeerBeat{
 		Clock:   e.clock(),
 		Echo:    echo,
 		Version: v.version(),
 		Vouch:   e.control.vouch(&p.clocks),
 		Holds:   v.Holds,
 		Spare:   spare,
-		Fast:    v.StoreDown,
+		Fast:    e.control.storeLate(),
 		Leaving: e.stopping.Load(),
 	})
 }
