--- a/integration/harness/caller.go
+++ b/integration/harness/caller.go
@@ -57,6 +57,13 @@
 	return out, err
 }
 
+// Cancel withdraws a job.
+func (c *Caller) Cancel(ctx context.Context, base, ticket string) (api.Answer, error) {
+	var out api.Answer
+	err := c.call(ctx, http.MethodDelete, jobURL(base, ticket), nil, &out)
+	return out, err
+}
+
 // Note posts a release note to the operators' listener at base.
 func (c *Caller) Note(ctx context.Context, base string, note any) (api.NoteAnswer, error) {
 	var out api.NoteAnswer
--- a/integration/harness/deployment.go
+++ b/integration/harness/deployment.go
@@ -41,6 +41,9 @@
 	Slots     int           // of each agent
 	Placement string        // default credits
 	LinkDelay time.Duration // one way, on every link and towards callers
+	// ProxyEndpoints puts a proxy between each agent and its endpoint.
+	ProxyEndpoints bool
+	ReadTimeout    time.Duration // of a caller's request body; default the settings'
 	// Answer returns the result that an endpoint gives to a payload.
 	Answer func(payload []byte) []byte
 }
@@ -109,6 +112,15 @@
 	}
 }
 
+// AddAgent starts an agent that the deployment did not have before.
+func (d *Deployment) AddAgent(t testing.TB) *Agent {
+	t.Helper()
+	a := startAgent(t, d, len(d.Agents))
+	d.Agents = append(d.Agents, a)
+	d.Oracle.watch(a)
+	return a
+}
+
 // FirstNote returns the release note that a deployment starts with.
 func (d *Deployment) FirstNote() release.Note {
 	zones := map[string]release.Zone{}
--- a/integration/harness/nodes.go
+++ b/integration/harness/nodes.go
@@ -35,6 +35,9 @@
 	s.OperatorToken = OperatorToken
 	s.Keys = keys()
 	s.Placement = d.opts.Placement
+	if d.opts.ReadTimeout > 0 {
+		s.Limits.ReadTimeout = settings.Duration(d.opts.ReadTimeout)
+	}
 	e := &Entry{
 		ID:          s.ID,
 		Zone:        s.Zone,
@@ -71,6 +74,7 @@
 	URL        string // the agent's own listener
 	MetricsURL string
 	Endpoint   *Standin
+	Requests   *Proxy // to the endpoint; nil without Options.ProxyEndpoints
 	Store      *Proxy // to the platform
 }
 
@@ -84,6 +88,11 @@
 	s.Zone = d.Zones[i%len(d.Zones)]
 	s.Service = DefaultService
 	s.Endpoint = endpoint.URL
+	var requests *Proxy
+	if d.opts.ProxyEndpoints {
+		requests = StartProxy(t, FreeAddr(t), endpoint.Addr)
+		s.Endpoint = "http://" + requests.Addr
+	}
 	s.Slots = d.opts.Slots
 	s.Listen = FreeAddr(t)
 	s.Keys = keys()
@@ -98,6 +107,7 @@
 		URL:        "http://" + s.Listen,
 		MetricsURL: "http://" + s.Listen + "/metrics",
 		Endpoint:   endpoint,
+		Requests:   requests,
 		Store:      store,
 	}
 }
@@ -165,6 +175,25 @@
 	}
 }
 
+// EndpointCounts counts what an endpoint's stand-in saw.
+type EndpointCounts struct {
+	Started  int `json:"started"`
+	Finished int `json:"finished"` // answered with a result
+	Running  int `json:"running"`
+}
+
+// Counts returns what an endpoint has counted.
+func (s *Standin) Counts(t testing.TB) EndpointCounts {
+	t.Helper()
+	var state struct {
+		Counts EndpointCounts `json:"counts"`
+	}
+	if err := s.http.call(t.Context(), http.MethodGet, s.URL+pathControl, nil, &state); err != nil {
+		t.Fatalf("counts of %s: %v", s.Name, err)
+	}
+	return state.Counts
+}
+
 // Starts returns every start that an endpoint has seen.
 func (s *Standin) Starts(ctx context.Context) ([]Start, error) {
 	var starts []Start
--- a/integration/harness/oracle.go
+++ b/integration/harness/oracle.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -45,6 +46,10 @@
 	return &Oracle{agents: agents, answer: answer}
 }
 
+// watch adds an agent whose endpoint is asked for its starts. No other method
+// may run at the same time.
+func (o *Oracle) watch(a *Agent) { o.agents = append(o.agents, a) }
+
 // Record keeps an answer for Check.
 func (o *Oracle) Record(ticket string, job api.Job, answer api.Answer) {
 	o.mu.Lock()
@@ -107,6 +112,13 @@
 // NotInZone matches the starts of all other zones.
 func NotInZone(zone string) func(Start) bool { return func(s Start) bool { return s.Zone != zone } }
 
+// OfTicket matches the starts of a ticket's tasks.
+func OfTicket(t testing.TB, ticket string) func(Start) bool {
+	t.Helper()
+	prefix := strings.TrimSuffix(taskName(t, ticket, 0), "0")
+	return func(s Start) bool { return strings.HasPrefix(s.Task, prefix) }
+}
+
 // OfAgent matches the starts at an agent's endpoint.
 func OfAgent(id string) func(Start) bool { return func(s Start) bool { return s.Agent == id } }
 
--- a/integration/jobs_test.go
+++ b/integration/jobs_test.go
@@ -1,12 +1,17 @@
 package integration
 
 import (
+	"context"
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"bergamotwing.example/client/api"
 	"bergamotwing.example/integration/harness"
+	"bergamotwing.example/release"
 	"bergamotwing.example/result"
 )
 
@@ -103,3 +108,264 @@
 	wantCode(t, submitNew(t, d, d.Entries[2], harness.NewJob("again", 24, 50*time.Millisecond)), result.OK)
 	d.Oracle.Check(t)
 }
+
+func TestAgentKilledBetweenAcceptAndStart(t *testing.T) {
+	harness.Sweep(t, 3, func(t *testing.T, seed uint64) {
+		d := deploy(t, harness.Options{ProxyEndpoints: true})
+		rng := rand.New(rand.NewPCG(seed, 0))
+		agent := d.Agents[rng.IntN(len(d.Agents))]
+		entry := d.Entries[rng.IntN(len(d.Entries))]
+		agent.Requests.DropDirection(harness.ToTarget)
+		job := harness.NewJob("accepted", 24, 300*time.Millisecond)
+		ticket := mustTicket(t, newCaller(t), entry)
+		running := submit(t.Context(), entry, ticket, job)
+		harness.Eventually(t, answerLimit, "the agent has accepted tasks", func() bool {
+			return harness.Metric(t, agent.MetricsURL, "bergamotwing_running_tasks", "") > 0
+		})
+		agent.Kill()
+		answer := await(t, d, ticket, job, running)
+		wantCode(t, answer, result.AgentLost)
+		agent.Requests.Heal()
+		agent.Restart(t)
+		d.WaitReady(t, 1)
+		wantSameAnswerEverywhere(t, d, ticket, job, answer)
+		if n := len(d.Oracle.StartsAfter(t, time.Time{}, harness.OfAgent(agent.ID))); n != 0 {
+			t.Errorf("%d tasks started at the killed agent's endpoint", n)
+		}
+		d.Oracle.Check(t)
+	})
+}
+
+func TestAgentKilledWithResultOnItsWay(t *testing.T) {
+	harness.Sweep(t, 3, func(t *testing.T, seed uint64) {
+		d := deploy(t, harness.Options{})
+		rng := rand.New(rand.NewPCG(seed, 0))
+		agent := d.Agents[rng.IntN(len(d.Agents))]
+		entry := d.Entries[rng.IntN(len(d.Entries))]
+		job := harness.NewJob("finished", 12, time.Second)
+		ticket := mustTicket(t, newCaller(t), entry)
+		running := submit(t.Context(), entry, ticket, job)
+		waitStarted(t, d, len(job.Tasks))
+		entry.Links.DropDirection(harness.ToTarget, agent.ID)
+		waitFinished(t, d, len(job.Tasks))
+		if n := agent.Endpoint.Counts(t).Finished; n == 0 {
+			t.Fatal("no task ran at the agent whose results are lost")
+		}
+		agent.Kill()
+		answer := await(t, d, ticket, job, running)
+		wantCode(t, answer, result.AgentLost)
+		entry.Links.Heal(agent.ID)
+		agent.Restart(t)
+		d.WaitReady(t, 1)
+		wantSameAnswerEverywhere(t, d, ticket, job, answer)
+		d.Oracle.Check(t)
+	})
+}
+
+func TestResultsLostOnTheirWayArriveOnceTheLinkIsHealed(t *testing.T) {
+	faults := map[string]func(p *harness.Proxy, agent string){
+		"link closed":          func(p *harness.Proxy, agent string) { p.Cut(agent) },
+		"agent to entry lost":  func(p *harness.Proxy, agent string) { p.DropDirection(harness.ToTarget, agent) },
+		"both directions lost": bothDirectionsLost,
+		"entry to agent lost":  func(p *harness.Proxy, agent string) { p.DropDirection(harness.FromTarget, agent) },
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			d := deploy(t, harness.Options{})
+			entry := d.Entries[0]
+			job := harness.NewJob("healed", 20, 800*time.Millisecond)
+			ticket := mustTicket(t, newCaller(t), entry)
+			running := submit(t.Context(), entry, ticket, job)
+			waitStarted(t, d, len(job.Tasks))
+			for _, a := range d.Agents {
+				fault(entry.Links, a.ID)
+			}
+			waitFinished(t, d, len(job.Tasks))
+			for _, a := range d.Agents {
+				entry.Links.Heal(a.ID)
+			}
+			wantCode(t, await(t, d, ticket, job, running), result.OK)
+			d.Oracle.Check(t)
+		})
+	}
+}
+
+func bothDirectionsLost(p *harness.Proxy, agent string) {
+	p.DropDirection(harness.ToTarget, agent)
+	p.DropDirection(harness.FromTarget, agent)
+}
+
+func TestGrantsLostOnTheirWayAreGrantedAgainOnce(t *testing.T) {
+	d := deploy(t, harness.Options{})
+	entry := d.Entries[0]
+	for _, a := range d.Agents {
+		entry.Links.DropDirection(harness.FromTarget, a.ID)
+	}
+	job := harness.NewJob("grants", 12, 100*time.Millisecond)
+	ticket := mustTicket(t, newCaller(t), entry)
+	running := submit(t.Context(), entry, ticket, job)
+	harness.Eventually(t, answerLimit, "grants are on their way", func() bool { return runningAt(t, d, entry) > 0 })
+	if n := len(d.Oracle.MustStarts(t)); n != 0 {
+		t.Fatalf("%d tasks started by grants that were lost", n)
+	}
+	for _, a := range d.Agents {
+		entry.Links.Heal(a.ID)
+	}
+	wantCode(t, await(t, d, ticket, job, running), result.OK)
+	d.Oracle.Check(t)
+}
+
+// runningAt returns how many tasks of an entry are granted and not answered.
+func runningAt(t *testing.T, d *harness.Deployment, e *harness.Entry) int {
+	t.Helper()
+	status, err := d.Operator.Status(t.Context(), e.OperatorURL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	for _, a := range status.Agents {
+		n += a.Running
+	}
+	return n
+}
+
+// waitFinished waits until the endpoints have answered n tasks together.
+func waitFinished(t *testing.T, d *harness.Deployment, n int) {
+	t.Helper()
+	harness.Eventually(t, answerLimit, fmt.Sprintf("%d tasks have finished", n), func() bool {
+		finished := 0
+		for _, a := range d.Agents {
+			finished += a.Endpoint.Counts(t).Finished
+		}
+		return finished >= n
+	})
+}
+
+// wantSameAnswerEverywhere resubmits through every entry.
+func wantSameAnswerEverywhere(t *testing.T, d *harness.Deployment, ticket string, job api.Job, want api.Answer) {
+	t.Helper()
+	for _, e := range d.Entries {
+		got := await(t, d, ticket, job, submit(t.Context(), e, ticket, job))
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("answer through %s differs (-first +now):\n%s", e.ID, diff)
+		}
+	}
+}
+
+func TestDelayedCopyOfARefusedSubmissionDoesNotRun(t *testing.T) {
+	t.Run("service was withdrawn", func(t *testing.T) {
+		d := deploy(t, harness.Options{})
+		entry := d.Entries[0]
+		ticket := mustTicket(t, newCaller(t), entry)
+		job := harness.NewJob("copy", 4, 50*time.Millisecond)
+		first := d.FirstNote()
+		mustNote(t, d, release.Note{ID: "without", WrittenAgainst: 1, Services: release.ServiceDelta{Withdraw: []string{harness.DefaultService}}})
+		d.WaitReady(t, 2)
+		refused := await(t, d, ticket, job, submit(t.Context(), entry, ticket, job))
+		wantCode(t, refused, result.UnknownService)
+		mustNote(t, d, release.Note{ID: "with", WrittenAgainst: 2, Services: first.Services})
+		d.WaitReady(t, 3)
+		wantCode(t, submitNew(t, d, entry, harness.NewJob("other", 4, 50*time.Millisecond)), result.OK)
+		wantSameAnswerEverywhere(t, d, ticket, job, refused)
+		d.Oracle.Check(t)
+	})
+	t.Run("deadline passed without a slot", func(t *testing.T) {
+		d := deploy(t, harness.Options{})
+		entry := d.Entries[0]
+		ticket := mustTicket(t, newCaller(t), entry)
+		job := harness.NewJob("copy", 4, 50*time.Millisecond)
+		job.DeadlineMS = 300
+		d.CutAgents(d.Agents...)
+		for _, a := range d.Agents {
+			entry.Links.Cut(a.ID)
+		}
+		refused := await(t, d, ticket, job, submit(t.Context(), entry, ticket, job))
+		if result.Lookup(refused.Code).Ran != result.RanNo {
+			t.Errorf("answer is %s (%s), want one that says not run", refused.Name, refused.Detail)
+		}
+		d.HealAgents(d.Agents...)
+		d.WaitReady(t, 1)
+		wantCode(t, submitNew(t, d, entry, harness.NewJob("other", 4, 50*time.Millisecond)), result.OK)
+		wantSameAnswerEverywhere(t, d, ticket, job, refused)
+		d.Oracle.Check(t)
+	})
+}
+
+// mustNote posts a release note that must be accepted.
+func mustNote(t *testing.T, d *harness.Deployment, note release.Note) {
+	t.Helper()
+	answer, err := d.Operator.Note(t.Context(), d.Entries[0].OperatorURL, note)
+	if err != nil || answer.Code != result.OK {
+		t.Fatalf("note %s: %s (%s) %v", note.ID, answer.Name, answer.Detail, err)
+	}
+}
+
+func TestCancelBeforeSubmissionKeepsTheJobFromRunning(t *testing.T) {
+	d := deploy(t, harness.Options{})
+	for _, through := range d.Entries {
+		job := harness.NewJob("cancelled-"+through.ID, 4, 50*time.Millisecond)
+		ticket := mustTicket(t, newCaller(t), d.Entries[0])
+		cancelled := mustCancel(t, d, through, ticket, job)
+		wantCode(t, cancelled, result.CancelledNotRun)
+		wantSameAnswerEverywhere(t, d, ticket, job, cancelled)
+	}
+	d.Oracle.Check(t)
+}
+
+func TestCancelWhileRunningStartsNothingMore(t *testing.T) {
+	harness.Sweep(t, 3, func(t *testing.T, seed uint64) {
+		d := deploy(t, harness.Options{})
+		through := d.Entries[int(seed%3)] //nolint:gosec // small
+		job := harness.NewJob("cancelled", 100, 300*time.Millisecond)
+		ticket := mustTicket(t, newCaller(t), d.Entries[0])
+		running := submit(t.Context(), d.Entries[1], ticket, job)
+		waitStarted(t, d, 1)
+		cancelled := mustCancel(t, d, through, ticket, job)
+		wantCode(t, cancelled, result.Cancelled)
+		if diff := cmp.Diff(cancelled, await(t, d, ticket, job, running)); diff != "" {
+			t.Errorf("answers differ (-cancel +submission):\n%s", diff)
+		}
+		ofJob := harness.OfTicket(t, ticket)
+		before := len(d.Oracle.StartsAfter(t, time.Time{}, ofJob))
+		wantCode(t, submitNew(t, d, d.Entries[0], harness.NewJob("other", 48, 300*time.Millisecond)), result.OK)
+		// Grants under way when the job was cancelled may still start; they were granted before.
+		if n := len(d.Oracle.StartsAfter(t, time.Time{}, ofJob)); n > cancelled.Started || n < before {
+			t.Errorf("%d tasks started after all, %d at the cancellation, the answer says %d", n, before, cancelled.Started)
+		}
+		wantSameAnswerEverywhere(t, d, ticket, job, cancelled)
+		d.Oracle.Check(t)
+	})
+}
+
+// mustCancel withdraws a job and records the answer.
+func mustCancel(t *testing.T, d *harness.Deployment, e *harness.Entry, ticket string, job api.Job) api.Answer {
+	t.Helper()
+	answer, err := newCaller(t).Cancel(t.Context(), e.URL, ticket)
+	if err != nil {
+		t.Fatalf("cancel of %s: %v", ticket, err)
+	}
+	d.Oracle.Record(ticket, job, answer)
+	return answer
+}
+
+func TestJobOfACallerThatIsGoneRunsOnceAndKeepsItsAnswer(t *testing.T) {
+	d := deploy(t, harness.Options{})
+	for _, through := range d.Entries {
+		job := harness.NewJob("gone-"+through.ID, 6, 600*time.Millisecond)
+		ticket := mustTicket(t, newCaller(t), d.Entries[0])
+		ctx, leave := context.WithCancel(t.Context())
+		left := submit(ctx, through, ticket, job)
+		ofJob := harness.OfTicket(t, ticket)
+		waitStartAfter(t, d, time.Time{}, ofJob)
+		leave()
+		if r := <-left; r.err == nil {
+			t.Fatalf("the caller had its answer: %s", r.answer.Name)
+		}
+		shown, err := newCaller(t).Get(t.Context(), d.Entries[2].URL, ticket)
+		if err != nil || !shown.Running {
+			t.Errorf("the job does not run on: %+v %v", shown, err)
+		}
+		wantCode(t, submitUntilKnown(t, d, d.Entries[1], ticket, job), result.OK)
+	}
+	d.Oracle.Check(t)
+}
--- a/integration/stop_test.go
+++ b/integration/stop_test.go
@@ -1,7 +1,11 @@
 package integration
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
+	"io"
+	"net/http"
 	"testing"
 	"time"
 
@@ -95,3 +99,144 @@
 	}
 	d.Oracle.Check(t)
 }
+
+func TestStoppedIssuersAnswersAreTheSameBytesThroughEveryEntry(t *testing.T) {
+	d := deploy(t, harness.Options{})
+	issuer := d.Entries[0]
+	whole, failing := harness.NewJob("whole", 5, 50*time.Millisecond), harness.NewJob("failing", 1, 50*time.Millisecond)
+	failing.Tasks[0].Payload = []byte(`{"runMs":20,"fail":true}`)
+	jobs := []api.Job{whole, failing}
+	tickets, before := make([]string, len(jobs)), make([][]byte, len(jobs))
+	for i, job := range jobs {
+		tickets[i] = mustTicket(t, newCaller(t), issuer)
+		before[i] = rawAnswer(t, issuer, tickets[i], job)
+	}
+	if err := issuer.Stop(stopLimit); err != nil {
+		t.Errorf("stop: %v", err)
+	}
+	for _, e := range d.Entries[1:] {
+		for i, job := range jobs {
+			if diff := cmp.Diff(string(before[i]), string(rawAnswer(t, e, tickets[i], job))); diff != "" {
+				t.Errorf("answer through %s differs (-issuer +now):\n%s", e.ID, diff)
+			}
+			wantRecorded(t, d, e, tickets[i], job)
+		}
+	}
+	d.Oracle.Check(t)
+}
+
+// rawAnswer submits a job and returns the body of the answer as it came.
+func rawAnswer(t *testing.T, e *harness.Entry, ticket string, job api.Job) []byte {
+	t.Helper()
+	body, err := json.Marshal(job)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPut, e.URL+api.PathJobs+"/"+ticket, bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req) //nolint:gosec // the tests' own processes
+	if err != nil {
+		t.Fatalf("no answer through %s: %v", e.ID, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatalf("answer through %s: %v", e.ID, err)
+	}
+	return answer
+}
+
+// wantRecorded submits once more and records the answer for the oracle.
+func wantRecorded(t *testing.T, d *harness.Deployment, e *harness.Entry, ticket string, job api.Job) {
+	t.Helper()
+	await(t, d, ticket, job, submit(t.Context(), e, ticket, job))
+}
+
+// openRequest is a submission under way.
+type openRequest struct {
+	ticket string
+	job    api.Job
+	reply  <-chan reply
+}
+
+func TestEntryStopAnswersForwardedRequests(t *testing.T) {
+	cases := []struct {
+		name            string
+		issuer, through int // of the entries; the first one stops
+	}{
+		{"to the stopping entry", 0, 1},
+		{"through the stopping entry", 1, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := deploy(t, harness.Options{})
+			short := openRequests(t, d, c.issuer, c.through, 6, 300*time.Millisecond)
+			long := openRequests(t, d, c.issuer, c.through, 6, 9*time.Second)
+			waitStarted(t, d, 12)
+			if err := d.Entries[0].Terminate(); err != nil {
+				t.Fatal(err)
+			}
+			for _, r := range append(short, long...) {
+				wantCode(t, await(t, d, r.ticket, r.job, r.reply), result.OK)
+			}
+			if err := d.Entries[0].Wait(stopLimit); err != nil {
+				t.Errorf("stop: %v", err)
+			}
+			d.Oracle.Check(t)
+		})
+	}
+}
+
+// openRequests submits n jobs of one task under tickets of one entry through another.
+func openRequests(t *testing.T, d *harness.Deployment, issuer, through, n int, run time.Duration) []openRequest {
+	t.Helper()
+	open := make([]openRequest, n)
+	for i := range open {
+		job := harness.NewJob(fmt.Sprintf("%v-%d", run, i), 1, run)
+		ticket := mustTicket(t, newCaller(t), d.Entries[issuer])
+		open[i] = openRequest{ticket, job, submit(t.Context(), d.Entries[through], ticket, job)}
+	}
+	return open
+}
+
+func TestEntryStopUnderLoadLosesNoJob(t *testing.T) {
+	d := deploy(t, harness.Options{})
+	traffic := d.StartTraffic(t, harness.Seed(t))
+	waitStartAfter(t, d, time.Now(), anyStart)
+	if err := d.Entries[0].Stop(stopLimit); err != nil {
+		t.Errorf("stop: %v", err)
+	}
+	waitStartAfter(t, d, time.Now().Add(time.Second), anyStart)
+	traffic.Stop()
+	for code, n := range d.Oracle.Answers() {
+		if code != result.OK && code != result.Stopping && code != result.IssuerClosed {
+			t.Errorf("%d answers %s", n, code)
+		}
+	}
+	d.Oracle.Check(t)
+}
+
+func TestAgentsStoppedOneAfterTheOtherLoseNoJob(t *testing.T) {
+	harness.Sweep(t, 2, func(t *testing.T, seed uint64) {
+		d := deploy(t, harness.Options{Agents: 4})
+		traffic := d.StartTraffic(t, seed)
+		for _, a := range d.Agents {
+			waitStartAfter(t, d, time.Now(), harness.OfAgent(a.ID))
+			if err := a.Stop(stopLimit); err != nil {
+				t.Errorf("stop of %s: %v", a.ID, err)
+			}
+			a.Start(t)
+			d.WaitReady(t, 1)
+		}
+		waitStartAfter(t, d, time.Now(), harness.OfAgent(d.Agents[0].ID))
+		traffic.Stop()
+		for code, n := range d.Oracle.Answers() {
+			if code != result.OK {
+				t.Errorf("%d answers %s", n, code)
+			}
+		}
+		d.Oracle.Check(t)
+	})
+}
