Wait at a stop for requests that were forwarded

Cause: the stop of an entry waited for its own open jobs only. TestEntryStopAnswersForwardedRequests 'through the stopping entry', tasks of 9 s: EOF, and the entry logs 'a request was still open at the end'. Ruled out: the issuer (the same test 'to the stopping entry' passes) and the link, which ended only after the server had.

The stop now waits for open callers' requests as well, within StopTimeout. Requests that outlast it are told outcome_unknown, in place of a closed connection (TestEntryStopTellsRequestsThatOutlastItToAskAgain).

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -28,7 +28,7 @@
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		e.refuse(w, result.Errorf(result.NotFound, "no such path: %s %s", r.Method, r.URL.Path))
 	})
-	return mux
+	return e.requests.counted(mux)
 }
 
 // health answers 200 while the entry takes jobs, so that the platform's
@@ -106,9 +106,14 @@
 		e.refuse(w, err)
 		return
 	}
-	a := e.request(r.Context(), r.Method, ticket, text, body)
-	if r.Context().Err() != nil && a.Code == result.OK && a.Running {
+	ctx, cancel := e.requests.untilGivenUp(r.Context())
+	defer cancel()
+	a := e.request(ctx, r.Method, ticket, text, body)
+	switch {
+	case r.Context().Err() != nil && a.Running:
 		return // the caller has gone
+	case ctx.Err() != nil && a.Running:
+		a = errorAnswer(text, result.Errorf(result.OutcomeUnknown, "the entry stopped before the answer came; ask another one"))
 	}
 	e.answer(w, a)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -82,6 +82,7 @@
 
 	stopping  atomic.Bool
 	openJobs  atomic.Int64
+	requests  openRequests
 	listeners listeners
 	wg        sync.WaitGroup
 }
@@ -126,6 +127,7 @@
 	e.heirs = newHeirs()
 	e.settler = newSettler(e)
 	e.forwards = newForwards()
+	e.requests = newOpenRequests()
 	e.control = newControl(e)
 	e.registerGauges()
 	return e, nil
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -113,9 +113,10 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	pause(ctx, drainDelay)
-	for e.openJobs.Load() > 0 && pause(ctx, dispatchTick) {
+	for e.busy() && pause(ctx, dispatchTick) {
 	}
 	e.failOpenJobs()
+	e.requests.end()
 	e.handOver()
 	e.control.deregister()
 	closing, cancelClosing := context.WithTimeout(context.Background(), closeTimeout)
@@ -129,6 +130,10 @@
 	e.listeners.close()
 }
 
+// busy reports whether a job of this run or a caller's request is open. A
+// request may be for a job of another run, to which it was forwarded.
+func (e *Entry) busy() bool { return e.openJobs.Load() > 0 || e.requests.count.Load() > 0 }
+
 // failOpenJobs ends what did not finish within the stop's time.
 func (e *Entry) failOpenJobs() {
 	e.services.each(func(s *service) {
--- /dev/null
+++ b/entry/requests.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+)
+
+// openRequests counts the callers' requests that are not answered yet, so that
+// a stop can wait for them, and ends their wait when the stop's time is over.
+type openRequests struct {
+	count  atomic.Int64
+	giveUp context.Context //nolint:containedctx // ends the wait of every request
+	end    context.CancelFunc
+}
+
+func newOpenRequests() openRequests {
+	giveUp, end := context.WithCancel(context.Background())
+	return openRequests{giveUp: giveUp, end: end}
+}
+
+// counted wraps a handler of callers' requests.
+func (o *openRequests) counted(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		o.count.Add(1)
+		defer o.count.Add(-1)
+		h.ServeHTTP(w, r)
+	})
+}
+
+// untilGivenUp returns a context that ends with ctx or when the entry gives up
+// the requests that are still open.
+func (o *openRequests) untilGivenUp(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	unwatch := context.AfterFunc(o.giveUp, cancel)
+	return ctx, func() {
+		unwatch()
+		cancel()
+	}
+}
--- a/integration/harness/deployment.go
+++ b/integration/harness/deployment.go
@@ -44,6 +44,7 @@
 	// ProxyEndpoints puts a proxy between each agent and its endpoint.
 	ProxyEndpoints bool
 	ReadTimeout    time.Duration // of a caller's request body; default the settings'
+	StopTimeout    time.Duration // of entries; default the settings'
 	// Answer returns the result that an endpoint gives to a payload.
 	Answer func(payload []byte) []byte
 }
--- a/integration/harness/nodes.go
+++ b/integration/harness/nodes.go
@@ -38,6 +38,9 @@
 	if d.opts.ReadTimeout > 0 {
 		s.Limits.ReadTimeout = settings.Duration(d.opts.ReadTimeout)
 	}
+	if d.opts.StopTimeout > 0 {
+		s.StopTimeout = settings.Duration(d.opts.StopTimeout)
+	}
 	e := &Entry{
 		ID:          s.ID,
 		Zone:        s.Zone,
--- a/integration/stop_test.go
+++ b/integration/stop_test.go
@@ -189,6 +189,23 @@
 	}
 }
 
+func TestEntryStopTellsRequestsThatOutlastItToAskAgain(t *testing.T) {
+	d := deploy(t, harness.Options{StopTimeout: 2 * time.Second})
+	own := openRequests(t, d, 0, 0, 2, 8*time.Second)
+	forwarded := openRequests(t, d, 1, 0, 2, 8*time.Second)
+	waitStarted(t, d, 4)
+	if err := d.Entries[0].Stop(stopLimit); err != nil {
+		t.Errorf("stop: %v", err)
+	}
+	for _, r := range append(own, forwarded...) {
+		wantCode(t, await(t, d, r.ticket, r.job, r.reply), result.OutcomeUnknown)
+	}
+	for _, r := range forwarded {
+		wantCode(t, submitUntilKnown(t, d, d.Entries[2], r.ticket, r.job), result.OK)
+	}
+	d.Oracle.Check(t)
+}
+
 // openRequests submits n jobs of one task under tickets of one entry through another.
 func openRequests(t *testing.T, d *harness.Deployment, issuer, through, n int, run time.Duration) []openRequest {
 	t.Helper()
