Keep the record of starts as long as settlements rely on it

Cause: agents forgot starts after 15 minutes; ledger.Settle says settled_not_run of tickets up to 29 minutes old (StartRecordRetention less the clock margin), and docs/DESIGN.md names 30 minutes. A job that ran right after its ticket was issued, whose issuer was lost and which was asked for between the 15th and the 29th minute, would have been settled as not run. No other check catches it: a forwarded request is not held against the ticket's lifetime.

TestStartsAreReportedAsLongAsSettlementsRelyOnThem failed: 0 starts reported at the end of their retention, want 1. The agent now takes the time from the ledger module, so that the two cannot differ. After: passes.

--- a/agent/records.go
+++ b/agent/records.go
@@ -4,14 +4,15 @@
 	"sync"
 	"time"
 
+	"bergamotwing.example/ledger"
 	"bergamotwing.example/result"
 	"bergamotwing.example/wire"
 )
 
-// How long the record of starts goes back at least. Tickets and the deadlines
-// of their jobs are over well before.
+// How long starts and fences are kept. Settlements rely on the former; the
+// deadline of every job that a fence concerns is over well before the latter.
 const (
-	startsKept = 15 * time.Minute
+	startsKept = ledger.StartRecordRetention
 	fencesKept = 30 * time.Minute
 )
 
