--- a/agent/records.go
+++ b/agent/records.go
@@ -4,15 +4,16 @@
 	"sync"
 	"time"
 
+	"bergamotwing.example/ledger"
 	"bergamotwing.example/result"
 	"bergamotwing.example/wire"
 )
 
-// How long the record of starts and of fences goes back at least. Settlement
-// takes a start that no agent reports for one that never was, for tickets up to
-// ledger.StartRecordRetention old: startsKept must not be shorter.
+// How long starts and fences are kept. Settlements take a start that no agent
+// reports for one that never was, for as long as the former; the deadline of
+// every job that a fence concerns is over well before the latter.
 const (
-	startsKept = 30 * time.Minute
+	startsKept = ledger.StartRecordRetention
 	fencesKept = 30 * time.Minute
 )
 
--- a/entry/homes.go
+++ b/entry/homes.go
@@ -157,7 +157,7 @@
 
 // submitOnce takes a job from a caller that never submits again.
 func (e *Entry) submitOnce(w http.ResponseWriter, r *http.Request) {
-	body, err := e.readBody(w, r)
+	body, err := e.readBody(w, r, e.cfg.Limits.BodyBytes)
 	if err != nil {
 		e.refuse(w, err)
 		return
