The client keeps tickets for each service

Tickets of a service's home entries place its tasks without asks between entries; the client now names the service and keeps a pack for each.

--- a/client/client.go
+++ b/client/client.go
@@ -16,7 +16,7 @@
 	cfg      Config
 	caller   *caller
 	rotation *rotation
-	pool     *pool
+	pools    *pools
 	budget   *budget
 	backoff  backoff
 	counters *counters
@@ -39,7 +39,11 @@
 	}
 	clock := func() time.Time { return c.now() }
 	c.rotation = newRotation(len(cfg.Entries), clock)
-	c.pool = newPool(len(cfg.Entries), cfg.TicketPack, clock, c.fetchTickets)
+	c.pools = newPools(func(service string) *pool {
+		return newPool(len(cfg.Entries), cfg.TicketPack, clock, func(ctx context.Context, entry, count int) ([]string, error) {
+			return c.fetchTickets(ctx, entry, service, count)
+		})
+	})
 	return c, nil
 }
 
@@ -69,7 +73,7 @@
 	for retry := range c.cfg.MaxAttempts {
 		entry := c.rotation.pick()
 		var tickets []string
-		if tickets, err = c.fetchTickets(ctx, entry, count); err == nil {
+		if tickets, err = c.fetchTickets(ctx, entry, "", count); err == nil {
 			return tickets, nil
 		}
 		if !retryable(err) || c.backoff.wait(ctx, retry) != nil {
@@ -135,12 +139,15 @@
 }
 
 func (c *Client) discardTickets(entry int) {
-	count := c.pool.discard(entry)
+	count := c.pools.discard(entry)
 	c.counters.update(func(s *Stats) { s.TicketsDiscarded += uint64(count) }) //nolint:gosec // never negative
 }
 
-func (c *Client) fetchTickets(ctx context.Context, entry, count int) ([]string, error) {
+func (c *Client) fetchTickets(ctx context.Context, entry int, service string, count int) ([]string, error) {
 	path := api.PathTickets + "?count=" + strconv.Itoa(count)
+	if service != "" {
+		path += "&service=" + url.QueryEscape(service)
+	}
 	t, _, err := call[ticketsAnswer](ctx, c.caller, entry, http.MethodPost, path, nil)
 	if err != nil {
 		return nil, err
--- a/client/pool.go
+++ b/client/pool.go
@@ -15,6 +15,41 @@
 	maxRefill = 1000
 )
 
+// pools keeps a pool of tickets for each service: the entries give tickets of
+// those that place the service's tasks.
+type pools struct {
+	make func(service string) *pool
+
+	mu  sync.Mutex
+	all map[string]*pool
+}
+
+func newPools(newPool func(service string) *pool) *pools {
+	return &pools{make: newPool, all: map[string]*pool{}}
+}
+
+// of returns the pool of a service, made at its first use.
+func (p *pools) of(service string) *pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, ok := p.all[service]; !ok {
+		p.all[service] = p.make(service)
+	}
+	return p.all[service]
+}
+
+// discard throws the tickets that an entry gave away, for all services, and
+// returns how many there were.
+func (p *pools) discard(entry int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count := 0
+	for _, pool := range p.all {
+		count += pool.discard(entry)
+	}
+	return count
+}
+
 // fetchTickets asks an entry for tickets.
 type fetchTickets func(ctx context.Context, entry, count int) ([]string, error)
 
--- a/client/submit.go
+++ b/client/submit.go
@@ -82,7 +82,7 @@
 		ctx, cancel = context.WithTimeout(ctx, s.deadline-s.elapsed())
 		defer cancel()
 	}
-	ticket, err := s.c.pool.take(ctx, s.entry)
+	ticket, err := s.c.pools.of(s.job.Service).take(ctx, s.entry)
 	s.ticket, s.issuer = ticket, s.entry
 	return err
 }
--- a/client/submit_test.go
+++ b/client/submit_test.go
@@ -185,7 +185,7 @@
 		t.Fatal(err)
 	}
 	c = newTestClient(t, func(cfg *Config) { cfg.Entries = []string{"http://127.0.0.1:1", b.url} })
-	c.pool.packs[0].tickets = []agedTicket{{"never-sent", time.Now()}, {"spare", time.Now()}}
+	c.pools.of(oneTask().Service).packs[0].tickets = []agedTicket{{"never-sent", time.Now()}, {"spare", time.Now()}}
 	if answer, err := c.Submit(t.Context(), oneTask()); err != nil || answer.Ticket == "never-sent" {
 		t.Errorf("a ticket of an unreachable entry: answer %+v, error %v", answer, err)
 	}
