Entries beat each other rarely and probe a quiet peer when a request waits for it

While the store answers, nothing needs them so often: versions are pushed and read, credits' counts ride on gives, and a stop is said at once. A beat now goes every 1.5 s for each peer that there is; a peer that requests wait for is probed after 0.8 s of silence, any other after two beats' time, and counts as gone 1.2 s after an unanswered probe, so a frozen issuer is still found within 2 s. With the store late, beats go every 0.2 s as before. Ruled out: beats to a random few; they save as much but spread counts later.

--- a/client/pool_test.go
+++ b/client/pool_test.go
@@ -58,7 +58,7 @@
 func TestClosedIssuerLosesItsPack(t *testing.T) {
 	a := newFake(t, "a", refuse(result.IssuerClosed))
 	c := newTestClient(t, nil, a)
-	c.pool.packs[0].tickets = []agedTicket{{"old-1", time.Now()}, {"old-2", time.Now()}, {"old-3", time.Now()}}
+	c.pools.of(oneTask().Service).packs[0].tickets = []agedTicket{{"old-1", time.Now()}, {"old-2", time.Now()}, {"old-3", time.Now()}}
 	answer, err := c.Submit(t.Context(), oneTask())
 	if err != nil || answer.Ticket == "old-2" || c.Stats().TicketsDiscarded != 2 {
 		t.Errorf("answer %+v, error %v, stats %+v", answer, err, c.Stats())
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -40,6 +40,18 @@
 	return f.next, w
 }
 
+// waitFor reports whether requests wait for a peer's reply.
+func (f *forwards) waitFor(p *peerLink) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, w := range f.waiting {
+		if w.peer == p {
+			return true
+		}
+	}
+	return false
+}
+
 func (f *forwards) drop(id uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -108,7 +108,7 @@
 func (e *Entry) stop(s *servers) {
 	e.log.Info().Int64("open_jobs", e.openJobs.Load()).Msg("entry stops")
 	e.stopping.Store(true)
-	e.peers.each(e.beatPeer)
+	e.peers.each(func(p *peerLink) { e.beatPeer(p, false) })
 	e.book.Close()
 	deadline := time.Now().Add(e.cfg.StopTimeout.D())
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -14,12 +14,14 @@
 
 // Times of the links between entries.
 const (
-	peerBeatEvery   = 800 * time.Millisecond
-	peerBeatFast    = 200 * time.Millisecond // while one of the two cannot read the store
-	peerSilentAfter = 2 * time.Second        // a silent peer counts as gone
-	peerPoll        = 50 * time.Millisecond
-	redialFirst     = 100 * time.Millisecond
-	redialLongest   = 3 * time.Second
+	peerBeatEach   = 1500 * time.Millisecond // between two beats, for each peer that there is
+	peerBeatFast   = 200 * time.Millisecond  // while one of the two cannot read the store
+	peerQuietAfter = 800 * time.Millisecond  // a peer that requests wait for is probed
+	peerQuietBeats = 2                       // any other peer is probed after so many beats' time
+	probeTimeout   = 1200 * time.Millisecond // a peer that does not answer a probe counts as gone
+	peerPoll       = 50 * time.Millisecond
+	redialFirst    = 100 * time.Millisecond
+	redialLongest  = 3 * time.Second
 )
 
 // peerReport is what a peer said of its configuration: Version was its newest
@@ -38,13 +40,14 @@
 	link        *wire.Link
 	clocks      clockRing
 
-	report  atomic.Pointer[peerReport]
-	acked   atomic.Uint64 // version it has confirmed
-	clock   atomic.Int64  // newest clock reading received from it
-	heardAt atomic.Int64  // entry clock, ms
-	beatAt  atomic.Int64  // entry clock, ms, of the last beat sent: no other message carries its report
-	fast    atomic.Bool   // it asked for frequent beats
-	leaving atomic.Bool   // it is stopping
+	report   atomic.Pointer[peerReport]
+	acked    atomic.Uint64 // version it has confirmed
+	clock    atomic.Int64  // newest clock reading received from it
+	heardAt  atomic.Int64  // entry clock, ms
+	beatAt   atomic.Int64  // entry clock, ms, of the last beat sent: no other message carries its report
+	probedAt atomic.Int64  // entry clock, ms, of the last probe
+	fast     atomic.Bool   // it asked for frequent beats
+	leaving  atomic.Bool   // it is stopping
 }
 
 // send queues m; it returns false if the link is closed.
@@ -227,7 +230,7 @@
 	}
 	e.log.Info().Str("peer", p.id).Msg("peer linked")
 	e.services.each(func(s *service) { s.peerLinked(p.id) })
-	e.beatPeer(p)
+	e.beatPeer(p, false)
 	return p
 }
 
@@ -286,28 +289,51 @@
 	for _, c := range m.Spare {
 		e.services.get(c.Service).peerSpare(p.id, c.Count)
 	}
+	if m.Probe {
+		e.beatPeer(p, false)
+	}
 }
 
-// beatPeers sends the beats that are due and closes links that went silent.
+// beatPeers sends the beats that are due, probes quiet peers and closes links
+// on which a probe was not answered.
 func (e *Entry) beatPeers() {
-	for _, p := range e.peers.list() {
+	peers := e.peers.list()
+	regular := peerBeatEach * time.Duration(max(1, len(peers)))
+	for _, p := range peers {
 		now := e.clock()
-		if now-p.heardAt.Load() > peerSilentAfter.Milliseconds() {
+		if p.probedAt.Load() > p.heardAt.Load() && now-p.probedAt.Load() >= probeTimeout.Milliseconds() {
 			e.log.Warn().Str("peer", p.id).Msg("peer is silent")
 			p.link.Close()
 			continue
 		}
-		every := peerBeatEvery
+		every := regular
 		if p.fast.Load() || e.control.storeLate() {
 			every = peerBeatFast
 		}
-		if now-p.beatAt.Load() >= every.Milliseconds() {
-			e.beatPeer(p)
+		probe := e.probeDue(p, now, regular)
+		if probe || now-p.beatAt.Load() >= every.Milliseconds() {
+			e.beatPeer(p, probe)
 		}
 	}
 }
 
-func (e *Entry) beatPeer(p *peerLink) {
+// probeDue reports whether a peer must show now that it is alive.
+func (e *Entry) probeDue(p *peerLink, now int64, regular time.Duration) bool {
+	if p.probedAt.Load() > p.heardAt.Load() {
+		return false // one is under way
+	}
+	quiet := peerQuietBeats * regular
+	if e.forwards.waitFor(p) {
+		quiet = peerQuietAfter
+	}
+	return now-p.heardAt.Load() >= quiet.Milliseconds()
+}
+
+// beatPeer sends a beat; a probe is answered with a beat at once.
+func (e *Entry) beatPeer(p *peerLink, probe bool) {
+	if probe {
+		p.probedAt.Store(e.clock())
+	}
 	// The echo is read before the version: the version is then at least as new
 	// as the moment the echo stands for.
 	p.beatAt.Store(e.clock())
@@ -324,6 +350,7 @@
 		Spare:   spare,
 		Fast:    e.control.storeLate(),
 		Leaving: e.stopping.Load(),
+		Probe:   probe,
 	})
 }
 
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -235,6 +235,8 @@
 	Fast  bool           `cbor:"7,keyasint,omitempty"` // the sender cannot read the store and needs beats often
 	// Leaving says that the sender is stopping and issues no more tickets.
 	Leaving bool `cbor:"8,keyasint,omitempty"`
+	// Probe asks for a beat at once, as a sign of life.
+	Probe bool `cbor:"9,keyasint,omitempty"`
 }
 
 // ServiceCount is a number of credits for one service.
