A lapsed lease silences its holder; asks are withdrawn when nothing waits

Cause: the slots of a frozen entry were in use again only after 3.0 s. At the first lapse of their leases another entry got them, but passed them on to the frozen one, whose ask of before the freeze it still remembered for 2.5 s. An entry now withdraws its asks when nothing waits there, an ask is remembered for 0.7 s, and an agent offers nothing more to an entry that let a lease lapse until it is heard again. Ruled out: a shorter lease, which would not have changed who got the credits.

--- a/agent/slots.go
+++ b/agent/slots.go
@@ -143,7 +143,7 @@
 		if s.state != slotOffered || now < s.leaseEnd {
 			continue
 		}
-		if h := t.holders[s.holder]; h != nil && now-h.heard >= creditLease {
+		if h := t.holders[s.holder]; h != nil {
 			h.silent = true
 		}
 		t.takeBack(s)
--- a/placement/peers.go
+++ b/placement/peers.go
@@ -78,6 +78,19 @@
 	return []Ask{{Peer: id, Want: q.fair.waiting, Oldest: q.Oldest(now)}}
 }
 
+// withdraw takes back the asks that may still stand at peers: a credit that is
+// given to an entry without waiting tasks lies idle there.
+func (q *Queue) withdraw(now time.Time) []Ask {
+	var out []Ask
+	for id, p := range q.peers {
+		if !p.askedAt.IsZero() && now.Sub(p.askedAt) < wantLifetime {
+			out = append(out, Ask{Peer: id})
+		}
+		p.askedAt, p.backoff = time.Time{}, 0
+	}
+	return out
+}
+
 // richest returns the peer to ask next: the most credits to spare; ties are
 // broken at random. Peers whose earlier ask still stands are left out.
 func (q *Queue) richest(now time.Time) (string, *peerState) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -74,8 +74,8 @@
 // Times of the exchange of credits between entries.
 const (
 	askAgainAfter = 300 * time.Millisecond // an unmet ask to the same peer is repeated first
-	askAgainMax   = 2400 * time.Millisecond
+	askAgainMax   = 600 * time.Millisecond
 	askNextAfter  = 8 * time.Millisecond    // the next peer is asked if the last gave nothing
-	wantLifetime  = 2500 * time.Millisecond // a peer's unmet ask is remembered
+	wantLifetime  = 700 * time.Millisecond // a peer's unmet ask is remembered
 	idleAfter     = 2 * time.Second         // without a job, all spare credits are given
 )
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -193,6 +193,7 @@
 		d.Ask = q.ask(now)
 		return d
 	}
+	d.Ask = q.withdraw(now)
 	d.Give = append(d.Give, q.give(now)...)
 	return d
 }
--- a/placement/queue_test.go
+++ b/placement/queue_test.go
@@ -224,3 +224,20 @@
 		t.Fatalf("got %+v, want the early short job, then the long one before the late short one", d.Place)
 	}
 }
+
+func TestAskIsWithdrawnOnceNothingWaits(t *testing.T) {
+	q := newTestQueue(1, 1)
+	q.SetPeer("p")
+	q.Add(start, testJob(1, "", 1))
+	if d := q.Dispatch(start); len(d.Ask) != 1 || d.Ask[0].Want != 1 {
+		t.Fatalf("no ask: %+v", d)
+	}
+	q.AddCredits(credit(0, 0, 1))
+	now := start.Add(10 * time.Millisecond)
+	if d := q.Dispatch(now); len(d.Ask) != 1 || d.Ask[0].Want != 0 {
+		t.Fatalf("not withdrawn: %+v", d)
+	}
+	if d := q.Dispatch(now); len(d.Ask) != 0 {
+		t.Fatalf("withdrawn twice: %+v", d)
+	}
+}
