Spare credits go to a service's home entries unasked

An entry that is no home now passes its spare credits on 0.1 s after its last job, and a home asks others than homes only every 3 s. Ruled out: asking such peers never; a credit that a peer could not pass on (link down) would be stranded.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -184,7 +184,7 @@
 		case <-fast.C:
 			e.services.each(func(s *service) { s.poll() })
 		case <-slow.C:
-			e.services.each(func(s *service) { s.expire() })
+			e.services.each(func(s *service) { s.setHomes(); s.expire() })
 			e.agents.each(e.watch)
 		}
 	}
--- a/entry/service.go
+++ b/entry/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -321,11 +322,21 @@
 func (s *service) poll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.queue.Waiting() > 0 || s.queue.Wanted() {
-		s.dispatch(time.Now())
+	now := time.Now()
+	if s.queue.Waiting() > 0 || s.queue.Wanted() || s.queue.Surplus(now) {
+		s.dispatch(now)
 	}
 }
 
+// setHomes takes over which entries are homes of the service.
+func (s *service) setHomes() {
+	homes := s.e.homes(s.name)
+	others := slices.DeleteFunc(slices.Clone(homes), func(id string) bool { return id == s.e.self.ID })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queue.SetHomes(others, len(others) < len(homes))
+}
+
 // expire fails the jobs whose deadline has passed and the tasks of agents that
 // did not come back.
 func (s *service) expire() {
--- a/placement/peers.go
+++ b/placement/peers.go
@@ -72,12 +72,42 @@
 	if p == nil {
 		return nil
 	}
-	p.askedAt, p.backoff = now, min(max(askAgainAfter, 2*p.backoff), askAgainMax)
+	p.askedAt, p.backoff = now, q.askAgain(id, p)
 	p.spare = 0
 	q.lastAsk = now
 	return []Ask{{Peer: id, Want: q.fair.waiting, Oldest: q.Oldest(now)}}
 }
 
+// askAgain returns the time until a peer is asked again. One that is no home of
+// the service passes its credits on unasked.
+func (q *Queue) askAgain(id string, p *peerState) time.Duration {
+	if len(q.homes) > 0 && !slices.Contains(q.homes, id) || q.isHome && len(q.homes) == 0 {
+		return askOtherAgain
+	}
+	return min(max(askAgainAfter, 2*p.backoff), askAgainMax)
+}
+
+// SetHomes tells which other entries are homes of the service and whether this
+// one is. An entry that is none passes its spare credits on to a home.
+func (q *Queue) SetHomes(others []string, isHome bool) { q.homes, q.isHome = others, isHome }
+
+// Surplus reports whether there are spare credits for a home entry.
+func (q *Queue) Surplus(now time.Time) bool {
+	return !q.isHome && len(q.homes) > 0 && q.spare.count > 0 && q.fair.waiting == 0 && now.Sub(q.lastJob) >= keepFor
+}
+
+// giveHome passes spare credits on to a home entry.
+func (q *Queue) giveHome(now time.Time) []Give {
+	if !q.Surplus(now) {
+		return nil
+	}
+	credits := q.takeUpTo(now, q.spare.count)
+	if len(credits) == 0 {
+		return nil
+	}
+	return []Give{{Peer: q.homes[q.rng.IntN(len(q.homes))], Credits: credits}}
+}
+
 // withdraw takes back the asks that may still stand at peers: a credit that is
 // given to an entry without waiting tasks lies idle there.
 func (q *Queue) withdraw(now time.Time) []Ask {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -75,7 +75,9 @@
 const (
 	askAgainAfter = 300 * time.Millisecond // an unmet ask to the same peer is repeated first
 	askAgainMax   = 600 * time.Millisecond
-	askNextAfter  = 8 * time.Millisecond    // the next peer is asked if the last gave nothing
+	askNextAfter  = 8 * time.Millisecond   // the next peer is asked if the last gave nothing
+	askOtherAgain = 3 * time.Second        // of a peer that is no home of the service
+	keepFor       = 100 * time.Millisecond // after a job, before spare credits go to a home
 	wantLifetime  = 700 * time.Millisecond // a peer's unmet ask is remembered
-	idleAfter     = 2 * time.Second         // without a job, all spare credits are given
+	idleAfter     = 2 * time.Second        // without a job, all spare credits are given
 )
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -20,6 +20,8 @@
 	peers   map[string]*peerState
 	lastAsk time.Time
 	lastJob time.Time
+	homes   []string // other entries that are homes of the service
+	isHome  bool
 	eject   ejector
 	run     runTimes
 }
@@ -195,6 +197,7 @@
 	}
 	d.Ask = q.withdraw(now)
 	d.Give = append(d.Give, q.give(now)...)
+	d.Give = append(d.Give, q.giveHome(now)...)
 	return d
 }
 
--- a/placement/queue_test.go
+++ b/placement/queue_test.go
@@ -241,3 +241,17 @@
 		t.Fatalf("withdrawn twice: %+v", d)
 	}
 }
+
+func TestEntryThatIsNoHomePassesItsSpareCreditsOn(t *testing.T) {
+	q := newTestQueue(1, 2)
+	q.SetPeer("home")
+	q.SetHomes([]string{"home"}, false)
+	q.Add(start, testJob(1, "", 1))
+	q.AddCredits(credit(0, 0, 1), credit(0, 1, 1))
+	if d := q.Dispatch(start); len(d.Place) != 1 || len(d.Give) != 0 {
+		t.Fatalf("got %+v, want the task placed and nothing given yet", d)
+	}
+	if d := q.Dispatch(start.Add(keepFor)); len(d.Give) != 1 || d.Give[0].Peer != "home" || len(d.Give[0].Credits) != 1 {
+		t.Fatalf("got %+v, want the spare credit given to the home", d)
+	}
+}
