Hand inherited ledgers on, and name the run that inherits

Cause: an entry that stops handed over its own ledger only, not those it had inherited, and Heir named the heir by id. After the heir's own stop and restart the others forwarded tickets of the first entry to the heir's new run, which answered outcome_unknown ('the ticket belongs to another run') for ever. Ruled out: the agents' records (through the entry that knew no heir the same ticket was settled with its whole answer).

TestAnswersOutliveARollingRestartOfTheEntries: outcome_unknown through entry2 after the restart of entry1, for a whole and for a failed job. Now the stopping entry hands on every ledger it answers for, Heir names the heir's run, and a ticket whose heir was replaced is settled.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -96,15 +96,16 @@
 // authority returns the link to the run that answers for a ticket; closed is
 // true if that run is known to be gone.
 func (e *Entry) authority(t ledger.Ticket) (p *peerLink, closed bool) {
-	if heir := e.heirs.of(t.Incarnation); heir != "" {
-		return e.peers.get(heir), false
+	run := entryRun{id: t.Entry, incarnation: wire.Incarnation(t.Incarnation)}
+	if heir, ok := e.heirs.of(t.Incarnation); ok {
+		run = heir
 	}
-	p = e.peers.get(t.Entry)
+	p = e.peers.get(run.id)
 	if p == nil {
 		return nil, false
 	}
-	if uint64(p.incarnation) != t.Incarnation {
-		return nil, true // the entry was replaced: the issuing run is over
+	if p.incarnation != run.incarnation {
+		return nil, true // the entry was replaced: that run is over
 	}
 	return p, false
 }
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,11 +20,17 @@
 	flushTimeout    = time.Second
 )
 
+// entryRun is one run of an entry.
+type entryRun struct {
+	id          string
+	incarnation wire.Incarnation
+}
+
 // heirs knows who answers for the tickets of entries that stopped gracefully,
 // and keeps the ledgers that were handed to this one.
 type heirs struct {
 	mu        sync.Mutex
-	heirOf    map[uint64]string // by incarnation: id of the entry that answers
+	heirOf    map[uint64]entryRun // by incarnation: the run that answers
 	inherited map[uint64]*ledger.Book
 	partial   map[uint64]*ledger.Book // not yet whole
 	acks      map[uint64]chan struct{}
@@ -30,7 +38,7 @@
 
 func newHeirs() *heirs {
 	return &heirs{
-		heirOf:    map[uint64]string{},
+		heirOf:    map[uint64]entryRun{},
 		inherited: map[uint64]*ledger.Book{},
 		partial:   map[uint64]*ledger.Book{},
 		acks:      map[uint64]chan struct{}{},
@@ -44,17 +52,25 @@
 	return h.inherited[incarnation]
 }
 
-// of returns the entry that answers for a run that stopped, or "".
-func (h *heirs) of(incarnation uint64) string {
+// of returns the run that answers for one that stopped.
+func (h *heirs) of(incarnation uint64) (heir entryRun, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.heirOf[incarnation]
+	heir, ok = h.heirOf[incarnation]
+	return heir, ok
+}
+
+// books returns the inherited ledgers.
+func (h *heirs) books() []*ledger.Book {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Collect(maps.Values(h.inherited))
 }
 
 func (h *heirs) note(m *wire.Heir) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.heirOf[uint64(m.Incarnation)] = m.Heir
+	h.heirOf[uint64(m.Incarnation)] = entryRun{id: m.Heir, incarnation: m.HeirIncarnation}
 }
 
 // receive takes a part of a ledger; after the last, this entry answers for it.
@@ -145,33 +161,55 @@
 	})
 }
 
-// handOver gives the ledger to a peer and tells the others.
+// handOver gives the ledger, and those inherited from earlier stops, to a peer
+// and tells the others.
 func (e *Entry) handOver() {
+	books := append(e.heirs.books(), e.book)
 	for _, p := range e.peers.list() {
-		acked := e.heirs.expectAck(e.self.Incarnation)
-		e.sendLedger(p)
+		if !e.handOverTo(p, books) {
+			continue
+		}
+		for _, b := range books {
+			_, run := b.Run()
+			heir := &wire.Heir{Incarnation: wire.Incarnation(run), Heir: p.id, HeirIncarnation: p.incarnation}
+			e.peers.each(func(q *peerLink) { q.send(e, heir) })
+		}
+		e.log.Info().Str("peer", p.id).Int("ledgers", len(books)).Msg("ledgers handed over")
+		e.awaitFlush()
+		return
+	}
+	e.log.Warn().Msg("no peer took the ledger over")
+}
+
+// handOverTo sends ledgers to a peer and reports whether it confirmed them all.
+func (e *Entry) handOverTo(p *peerLink, books []*ledger.Book) bool {
+	timeout := time.After(handoverTimeout)
+	for _, b := range books {
+		_, run := b.Run()
+		acked := e.heirs.expectAck(wire.Incarnation(run))
+		e.sendLedger(p, b)
 		select {
 		case <-acked:
-			e.peers.each(func(q *peerLink) { q.send(e, &wire.Heir{Incarnation: e.self.Incarnation, Heir: p.id}) })
-			e.log.Info().Str("peer", p.id).Msg("ledger handed over")
-			e.awaitFlush()
-			return
 		case <-p.link.Done():
-		case <-time.After(handoverTimeout):
+			return false
+		case <-timeout:
+			return false
 		}
 	}
-	e.log.Warn().Msg("no peer took the ledger over")
+	return true
 }
 
-func (e *Entry) sendLedger(p *peerLink) {
-	m := &wire.Handover{Entry: e.self.ID, Incarnation: e.self.Incarnation}
-	e.book.Ended(func(seq uint64, d ledger.Digest, o *ledger.Outcome) {
+func (e *Entry) sendLedger(p *peerLink, b *ledger.Book) {
+	entry, run := b.Run()
+	part := func() *wire.Handover { return &wire.Handover{Entry: entry, Incarnation: wire.Incarnation(run)} }
+	m := part()
+	b.Ended(func(seq uint64, d ledger.Digest, o *ledger.Outcome) {
 		m.Jobs = append(m.Jobs, wire.SettledJob{
 			Seq: seq, Digest: d, Code: o.Code, Detail: o.Detail, Started: o.Started, Tasks: o.Tasks, Results: o.Results,
 		})
 		if len(m.Jobs) == handoverPart {
 			p.send(e, m)
-			m = &wire.Handover{Entry: e.self.ID, Incarnation: e.self.Incarnation}
+			m = part()
 		}
 	})
 	m.Last = true
--- a/integration/stop_test.go
+++ b/integration/stop_test.go
@@ -257,3 +257,43 @@
 		d.Oracle.Check(t)
 	})
 }
+
+func TestAnswersOutliveARollingRestartOfTheEntries(t *testing.T) {
+	d := deploy(t, harness.Options{})
+	jobs := []api.Job{harness.NewJob("whole", 5, 50*time.Millisecond), harness.NewJob("failing", 1, 50*time.Millisecond)}
+	jobs[1].Tasks[0].Payload = []byte(`{"runMs":20,"fail":true}`)
+	tickets, answers := make([]string, len(jobs)), make([]api.Answer, len(jobs))
+	for i, job := range jobs {
+		tickets[i] = mustTicket(t, newCaller(t), d.Entries[0])
+		answers[i] = await(t, d, tickets[i], job, submit(t.Context(), d.Entries[0], tickets[i], job))
+	}
+	wantCode(t, answers[0], result.OK)
+	wantCode(t, answers[1], result.TaskFailed)
+	for _, e := range d.Entries {
+		if err := e.Stop(stopLimit); err != nil {
+			t.Errorf("stop of %s: %v", e.ID, err)
+		}
+		e.Start(t)
+		d.WaitReady(t, 1)
+		for i, job := range jobs {
+			wantSettledAlike(t, d, tickets[i], job, answers[i])
+		}
+	}
+	d.Oracle.Check(t)
+}
+
+// wantSettledAlike resubmits through every entry: a whole answer must come again
+// as it was; one that was failed may be known from a settlement alone.
+func wantSettledAlike(t *testing.T, d *harness.Deployment, ticket string, job api.Job, first api.Answer) {
+	t.Helper()
+	for _, through := range d.Entries {
+		got := await(t, d, ticket, job, submit(t.Context(), through, ticket, job))
+		if first.Code != result.OK {
+			wantCode(t, got, first.Code, result.SettledFailed)
+			continue
+		}
+		if diff := cmp.Diff(first, got); diff != "" {
+			t.Errorf("answer through %s differs (-first +now):\n%s", through.ID, diff)
+		}
+	}
+}
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -85,6 +85,9 @@
 	return &Book{entry: entry, incarnation: incarnation, maxBytes: maxBytes, used: map[uint64]uint64{}, records: map[uint64]*Record{}}
 }
 
+// Run returns the entry's run whose tickets the book holds.
+func (b *Book) Run() (entry string, incarnation uint64) { return b.entry, b.incarnation }
+
 // Issue returns n new tickets, or none once the book is closed.
 func (b *Book) Issue(n int, now time.Time) []Ticket {
 	b.mu.Lock()
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -243,11 +243,11 @@
 
 // CreditAsk asks a peer for credits; the peer remembers what it cannot give yet.
 type CreditAsk struct {
-	Service string         `cbor:"1,keyasint"`
-	Want    int            `cbor:"2,keyasint"` // 0 withdraws an earlier ask
+	Service string `cbor:"1,keyasint"`
+	Want    int    `cbor:"2,keyasint"` // 0 withdraws an earlier ask
 	// OldestMS is how long the sender's oldest waiting task has waited.
-	OldestMS int64 `cbor:"4,keyasint"`
-	Spare   []ServiceCount `cbor:"3,keyasint,omitempty"`
+	OldestMS int64          `cbor:"4,keyasint"`
+	Spare    []ServiceCount `cbor:"3,keyasint,omitempty"`
 }
 
 // CreditGive passes credits on to a peer.
@@ -259,10 +259,10 @@
 
 // Forward hands a caller's request on to the entry that issued its ticket.
 type Forward struct {
-	Request  uint64 `cbor:"1,keyasint"`
-	Method   string `cbor:"2,keyasint"`
-	Ticket   string `cbor:"3,keyasint"`
-	Body     []byte `cbor:"4,keyasint"`
+	Request uint64 `cbor:"1,keyasint"`
+	Method  string `cbor:"2,keyasint"`
+	Ticket  string `cbor:"3,keyasint"`
+	Body    []byte `cbor:"4,keyasint"`
 }
 
 // ForwardReply answers Forward.
@@ -296,8 +296,9 @@
 	Incarnation Incarnation `cbor:"1,keyasint"`
 }
 
-// Heir tells the entries who answers for the tickets of an entry that stopped.
+// Heir tells the entries who answers for the tickets of a run that stopped.
 type Heir struct {
-	Incarnation Incarnation `cbor:"1,keyasint"`
-	Heir        string      `cbor:"2,keyasint"`
+	Incarnation     Incarnation `cbor:"1,keyasint"`
+	Heir            string      `cbor:"2,keyasint"`
+	HeirIncarnation Incarnation `cbor:"3,keyasint"`
 }
