An heir says not run only of tickets that it can know of

The heir called every ticket without a record issuer_closed, that is not run. Now it answers outcome_unknown for tickets past their lifetime.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -178,9 +178,10 @@
 		}
 		return outcomeAnswer(text, rec.Outcome())
 	}
-	if rec, used := book.Find(t.Seq); rec != nil {
+	if rec, _ := book.Find(t.Seq); rec != nil {
 		return outcomeAnswer(text, rec.Outcome())
-	} else if used {
+	}
+	if book.Forgot(t, time.Now()) {
 		return errorAnswer(text, result.Errorf(result.OutcomeUnknown, "the answer is no longer kept"))
 	}
 	return errorAnswer(text, result.Errorf(result.IssuerClosed, "the issuing entry shut down"))
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -80,8 +80,7 @@
 	run := uint64(m.Incarnation)
 	book, ok := h.partial[run]
 	if !ok {
-		book = ledger.NewBook(m.Entry, run, e.cfg.Limits.ResultBytes)
-		book.Close()
+		book = ledger.NewInheritedBook(m.Entry, run, e.cfg.Limits.ResultBytes)
 		h.partial[run] = book
 	}
 	for _, j := range m.Jobs {
@@ -187,7 +186,9 @@
 	for _, b := range books {
 		_, run := b.Run()
 		acked := e.heirs.expectAck(wire.Incarnation(run))
-		e.sendLedger(p, b)
+		if !e.sendLedger(p, b) {
+			return false
+		}
 		select {
 		case <-acked:
 		case <-p.link.Done():
@@ -199,21 +200,23 @@
 	return true
 }
 
-func (e *Entry) sendLedger(p *peerLink, b *ledger.Book) {
+// sendLedger reports whether every part was queued: without one of them the
+// peer would call tickets unused that were used.
+func (e *Entry) sendLedger(p *peerLink, b *ledger.Book) bool {
 	entry, run := b.Run()
 	part := func() *wire.Handover { return &wire.Handover{Entry: entry, Incarnation: wire.Incarnation(run)} }
-	m := part()
+	m, whole := part(), true
 	b.Ended(func(seq uint64, d ledger.Digest, o *ledger.Outcome) {
 		m.Jobs = append(m.Jobs, wire.SettledJob{
 			Seq: seq, Digest: d, Code: o.Code, Detail: o.Detail, Started: o.Started, Tasks: o.Tasks, Results: o.Results,
 		})
 		if len(m.Jobs) == handoverPart {
-			p.send(e, m)
+			whole = whole && p.send(e, m)
 			m = part()
 		}
 	})
 	m.Last = true
-	p.send(e, m)
+	return whole && p.send(e, m)
 }
 
 // awaitFlush waits until the links have written what was queued.
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -77,6 +77,8 @@
 	holding []uint64 // those whose results are kept, oldest first
 	bytes   int
 	closed  bool
+
+	inherited bool // what was forgotten before the handover is not in used
 }
 
 // NewBook returns the empty book of an entry's run. Results of ended jobs are
@@ -85,6 +87,14 @@
 	return &Book{entry: entry, incarnation: incarnation, maxBytes: maxBytes, used: map[uint64]uint64{}, records: map[uint64]*Record{}}
 }
 
+// NewInheritedBook returns a closed book for a run that stopped, to be filled
+// by Restore.
+func NewInheritedBook(entry string, incarnation uint64, maxBytes int) *Book {
+	b := NewBook(entry, incarnation, maxBytes)
+	b.closed, b.inherited = true, true
+	return b
+}
+
 // Run returns the entry's run whose tickets the book holds.
 func (b *Book) Run() (entry string, incarnation uint64) { return b.entry, b.incarnation }
 
@@ -123,7 +133,7 @@
 		}
 		return rec, false, nil
 	}
-	if b.isUsed(t.Seq) {
+	if b.forgot(t, now) {
 		return nil, false, result.Errorf(result.OutcomeUnknown, "the answer is no longer kept")
 	}
 	if t.Seq == 0 || t.Seq > b.issued && !b.closed {
@@ -135,7 +145,7 @@
 	switch {
 	case b.closed:
 		b.end(t.Seq, rec, &Outcome{Code: result.IssuerClosed, Detail: "the entry takes no new jobs"}, now)
-	case now.Sub(time.Unix(t.Issued, 0)) > TicketLifetime:
+	case expired(t, now):
 		b.end(t.Seq, rec, &Outcome{Code: result.TicketExpired, Detail: "the ticket is past its lifetime"}, now)
 	default:
 		return rec, true, nil
@@ -223,15 +233,31 @@
 	}
 }
 
-// Restore adds an ended record received from the entry that made it.
+// Restore adds an ended record received from the entry that made it. The record
+// of a ticket that was withdrawn has no digest.
 func (b *Book) Restore(seq uint64, d Digest, o *Outcome, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if _, ok := b.records[seq]; ok {
 		return
 	}
-	rec := &Record{Digest: d, done: make(chan struct{})}
+	rec := &Record{Digest: d, withdrawn: d == Digest{}, done: make(chan struct{})}
 	b.records[seq] = rec
 	b.use(seq)
 	b.end(seq, rec, o, now)
 }
+
+// Forgot reports whether a ticket of which the book has no record may have been
+// submitted.
+func (b *Book) Forgot(t Ticket, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.forgot(t, now)
+}
+
+// forgot relies on records outliving the lifetime of their tickets.
+func (b *Book) forgot(t Ticket, now time.Time) bool {
+	return b.isUsed(t.Seq) || b.inherited && expired(t, now)
+}
+
+func expired(t Ticket, now time.Time) bool { return now.Sub(time.Unix(t.Issued, 0)) > TicketLifetime }
