--- a/agent/records.go
+++ b/agent/records.go
@@ -9,8 +9,9 @@
 	"bergamotwing.example/wire"
 )
 
-// How long starts and fences are kept. Settlements rely on the former; the
-// deadline of every job that a fence concerns is over well before the latter.
+// How long starts and fences are kept. Settlements take a start that no agent
+// reports for one that never was, for as long as the former; the deadline of
+// every job that a fence concerns is over well before the latter.
 const (
 	startsKept = ledger.StartRecordRetention
 	fencesKept = 30 * time.Minute
--- a/agent/slots.go
+++ b/agent/slots.go
@@ -10,8 +10,8 @@
 // Times of slot credits.
 const (
 	creditLease      = 1600 * time.Millisecond // a credit unconfirmed for longer is taken back
-	rampTime         = time.Second            // from opening until all slots are offered
-	unreachablePause = 250 * time.Millisecond // before a slot is offered again after a failed dial
+	rampTime         = time.Second             // from opening until all slots are offered
+	unreachablePause = 250 * time.Millisecond  // before a slot is offered again after a failed dial
 )
 
 // rampFirstShare is the share of the slots (one in so many) offered at opening.
--- a/client/api/api.go
+++ b/client/api/api.go
@@ -9,7 +9,7 @@
 
 // Paths of the callers' and the operators' listeners.
 const (
-	PathTickets = "/v1/tickets" // POST ?count=N: Tickets
+	PathTickets = "/v1/tickets" // POST ?count=N&service=S: Tickets of an entry that places S's tasks
 	PathJobs    = "/v1/jobs"    // POST, PUT|GET|DELETE /{ticket}: Answer
 	PathHealth  = "/healthz"    // callers: 200 ready, 503 not
 	PathNotes   = "/v1/notes"   // operators: POST a note, GET the list, GET /{id}
@@ -134,6 +134,7 @@
 	VouchAgeMS int64          `json:"vouchAgeMs"` // since the version was last known current; -1 never
 	Holds      []release.Hold `json:"holds,omitempty"`
 	OpenJobs   int            `json:"openJobs"`
+	Members    []string       `json:"members,omitempty"` // ids of the entries that majorities are counted of
 	Entries    []EntryView    `json:"entries"`
 	Agents     []AgentView    `json:"agents"`
 	Services   []ServiceView  `json:"services"`
--- a/entry/control.go
+++ b/entry/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"slices"
 	"sync/atomic"
@@ -19,7 +18,8 @@
 type view struct {
 	State      *release.State // nil until a configuration is known
 	Holds      []release.Hold
-	Registered []string    // ids of the entries in the table, as last read
+	Registered []wire.Peer // entries in the table, as last read
+	Members    []string    // ids of these and of the entries linked at that time; majorities are of them
 	Peers      []wire.Peer // entries known, without this one
 	StoreRead  time.Time   // start of the last successful reading of the version
 	StoreDown  bool        // the last reading failed
@@ -41,6 +41,10 @@
 	}
 	storeFailed struct{}
 	holdAdded   struct{ holds []release.Hold }
+	holdEnded   struct {
+		noteID string
+		state  *release.State // after the note; nil if the hold has no object any more
+	}
 	entriesRead struct{ rows []platform.EntryRecord }
 	peerHeard   struct{ peers []wire.Peer }
 	ackTo       struct{ peer *peerLink } // confirm the version in force to a peer
@@ -53,6 +57,7 @@
 	system *actor.ActorSystem
 	pid    *actor.PID
 	now    atomic.Pointer[view]
+	ended  map[string]bool // note ids of holds that are over; the actor's own
 	// known is the moment, in nanoseconds since the entry's start, at which the
 	// version in force was last known to be current; 0 is never. Peers' beats
 	// raise it without passing through the actor.
@@ -60,10 +65,11 @@
 }
 
 func newControl(e *Entry) *control {
-	quiet := actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
-		return slog.New(slog.NewTextHandler(io.Discard, nil))
-	})
-	c := &control{e: e, system: actor.NewActorSystem(quiet)}
+	c := &control{e: e, system: actor.NewActorSystem(
+		actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) }),
+		// Messages to a stopped actor start a goroutine that lives this long.
+		actor.WithDeadLetterThrottleInterval(time.Millisecond),
+	), ended: map[string]bool{}}
 	c.now.Store(&view{})
 	c.pid = c.system.Root.Spawn(actor.PropsFromFunc(c.receive))
 	return c
@@ -77,6 +83,7 @@
 // run starts the goroutines that read the store on the actor's behalf.
 func (c *control) run(ctx context.Context) {
 	c.e.background(ctx, c.readVersions)
+	c.e.background(ctx, c.confirmVersions)
 	c.e.background(ctx, c.register)
 	c.e.background(ctx, c.writeHolds)
 }
@@ -101,12 +108,16 @@
 		next.StoreDown = true
 	case holdAdded:
 		c.addHolds(&next, m.holds)
+	case holdEnded:
+		c.adopt(&next, m.state)
+		c.ended[m.noteID] = true
+		next.Holds = slices.DeleteFunc(slices.Clone(next.Holds), func(h release.Hold) bool { return h.NoteID == m.noteID })
 	case entriesRead:
 		c.members(&next, m.rows)
 	case peerHeard:
 		c.addPeers(&next, m.peers)
 	case ackTo:
-		m.peer.send(c.e, &wire.ConfigAck{Version: next.version()})
+		m.peer.send(&wire.ConfigAck{Version: next.version()})
 		return
 	default:
 		return
@@ -128,7 +139,7 @@
 
 func (c *control) addHolds(next *view, holds []release.Hold) {
 	for _, h := range holds {
-		if next.State.HasNote(h.NoteID) || slices.Contains(next.Holds, h) {
+		if c.ended[h.NoteID] || next.State.HasNote(h.NoteID) || slices.Contains(next.Holds, h) {
 			continue
 		}
 		next.Holds = append(slices.Clone(next.Holds), h)
@@ -136,19 +147,39 @@
 }
 
 func (c *control) members(next *view, rows []platform.EntryRecord) {
-	next.Registered = nil
-	var peers []wire.Peer
+	peers := make([]wire.Peer, 0, len(rows))
 	for _, r := range rows {
-		next.Registered = append(next.Registered, r.ID)
 		peers = append(peers, wire.Peer{ID: r.ID, Incarnation: wire.Incarnation(r.Incarnation), Addr: r.Addr, Zone: r.Zone})
 	}
+	next.Registered = peers
+	next.Members = c.e.withLinked(ids(peers))
 	// An entry that is neither in the table nor linked is gone.
 	next.Peers = slices.DeleteFunc(slices.Clone(next.Peers), func(p wire.Peer) bool {
-		return !slices.Contains(next.Registered, p.ID) && c.e.peers.get(p.ID) == nil
+		registered := slices.ContainsFunc(peers, func(r wire.Peer) bool { return r.ID == p.ID })
+		return !registered && c.e.peers.get(p.ID) == nil
 	})
 	c.addPeers(next, peers)
 }
 
+func ids(peers []wire.Peer) []string {
+	out := make([]string, len(peers))
+	for i, p := range peers {
+		out[i] = p.ID
+	}
+	return out
+}
+
+// withLinked adds the ids of the entries linked now.
+func (e *Entry) withLinked(members []string) []string {
+	out := slices.Clone(members)
+	e.peers.each(func(p *peerLink) {
+		if !slices.Contains(out, p.id) {
+			out = append(out, p.id)
+		}
+	})
+	return out
+}
+
 // addPeers merges what is heard of other entries.
 func (c *control) addPeers(next *view, heard []wire.Peer) {
 	peers := slices.Clone(next.Peers)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -185,7 +185,7 @@
 			e.services.each(func(s *service) { s.poll() })
 		case <-slow.C:
 			e.services.each(func(s *service) { s.expire() })
-			e.agents.each(func(a *agentLink) { e.beatIfDue(a) })
+			e.agents.each(e.watch)
 		}
 	}
 }
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -91,7 +91,7 @@
 	}
 	delete(h.partial, run)
 	h.inherited[run] = book
-	p.send(e, &wire.HandoverAck{Incarnation: m.Incarnation})
+	p.send(&wire.HandoverAck{Incarnation: m.Incarnation})
 	e.log.Info().Str("peer", p.id).Msg("ledger of a stopping entry taken over")
 }
 
@@ -123,6 +123,7 @@
 func (e *Entry) stop(s *servers) {
 	e.log.Info().Int64("open_jobs", e.openJobs.Load()).Msg("entry stops")
 	e.stopping.Store(true)
+	e.peers.each(e.beatPeer)
 	e.book.Close()
 	deadline := time.Now().Add(e.cfg.StopTimeout.D())
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
@@ -171,7 +172,7 @@
 		for _, b := range books {
 			_, run := b.Run()
 			heir := &wire.Heir{Incarnation: wire.Incarnation(run), Heir: p.id, HeirIncarnation: p.incarnation}
-			e.peers.each(func(q *peerLink) { q.send(e, heir) })
+			e.peers.each(func(q *peerLink) { q.send(heir) })
 		}
 		e.log.Info().Str("peer", p.id).Int("ledgers", len(books)).Msg("ledgers handed over")
 		e.awaitFlush()
@@ -211,12 +212,12 @@
 			Seq: seq, Digest: d, Code: o.Code, Detail: o.Detail, Started: o.Started, Tasks: o.Tasks, Results: o.Results,
 		})
 		if len(m.Jobs) == handoverPart {
-			whole = whole && p.send(e, m)
+			whole = whole && p.send(m)
 			m = part()
 		}
 	})
 	m.Last = true
-	return whole && p.send(e, m)
+	return whole && p.send(m)
 }
 
 // awaitFlush waits until the links have written what was queued.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -42,15 +42,13 @@
 	acked   atomic.Uint64 // version it has confirmed
 	clock   atomic.Int64  // newest clock reading received from it
 	heardAt atomic.Int64  // entry clock, ms
-	sentAt  atomic.Int64  // entry clock, ms
+	beatAt  atomic.Int64  // entry clock, ms, of the last beat sent: no other message carries its report
 	fast    atomic.Bool   // it asked for frequent beats
+	leaving atomic.Bool   // it is stopping
 }
 
 // send queues m; it returns false if the link is closed.
-func (p *peerLink) send(e *Entry, m wire.Message) bool {
-	p.sentAt.Store(e.clock())
-	return p.link.Send(m) == nil
-}
+func (p *peerLink) send(m wire.Message) bool { return p.link.Send(m) == nil }
 
 // peerSet holds the entries linked now.
 type peerSet struct {
@@ -152,7 +150,7 @@
 				wait = redialFirst
 			}
 		}
-		if !pause(ctx, wait/2+rand.N(wait)) {
+		if !pause(ctx, wait/2+rand.N(wait)) { //nolint:gosec // spreads load, keeps no secret
 			return
 		}
 		wait = min(2*wait, redialLongest)
@@ -252,6 +250,10 @@
 	case *wire.ConfigAck:
 		p.acked.Store(m.Version)
 	case *wire.Forward:
+		if m.Method == methodTickets {
+			e.issueToPeer(p, m)
+			return
+		}
 		e.background(context.Background(), func(context.Context) { e.answerForward(p, m) })
 	case *wire.ForwardReply:
 		e.forwards.reply(m)
@@ -274,11 +276,12 @@
 	}
 	p.report.Store(&peerReport{version: m.Version, echo: m.Echo})
 	p.fast.Store(m.Fast)
+	p.leaving.Store(m.Leaving)
 	e.control.send(holdAdded{holds: m.Holds})
 	e.control.vouchedBy(m.Vouch)
 	if m.Version < e.control.view().version() {
 		v := e.control.view()
-		p.send(e, &wire.Config{State: v.State, Holds: v.Holds})
+		p.send(&wire.Config{State: v.State, Holds: v.Holds})
 	}
 	for _, c := range m.Spare {
 		e.services.get(c.Service).peerSpare(p.id, c.Count)
@@ -295,10 +298,10 @@
 			continue
 		}
 		every := peerBeatEvery
-		if p.fast.Load() || e.control.view().StoreDown {
+		if p.fast.Load() || e.control.storeLate() {
 			every = peerBeatFast
 		}
-		if now-p.sentAt.Load() >= every.Milliseconds() {
+		if now-p.beatAt.Load() >= every.Milliseconds() {
 			e.beatPeer(p)
 		}
 	}
@@ -307,18 +310,20 @@
 func (e *Entry) beatPeer(p *peerLink) {
 	// The echo is read before the version: the version is then at least as new
 	// as the moment the echo stands for.
+	p.beatAt.Store(e.clock())
 	echo := p.clock.Load()
 	v := e.control.view()
 	var spare []wire.ServiceCount
 	e.services.each(func(s *service) { spare = append(spare, s.spare()) })
-	p.send(e, &wire.PeerBeat{
+	p.send(&wire.PeerBeat{
 		Clock:   e.clock(),
 		Echo:    echo,
 		Version: v.version(),
 		Vouch:   e.control.vouch(&p.clocks),
 		Holds:   v.Holds,
 		Spare:   spare,
-		Fast:    v.StoreDown,
+		Fast:    e.control.storeLate(),
+		Leaving: e.stopping.Load(),
 	})
 }
 
--- a/entry/status.go
+++ b/entry/status.go
@@ -21,7 +21,7 @@
 	v := e.control.view()
 	s := api.Status{
 		Entry: e.self.ID, Version: v.version(), Holds: v.Holds, OpenJobs: int(e.openJobs.Load()),
-		StoreAgeMS: -1, VouchAgeMS: -1,
+		StoreAgeMS: -1, VouchAgeMS: -1, Members: v.Members,
 	}
 	if v.State != nil {
 		s.NoteID = v.State.NoteID
@@ -95,7 +95,7 @@
 		out = append(out, "this entry cannot vouch for the version: agents that rely on it alone start nothing")
 	}
 	for _, h := range s.Holds {
-		out = append(out, fmt.Sprintf("zone %s is held out of service, not durable yet", h.Zone))
+		out = append(out, fmt.Sprintf("zone %s is held out of service by note %s, not durable yet", h.Zone, h.NoteID))
 	}
 	for _, p := range s.Entries {
 		if !p.Linked {
--- a/integration/harness/metrics.go
+++ b/integration/harness/metrics.go
@@ -8,6 +8,13 @@
 	"testing"
 )
 
+// Counter returns the sum of an agent's counter over all its labels, or 0 if it
+// has not counted yet.
+func (a *Agent) Counter(t testing.TB, name string) float64 {
+	t.Helper()
+	return Metric(t, a.MetricsURL, name, "")
+}
+
 // Metric reads the metrics at url and returns the sum of the series called
 // name whose labels contain label, or 0 if there is none.
 func Metric(t testing.TB, url, name, label string) float64 {
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -233,6 +233,8 @@
 	Holds []release.Hold `cbor:"5,keyasint,omitempty"`
 	Spare []ServiceCount `cbor:"6,keyasint,omitempty"`
 	Fast  bool           `cbor:"7,keyasint,omitempty"` // the sender cannot read the store and needs beats often
+	// Leaving says that the sender is stopping and issues no more tickets.
+	Leaving bool `cbor:"8,keyasint,omitempty"`
 }
 
 // ServiceCount is a number of credits for one service.
