Tests of late results, one ticket at every entry at once, failing endpoints

Rows of docs/PROOFS.md without a test. The late results come 1 s after their tasks through a delay on the links; 24 copies of two bodies go to three entries at once, over three seeds; endpoints fail all, never answer, or answer one byte over the limit.

--- a/integration/jobs_test.go
+++ b/integration/jobs_test.go
@@ -369,3 +369,99 @@
 	}
 	d.Oracle.Check(t)
 }
+
+func TestResultAfterTheDeadlineDoesNotChangeTheAnswer(t *testing.T) {
+	d := deploy(t, harness.Options{})
+	entry := d.Entries[0]
+	job := harness.NewJob("late", 6, 700*time.Millisecond)
+	job.DeadlineMS = time.Second.Milliseconds()
+	ticket := mustTicket(t, newCaller(t), entry)
+	running := submit(t.Context(), entry, ticket, job)
+	waitStarted(t, d, len(job.Tasks))
+	for _, a := range d.Agents {
+		entry.Links.Delay(time.Second, a.ID)
+	}
+	answer := await(t, d, ticket, job, running)
+	wantCode(t, answer, result.DeadlinePassed)
+	waitFinished(t, d, len(job.Tasks))
+	for _, a := range d.Agents {
+		entry.Links.Delay(0, a.ID)
+	}
+	harness.Eventually(t, answerLimit, "the late results have arrived", func() bool { return runningAt(t, d, entry) == 0 })
+	wantSameAnswerEverywhere(t, d, ticket, job, answer)
+	d.Oracle.Check(t)
+}
+
+func TestSameTicketAtEveryEntryAtOnceRunsOneJob(t *testing.T) {
+	const copies = 4 // of each submission at each entry
+	harness.Sweep(t, 3, func(t *testing.T, seed uint64) {
+		d := deploy(t, harness.Options{})
+		rng := rand.New(rand.NewPCG(seed, 0))
+		ticket := mustTicket(t, newCaller(t), d.Entries[rng.IntN(len(d.Entries))])
+		bodies := []api.Job{harness.NewJob("one", 4, 200*time.Millisecond), harness.NewJob("other", 4, 200*time.Millisecond)}
+		replies := make([][]<-chan reply, len(bodies))
+		for range copies * len(d.Entries) * len(bodies) {
+			body := rng.IntN(len(bodies))
+			replies[body] = append(replies[body], submit(t.Context(), d.Entries[rng.IntN(len(d.Entries))], ticket, bodies[body]))
+		}
+		winners := 0
+		for body, job := range bodies {
+			if wantOneAnswer(t, d, ticket, job, replies[body]) == result.OK {
+				winners++
+			}
+		}
+		if winners != 1 {
+			t.Errorf("%d bodies ran under one ticket", winners)
+		}
+		if n := len(d.Oracle.MustStarts(t)); n != len(bodies[0].Tasks) {
+			t.Errorf("%d tasks started", n)
+		}
+		d.Oracle.Check(t)
+	})
+}
+
+// wantOneAnswer checks that all copies of a submission have the same answer,
+// ok or ticket_reused, and returns its code.
+func wantOneAnswer(t *testing.T, d *harness.Deployment, ticket string, job api.Job, replies []<-chan reply) result.Code {
+	t.Helper()
+	var first api.Answer
+	for i, r := range replies {
+		answer := await(t, d, ticket, job, r)
+		if i == 0 {
+			first = answer
+		}
+		if diff := cmp.Diff(first, answer); diff != "" {
+			t.Errorf("copies of a submission differ:\n%s", diff)
+		}
+	}
+	wantCode(t, first, result.OK, result.TicketReused)
+	return first.Code
+}
+
+func TestEndpointFaultFailsTheWholeJob(t *testing.T) {
+	const overLimit = 4<<20 + 1 // bytes of a result
+	large := harness.NewJob("large", 8, 50*time.Millisecond)
+	large.Tasks[3].Payload = fmt.Appendf(nil, `{"resultBytes":%d}`, overLimit)
+	plain := harness.NewJob("plain", 24, 50*time.Millisecond)
+	cases := []struct {
+		name   string
+		faults harness.EndpointFaults
+		job    api.Job
+		code   result.Code
+	}{
+		{"fails", harness.EndpointFaults{FailAll: true}, plain, result.TaskFailed},
+		{"never answers", harness.EndpointFaults{NeverAnswer: true}, plain, result.EndpointTimeout},
+		{"answers too much", harness.EndpointFaults{}, large, result.ResultTooLarge},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := deploy(t, harness.Options{})
+			d.Agents[1].Endpoint.Control(t, c.faults)
+			ticket := mustTicket(t, newCaller(t), d.Entries[0])
+			answer := await(t, d, ticket, c.job, submit(t.Context(), d.Entries[0], ticket, c.job))
+			wantCode(t, answer, c.code)
+			wantSameAnswerEverywhere(t, d, ticket, c.job, answer)
+			d.Oracle.Check(t)
+		})
+	}
+}
