Keep the frozen processes of a test from the hangup of its shell

Cause: when the shell that started a test binary ends, its process group is orphaned, and the kernel sends SIGHUP to groups with stopped members: a stand-in that a test had frozen ended, and thawing it failed ("process is not running"). Each process now has a process group of its own. The error says how the process ended.

Ruled out: the stand-in and other test runs; the state of the process was "signal: hangup" in a trial that let the shell end during the freeze.

--- a/integration/harness/process.go
+++ b/integration/harness/process.go
@@ -67,7 +67,9 @@
 	defer p.mu.Unlock()
 	cmd := exec.Command(binaryFile, p.args...) //nolint:gosec // the binary that Build made
 	cmd.Stdout, cmd.Stderr = &p.log, &p.log
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	// In a process group of its own a frozen process gets no SIGHUP when the
+	// shell that started the tests ends.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	if err := cmd.Start(); err != nil {
 		t.Fatalf("start %s: %v", p.Name, err)
 	}
@@ -154,10 +156,10 @@
 }
 
 func (p *Process) signal(s os.Signal) error {
+	cmd, _ := p.current()
 	if !p.Running() {
-		return ErrNotRunning
+		return eris.Wrapf(ErrNotRunning, "%s: %s", p.Name, cmd.ProcessState)
 	}
-	cmd, _ := p.current()
 	return eris.Wrapf(cmd.Process.Signal(s), "signal %s", p.Name)
 }
 
