--- a/agent/running.go
+++ b/agent/running.go
@@ -39,6 +39,18 @@
 	r.changed = make(chan struct{})
 }
 
+// hasOf reports whether a task of an entry's run is running.
+func (r *running) hasOf(run entryRun) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for task := range r.cancels {
+		if issuerOf(task.Ticket) == run {
+			return true
+		}
+	}
+	return false
+}
+
 // setClosed makes add refuse tasks, or take them again.
 func (r *running) setClosed(closed bool) {
 	r.mu.Lock()
--- a/entry/control.go
+++ b/entry/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"slices"
 	"sync/atomic"
@@ -66,10 +65,11 @@
 }
 
 func newControl(e *Entry) *control {
-	quiet := actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
-		return slog.New(slog.NewTextHandler(io.Discard, nil))
-	})
-	c := &control{e: e, system: actor.NewActorSystem(quiet), ended: map[string]bool{}}
+	c := &control{e: e, system: actor.NewActorSystem(
+		actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) }),
+		// Messages to a stopped actor start a goroutine that lives this long.
+		actor.WithDeadLetterThrottleInterval(time.Millisecond),
+	), ended: map[string]bool{}}
 	c.now.Store(&view{})
 	c.pid = c.system.Root.Spawn(actor.PropsFromFunc(c.receive))
 	return c
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -40,6 +40,18 @@
 	return f.next, w
 }
 
+// waitFor reports whether requests wait for a peer's reply.
+func (f *forwards) waitFor(p *peerLink) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, w := range f.waiting {
+		if w.peer == p {
+			return true
+		}
+	}
+	return false
+}
+
 func (f *forwards) drop(id uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -157,7 +169,7 @@
 func (e *Entry) answerForwarded(ctx context.Context, m *wire.Forward) api.Answer {
 	t, err := ledger.DecodeTicket(m.Ticket, e.ticketKeys)
 	if err != nil {
-		return errorAnswer(m.Ticket, err)
+		return errorAnswer("", err)
 	}
 	if t.Entry == e.self.ID && t.Incarnation == uint64(e.self.Incarnation) {
 		return e.requestHere(ctx, m.Method, t, m.Ticket, m.Body)
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -108,14 +108,16 @@
 func (e *Entry) stop(s *servers) {
 	e.log.Info().Int64("open_jobs", e.openJobs.Load()).Msg("entry stops")
 	e.stopping.Store(true)
+	e.peers.each(func(p *peerLink) { e.beatPeer(p, false) })
 	e.book.Close()
 	deadline := time.Now().Add(e.cfg.StopTimeout.D())
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	pause(ctx, drainDelay)
-	for e.openJobs.Load() > 0 && pause(ctx, dispatchTick) {
+	for e.busy() && pause(ctx, dispatchTick) {
 	}
 	e.failOpenJobs()
+	e.requests.end()
 	e.handOver()
 	e.control.deregister()
 	closing, cancelClosing := context.WithTimeout(context.Background(), closeTimeout)
@@ -129,6 +131,10 @@
 	e.listeners.close()
 }
 
+// busy reports whether a job of this run or a caller's request is open. A
+// request may be for a job of another run, to which it was forwarded.
+func (e *Entry) busy() bool { return e.openJobs.Load() > 0 || e.requests.count.Load() > 0 }
+
 // failOpenJobs ends what did not finish within the stop's time.
 func (e *Entry) failOpenJobs() {
 	e.services.each(func(s *service) {
--- a/entry/service.go
+++ b/entry/service.go
@@ -127,6 +127,9 @@
 // dispatch sends what the queue decides. The lock is held.
 func (s *service) dispatch(now time.Time) {
 	d := s.queue.Dispatch(now)
+	for _, id := range d.Drop {
+		s.drop(id)
+	}
 	for _, p := range d.Place {
 		s.grant(now, p)
 	}
@@ -138,11 +141,18 @@
 	}
 }
 
+// drop answers a job that started nothing and would miss its deadline.
+func (s *service) drop(id placement.JobID) {
+	if j, ok := s.jobs[id]; ok {
+		s.fail(id, j, result.DeadlineUnmet, result.DeadlinePassed, "")
+	}
+}
+
 func (s *service) grant(now time.Time, p placement.Placement) {
 	a := s.e.agents.get(p.Credit.Agent)
 	if a == nil || uint64(a.incarnation) != p.Credit.Incarnation {
 		s.queue.Refused(p.Credit.Agent)
-		s.queue.Again(now, p.Task)
+		s.queue.Again(p.Task)
 		return
 	}
 	j, ok := s.jobs[p.Task.Job]
@@ -162,7 +172,7 @@
 	// The link was closed before the grant was queued, so it was not sent.
 	s.queue.Refused(a.id)
 	if j.Refuse(p.Task.Index, attempt, a.id, uint64(a.incarnation)) {
-		s.queue.Again(now, p.Task)
+		s.queue.Again(p.Task)
 	}
 }
 
@@ -170,12 +180,6 @@
 	spec := &j.Spec
 	t := &spec.Tasks[p.Task.Index]
 	left := spec.Deadline.Sub(now).Milliseconds()
-	timeout := left
-	if state := s.e.control.view().State; state != nil {
-		if limit := state.Services[s.name].MaxTaskMS; limit > 0 {
-			timeout = min(timeout, limit)
-		}
-	}
 	return &wire.Grant{
 		Task:       wire.TaskRef{Ticket: ticketID(spec.Ticket), Index: p.Task.Index},
 		Attempt:    attempt,
@@ -183,7 +187,7 @@
 		Payload:    t.Payload,
 		Digest:     spec.Digest,
 		StartInMS:  left,
-		TimeoutMS:  timeout,
+		TimeoutMS:  s.taskLimit(left),
 		Idempotent: t.Idempotent,
 		Team:       spec.Team,
 		Vouch:      s.e.control.vouch(&a.clocks),
@@ -191,6 +195,18 @@
 	}
 }
 
+// taskLimit returns how long a task may run: the service's limit, and only
+// without one the time left for its job. A task that outlasts its job keeps its
+// slot, for its endpoint is still at work on it.
+func (s *service) taskLimit(left int64) int64 {
+	if state := s.e.control.view().State; state != nil {
+		if limit := state.Services[s.name].MaxTaskMS; limit > 0 {
+			return limit
+		}
+	}
+	return left
+}
+
 func ticketID(t ledger.Ticket) wire.TicketID {
 	return wire.TicketID{Entry: t.Entry, Incarnation: wire.Incarnation(t.Incarnation), Seq: t.Seq}
 }
@@ -255,7 +271,7 @@
 	case m.Code == result.TicketFenced:
 		s.fail(id, j, result.SettledNotRun, result.SettledFailed, "another entry settled the ticket")
 	case again:
-		s.queue.Again(now, placement.Task{Job: id, Index: m.Task.Index, MemoryMB: j.Spec.Tasks[m.Task.Index].MemoryMB})
+		s.queue.Again(placement.Task{Job: id, Index: m.Task.Index, MemoryMB: j.Spec.Tasks[m.Task.Index].MemoryMB})
 	}
 	s.settleIfDone(id, j)
 	s.dispatch(now)
@@ -316,8 +332,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	started := func(id placement.JobID) bool { return s.jobs[id] != nil && s.jobs[id].Started() > 0 }
-	for _, id := range s.queue.Expired(now, started) {
+	for _, id := range s.queue.Expired(now) {
 		j, ok := s.jobs[id]
 		if !ok {
 			s.queue.Remove(id)
@@ -348,6 +363,18 @@
 	}
 }
 
+// runsOn reports whether tasks of this entry are granted to an agent's run.
+func (s *service) runsOn(a *agentLink) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, j := range s.jobs {
+		if len(j.GrantedTo(a.id, uint64(a.incarnation))) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // setAgent tells the queue what is known of an agent.
 func (s *service) setAgent(a *agentLink) {
 	v := s.e.control.view()
@@ -406,7 +433,7 @@
 		case wire.TaskNeverSeen:
 			s.e.metrics.Retried(result.PeerUnreachable)
 			if j.Refuse(ref.Index, a.resuming[ref], a.id, uint64(a.incarnation)) {
-				s.queue.Again(now, placement.Task{Job: id, Index: ref.Index, MemoryMB: j.Spec.Tasks[ref.Index].MemoryMB})
+				s.queue.Again(placement.Task{Job: id, Index: ref.Index, MemoryMB: j.Spec.Tasks[ref.Index].MemoryMB})
 			}
 			s.settleIfDone(id, j)
 		case wire.TaskForgotten:
