--- a/integration/faults_load_test.go
+++ b/integration/faults_load_test.go
@@ -39,6 +39,13 @@
 	runTimes    load.RunTimes
 	sizes       load.Sizes
 	entries     int // callers use the first so many; 0 is all
+	events      []faultEvent
+}
+
+// faultEvent is what happens at a time of a load.
+type faultEvent struct {
+	at time.Duration
+	do func()
 }
 
 func defaultFaultLoad(name string, utilization float64, duration, deadline time.Duration) faultLoad {
@@ -173,6 +180,57 @@
 	twice     int            // tasks that started more than once
 	rssBefore float64
 	rssAfter  float64
+
+	mostEjected int // agents ejected at once, as one entry sees it
+}
+
+// beside carries the events out and watches the ejected agents until the
+// returned function is called.
+func (r *faultResult) beside(t *testing.T, d *harness.Deployment) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var all sync.WaitGroup
+	all.Go(func() { r.watchEjected(ctx, d) })
+	for _, e := range r.load.events {
+		all.Go(func() {
+			if waitUntil(ctx, e.at) {
+				e.do()
+			}
+		})
+	}
+	return func() {
+		cancel()
+		all.Wait()
+	}
+}
+
+func waitUntil(ctx context.Context, wait time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(wait):
+		return true
+	}
+}
+
+// watchInterval is the time between two readings of an entry's status.
+const watchInterval = 300 * time.Millisecond
+
+func (r *faultResult) watchEjected(ctx context.Context, d *harness.Deployment) {
+	for waitUntil(ctx, watchInterval) {
+		for _, e := range d.Entries {
+			status, err := d.Operator.Status(ctx, e.OperatorURL)
+			if err != nil {
+				continue
+			}
+			n := 0
+			for _, a := range status.Agents {
+				if a.Ejected {
+					n++
+				}
+			}
+			r.mostEjected = max(r.mostEjected, n)
+		}
+	}
 }
 
 // run offers the load and compares the answers with the starts at the endpoints.
@@ -181,7 +239,9 @@
 	seed := faultSeed(t)
 	s := newClientSubmitter(t, f.urls(d))
 	r := &faultResult{load: f, seed: seed, rssBefore: entryRSS(t, d)}
+	stop := r.beside(t, d)
 	report, err := load.Run(t.Context(), f.options(d, seed, s), os.Stderr)
+	stop()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -305,6 +365,19 @@
 	return sum / float64(max(1, n))
 }
 
+// workOverTime returns the results a second at each sample.
+func (r *faultResult) workOverTime() string {
+	var b strings.Builder
+	for _, p := range r.report.Work {
+		var sum float64
+		for _, rate := range p.TasksPerSecond {
+			sum += rate
+		}
+		fmt.Fprintf(&b, "%.1f:%.0f ", p.AtSeconds, sum)
+	}
+	return b.String()
+}
+
 // usefulRate is workRate without the share of wasted starts.
 func (r *faultResult) usefulRate() float64 { return r.workRate() * (1 - r.wastedPct()/100) }
 
