End probation after good tasks, not by the share of old failures

Cause: after its ejection an agent was judged by its share of failures over the last 16 tasks. One task at a time, each good one ejected it anew for twice as long, as the share was still over 50%, so an endpoint that was well again stayed out for minutes. Now three good tasks in a row end probation, only a failed task ejects, and a failure on probation ejects at once, for twice as long.

--- a/entry/service.go
+++ b/entry/service.go
@@ -236,7 +236,8 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.queue.Done(a.id, time.Duration(m.RunUS)*time.Microsecond, m.FailurePct, now)
+	failed := m.Code != result.OK && m.Code != result.Cancelled
+	s.queue.Done(now, a.id, time.Duration(m.RunUS)*time.Microsecond, failed, m.FailurePct)
 	if m.Credit != nil {
 		s.queue.AddCredits(a.credit(*m.Credit))
 	}
--- a/placement/admission_test.go
+++ b/placement/admission_test.go
@@ -11,7 +11,7 @@
 func newSlowQueue(agents, slots int) *Queue {
 	q := newTestQueue(agents, slots)
 	for range runTimeSamples {
-		q.Done(agentID(0), time.Second, 0, start)
+		q.Done(start, agentID(0), time.Second, false, 0)
 	}
 	return q
 }
@@ -37,7 +37,7 @@
 func TestTimeIsKeptForTheLongestTaskOfAJob(t *testing.T) {
 	q := newTestQueue(1, 1)
 	for i := range 200 {
-		q.Done(agentID(0), time.Duration(1+i%100)*10*time.Millisecond, 0, start)
+		q.Done(start, agentID(0), time.Duration(1+i%100)*10*time.Millisecond, false, 0)
 	}
 	q.Add(start, testJob(1, "", 5))
 	j := testJob(2, "", 1)
@@ -54,7 +54,7 @@
 		if i%20 == 0 {
 			run = 5 * time.Second
 		}
-		q.Done(agentID(0), run, 0, start)
+		q.Done(start, agentID(0), run, false, 0)
 	}
 	j := testJob(1, "", 4)
 	j.Deadline = start.Add(time.Second)
@@ -74,7 +74,7 @@
 	q := newSlowQueue(1, 1)
 	now := start.Add(2 * runTimeFresh)
 	for range runTimeSamples {
-		q.Done(agentID(0), time.Millisecond, 0, now)
+		q.Done(now, agentID(0), time.Millisecond, false, 0)
 	}
 	q.Add(now, testJob(1, "", 5))
 	j := testJob(2, "", 100)
--- a/placement/eject.go
+++ b/placement/eject.go
@@ -11,11 +11,13 @@
 	ejectFirst      = 5 * time.Second
 	ejectLongest    = 60 * time.Second
 	defaultEjectPct = 30
+	probationTasks  = 3 // good tasks in a row that end probation
 )
 
 // ejector keeps agents whose endpoints fail most tasks from getting work, but
 // never more than a fixed part of them. After its time an ejected agent is on
-// probation: one task at a time until its share of failures falls.
+// probation: one task at a time until a few in a row were good. A task that
+// fails on probation ejects the agent for twice as long.
 type ejector struct {
 	maxPct int
 	states map[string]*ejectState
@@ -26,6 +28,7 @@
 	until      time.Time
 	period     time.Duration
 	probation  bool
+	good       int // tasks in a row, on probation
 	running    int
 }
 
@@ -42,17 +45,22 @@
 	return s
 }
 
-// observe notes an agent's share of failed tasks.
-func (e *ejector) observe(now time.Time, agent string, failurePct int) {
+// observe notes the end of a task and its agent's share of failed tasks. A good
+// task ejects nobody: after probation, the share still counts old failures.
+func (e *ejector) observe(now time.Time, agent string, failed bool, failurePct int) {
 	s := e.state(agent)
 	s.failurePct = failurePct
 	switch {
-	case failurePct < ejectAtPct && s.probation:
-		s.probation, s.period = false, 0
-	case failurePct >= ejectAtPct && now.After(s.until):
+	case now.Before(s.until): // a task from before the ejection
+	case failed && (s.probation || failurePct >= ejectAtPct):
 		s.period = min(max(ejectFirst, 2*s.period), ejectLongest)
 		s.until = now.Add(s.period)
-		s.probation = true
+		s.probation, s.good = true, 0
+	case !failed && s.probation:
+		s.good++
+		if s.good >= probationTasks {
+			s.probation, s.period = false, 0
+		}
 	}
 }
 
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -99,10 +99,11 @@
 	q.fair.pushBack(now, Job{ID: t.Job, Team: m.team, Weight: m.weight, Deadline: m.deadline}, t, m.arrived)
 }
 
-// Done notes the end of a task on an agent and its run time.
-func (q *Queue) Done(agent string, run time.Duration, failurePct int, now time.Time) {
+// Done notes the end of a task on an agent: its run time, whether it failed, and
+// the agent's share of failed tasks.
+func (q *Queue) Done(now time.Time, agent string, run time.Duration, failed bool, failurePct int) {
 	q.run.add(now, run)
-	q.eject.observe(now, agent, failurePct)
+	q.eject.observe(now, agent, failed, failurePct)
 	q.eject.finished(agent)
 }
 
--- a/placement/queue_test.go
+++ b/placement/queue_test.go
@@ -65,7 +65,7 @@
 func TestFailingAgentLosesItsShareButNeverMoreThanTheLimit(t *testing.T) {
 	q := newTestQueue(10, 1)
 	for i := range 10 {
-		q.Done(agentID(i), time.Millisecond, 60+i, start)
+		q.Done(start, agentID(i), time.Millisecond, true, 60+i)
 	}
 	q.Dispatch(start)
 	out := 0
@@ -152,7 +152,7 @@
 func (w *queueWorld) finish(t *rapid.T) {
 	for task, c := range w.placed {
 		delete(w.placed, task)
-		w.q.Done(c.Agent, time.Millisecond, 0, w.now)
+		w.q.Done(w.now, c.Agent, time.Millisecond, false, 0)
 		break
 	}
 	w.dispatch(t)
