Place a task again that its endpoint says it did not start

Cause: after a cancellation or a time-out the agent gives the slot away, but the endpoint may still be at work on the task. The next task got 503 (all slots are busy) and failed its job, though the endpoint had not started it. Ruled out: taking any 503 as proof, since a task may have started behind it.

An endpoint that refuses a task without starting it now says so with the header Bergamotwing-Started: false. The agent refuses the grant (endpoint_busy, or start_too_late for status 412), the entry places the task again, and the slot is not offered for 250 ms. Without the header an answer counts as before.

--- a/agent/endpoint.go
+++ b/agent/endpoint.go
@@ -36,6 +36,13 @@
 	headerIdempotent = "Bergamotwing-Idempotent" // true or false
 )
 
+// headerStarted is set to startedFalse by an endpoint that refuses a task
+// without starting it. Without it, any answer may be that of a started task.
+const (
+	headerStarted = "Bergamotwing-Started"
+	startedFalse  = "false"
+)
+
 const taskPath = "/task"
 
 // errCancelled is the cause of a context that ends with its ticket's Cancel.
@@ -53,6 +60,7 @@
 type outcome struct {
 	notStarted  result.Code
 	unreachable bool
+	busy        bool
 	code        result.Code
 	body        []byte
 }
@@ -163,6 +171,9 @@
 	if resp.StatusCode < 200 || resp.StatusCode > 299 {
 		detail, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
 		_, _ = io.CopyN(io.Discard, resp.Body, maxErrorBody)
+		if resp.Header.Get(headerStarted) == startedFalse {
+			return refusedBy(resp.StatusCode)
+		}
 		return outcome{code: result.TaskFailed, body: detail}
 	}
 	if resp.ContentLength > maxResultBody {
@@ -178,6 +189,14 @@
 	return outcome{code: result.OK, body: body}
 }
 
+// refusedBy is the outcome of a task that the endpoint says it did not start.
+func refusedBy(status int) outcome {
+	if status == http.StatusPreconditionFailed {
+		return outcome{notStarted: result.StartTooLate}
+	}
+	return outcome{notStarted: result.EndpointBusy, busy: true}
+}
+
 // readBody reads at most one byte more than a result may have.
 func readBody(resp *http.Response) ([]byte, error) {
 	if resp.ContentLength < 0 {
--- a/agent/slots.go
+++ b/agent/slots.go
@@ -11,6 +11,7 @@
 const (
 	creditLease      = time.Second            // a credit unconfirmed for longer is taken back
 	rampTime         = time.Second            // from opening until all slots are offered
+	busyPause        = 250 * time.Millisecond // before a slot is offered again that the endpoint still uses
 	unreachablePause = 250 * time.Millisecond // before a slot is offered again after a failed dial
 )
 
--- a/agent/task.go
+++ b/agent/task.go
@@ -76,7 +76,7 @@
 	a.finished(t, out, time.Since(t.received))
 }
 
-// notStarted takes the record of a task back of which nothing was sent.
+// notStarted takes the record of a task back that provably did not start.
 func (a *Agent) notStarted(t *task, out outcome) {
 	now := a.clock.now()
 	a.records.undo(t.grant.Task)
@@ -85,6 +85,8 @@
 	case out.unreachable:
 		a.failures.note(true)
 		a.slots.pause(t.grant.Credit.Slot, now+unreachablePause)
+	case out.busy:
+		a.slots.pause(t.grant.Credit.Slot, now+busyPause)
 	case out.notStarted == result.PermissionLapsed:
 		a.slots.pause(t.grant.Credit.Slot, now)
 	default:
--- a/result/code.go
+++ b/result/code.go
@@ -73,6 +73,7 @@
 	NotIssuer           Code = 509
 	PeerUnreachable     Code = 510
 	BadMessage          Code = 511
+	EndpointBusy        Code = 512
 )
 
 // Ran says whether work answered with a code may have run.
--- a/result/table.go
+++ b/result/table.go
@@ -58,6 +58,7 @@
 	{NotIssuer, "not_issuer", http.StatusConflict, RanNo, ResubmitNewTicket, "The grant did not come from the entry that issued the ticket."},
 	{PeerUnreachable, "peer_unreachable", http.StatusServiceUnavailable, RanNo, ResubmitSameTicket, "A peer entry did not answer."},
 	{BadMessage, "bad_message", http.StatusBadRequest, RanNo, ResubmitNever, "A message between processes could not be decoded."},
+	{EndpointBusy, "endpoint_busy", http.StatusConflict, RanNo, ResubmitNewTicket, "The endpoint said that it did not start the task, as it had no room for it."},
 }
 
 var byCode = func() map[Code]Info {
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -20,6 +20,9 @@
 	HeaderIdempotent = "Bergamotwing-Idempotent" // true or false
 )
 
+// HeaderStarted is "false" in the refusal of a task that was not started.
+const HeaderStarted = "Bergamotwing-Started"
+
 // MaxTaskBytes bounds a task's payload.
 const MaxTaskBytes = 16 << 20
 
@@ -126,17 +129,23 @@
 	defer e.running.Add(-1)
 	if n := e.running.Add(1); e.cfg.Slots > 0 && n > int64(e.cfg.Slots) {
 		e.overSlots.Add(1)
-		http.Error(w, "all slots are busy", http.StatusServiceUnavailable)
+		refuse(w, "all slots are busy", http.StatusServiceUnavailable)
 		return
 	}
 	if late(r.Header.Get(HeaderStartBy), time.Now()) {
 		e.tooLate.Add(1)
-		http.Error(w, "the start-by time has passed", http.StatusPreconditionFailed)
+		refuse(w, "the start-by time has passed", http.StatusPreconditionFailed)
 		return
 	}
 	e.run(w, r, faults, payload)
 }
 
+// refuse answers a task that was not started.
+func refuse(w http.ResponseWriter, detail string, status int) {
+	w.Header().Set(HeaderStarted, "false")
+	http.Error(w, detail, status)
+}
+
 // run records the start before anything else.
 func (e *Endpoint) run(w http.ResponseWriter, r *http.Request, faults EndpointFaults, payload []byte) {
 	p := parsePayload(payload)
