--- a/integration/capacity_measure_test.go
+++ b/integration/capacity_measure_test.go
@@ -189,10 +189,11 @@
 	return strings.Join(out, ", ")
 }
 
-// capacityDeployment deploys without a delay on the links.
-func capacityDeployment(t *testing.T, entries, agents, slots int) *harness.Deployment {
+// capacityDeployment deploys without a delay on the links. No task may be
+// submitted, since its agents share an endpoint.
+func capacityDeployment(t *testing.T, entries, agents int) *harness.Deployment {
 	t.Helper()
-	return deploy(t, harness.Options{Entries: entries, Agents: agents, Slots: slots, OneEndpoint: true})
+	return deploy(t, harness.Options{Entries: entries, Agents: agents, OneEndpoint: true})
 }
 
 // measureSizes measures a deployment made for each size.
@@ -207,13 +208,13 @@
 
 func TestCapacityAgents(t *testing.T) {
 	measureSizes(t, "agents", []int{10, 50, 150}, func(t *testing.T, agents int) capacityPoint {
-		return observe(t, capacityDeployment(t, capacityEntries, agents, 8), float64(agents), nil)
+		return observe(t, capacityDeployment(t, capacityEntries, agents), float64(agents), nil)
 	})
 }
 
 func TestCapacityEntries(t *testing.T) {
 	measureSizes(t, "entries", []int{1, 3, 6}, func(t *testing.T, entries int) capacityPoint {
-		return observe(t, capacityDeployment(t, entries, capacityAgents, 8), float64(entries), nil)
+		return observe(t, capacityDeployment(t, entries, capacityAgents), float64(entries), nil)
 	})
 }
 
@@ -221,7 +222,7 @@
 func TestCapacityOpenJobs(t *testing.T) {
 	const run = 8 * time.Second
 	measureSizes(t, "open jobs", []int{100, 500, 1500}, func(t *testing.T, jobs int) capacityPoint {
-		d := capacityDeployment(t, 1, 3, 8)
+		d := deploy(t, harness.Options{Entries: 1, Agents: 3})
 		p := observe(t, d, float64(jobs), func(ctx context.Context) { waitingJobs(ctx, d, jobs, run) })
 		status, err := d.Operator.Status(t.Context(), d.Entries[0].OperatorURL)
 		if err != nil {
@@ -256,7 +257,7 @@
 func TestCapacityTasks(t *testing.T) {
 	const agents, slots, runTime = 10, 8, 100 * time.Millisecond
 	measureSizes(t, "tasks a second", []int{100, 300, 600}, func(t *testing.T, rate int) capacityPoint {
-		d := capacityDeployment(t, capacityEntries, agents, slots)
+		d := deploy(t, harness.Options{Entries: capacityEntries, Agents: agents, Slots: slots})
 		o := load.Options{
 			Seed: 1, Jobs: measuredMaxJobs, Duration: capacityWindow - time.Second, Sizes: load.Sizes{Mean: 8, Max: 100},
 			Utilization: float64(rate) * runTime.Seconds() / (agents * slots),
@@ -289,7 +290,7 @@
 // TestCapacityNotes changes one team's quota so many times a minute.
 func TestCapacityNotes(t *testing.T) {
 	measureSizes(t, "notes a minute", []int{0, 30, 120}, func(t *testing.T, notes int) capacityPoint {
-		d := capacityDeployment(t, capacityEntries, capacityAgents, 8)
+		d := capacityDeployment(t, capacityEntries, capacityAgents)
 		addTeams(t, d, 1)
 		return observe(t, d, float64(notes), func(ctx context.Context) { postNotes(ctx, t, d, notes) })
 	})
@@ -298,7 +299,7 @@
 // TestCapacityTeams posts 60 notes a minute with that many teams in force.
 func TestCapacityTeams(t *testing.T) {
 	measureSizes(t, "teams, 60 notes a minute", []int{1, 50, 350}, func(t *testing.T, teams int) capacityPoint {
-		d := capacityDeployment(t, capacityEntries, capacityAgents, 8)
+		d := capacityDeployment(t, capacityEntries, capacityAgents)
 		addTeams(t, d, teams)
 		return observe(t, d, float64(teams), func(ctx context.Context) { postNotes(ctx, t, d, 60) })
 	})
