--- a/agent/control.go
+++ b/agent/control.go
@@ -17,12 +17,17 @@
 // Times of the control actor.
 const (
 	tickInterval  = 50 * time.Millisecond
-	sweepInterval = 10 * time.Second
-	renewBefore   = 900 * time.Millisecond // of the permission's lapse
-	pingInterval  = 450 * time.Millisecond // between pings; entries answer after their next reading of the version
+	sweepInterval = time.Second
 	askTimeout    = time.Second
 )
 
+// Times of the pings for a fresh vouch.
+const (
+	renewBefore        = 900 * time.Millisecond // of the permission's lapse
+	pingInterval       = 450 * time.Millisecond // entries answer after their next reading of the version
+	lapsedPingInterval = 400 * time.Millisecond // no entry may be able to vouch
+)
+
 // Messages of the control actor.
 type (
 	tick   struct{}
@@ -67,9 +72,11 @@
 }
 
 func (c *control) start() error {
-	c.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
-		return slog.New(slog.DiscardHandler)
-	}))
+	c.system = actor.NewActorSystem(
+		actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) }),
+		// Messages to a stopped actor start a goroutine that lives this long.
+		actor.WithDeadLetterThrottleInterval(time.Millisecond),
+	)
 	props := actor.PropsFromProducer(func() actor.Actor { return c })
 	pid, err := c.system.Root.SpawnNamed(props, "control")
 	c.pid = pid
@@ -127,7 +134,7 @@
 func (c *control) adopt(s *session, state *release.State, holds []release.Hold, peers []wire.Peer) {
 	if state != nil && state.Version > c.next.version() {
 		c.next.state = state
-		c.holds.adopted(state.NoteID, func(run entryRun) bool { return c.agent.links.get(run) != nil })
+		c.holds.adopted(func(run entryRun) bool { return c.agent.links.get(run) != nil })
 	}
 	c.holds.replace(s.run, holds)
 	c.publish()
@@ -199,13 +206,16 @@
 
 // renewPermission asks one entry, in turn, for a vouch before the permission lapses.
 func (c *control) renewPermission(now time.Duration) {
+	if !c.next.usable() {
+		return
+	}
 	remaining := c.permitted(now)
-	lapsed := remaining <= 0
-	if lapsed && !c.lapsed && c.next.usable() {
-		c.agent.metrics.Count("bergamotwing_permission_lapses_total", "Times the permission to start lapsed.", 1)
+	c.countLapse(remaining <= 0)
+	interval := pingInterval
+	if c.lapsed {
+		interval = lapsedPingInterval
 	}
-	c.lapsed = lapsed
-	if remaining >= renewBefore || now-c.pingedAt < pingInterval || !c.next.usable() {
+	if remaining >= renewBefore || now-c.pingedAt < interval {
 		return
 	}
 	if s := c.nextInTurn(); s != nil {
@@ -214,6 +224,13 @@
 	}
 }
 
+func (c *control) countLapse(lapsed bool) {
+	if lapsed && !c.lapsed {
+		c.agent.metrics.Count("bergamotwing_permission_lapses_total", "Times the permission to start lapsed.", 1)
+	}
+	c.lapsed = lapsed
+}
+
 func (c *control) nextInTurn() *session {
 	sessions := c.agent.links.all()
 	if len(sessions) == 0 {
--- a/agent/session.go
+++ b/agent/session.go
@@ -11,8 +11,11 @@
 
 // Times after which a quiet entry is pinged and a silent one's link is closed.
 const (
-	quietAfter  = 2 * time.Second
-	silentAfter = 5 * time.Second
+	quietAfter  = 15 * time.Second
+	silentAfter = 20 * time.Second
+	// An entry whose tasks run here hears from this agent at least this often, so
+	// that it can tell long tasks from a lost agent.
+	busyPingAfter = 1500 * time.Millisecond
 )
 
 // session is one link to an entry, from its hello on.
@@ -23,6 +26,7 @@
 	joined atomic.Bool
 	heard  atomic.Int64 // time of the latest message
 	pinged atomic.Int64 // time of the latest ping
+	sent   atomic.Int64 // time of the latest message to the entry
 }
 
 // serve runs the session until the link ends. It returns whether the entry
@@ -121,7 +125,10 @@
 	}
 }
 
-func (s *session) send(m wire.Message) { _ = s.link.Send(m) }
+func (s *session) send(m wire.Message) {
+	s.sent.Store(int64(s.agent.clock.now()))
+	_ = s.link.Send(m)
+}
 
 // watch pings a quiet entry and closes the link of a silent one.
 func (s *session) watch(now time.Duration) {
@@ -133,6 +140,8 @@
 		s.link.Close()
 	case now-heard >= quietAfter && now-pinged >= quietAfter:
 		s.ping(now)
+	case now-time.Duration(s.sent.Load()) >= busyPingAfter && s.agent.running.hasOf(s.run):
+		s.ping(now)
 	}
 }
 
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -76,7 +76,7 @@
 	}
 	delete(h.partial, run)
 	h.inherited[run] = book
-	p.send(e, &wire.HandoverAck{Incarnation: m.Incarnation})
+	p.send(&wire.HandoverAck{Incarnation: m.Incarnation})
 	e.log.Info().Str("peer", p.id).Msg("ledger of a stopping entry taken over")
 }
 
@@ -114,9 +114,10 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	pause(ctx, drainDelay)
-	for e.openJobs.Load() > 0 && pause(ctx, dispatchTick) {
+	for e.busy() && pause(ctx, dispatchTick) {
 	}
 	e.failOpenJobs()
+	e.requests.end()
 	e.handOver()
 	e.control.deregister()
 	closing, cancelClosing := context.WithTimeout(context.Background(), closeTimeout)
@@ -130,6 +131,10 @@
 	e.listeners.close()
 }
 
+// busy reports whether a job of this run or a caller's request is open. A
+// request may be for a job of another run, to which it was forwarded.
+func (e *Entry) busy() bool { return e.openJobs.Load() > 0 || e.requests.count.Load() > 0 }
+
 // failOpenJobs ends what did not finish within the stop's time.
 func (e *Entry) failOpenJobs() {
 	e.services.each(func(s *service) {
@@ -148,7 +153,7 @@
 		e.sendLedger(p)
 		select {
 		case <-acked:
-			e.peers.each(func(q *peerLink) { q.send(e, &wire.Heir{Incarnation: e.self.Incarnation, Heir: p.id}) })
+			e.peers.each(func(q *peerLink) { q.send(&wire.Heir{Incarnation: e.self.Incarnation, Heir: p.id}) })
 			e.log.Info().Str("peer", p.id).Msg("ledger handed over")
 			e.awaitFlush()
 			return
@@ -166,12 +171,12 @@
 			Seq: seq, Digest: d, Code: o.Code, Detail: o.Detail, Started: o.Started, Tasks: o.Tasks, Results: o.Results,
 		})
 		if len(m.Jobs) == handoverPart {
-			p.send(e, m)
+			p.send(m)
 			m = &wire.Handover{Entry: e.self.ID, Incarnation: e.self.Incarnation}
 		}
 	})
 	m.Last = true
-	p.send(e, m)
+	p.send(m)
 }
 
 // awaitFlush waits until the links have written what was queued.
--- a/entry/homes.go
+++ b/entry/homes.go
@@ -119,7 +119,7 @@
 	defer cancel()
 	id, w := e.forwards.add(p)
 	defer e.forwards.drop(id)
-	if !p.send(e, &wire.Forward{Request: id, Method: methodTickets, Body: []byte(strconv.Itoa(n))}) {
+	if !p.send(&wire.Forward{Request: id, Method: methodTickets, Body: []byte(strconv.Itoa(n))}) {
 		return nil
 	}
 	select {
@@ -143,7 +143,7 @@
 	if err != nil {
 		return
 	}
-	p.send(e, &wire.ForwardReply{Request: m.Request, Body: body})
+	p.send(&wire.ForwardReply{Request: m.Request, Body: body})
 }
 
 // serviceOf returns the service that a job's body names, if it can be read.
@@ -157,7 +157,7 @@
 
 // submitOnce takes a job from a caller that never submits again.
 func (e *Entry) submitOnce(w http.ResponseWriter, r *http.Request) {
-	body, err := e.readBody(w, r)
+	body, err := e.readBody(w, r, e.cfg.Limits.BodyBytes)
 	if err != nil {
 		e.refuse(w, err)
 		return
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -66,13 +66,16 @@
 // Decision is what an entry has to send after an event.
 type Decision struct {
 	Place []Placement
+	Drop  []JobID // removed from the queue; they started nothing and would miss their deadline
 	Ask   []Ask
 	Give  []Give
 }
 
 // Times of the exchange of credits between entries.
 const (
-	askAgainAfter = 300 * time.Millisecond // an unmet ask to the same peer is repeated
-	askNextAfter  = 8 * time.Millisecond   // the next peer is asked if the last gave nothing
-	wantLifetime  = 400 * time.Millisecond // a peer's unmet ask is remembered
+	askAgainAfter = 300 * time.Millisecond // an unmet ask to the same peer is repeated first
+	askAgainMax   = 2400 * time.Millisecond
+	askNextAfter  = 8 * time.Millisecond    // the next peer is asked if the last gave nothing
+	wantLifetime  = 2500 * time.Millisecond // a peer's unmet ask is remembered
+	idleAfter     = 2 * time.Second         // without a job, all spare credits are given
 )
