--- a/placement/queue.go
+++ b/placement/queue.go
@@ -97,7 +97,7 @@
 // times the time that all slots together need for it. A short job so passes a
 // long one that arrived shortly before, but no job waits for ever behind others.
 func (q *Queue) due(now time.Time, n int) time.Time {
-	if !q.run.known(now) {
+	if !q.run.known() {
 		return now
 	}
 	slots := max(1, q.usableSlots())
--- a/placement/queue_test.go
+++ b/placement/queue_test.go
@@ -211,7 +211,7 @@
 func TestShortJobPassesALongOneThatArrivedShortlyBefore(t *testing.T) {
 	q := newTestQueue(1, 8)
 	for range runTimeSamples {
-		q.Done(agentID(0), time.Second, 0, start)
+		q.Done(start, agentID(0), time.Second, true, 0)
 	}
 	q.Add(start, testJob(1, "", 400)) // due after 4 × 50 s
 	q.Add(start.Add(time.Second), testJob(2, "", 1))
