The due order's test gives its jobs a deadline that they can meet

Cause: merged with the check of deadlines, the test's jobs were dropped as too late at 300 s, since their deadline was one minute. The order expected is unchanged.

--- a/placement/queue_test.go
+++ b/placement/queue_test.go
@@ -213,9 +213,14 @@
 	for range runTimeSamples {
 		q.Done(start, agentID(0), time.Second, true, 0)
 	}
-	q.Add(start, testJob(1, "", 400)) // due after 4 × 50 s
-	q.Add(start.Add(time.Second), testJob(2, "", 1))
-	q.Add(start.Add(300*time.Second), testJob(3, "", 1))
+	add := func(at time.Duration, id, tasks int) {
+		j := testJob(id, "", tasks)
+		j.Deadline = start.Add(time.Hour)
+		q.Add(start.Add(at), j)
+	}
+	add(0, 1, 400) // due after 4 × 50 s
+	add(time.Second, 2, 1)
+	add(300*time.Second, 3, 1)
 	for i := range 2 {
 		q.AddCredits(credit(0, i, 1))
 	}
