The metrics tests look at the product's own series

Cause: merged with the Go and process collectors, the tests of counters saw the collectors' series too. The expected series are unchanged; lines that do not start with the product's prefix are left out, since their values vary.

--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -24,6 +24,8 @@
 }
 
 // samples returns the lines of the metrics text that are not comments.
+// samples returns the lines of this product's own series; those of the Go
+// runtime and the process are of Prometheus' collectors.
 func samples(t *testing.T, m *Metrics) []string {
 	t.Helper()
 	w := httptest.NewRecorder()
@@ -33,7 +35,7 @@
 	}
 	var out []string
 	for line := range strings.Lines(w.Body.String()) {
-		if !strings.HasPrefix(line, "#") {
+		if strings.HasPrefix(line, "bergamotwing_") {
 			out = append(out, strings.TrimSpace(line))
 		}
 	}
