Offer the slot of a call that was cut off only after a pause

Cause: a cancelled or timed out call frees its slot at once, while the endpoint goes on with the task. The next task on the slot is one too many for the endpoint, which refuses it, and that fails a job which has nothing to do with the first. Ruled out: the credits (never two for one slot, see TestCreditIsSpentOnce...).

A task that goes on for longer than that after its cancellation can still meet the next one; keeping the slot until the endpoint answers would need calls that outlive their result.

--- a/agent/slots.go
+++ b/agent/slots.go
@@ -12,6 +12,7 @@
 	creditLease      = 1600 * time.Millisecond // a credit unconfirmed for longer is taken back
 	rampTime         = time.Second             // from opening until all slots are offered
 	unreachablePause = 250 * time.Millisecond  // before a slot is offered again after a failed dial
+	cutOffPause      = time.Second             // before a slot is offered again after a call was cut off
 )
 
 // rampFirstShare is the share of the slots (one in so many) offered at opening.
--- a/agent/task.go
+++ b/agent/task.go
@@ -105,13 +105,25 @@
 	a.records.finish(held)
 	a.failures.note(out.code != result.OK && out.code != result.Cancelled)
 	res := a.stamped(held)
-	res.Credit = a.slots.release(t.grant.Credit.Slot, t.issuer, a.clock.now())
+	res.Credit = a.freeSlot(t, out.code)
 	a.links.send(t.issuer, res)
 	if res.Credit == nil {
 		a.control.tell(&slotsFreed{})
 	}
 }
 
+// freeSlot ends the use of a task's slot and returns its new credit, if there is
+// one. The endpoint may go on with a call that was cut off, so that its slot is
+// not offered at once: the next task on it would be refused and fail its job.
+func (a *Agent) freeSlot(t *task, code result.Code) *credit {
+	now := a.clock.now()
+	if code == result.Cancelled || code == result.EndpointTimeout {
+		a.slots.pause(t.grant.Credit.Slot, now+cutOffPause)
+		return nil
+	}
+	return a.slots.release(t.grant.Credit.Slot, t.issuer, now)
+}
+
 // stamped returns a copy of a held result with the agent's present condition.
 func (a *Agent) stamped(held *wire.Result) *wire.Result {
 	res := *held
