Wait for the right agent, and make every endpoint faulty

Over ten runs TestAgentBootedAfterSettlementRefusesTheThawedIssuer failed twice with agent_lost: the thawed issuer had not yet seen that its links to the other agents were cut, and 'one agent' was one of those. The test now waits until the new agent alone is linked.

TestEndpointFaultFailsTheWholeJob 'never answers' failed once in ten with ok: no task had been placed on the one faulty endpoint. Now every endpoint has the fault, and a case of its own has one failing task among eight.

--- a/integration/jobs_test.go
+++ b/integration/jobs_test.go
@@ -440,6 +440,8 @@
 
 func TestEndpointFaultFailsTheWholeJob(t *testing.T) {
 	const overLimit = 4<<20 + 1 // bytes of a result
+	failing := harness.NewJob("failing", 8, 50*time.Millisecond)
+	failing.Tasks[3].Payload = []byte(`{"fail":true}`)
 	large := harness.NewJob("large", 8, 50*time.Millisecond)
 	large.Tasks[3].Payload = fmt.Appendf(nil, `{"resultBytes":%d}`, overLimit)
 	plain := harness.NewJob("plain", 24, 50*time.Millisecond)
@@ -449,14 +451,17 @@
 		job    api.Job
 		code   result.Code
 	}{
-		{"fails", harness.EndpointFaults{FailAll: true}, plain, result.TaskFailed},
+		{"fails one task", harness.EndpointFaults{}, failing, result.TaskFailed},
+		{"fails every task", harness.EndpointFaults{FailAll: true}, plain, result.TaskFailed},
 		{"never answers", harness.EndpointFaults{NeverAnswer: true}, plain, result.EndpointTimeout},
 		{"answers too much", harness.EndpointFaults{}, large, result.ResultTooLarge},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			d := deploy(t, harness.Options{})
-			d.Agents[1].Endpoint.Control(t, c.faults)
+			for _, a := range d.Agents {
+				a.Endpoint.Control(t, c.faults)
+			}
 			ticket := mustTicket(t, newCaller(t), d.Entries[0])
 			answer := await(t, d, ticket, c.job, submit(t.Context(), d.Entries[0], ticket, c.job))
 			wantCode(t, answer, c.code)
--- a/integration/settlement_test.go
+++ b/integration/settlement_test.go
@@ -215,7 +215,10 @@
 	}
 	booted := d.AddAgent(t)
 	mustSignal(t, issuer.Thaw)
-	waitAgents(t, d, issuer, 1)
+	harness.Eventually(t, answerLimit, "the issuer is linked to the new agent alone", func() bool {
+		status, err := d.Operator.Status(t.Context(), issuer.OperatorURL)
+		return err == nil && len(status.Agents) == 1 && status.Agents[0].ID == booted.ID
+	})
 	answer := submitUntilKnown(t, d, issuer, ticket, job)
 	// The issuer cannot tell a refused grant from one that is still under way.
 	wantCode(t, answer, result.SettledNotRun, result.SettledFailed)
