Lose the results of an agent that has some

It chose the agent before the tasks were placed; now it takes one of those at which tasks have started, so that lost results are certain.

--- a/integration/jobs_test.go
+++ b/integration/jobs_test.go
@@ -140,17 +140,14 @@
 	harness.Sweep(t, 3, func(t *testing.T, seed uint64) {
 		d := deploy(t, harness.Options{})
 		rng := rand.New(rand.NewPCG(seed, 0))
-		agent := d.Agents[rng.IntN(len(d.Agents))]
 		entry := d.Entries[rng.IntN(len(d.Entries))]
 		job := harness.NewJob("finished", 12, time.Second)
 		ticket := mustTicket(t, newCaller(t), entry)
 		running := submit(t.Context(), entry, ticket, job)
 		waitStarted(t, d, len(job.Tasks))
+		agent := agentWithStarts(t, d, rng)
 		entry.Links.DropDirection(harness.ToTarget, agent.ID)
 		waitFinished(t, d, len(job.Tasks))
-		if n := agent.Endpoint.Counts(t).Finished; n == 0 {
-			t.Fatal("no task ran at the agent whose results are lost")
-		}
 		agent.Kill()
 		answer := await(t, d, ticket, job, running)
 		wantCode(t, answer, result.AgentLost)
@@ -162,6 +159,21 @@
 	})
 }
 
+// agentWithStarts returns one of the agents whose endpoints have started a task.
+func agentWithStarts(t *testing.T, d *harness.Deployment, rng *rand.Rand) *harness.Agent {
+	t.Helper()
+	var with []*harness.Agent
+	for _, a := range d.Agents {
+		if a.Endpoint.Counts(t).Started > 0 {
+			with = append(with, a)
+		}
+	}
+	if len(with) == 0 {
+		t.Fatal("no task has started")
+	}
+	return with[rng.IntN(len(with))]
+}
+
 func TestResultsLostOnTheirWayArriveOnceTheLinkIsHealed(t *testing.T) {
 	faults := map[string]func(p *harness.Proxy, agent string){
 		"link closed":          func(p *harness.Proxy, agent string) { p.Cut(agent) },
