--- a/placement/queue_test.go
+++ b/placement/queue_test.go
@@ -65,7 +65,7 @@
 func TestFailingAgentLosesItsShareButNeverMoreThanTheLimit(t *testing.T) {
 	q := newTestQueue(10, 1)
 	for i := range 10 {
-		q.Done(agentID(i), time.Millisecond, 60+i, start)
+		q.Done(start, agentID(i), time.Millisecond, true, 60+i)
 	}
 	q.Dispatch(start)
 	out := 0
@@ -152,7 +152,7 @@
 func (w *queueWorld) finish(t *rapid.T) {
 	for task, c := range w.placed {
 		delete(w.placed, task)
-		w.q.Done(c.Agent, time.Millisecond, 0, w.now)
+		w.q.Done(w.now, c.Agent, time.Millisecond, false, 0)
 		break
 	}
 	w.dispatch(t)
@@ -211,7 +211,7 @@
 func TestShortJobPassesALongOneThatArrivedShortlyBefore(t *testing.T) {
 	q := newTestQueue(1, 8)
 	for range runTimeSamples {
-		q.Done(agentID(0), time.Second, 0, start)
+		q.Done(start, agentID(0), time.Second, true, 0)
 	}
 	q.Add(start, testJob(1, "", 400)) // due after 4 × 50 s
 	q.Add(start.Add(time.Second), testJob(2, "", 1))
@@ -224,3 +224,34 @@
 		t.Fatalf("got %+v, want the early short job, then the long one before the late short one", d.Place)
 	}
 }
+
+func TestAskIsWithdrawnOnceNothingWaits(t *testing.T) {
+	q := newTestQueue(1, 1)
+	q.SetPeer("p")
+	q.Add(start, testJob(1, "", 1))
+	if d := q.Dispatch(start); len(d.Ask) != 1 || d.Ask[0].Want != 1 {
+		t.Fatalf("no ask: %+v", d)
+	}
+	q.AddCredits(credit(0, 0, 1))
+	now := start.Add(10 * time.Millisecond)
+	if d := q.Dispatch(now); len(d.Ask) != 1 || d.Ask[0].Want != 0 {
+		t.Fatalf("not withdrawn: %+v", d)
+	}
+	if d := q.Dispatch(now); len(d.Ask) != 0 {
+		t.Fatalf("withdrawn twice: %+v", d)
+	}
+}
+
+func TestEntryThatIsNoHomePassesItsSpareCreditsOn(t *testing.T) {
+	q := newTestQueue(1, 2)
+	q.SetPeer("home")
+	q.SetHomes([]string{"home"}, false)
+	q.Add(start, testJob(1, "", 1))
+	q.AddCredits(credit(0, 0, 1), credit(0, 1, 1))
+	if d := q.Dispatch(start); len(d.Place) != 1 || len(d.Give) != 0 {
+		t.Fatalf("got %+v, want the task placed and nothing given yet", d)
+	}
+	if d := q.Dispatch(start.Add(keepFor)); len(d.Give) != 1 || d.Give[0].Peer != "home" || len(d.Give[0].Credits) != 1 {
+		t.Fatalf("got %+v, want the spare credit given to the home", d)
+	}
+}
