--- a/agent/slots.go
+++ b/agent/slots.go
@@ -13,6 +13,7 @@
 	rampTime         = time.Second             // from opening until all slots are offered
 	busyPause        = 250 * time.Millisecond  // before a slot is offered again that the endpoint still uses
 	unreachablePause = 250 * time.Millisecond  // before a slot is offered again after a failed dial
+	cutOffPause      = time.Second             // before a slot is offered again after a call was cut off
 )
 
 // rampFirstShare is the share of the slots (one in so many) offered at opening.
