--- a/placement/fair.go
+++ b/placement/fair.go
@@ -127,11 +127,12 @@
 	var first time.Time
 	found := false
 	for _, t := range f.teams {
-		for _, j := range t.jobs {
-			if !found || j.arrived.Before(first) {
-				first, found = j.arrived, true
-			}
-			break // jobs of one team are in the order of arrival
+		if len(t.jobs) == 0 {
+			continue
+		}
+		// The jobs of one team are in the order of arrival.
+		if head := t.jobs[0].arrived; !found || head.Before(first) {
+			first, found = head, true
 		}
 	}
 	return first, found
