--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -23,7 +23,6 @@
 	return m
 }
 
-// samples returns the lines of the metrics text that are not comments.
 // samples returns the lines of this product's own series; those of the Go
 // runtime and the process are of Prometheus' collectors.
 func samples(t *testing.T, m *Metrics) []string {
