--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -23,8 +24,16 @@
 	return m
 }
 
-// samples returns the lines of the metrics text that are not comments.
+// samples returns the lines of the metrics text that are neither comments nor
+// the Go runtime's and the process's own, which every process serves.
 func samples(t *testing.T, m *Metrics) []string {
+	t.Helper()
+	return slices.DeleteFunc(allSamples(t, m), func(line string) bool {
+		return strings.HasPrefix(line, "go_") || strings.HasPrefix(line, "process_")
+	})
+}
+
+func allSamples(t *testing.T, m *Metrics) []string {
 	t.Helper()
 	w := httptest.NewRecorder()
 	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
@@ -75,6 +84,15 @@
 	}
 }
 
+func TestProcessorTimeAndMemoryOfTheProcessAreServed(t *testing.T) {
+	got := allSamples(t, newMetrics(t))
+	for _, name := range []string{"process_cpu_seconds_total", "process_resident_memory_bytes", "go_goroutines"} {
+		if !slices.ContainsFunc(got, func(line string) bool { return strings.HasPrefix(line, name+" ") }) {
+			t.Errorf("%s is missing", name)
+		}
+	}
+}
+
 func TestCountsOfManyGoroutinesAddUp(t *testing.T) {
 	m := newMetrics(t)
 	kinds := []string{"grant", "result", "offer", "refuse"}
@@ -87,7 +105,11 @@
 		})
 	}
 	all.Wait()
-	for _, line := range samples(t, m) {
+	got := samples(t, m)
+	if len(got) != len(kinds) {
+		t.Errorf("%d counters: %v", len(got), got)
+	}
+	for _, line := range got {
 		if !strings.HasSuffix(line, " 8000") {
 			t.Error(line)
 		}
