--- a/placement/queue.go
+++ b/placement/queue.go
@@ -20,6 +20,8 @@
 	peers   map[string]*peerState
 	lastAsk time.Time
 	lastJob time.Time
+	homes   []string // other entries that are homes of the service
+	isHome  bool
 	eject   ejector
 	run     runTimes
 }
@@ -118,10 +120,11 @@
 	q.fair.pushBack(m.arrived, m.due, Job{ID: t.Job, Team: m.team, Weight: m.weight, Deadline: m.deadline}, t)
 }
 
-// Done notes the end of a task on an agent and its run time.
-func (q *Queue) Done(agent string, run time.Duration, failurePct int, now time.Time) {
+// Done notes the end of a task on an agent: its run time, whether it failed, and
+// the agent's share of failed tasks.
+func (q *Queue) Done(now time.Time, agent string, run time.Duration, failed bool, failurePct int) {
 	q.run.add(now, run)
-	q.eject.observe(now, agent, failurePct)
+	q.eject.observe(now, agent, failed, failurePct)
 	q.eject.finished(agent)
 }
 
@@ -193,7 +196,9 @@
 		d.Ask = q.ask(now)
 		return d
 	}
+	d.Ask = q.withdraw(now)
 	d.Give = append(d.Give, q.give(now)...)
+	d.Give = append(d.Give, q.giveHome(now)...)
 	return d
 }
 
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -300,8 +300,9 @@
 	Incarnation Incarnation `cbor:"1,keyasint"`
 }
 
-// Heir tells the entries who answers for the tickets of an entry that stopped.
+// Heir tells the entries who answers for the tickets of a run that stopped.
 type Heir struct {
-	Incarnation Incarnation `cbor:"1,keyasint"`
-	Heir        string      `cbor:"2,keyasint"`
+	Incarnation     Incarnation `cbor:"1,keyasint"`
+	Heir            string      `cbor:"2,keyasint"`
+	HeirIncarnation Incarnation `cbor:"3,keyasint"`
 }
