--- a/entry/operators.go
+++ b/entry/operators.go
@@ -189,7 +189,7 @@
 	a := api.NoteAnswer{Code: coded.Code, Name: coded.Code.String(), Detail: coded.Detail, NoteID: id, Version: e.control.view().version()}
 	var conflict *notestore.ConflictError
 	if errors.As(err, &conflict) {
-		a.ConflictsAt = conflict.NoteID
+		a.ConflictsAt, a.Version = conflict.NoteID, max(a.Version, conflict.Current)
 	}
 	return a
 }
--- a/integration/notes_test.go
+++ b/integration/notes_test.go
@@ -142,6 +142,24 @@
 	}
 }
 
+// TestConflictTellsTheVersionInForce asks an entry that has not yet heard of
+// the note that came first.
+func TestConflictTellsTheVersionInForce(t *testing.T) {
+	const notes = 5
+	d := deploy(t, harness.Options{})
+	behind := d.Entries[2]
+	d.CutPeers(behind)
+	for version := uint64(1); version <= notes; version++ {
+		first := teamNote(fmt.Sprintf("first%d", version), version)
+		wantNote(t, post(t, d, d.Entries[0], first), result.OK, version+1)
+		second := post(t, d, behind, teamNote(fmt.Sprintf("second%d", version), version))
+		wantNote(t, second, result.NoteConflict, version+1)
+		if second.ConflictsAt != first.ID {
+			t.Errorf("the conflict names %q, want %q", second.ConflictsAt, first.ID)
+		}
+	}
+}
+
 func TestEveryProcessRestartedVersionsNeverGoDown(t *testing.T) {
 	d := deploy(t, harness.Options{})
 	version := uint64(1)
--- a/integration/zones_test.go
+++ b/integration/zones_test.go
@@ -321,6 +321,28 @@
 	}
 }
 
+// TestHoldEndsAtAnEntryThatDoesNotReachTheStore takes a zone back while one
+// entry learns of the hold's note only from the state that the others send.
+func TestHoldEndsAtAnEntryThatDoesNotReachTheStore(t *testing.T) {
+	d := deploy(t, harness.Options{Agents: 6})
+	waitMembers(t, d)
+	zone := d.Zones[0]
+	traffic := d.StartTraffic(t, harness.Seed(t))
+	held(t, d, zone)
+	d.Entries[2].Store.Cut()
+	storeUp(t, d, zone)
+	waitHolds(t, d, 0, d.Entries)
+	if answer := orderBack(t, d, d.Entries[0], zone); answer.Code != result.OK {
+		t.Fatalf("back: %s (%s)", answer.Name, answer.Detail)
+	}
+	wantStartsReturn(t, d, zone, time.Now())
+	waitVersion(t, d, 3)
+	wantInService(t, d, zone)
+	traffic.Stop()
+	wantAllOK(t, d)
+	d.Oracle.Check(t)
+}
+
 // wantInService fails the test unless every entry lists the zone as in service.
 func wantInService(t *testing.T, d *harness.Deployment, zone string) {
 	t.Helper()
--- a/release/notestore/apply.go
+++ b/release/notestore/apply.go
@@ -136,7 +136,7 @@
 	if !ok {
 		return release.State{}, err
 	}
-	return release.State{}, conflictWith(first, n.ID, n.WrittenAgainst)
+	return release.State{}, conflictWith(first, n.ID, n.WrittenAgainst, state.Version)
 }
 
 // zoneConflict looks for a note of the zone between two versions.
@@ -148,7 +148,7 @@
 	if err != nil || !ok {
 		return err
 	}
-	return conflictWith(first, noteID, base)
+	return conflictWith(first, noteID, base, current)
 }
 
 func (s Store) firstAfter(ctx context.Context, version uint64, touches func(release.Note) bool) (release.NoteRecord, bool, error) {
--- a/release/notestore/conflict.go
+++ b/release/notestore/conflict.go
@@ -12,6 +12,7 @@
 type ConflictError struct {
 	NoteID  string // the note that came first
 	Version uint64 // of that note
+	Current uint64 // version in force
 	err     *result.Error
 }
 
@@ -21,10 +22,11 @@
 // Unwrap returns the *result.Error.
 func (e *ConflictError) Unwrap() error { return e.err }
 
-func conflictWith(first release.NoteRecord, noteID string, against uint64) *ConflictError {
+func conflictWith(first release.NoteRecord, noteID string, against, current uint64) *ConflictError {
 	return &ConflictError{
 		NoteID:  first.Note.ID,
 		Version: first.Version,
+		Current: current,
 		err: result.Errorf(result.NoteConflict, "note %q was written against version %d; note %q came first, as version %d",
 			noteID, against, first.Note.ID, first.Version),
 	}
--- a/release/notestore/store_test.go
+++ b/release/notestore/store_test.go
@@ -122,7 +122,7 @@
 	}
 	_, err := s.ApplyNote(t.Context(), team("late", 1))
 	var conflict *notestore.ConflictError
-	if !errors.As(err, &conflict) || conflict.NoteID != "second" || conflict.Version != 2 || !is(err, result.NoteConflict) {
+	if !errors.As(err, &conflict) || conflict.NoteID != "second" || conflict.Version != 2 || conflict.Current != 3 || !is(err, result.NoteConflict) {
 		t.Errorf("%v", err)
 	}
 }
