--- a/agent/slots.go
+++ b/agent/slots.go
@@ -11,7 +11,9 @@
 const (
 	creditLease      = 1600 * time.Millisecond // a credit unconfirmed for longer is taken back
 	rampTime         = time.Second             // from opening until all slots are offered
+	busyPause        = 250 * time.Millisecond  // before a slot is offered again that the endpoint still uses
 	unreachablePause = 250 * time.Millisecond  // before a slot is offered again after a failed dial
+	cutOffPause      = time.Second             // before a slot is offered again after a call was cut off
 )
 
 // rampFirstShare is the share of the slots (one in so many) offered at opening.
@@ -143,7 +145,7 @@
 		if s.state != slotOffered || now < s.leaseEnd {
 			continue
 		}
-		if h := t.holders[s.holder]; h != nil && now-h.heard >= creditLease {
+		if h := t.holders[s.holder]; h != nil {
 			h.silent = true
 		}
 		t.takeBack(s)
