Keep a forwarded copy from the thawed issuer

Trial on a scratch copy with an agent that reads no fences at its boot: still red, 'answer settled_not_run, but 4 tasks started'.

--- a/integration/settlement_test.go
+++ b/integration/settlement_test.go
@@ -208,6 +208,7 @@
 	issuer := d.Entries[0]
 	job := harness.NewJob("fenced", 4, 50*time.Millisecond)
 	ticket := mustTicket(t, newCaller(t), issuer)
+	d.CutPeers(issuer) // else it finds a forwarded copy of the submission once it is thawed
 	mustSignal(t, issuer.Freeze)
 	wantCode(t, submitUntilKnown(t, d, d.Entries[1], ticket, job), result.SettledNotRun)
 	for _, a := range d.Agents {
@@ -219,6 +220,7 @@
 		status, err := d.Operator.Status(t.Context(), issuer.OperatorURL)
 		return err == nil && len(status.Agents) == 1 && status.Agents[0].ID == booted.ID
 	})
+	d.HealPeers(issuer)
 	answer := submitUntilKnown(t, d, issuer, ticket, job)
 	// The issuer cannot tell a refused grant from one that is still under way.
 	wantCode(t, answer, result.SettledNotRun, result.SettledFailed)
