--- a/entry/callers.go
+++ b/entry/callers.go
@@ -16,6 +16,8 @@
 	"bergamotwing.example/result"
 )
 
+var errStopping = result.Errorf(result.Stopping, "the entry is shutting down")
+
 // callerRoutes serves callers.
 func (e *Entry) callerRoutes() http.Handler {
 	mux := http.NewServeMux()
@@ -28,7 +30,7 @@
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		e.refuse(w, result.Errorf(result.NotFound, "no such path: %s %s", r.Method, r.URL.Path))
 	})
-	return mux
+	return e.requests.counted(e.boundReading(mux))
 }
 
 // health answers 200 while the entry takes jobs, so that the platform's
@@ -58,46 +60,36 @@
 		e.refuse(w, result.Errorf(result.TooManyTickets, "count is at most %d", e.cfg.Limits.Tickets))
 		return
 	}
-	tickets := e.book.Issue(count, time.Now())
-	if tickets == nil {
-		e.refuse(w, result.Errorf(result.Stopping, "the entry is shutting down"))
+	tickets := e.ticketsFor(r.Context(), r.URL.Query().Get("service"), count)
+	if len(tickets) == 0 {
+		e.refuse(w, errStopping)
 		return
 	}
-	out := api.Tickets{Tickets: make([]string, len(tickets))}
-	for i, t := range tickets {
-		out.Tickets[i] = t.Encode(e.ticketKeys[0])
-	}
-	writeJSON(w, http.StatusOK, out)
+	writeJSON(w, http.StatusOK, api.Tickets{Tickets: tickets})
 }
 
-// submitOnce takes a job from a caller that never submits again.
-func (e *Entry) submitOnce(w http.ResponseWriter, r *http.Request) {
-	body, err := e.readBody(w, r)
+func (e *Entry) submit(w http.ResponseWriter, r *http.Request) {
+	body, err := e.readBody(w, r, e.cfg.Limits.BodyBytes)
 	if err != nil {
 		e.refuse(w, err)
 		return
 	}
-	tickets := e.book.Issue(1, time.Now())
-	if tickets == nil {
-		e.refuse(w, result.Errorf(result.Stopping, "the entry is shutting down"))
-		return
-	}
-	e.answer(w, e.submitHere(r.Context(), tickets[0], tickets[0].Encode(e.ticketKeys[0]), body))
+	e.route(w, r, body)
 }
 
-func (e *Entry) submit(w http.ResponseWriter, r *http.Request) {
-	body, err := e.readBody(w, r)
-	if err != nil {
+func (e *Entry) show(w http.ResponseWriter, r *http.Request) { e.routeWithoutBody(w, r) }
+
+func (e *Entry) cancel(w http.ResponseWriter, r *http.Request) { e.routeWithoutBody(w, r) }
+
+// routeWithoutBody drops the body of a request that needs none.
+func (e *Entry) routeWithoutBody(w http.ResponseWriter, r *http.Request) {
+	if _, err := e.readBody(w, r, maxIgnoredBytes); err != nil {
 		e.refuse(w, err)
 		return
 	}
-	e.route(w, r, body)
+	e.route(w, r, nil)
 }
 
-func (e *Entry) show(w http.ResponseWriter, r *http.Request) { e.route(w, r, nil) }
-
-func (e *Entry) cancel(w http.ResponseWriter, r *http.Request) { e.route(w, r, nil) }
-
 // route answers a request about a ticket, wherever the ticket was issued.
 func (e *Entry) route(w http.ResponseWriter, r *http.Request, body []byte) {
 	text := r.PathValue("ticket")
@@ -106,9 +98,14 @@
 		e.refuse(w, err)
 		return
 	}
-	a := e.request(r.Context(), r.Method, ticket, text, body)
-	if r.Context().Err() != nil && a.Code == result.OK && a.Running {
+	ctx, cancel := e.requests.untilGivenUp(r.Context())
+	defer cancel()
+	a := e.request(ctx, r.Method, ticket, text, body)
+	switch {
+	case r.Context().Err() != nil && a.Running:
 		return // the caller has gone
+	case ctx.Err() != nil && a.Running:
+		a = errorAnswer(text, result.Errorf(result.OutcomeUnknown, "the entry stopped before the answer came; ask another one"))
 	}
 	e.answer(w, a)
 }
@@ -255,7 +252,8 @@
 	case used:
 		return errorAnswer(text, result.Errorf(result.OutcomeUnknown, "the answer is no longer kept"))
 	default:
-		return errorAnswer(text, result.Errorf(result.NotFound, "no job was submitted under this ticket"))
+		// Not named: the ticket may still be submitted.
+		return errorAnswer("", result.Errorf(result.NotFound, "no job was submitted under this ticket"))
 	}
 }
 
@@ -276,22 +274,6 @@
 	}
 }
 
-// readBody reads a request's body within the size and time limits.
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(e.cfg.Limits.ReadTimeout.D()))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(e.cfg.Limits.BodyBytes)))
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		return body, nil
-	case errors.As(err, &tooLarge):
-		return nil, result.Errorf(result.BodyTooLarge, "at most %d bytes", e.cfg.Limits.BodyBytes)
-	default:
-		return nil, result.Errorf(result.SlowRequest, "the body did not arrive")
-	}
-}
-
 func digest(body []byte) ledger.Digest {
 	sum := sha256.Sum256(body)
 	return ledger.Digest(sum[:16])
@@ -318,6 +300,9 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
+// errorAnswer answers with an error's code. A refusal that names the ticket is
+// final for it: callers take it as proof that nothing ran under the ticket and
+// nothing will. Refusals of one request alone leave the ticket empty.
 func errorAnswer(ticket string, err error) api.Answer {
 	var coded *result.Error
 	if !errors.As(err, &coded) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -82,6 +82,7 @@
 
 	stopping  atomic.Bool
 	openJobs  atomic.Int64
+	requests  openRequests
 	listeners listeners
 	wg        sync.WaitGroup
 }
@@ -126,6 +127,7 @@
 	e.heirs = newHeirs()
 	e.settler = newSettler(e)
 	e.forwards = newForwards()
+	e.requests = newOpenRequests()
 	e.control = newControl(e)
 	e.registerGauges()
 	return e, nil
@@ -182,8 +184,8 @@
 		case <-fast.C:
 			e.services.each(func(s *service) { s.poll() })
 		case <-slow.C:
-			e.services.each(func(s *service) { s.expire() })
-			e.agents.each(func(a *agentLink) { e.beatIfDue(a) })
+			e.services.each(func(s *service) { s.setHomes(); s.expire() })
+			e.agents.each(e.watch)
 		}
 	}
 }
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -40,6 +40,18 @@
 	return f.next, w
 }
 
+// waitFor reports whether requests wait for a peer's reply.
+func (f *forwards) waitFor(p *peerLink) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, w := range f.waiting {
+		if w.peer == p {
+			return true
+		}
+	}
+	return false
+}
+
 func (f *forwards) drop(id uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -96,15 +108,16 @@
 // authority returns the link to the run that answers for a ticket; closed is
 // true if that run is known to be gone.
 func (e *Entry) authority(t ledger.Ticket) (p *peerLink, closed bool) {
-	if heir := e.heirs.of(t.Incarnation); heir != "" {
-		return e.peers.get(heir), false
+	run := entryRun{id: t.Entry, incarnation: wire.Incarnation(t.Incarnation)}
+	if heir, ok := e.heirs.of(t.Incarnation); ok {
+		run = heir
 	}
-	p = e.peers.get(t.Entry)
+	p = e.peers.get(run.id)
 	if p == nil {
 		return nil, false
 	}
-	if uint64(p.incarnation) != t.Incarnation {
-		return nil, true // the entry was replaced: the issuing run is over
+	if p.incarnation != run.incarnation {
+		return nil, true // the entry was replaced: that run is over
 	}
 	return p, false
 }
@@ -112,7 +125,7 @@
 func (e *Entry) forwardOnce(ctx context.Context, p *peerLink, method, text string, body []byte) (api.Answer, bool) {
 	id, w := e.forwards.add(p)
 	defer e.forwards.drop(id)
-	if !p.send(e, &wire.Forward{Request: id, Method: method, Ticket: text, Body: body}) {
+	if !p.send(&wire.Forward{Request: id, Method: method, Ticket: text, Body: body}) {
 		pause(ctx, peerPoll)
 		return api.Answer{}, false
 	}
@@ -151,13 +164,13 @@
 		e.log.Error().Err(err).Msg("answer not encoded")
 		return
 	}
-	p.send(e, &wire.ForwardReply{Request: m.Request, Body: body})
+	p.send(&wire.ForwardReply{Request: m.Request, Body: body})
 }
 
 func (e *Entry) answerForwarded(ctx context.Context, m *wire.Forward) api.Answer {
 	t, err := ledger.DecodeTicket(m.Ticket, e.ticketKeys)
 	if err != nil {
-		return errorAnswer(m.Ticket, err)
+		return errorAnswer("", err)
 	}
 	if t.Entry == e.self.ID && t.Incarnation == uint64(e.self.Incarnation) {
 		return e.requestHere(ctx, m.Method, t, m.Ticket, m.Body)
@@ -177,9 +190,10 @@
 		}
 		return outcomeAnswer(text, rec.Outcome())
 	}
-	if rec, used := book.Find(t.Seq); rec != nil {
+	if rec, _ := book.Find(t.Seq); rec != nil {
 		return outcomeAnswer(text, rec.Outcome())
-	} else if used {
+	}
+	if book.Forgot(t, time.Now()) {
 		return errorAnswer(text, result.Errorf(result.OutcomeUnknown, "the answer is no longer kept"))
 	}
 	return errorAnswer(text, result.Errorf(result.IssuerClosed, "the issuing entry shut down"))
--- a/entry/service.go
+++ b/entry/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -152,7 +153,7 @@
 	a := s.e.agents.get(p.Credit.Agent)
 	if a == nil || uint64(a.incarnation) != p.Credit.Incarnation {
 		s.queue.Refused(p.Credit.Agent)
-		s.queue.Again(now, p.Task)
+		s.queue.Again(p.Task)
 		return
 	}
 	j, ok := s.jobs[p.Task.Job]
@@ -172,7 +173,7 @@
 	// The link was closed before the grant was queued, so it was not sent.
 	s.queue.Refused(a.id)
 	if j.Refuse(p.Task.Index, attempt, a.id, uint64(a.incarnation)) {
-		s.queue.Again(now, p.Task)
+		s.queue.Again(p.Task)
 	}
 }
 
@@ -216,7 +217,7 @@
 	if p == nil {
 		return
 	}
-	p.send(s.e, &wire.CreditAsk{Service: s.name, Want: a.Want, OldestMS: a.Oldest.Milliseconds()})
+	p.send(&wire.CreditAsk{Service: s.name, Want: a.Want, OldestMS: a.Oldest.Milliseconds()})
 }
 
 func (s *service) give(g placement.Give) {
@@ -226,7 +227,7 @@
 		credits[i] = wire.AgentCredit{Agent: c.Agent, Incarnation: wire.Incarnation(c.Incarnation), Credit: wire.SlotCredit{Slot: c.Slot, Epoch: c.Epoch}}
 	}
 	spare := []wire.ServiceCount{{Service: s.name, Count: s.queue.Spare()}}
-	if p == nil || !p.send(s.e, &wire.CreditGive{Service: s.name, Credits: credits, Spare: spare}) {
+	if p == nil || !p.send(&wire.CreditGive{Service: s.name, Credits: credits, Spare: spare}) {
 		s.queue.AddCredits(g.Credits...)
 	}
 }
@@ -272,7 +273,7 @@
 	case m.Code == result.TicketFenced:
 		s.fail(id, j, result.SettledNotRun, result.SettledFailed, "another entry settled the ticket")
 	case again:
-		s.queue.Again(now, placement.Task{Job: id, Index: m.Task.Index, MemoryMB: j.Spec.Tasks[m.Task.Index].MemoryMB})
+		s.queue.Again(placement.Task{Job: id, Index: m.Task.Index, MemoryMB: j.Spec.Tasks[m.Task.Index].MemoryMB})
 	}
 	s.settleIfDone(id, j)
 	s.dispatch(now)
@@ -322,11 +323,21 @@
 func (s *service) poll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.queue.Waiting() > 0 || s.queue.Wanted() {
-		s.dispatch(time.Now())
+	now := time.Now()
+	if s.queue.Waiting() > 0 || s.queue.Wanted() || s.queue.Surplus(now) {
+		s.dispatch(now)
 	}
 }
 
+// setHomes takes over which entries are homes of the service.
+func (s *service) setHomes() {
+	homes := s.e.homes(s.name)
+	others := slices.DeleteFunc(slices.Clone(homes), func(id string) bool { return id == s.e.self.ID })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queue.SetHomes(others, len(others) < len(homes))
+}
+
 // expire fails the jobs whose deadline has passed and the tasks of agents that
 // did not come back.
 func (s *service) expire() {
@@ -364,6 +375,18 @@
 	}
 }
 
+// runsOn reports whether tasks of this entry are granted to an agent's run.
+func (s *service) runsOn(a *agentLink) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, j := range s.jobs {
+		if len(j.GrantedTo(a.id, uint64(a.incarnation))) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // setAgent tells the queue what is known of an agent.
 func (s *service) setAgent(a *agentLink) {
 	v := s.e.control.view()
@@ -422,7 +445,7 @@
 		case wire.TaskNeverSeen:
 			s.e.metrics.Retried(result.PeerUnreachable)
 			if j.Refuse(ref.Index, a.resuming[ref], a.id, uint64(a.incarnation)) {
-				s.queue.Again(now, placement.Task{Job: id, Index: ref.Index, MemoryMB: j.Spec.Tasks[ref.Index].MemoryMB})
+				s.queue.Again(placement.Task{Job: id, Index: ref.Index, MemoryMB: j.Spec.Tasks[ref.Index].MemoryMB})
 			}
 			s.settleIfDone(id, j)
 		case wire.TaskForgotten:
--- a/integration/harness/caller.go
+++ b/integration/harness/caller.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -24,8 +25,11 @@
 }
 
 // NewCaller returns a caller; token is the operators' and may be empty.
-func NewCaller(token string) *Caller {
-	return &Caller{http: &http.Client{Timeout: callTimeout, Transport: &http.Transport{}}, token: token}
+func NewCaller(token string) *Caller { return NewTLSCaller(token, nil) }
+
+// NewTLSCaller returns a caller that trusts what config says; nil is for plain HTTP.
+func NewTLSCaller(token string, config *tls.Config) *Caller {
+	return &Caller{http: &http.Client{Timeout: callTimeout, Transport: &http.Transport{TLSClientConfig: config}}, token: token}
 }
 
 // Close closes idle connections.
@@ -57,6 +61,13 @@
 	return out, err
 }
 
+// Cancel withdraws a job.
+func (c *Caller) Cancel(ctx context.Context, base, ticket string) (api.Answer, error) {
+	var out api.Answer
+	err := c.call(ctx, http.MethodDelete, jobURL(base, ticket), nil, &out)
+	return out, err
+}
+
 // Note posts a release note to the operators' listener at base.
 func (c *Caller) Note(ctx context.Context, base string, note any) (api.NoteAnswer, error) {
 	var out api.NoteAnswer
--- a/integration/harness/deployment.go
+++ b/integration/harness/deployment.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"testing"
 	"time"
 
 	"bergamotwing.example/client/api"
 	"bergamotwing.example/release"
+	"bergamotwing.example/settings"
 )
 
 // Names and sizes of a deployment where Options leaves them open.
@@ -41,8 +43,19 @@
 	Slots     int           // of each agent
 	Placement string        // default credits
 	LinkDelay time.Duration // one way, on every link and towards callers
+	// ProxyEndpoints puts a proxy between each agent and its endpoint.
+	ProxyEndpoints bool
+	ReadTimeout    time.Duration // of a caller's request body; default the settings'
+	StopTimeout    time.Duration // of entries; default the settings'
 	// Answer returns the result that an endpoint gives to a payload.
 	Answer func(payload []byte) []byte
+	// EntrySettings and AgentSettings change the settings before the start.
+	EntrySettings func(*settings.Entry)
+	AgentSettings func(*settings.Agent)
+	ClientTLS     *tls.Config // of the operators, if the entries serve TLS
+	// OneEndpoint puts all agents beside the endpoint of the first, which halves
+	// the processes of a large deployment. The oracle cannot be used then.
+	OneEndpoint bool
 }
 
 // Deployment is a running deployment: the platform's stand-in, entries, and
@@ -61,7 +74,7 @@
 // process is linked to every other and has it.
 func New(t testing.TB, opts Options) *Deployment {
 	t.Helper()
-	d := &Deployment{Operator: NewCaller(OperatorToken), opts: withDefaults(opts)}
+	d := &Deployment{Operator: NewTLSCaller(OperatorToken, opts.ClientTLS), opts: withDefaults(opts)}
 	t.Cleanup(d.Operator.Close)
 	d.Zones = d.opts.Zones
 	d.Platform = startStandin(t, "platform", "platform")
@@ -89,6 +102,12 @@
 	if o.Placement == "" {
 		o.Placement = "credits"
 	}
+	if o.EntrySettings == nil {
+		o.EntrySettings = func(*settings.Entry) {}
+	}
+	if o.AgentSettings == nil {
+		o.AgentSettings = func(*settings.Agent) {}
+	}
 	return o
 }
 
@@ -109,6 +128,15 @@
 	}
 }
 
+// AddAgent starts an agent that the deployment did not have before.
+func (d *Deployment) AddAgent(t testing.TB) *Agent {
+	t.Helper()
+	a := startAgent(t, d, len(d.Agents))
+	d.Agents = append(d.Agents, a)
+	d.Oracle.watch(a)
+	return a
+}
+
 // FirstNote returns the release note that a deployment starts with.
 func (d *Deployment) FirstNote() release.Note {
 	zones := map[string]release.Zone{}
--- a/integration/harness/nodes.go
+++ b/integration/harness/nodes.go
@@ -34,17 +34,29 @@
 	s.LinkListen, s.MetricsListen = FreeAddr(t), FreeAddr(t)
 	s.OperatorToken = OperatorToken
 	s.Keys = keys()
+	s.Peers = []string{} // known once all entries have their proxies
 	s.Placement = d.opts.Placement
+	if d.opts.ReadTimeout > 0 {
+		s.Limits.ReadTimeout = settings.Duration(d.opts.ReadTimeout)
+	}
+	if d.opts.StopTimeout > 0 {
+		s.StopTimeout = settings.Duration(d.opts.StopTimeout)
+	}
+	d.opts.EntrySettings(&s)
+	scheme := "http://"
+	if s.TLS.CertFile != "" {
+		scheme = "https://"
+	}
 	e := &Entry{
 		ID:          s.ID,
 		Zone:        s.Zone,
-		OperatorURL: "http://" + s.OperatorListen,
+		OperatorURL: scheme + s.OperatorListen,
 		MetricsURL:  "http://" + s.MetricsListen + "/metrics",
 		Callers:     StartProxy(t, FreeAddr(t), s.Listen),
 		Links:       StartProxy(t, FreeAddr(t), s.LinkListen),
 		Store:       StartProxy(t, FreeAddr(t), d.Platform.Addr),
 	}
-	e.URL = "http://" + e.Callers.Addr
+	e.URL = scheme + e.Callers.Addr
 	e.Links.Delay(d.opts.LinkDelay)
 	e.Callers.Delay(d.opts.LinkDelay)
 	s.LinkAddr = e.Links.Addr
@@ -71,19 +83,25 @@
 	URL        string // the agent's own listener
 	MetricsURL string
 	Endpoint   *Standin
+	Requests   *Proxy // to the endpoint; nil without Options.ProxyEndpoints
 	Store      *Proxy // to the platform
 }
 
 func startAgent(t testing.TB, d *Deployment, i int) *Agent {
 	t.Helper()
 	id := fmt.Sprintf("agent%d", i)
-	endpoint := startStandin(t, fmt.Sprintf("endpoint%d", i), "endpoint")
+	endpoint := startEndpoint(t, d, i)
 	store := StartProxy(t, FreeAddr(t), d.Platform.Addr)
 	s := settings.DefaultAgent()
 	s.ID = id
 	s.Zone = d.Zones[i%len(d.Zones)]
 	s.Service = DefaultService
 	s.Endpoint = endpoint.URL
+	var requests *Proxy
+	if d.opts.ProxyEndpoints {
+		requests = StartProxy(t, FreeAddr(t), endpoint.Addr)
+		s.Endpoint = "http://" + requests.Addr
+	}
 	s.Slots = d.opts.Slots
 	s.Listen = FreeAddr(t)
 	s.Keys = keys()
@@ -91,6 +109,7 @@
 	for _, e := range d.Entries {
 		s.Entries = append(s.Entries, e.Links.Addr)
 	}
+	d.opts.AgentSettings(&s)
 	return &Agent{
 		Process:    StartProcess(t, id, "agent", "--settings", writeSettings(t, id, s)),
 		ID:         id,
@@ -98,10 +117,19 @@
 		URL:        "http://" + s.Listen,
 		MetricsURL: "http://" + s.Listen + "/metrics",
 		Endpoint:   endpoint,
+		Requests:   requests,
 		Store:      store,
 	}
 }
 
+func startEndpoint(t testing.TB, d *Deployment, i int) *Standin {
+	t.Helper()
+	if d.opts.OneEndpoint && i > 0 {
+		return d.Agents[0].Endpoint
+	}
+	return startStandin(t, fmt.Sprintf("endpoint%d", i), "endpoint")
+}
+
 // pathLeaving is where an endpoint announces to its agent that it is leaving.
 const pathLeaving = "/leave"
 
@@ -165,6 +193,25 @@
 	}
 }
 
+// EndpointCounts counts what an endpoint's stand-in saw.
+type EndpointCounts struct {
+	Started  int `json:"started"`
+	Finished int `json:"finished"` // answered with a result
+	Running  int `json:"running"`
+}
+
+// Counts returns what an endpoint has counted.
+func (s *Standin) Counts(t testing.TB) EndpointCounts {
+	t.Helper()
+	var state struct {
+		Counts EndpointCounts `json:"counts"`
+	}
+	if err := s.http.call(t.Context(), http.MethodGet, s.URL+pathControl, nil, &state); err != nil {
+		t.Fatalf("counts of %s: %v", s.Name, err)
+	}
+	return state.Counts
+}
+
 // Starts returns every start that an endpoint has seen.
 func (s *Standin) Starts(ctx context.Context) ([]Start, error) {
 	var starts []Start
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// dueFactor is how much longer than its own work a job may take before it is
+// due; see Queue.due.
+const dueFactor = 4
+
 // Queue holds one service's waiting tasks and the credits that this entry may
 // spend on them.
 type Queue struct {
@@ -15,6 +19,9 @@
 	spare   creditPool
 	peers   map[string]*peerState
 	lastAsk time.Time
+	lastJob time.Time
+	homes   []string // other entries that are homes of the service
+	isHome  bool
 	eject   ejector
 	run     runTimes
 }
@@ -24,6 +31,7 @@
 	weight   int
 	deadline time.Time
 	arrived  time.Time
+	due      time.Time
 	tasks    int
 	waiting  int // tasks
 }
@@ -76,11 +84,24 @@
 
 // Add puts an admitted job into the queue.
 func (q *Queue) Add(now time.Time, j Job) {
-	q.meta[j.ID] = &jobMeta{
-		team: j.Team, weight: j.Weight, deadline: j.Deadline, arrived: now,
+	m := &jobMeta{
+		team: j.Team, weight: j.Weight, deadline: j.Deadline, arrived: now, due: q.due(now, len(j.Tasks)),
 		tasks: len(j.Tasks), waiting: len(j.Tasks),
 	}
-	q.fair.push(now, j)
+	q.meta[j.ID] = m
+	q.lastJob = now
+	q.fair.push(now, m.due, j)
+}
+
+// due returns when a job of n tasks that arrives now is due: after dueFactor
+// times the time that all slots together need for it. A short job so passes a
+// long one that arrived shortly before, but no job waits for ever behind others.
+func (q *Queue) due(now time.Time, n int) time.Time {
+	if !q.run.known() {
+		return now
+	}
+	slots := max(1, q.usableSlots())
+	return now.Add(time.Duration(dueFactor * float64(n) * float64(q.run.mean()) / float64(slots)))
 }
 
 // Remove drops a job's waiting tasks and forgets the job.
@@ -90,13 +111,13 @@
 }
 
 // Again makes a task that was refused before its start placeable again.
-func (q *Queue) Again(now time.Time, t Task) {
+func (q *Queue) Again(t Task) {
 	m, ok := q.meta[t.Job]
 	if !ok {
 		return
 	}
 	m.waiting++
-	q.fair.pushBack(now, Job{ID: t.Job, Team: m.team, Weight: m.weight, Deadline: m.deadline}, t, m.arrived)
+	q.fair.pushBack(m.arrived, m.due, Job{ID: t.Job, Team: m.team, Weight: m.weight, Deadline: m.deadline}, t)
 }
 
 // Done notes the end of a task on an agent: its run time, whether it failed, and
@@ -166,14 +187,18 @@
 func (q *Queue) Dispatch(now time.Time) Decision {
 	q.eject.refresh(now, len(q.agents))
 	var d Decision
-	d.Give = q.giveOlder(now)
+	if q.Wanted() {
+		d.Give = q.giveOlder(now)
+	}
 	for q.placeNext(now, &d) {
 	}
 	if q.fair.waiting > 0 {
 		d.Ask = q.ask(now)
 		return d
 	}
+	d.Ask = q.withdraw(now)
 	d.Give = append(d.Give, q.give(now)...)
+	d.Give = append(d.Give, q.giveHome(now)...)
 	return d
 }
 
--- a/placement/queue_test.go
+++ b/placement/queue_test.go
@@ -163,7 +163,7 @@
 		delete(w.placed, task)
 		w.open++
 		w.q.Refused(c.Agent)
-		w.q.Again(w.now, task)
+		w.q.Again(task)
 		break
 	}
 	w.dispatch(t)
@@ -207,3 +207,56 @@
 		t.Fatalf("%d tasks wait beside %d credits", w.open, len(w.live))
 	}
 }
+
+func TestShortJobPassesALongOneThatArrivedShortlyBefore(t *testing.T) {
+	q := newTestQueue(1, 8)
+	for range runTimeSamples {
+		q.Done(start, agentID(0), time.Second, true, 0)
+	}
+	add := func(at time.Duration, id, tasks int) {
+		j := testJob(id, "", tasks)
+		j.Deadline = start.Add(time.Hour)
+		q.Add(start.Add(at), j)
+	}
+	add(0, 1, 400) // due after 4 × 50 s
+	add(time.Second, 2, 1)
+	add(300*time.Second, 3, 1)
+	for i := range 2 {
+		q.AddCredits(credit(0, i, 1))
+	}
+	d := q.Dispatch(start.Add(300 * time.Second))
+	if len(d.Place) != 2 || d.Place[0].Task.Job != 2 || d.Place[1].Task.Job != 1 {
+		t.Fatalf("got %+v, want the early short job, then the long one before the late short one", d.Place)
+	}
+}
+
+func TestAskIsWithdrawnOnceNothingWaits(t *testing.T) {
+	q := newTestQueue(1, 1)
+	q.SetPeer("p")
+	q.Add(start, testJob(1, "", 1))
+	if d := q.Dispatch(start); len(d.Ask) != 1 || d.Ask[0].Want != 1 {
+		t.Fatalf("no ask: %+v", d)
+	}
+	q.AddCredits(credit(0, 0, 1))
+	now := start.Add(10 * time.Millisecond)
+	if d := q.Dispatch(now); len(d.Ask) != 1 || d.Ask[0].Want != 0 {
+		t.Fatalf("not withdrawn: %+v", d)
+	}
+	if d := q.Dispatch(now); len(d.Ask) != 0 {
+		t.Fatalf("withdrawn twice: %+v", d)
+	}
+}
+
+func TestEntryThatIsNoHomePassesItsSpareCreditsOn(t *testing.T) {
+	q := newTestQueue(1, 2)
+	q.SetPeer("home")
+	q.SetHomes([]string{"home"}, false)
+	q.Add(start, testJob(1, "", 1))
+	q.AddCredits(credit(0, 0, 1), credit(0, 1, 1))
+	if d := q.Dispatch(start); len(d.Place) != 1 || len(d.Give) != 0 {
+		t.Fatalf("got %+v, want the task placed and nothing given yet", d)
+	}
+	if d := q.Dispatch(start.Add(keepFor)); len(d.Give) != 1 || d.Give[0].Peer != "home" || len(d.Give[0].Credits) != 1 {
+		t.Fatalf("got %+v, want the spare credit given to the home", d)
+	}
+}
