--- a/integration/faults_load_test.go
+++ b/integration/faults_load_test.go
@@ -58,7 +58,7 @@
 
 func deployMeasured(t *testing.T) *harness.Deployment {
 	t.Helper()
-	return deploy(t, harness.Options{Agents: measuredAgents, Slots: measuredSlots, Placement: "credits", LinkDelay: measuredDelay})
+	return deploy(t, harness.Options{Agents: measuredAgents, Slots: measuredSlots, LinkDelay: measuredDelay})
 }
 
 // faultSeed returns the seed of a fault measurement.
--- a/integration/harness/deployment.go
+++ b/integration/harness/deployment.go
@@ -41,7 +41,6 @@
 	Agents    int           // default one for each zone
 	Zones     []string      // entries and agents are spread over them in turn
 	Slots     int           // of each agent
-	Placement string        // default credits
 	LinkDelay time.Duration // one way, on every link and towards callers
 	// ProxyEndpoints puts a proxy between each agent and its endpoint.
 	ProxyEndpoints bool
@@ -99,9 +98,6 @@
 	if o.Slots == 0 {
 		o.Slots = defaultSlots
 	}
-	if o.Placement == "" {
-		o.Placement = "credits"
-	}
 	if o.EntrySettings == nil {
 		o.EntrySettings = func(*settings.Entry) {}
 	}
--- a/integration/harness/nodes.go
+++ b/integration/harness/nodes.go
@@ -35,7 +35,6 @@
 	s.OperatorToken = OperatorToken
 	s.Keys = keys()
 	s.Peers = []string{} // known once all entries have their proxies
-	s.Placement = d.opts.Placement
 	if d.opts.ReadTimeout > 0 {
 		s.Limits.ReadTimeout = settings.Duration(d.opts.ReadTimeout)
 	}
--- a/integration/measure_test.go
+++ b/integration/measure_test.go
@@ -24,7 +24,6 @@
 // except the seconds. Reports and pictures are kept as artifacts of the tests.
 const (
 	variableEntries      = "BERGAMOTWING_ENTRIES"
-	variablePlacements   = "BERGAMOTWING_PLACEMENTS"
 	variableUtilizations = "BERGAMOTWING_UTILIZATIONS"
 	variableSeeds        = "BERGAMOTWING_SEEDS"
 	variableSeconds      = "BERGAMOTWING_SECONDS"
@@ -41,13 +40,12 @@
 	measuredDeadline = time.Minute
 )
 
-const tableHeader = `| entries | placement | utilization | seed | jobs | offered | mean/central | p99/central | job/ideal mean | p50 | p99 | p99.9 | /run p99 | wasted/task | tasks/s | not whole | wrong | no answer | late p99 ms | entry CPU s | agent CPU s | max RSS MB | control kB/s |
-|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|`
+const tableHeader = `| entries | utilization | seed | jobs | offered | mean/central | p99/central | job/ideal mean | p50 | p99 | p99.9 | /run p99 | wasted/task | tasks/s | not whole | wrong | no answer | late p99 ms | entry CPU s | agent CPU s | max RSS MB | control kB/s |
+|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|`
 
 // experiment is one measured load on one deployment.
 type experiment struct {
 	entries     int
-	placement   string
 	utilization float64
 	seed        uint64
 	zoneEvent   bool
@@ -73,7 +71,6 @@
 	t.Helper()
 	all := []experiment{{}}
 	all = combine(all, list(variableEntries, "3"), func(x *experiment, v string) { x.entries = int(number(t, v)) })
-	all = combine(all, list(variablePlacements, "credits"), func(x *experiment, v string) { x.placement = v })
 	all = combine(all, list(variableUtilizations, utilizations), func(x *experiment, v string) { x.utilization = number(t, v) })
 	return combine(all, list(variableSeeds, "1"), func(x *experiment, v string) { x.seed = uint64(number(t, v)) })
 }
@@ -107,7 +104,7 @@
 }
 
 func (x experiment) name() string {
-	return fmt.Sprintf("entries=%d/placement=%s/utilization=%g/seed=%d", x.entries, x.placement, x.utilization, x.seed)
+	return fmt.Sprintf("entries=%d/utilization=%g/seed=%d", x.entries, x.utilization, x.seed)
 }
 
 func (x experiment) run(t *testing.T) {
@@ -115,7 +112,6 @@
 		Entries:   x.entries,
 		Agents:    measuredAgents,
 		Slots:     measuredSlots,
-		Placement: x.placement,
 		LinkDelay: measuredDelay,
 	})
 	report, err := load.Run(t.Context(), x.options(t, d), os.Stderr)
@@ -190,8 +186,8 @@
 		}
 	}
 	entryCPU, agentCPU, rss, control := totals(r.Processes)
-	return fmt.Sprintf("| %d | %s | %g | %d | %d | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.1f | %.0f | %d | %d | %.2f | %.2f | %.2f | %.1f | %.1f |",
-		x.entries, x.placement, x.utilization, x.seed, r.Jobs, r.OfferedLoad, r.MeanOverCentral, r.P99OverCentral,
+	return fmt.Sprintf("| %d | %g | %d | %d | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.1f | %.0f | %d | %d | %.2f | %.2f | %.2f | %.1f | %.1f |",
+		x.entries, x.utilization, x.seed, r.Jobs, r.OfferedLoad, r.MeanOverCentral, r.P99OverCentral,
 		r.VersusIdeal.Mean, r.VersusIdeal.P50, r.VersusIdeal.P99, r.VersusIdeal.P999, r.VersusRun.P99,
 		r.WastedPerTask, r.TasksPerSecond, notWhole, r.WrongAnswers, r.NoAnswer, r.GeneratorLateMS.P99,
 		entryCPU, agentCPU, rss/1e6, control/1e3)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -66,7 +66,6 @@
 	Limits         Limits   `json:"limits"`
 	StopTimeout    Duration `json:"stopTimeout" validate:"min=1000000000,max=600000000000"`
 	LogLevel       string   `json:"logLevel" validate:"oneof=debug info warn error"`
-	Placement      string   `json:"placement" validate:"oneof=credits random two_choices"` // how tasks find slots
 }
 
 // Agent holds the settings of an agent.
@@ -104,7 +103,6 @@
 		},
 		StopTimeout: Duration(30 * time.Second),
 		LogLevel:    "info",
-		Placement:   "credits",
 	}
 }
 
