A home entry takes a team's rate by the number of homes

Cause: a team's rate was divided by the number of entries, but since the jobs of a service come to its home entries, the team got only one part in three (of 12: one in twelve) of its quota. A home entry now takes an equal part for each home, any other entry one for each entry.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -177,7 +177,7 @@
 	if err := e.checkJob(job, service); err != nil {
 		return err
 	}
-	weight, err := e.quotas.take(state, job.Team, len(job.Tasks), now)
+	weight, err := e.quotas.take(state, job.Team, len(job.Tasks), e.quotaParts(job.Service), now)
 	if err != nil {
 		return err
 	}
--- a/entry/control.go
+++ b/entry/control.go
@@ -225,7 +225,7 @@
 
 // configChanged puts a new configuration in force here.
 func (e *Entry) configChanged(v *view) {
-	e.quotas.set(v.State, len(v.Peers)+1)
+	e.quotas.keep(v.State)
 	e.agents.each(func(a *agentLink) { e.services.get(a.service).setAgent(a) })
 	if v.State != nil {
 		e.services.each(func(s *service) { s.configure(v.State) })
--- a/entry/homes.go
+++ b/entry/homes.go
@@ -50,6 +50,15 @@
 	return ids[:min(max(1, n), len(ids))]
 }
 
+// quotaParts returns in how many parts a team's rate is divided for a service's
+// jobs here.
+func (e *Entry) quotaParts(service string) int {
+	if homes := e.homes(service); slices.Contains(homes, e.self.ID) {
+		return len(homes)
+	}
+	return 1 + len(e.control.view().Peers)
+}
+
 // homeCandidates returns the entries linked now, this one among them; those in
 // a zone out of service only if there are no others.
 func (e *Entry) homeCandidates() []string {
--- a/entry/quotas.go
+++ b/entry/quotas.go
@@ -10,17 +10,18 @@
 	"bergamotwing.example/result"
 )
 
-// quotas holds each team's share of its rate at this entry: the deployment's
-// rate divided by the number of entries.
+// quotas holds each team's share of its rate at this entry. Jobs of a service
+// come to its home entries, so a home takes an equal part of the rate for each
+// home; another entry takes one for each entry.
 type quotas struct {
 	mu       sync.Mutex
-	limiters map[string]*rate.Limiter
+	limiters map[string]*rate.Limiter // by team
 }
 
 func newQuotas() *quotas { return &quotas{limiters: map[string]*rate.Limiter{}} }
 
-// set takes over the teams of a configuration.
-func (q *quotas) set(state *release.State, entries int) {
+// keep forgets the teams that are no longer in force.
+func (q *quotas) keep(state *release.State) {
 	if state == nil {
 		return
 	}
@@ -31,25 +32,12 @@
 			delete(q.limiters, name)
 		}
 	}
-	for name, team := range state.Teams {
-		limit := rate.Limit(team.TasksPerSecond / float64(entries))
-		if team.TasksPerSecond == 0 {
-			limit = rate.Inf
-		}
-		burst := max(team.Burst, 1)
-		l, ok := q.limiters[name]
-		if !ok {
-			q.limiters[name] = rate.NewLimiter(limit, burst)
-			continue
-		}
-		l.SetLimit(limit)
-		l.SetBurst(burst)
-	}
 }
 
-// take spends n tasks of a team's quota and returns the team's weight. Without
-// teams in the configuration, every team is taken.
-func (q *quotas) take(state *release.State, team string, n int, now time.Time) (int, *result.Error) {
+// take spends n tasks of a team's quota, of which this entry has one of so many
+// parts, and returns the team's weight. Without teams in the configuration,
+// every team is taken.
+func (q *quotas) take(state *release.State, team string, n, parts int, now time.Time) (int, *result.Error) {
 	if len(state.Teams) == 0 {
 		return 1, nil
 	}
@@ -57,11 +45,31 @@
 	if !ok {
 		return 0, result.Errorf(result.UnknownTeam, "team %q is not in force", team)
 	}
-	q.mu.Lock()
-	l := q.limiters[team]
-	q.mu.Unlock()
-	if l != nil && !l.AllowN(now, n) {
+	if !q.limiter(team, t, parts, now).AllowN(now, n) {
 		return 0, result.Errorf(result.QuotaExceeded, "team %q is over its quota", team)
 	}
 	return max(1, t.Weight), nil
 }
+
+// limiter returns a team's limiter, set to its quota in force.
+func (q *quotas) limiter(name string, t release.Team, parts int, now time.Time) *rate.Limiter {
+	limit := rate.Limit(t.TasksPerSecond / float64(max(1, parts)))
+	if t.TasksPerSecond == 0 {
+		limit = rate.Inf
+	}
+	burst := max(t.Burst, 1)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	l, ok := q.limiters[name]
+	if !ok {
+		l = rate.NewLimiter(limit, burst)
+		q.limiters[name] = l
+	}
+	if l.Limit() != limit {
+		l.SetLimitAt(now, limit)
+	}
+	if l.Burst() != burst {
+		l.SetBurstAt(now, burst)
+	}
+	return l
+}
