The TLS test's certificates name the test binary's own loopback address

Cause: each test binary got a loopback address of its own, the certificates still named 127.0.0.1 only.

--- a/integration/harness/ports.go
+++ b/integration/harness/ports.go
@@ -24,7 +24,7 @@
 	t.Helper()
 	for range portRange {
 		port := firstPort + nextPort.Add(1)%portRange
-		addr := fmt.Sprintf("%s:%d", loopback(os.Getpid()), port)
+		addr := fmt.Sprintf("%s:%d", Loopback(), port)
 		l, err := net.Listen("tcp", addr)
 		if err != nil {
 			continue
@@ -36,7 +36,8 @@
 	return ""
 }
 
-// loopback returns the loopback address of a test binary's process.
-func loopback(pid int) net.IP {
+// Loopback returns this test binary's loopback address.
+func Loopback() net.IP {
+	pid := os.Getpid()
 	return net.IPv4(127, byte(pid>>15), byte(pid>>7), byte(pid<<1)|1) //nolint:gosec // the low bytes are meant
 }
--- a/integration/tls_test.go
+++ b/integration/tls_test.go
@@ -81,7 +81,7 @@
 	t.Helper()
 	key := newKey(t)
 	a.sign(t, name, &x509.Certificate{
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		IPAddresses: []net.IP{harness.Loopback()},
 		KeyUsage:    x509.KeyUsageDigitalSignature,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 	}, &key.PublicKey)
