--- a/integration/credits_test.go
+++ b/integration/credits_test.go
@@ -44,3 +44,63 @@
 		})
 	}
 }
+
+func TestTicketsOfAServiceComeFromItsHomeWhileItAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		lose func(*harness.Entry) error
+	}{
+		{"frozen", func(e *harness.Entry) error { return e.Freeze() }},
+		{"killed", func(e *harness.Entry) error { e.Kill(); return nil }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := deploy(t, harness.Options{})
+			caller := newCaller(t)
+			home := homeOf(t, d, caller)
+			var other *harness.Entry
+			for _, e := range d.Entries {
+				if got := harness.Issuer(t, ticketFor(t, caller, e)); got != home.ID {
+					t.Errorf("%s gives a ticket of %s, %s one of %s", d.Entries[0].ID, home.ID, e.ID, got)
+				}
+				if e != home {
+					other = e
+				}
+			}
+			if err := c.lose(home); err != nil {
+				t.Fatal(err)
+			}
+			at := time.Now()
+			job := harness.NewJob("after", 8, 50*time.Millisecond)
+			ticket := ticketFor(t, caller, other)
+			if took := time.Since(at); took > time.Second {
+				t.Errorf("the ticket took %v", took)
+			}
+			wantCode(t, submitUntilKnown(t, d, other, ticket, job), result.OK)
+			if took := time.Since(at); took > 2*slotsBackWithin {
+				t.Errorf("the job took %v", took)
+			}
+			d.Oracle.CheckStarts(t)
+		})
+	}
+}
+
+func ticketFor(t *testing.T, caller *harness.Caller, e *harness.Entry) string {
+	t.Helper()
+	ticket, err := caller.TicketFor(t.Context(), e.URL, harness.DefaultService)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ticket
+}
+
+func homeOf(t *testing.T, d *harness.Deployment, caller *harness.Caller) *harness.Entry {
+	t.Helper()
+	id := harness.Issuer(t, ticketFor(t, caller, d.Entries[0]))
+	for _, e := range d.Entries {
+		if e.ID == id {
+			return e
+		}
+	}
+	t.Fatalf("no entry %s", id)
+	return nil
+}
--- a/integration/harness/caller.go
+++ b/integration/harness/caller.go
@@ -35,10 +35,15 @@
 // Close closes idle connections.
 func (c *Caller) Close() { c.http.CloseIdleConnections() }
 
-// Ticket takes one ticket from the entry at base.
+// Ticket takes one of its own tickets from the entry at base.
 func (c *Caller) Ticket(ctx context.Context, base string) (string, error) {
+	return c.TicketFor(ctx, base, "")
+}
+
+// TicketFor takes one ticket for a service's jobs from the entry at base.
+func (c *Caller) TicketFor(ctx context.Context, base, service string) (string, error) {
 	var out api.Tickets
-	if err := c.call(ctx, http.MethodPost, base+api.PathTickets+"?count=1", nil, &out); err != nil {
+	if err := c.call(ctx, http.MethodPost, base+api.PathTickets+"?count=1&service="+service, nil, &out); err != nil {
 		return "", err
 	}
 	if len(out.Tickets) != 1 {
--- a/integration/harness/oracle.go
+++ b/integration/harness/oracle.go
@@ -188,6 +188,16 @@
 	}
 }
 
+// Issuer returns the id of the entry that issued a ticket.
+func Issuer(t testing.TB, ticket string) string {
+	t.Helper()
+	id, err := ledger.DecodeTicket(ticket, []ledger.Key{ledger.Key(sharedKey)})
+	if err != nil {
+		t.Fatalf("ticket %s: %v", ticket, err)
+	}
+	return id.Entry
+}
+
 // taskName is how endpoints name a task in their starts.
 func taskName(t testing.TB, ticket string, index int) string {
 	t.Helper()
