--- a/entry/agents.go
+++ b/entry/agents.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,57 +43,9 @@
 	pingedAt   atomic.Int64 // entry clock, ms
 }
 
-// agentSet holds the agents linked now.
-type agentSet struct {
-	mu   sync.RWMutex
-	byID map[string]*agentLink
-}
-
-func newAgentSet() *agentSet { return &agentSet{byID: map[string]*agentLink{}} }
-
-func (s *agentSet) get(id string) *agentLink {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	return s.byID[id]
-}
+func (a *agentLink) name() string { return a.id }
 
-// swap makes a the link to its agent and returns the one before.
-func (s *agentSet) swap(a *agentLink) *agentLink {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	old := s.byID[a.id]
-	s.byID[a.id] = a
-	return old
-}
-
-// remove drops a unless another link has taken its place.
-func (s *agentSet) remove(a *agentLink) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.byID[a.id] != a {
-		return false
-	}
-	delete(s.byID, a.id)
-	return true
-}
-
-func (s *agentSet) list() []*agentLink {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	out := make([]*agentLink, 0, len(s.byID))
-	for _, a := range s.byID {
-		out = append(out, a)
-	}
-	return out
-}
-
-func (s *agentSet) each(f func(*agentLink)) {
-	for _, a := range s.list() {
-		f(a)
-	}
-}
-
-func (s *agentSet) closeAll() { s.each(func(a *agentLink) { a.link.Close() }) }
+func (a *agentLink) close() { a.link.Close() }
 
 // linkRoutes serves the links of agents and peers.
 func (e *Entry) linkRoutes() http.Handler {
@@ -206,48 +157,6 @@
 	}
 }
 
-func (e *Entry) pingedBy(a *agentLink, m *wire.AgentPing) {
-	a.version.Store(m.Version)
-	a.failurePct.Store(int64(m.FailurePct))
-	if a.leaving.Swap(m.Leaving) != m.Leaving {
-		e.services.get(a.service).setAgent(a)
-	}
-	a.pingedAt.Store(e.clock())
-	a.pinged.Store(true)
-}
-
-// answerPing renews the permission of an agent that asked, once the known
-// moment covers its clock reading.
-func (e *Entry) answerPing(a *agentLink) {
-	if a.pinged.Swap(false) {
-		e.beat(a)
-	}
-}
-
-// watch does what is due for an agent: answers a ping that no reading of the
-// version answered, confirms held credits if nothing was sent lately, and closes
-// the link of one that went silent over tasks of this entry.
-func (e *Entry) watch(a *agentLink) {
-	now := e.clock()
-	s := e.services.get(a.service)
-	switch {
-	case a.pinged.Load() && now-a.pingedAt.Load() >= pingAnswerMax.Milliseconds():
-		e.answerPing(a)
-	case now-a.sentAt.Load() >= beatAgentIdle.Milliseconds() && len(s.held(a.id)) > 0:
-		e.beat(a)
-	}
-	if now-a.heardAt.Load() >= agentSilent.Milliseconds() && s.runsOn(a) {
-		e.log.Warn().Str("agent", a.id).Msg("agent is silent over running tasks")
-		a.link.Close()
-	}
-}
-
-func (e *Entry) beat(a *agentLink) {
-	held := e.services.get(a.service).held(a.id)
-	a.sentAt.Store(e.clock())
-	_ = a.link.Send(&wire.EntryBeat{Vouch: e.control.vouch(&a.clocks), Held: held})
-}
-
 func slotCredits(credits []placement.Credit) []wire.SlotCredit {
 	if len(credits) == 0 {
 		return nil
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,9 +11,6 @@
 	"crypto/rand"
 	"crypto/tls"
 	"encoding/binary"
-	"errors"
-	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,7 +18,6 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
-	"bergamotwing.example/client/api"
 	"bergamotwing.example/ledger"
 	"bergamotwing.example/platform"
 	"bergamotwing.example/release/notestore"
@@ -72,8 +68,8 @@
 
 	book     *ledger.Book
 	control  *control
-	agents   *agentSet
-	peers    *peerSet
+	agents   *linkSet[*agentLink]
+	peers    *linkSet[*peerLink]
 	services *serviceSet
 	quotas   *quotas
 	heirs    *heirs
@@ -120,8 +116,8 @@
 		return nil, err
 	}
 	e.self = wire.Peer{ID: cfg.ID, Incarnation: incarnation, Addr: linkAddr(cfg, e.listeners.links), Zone: cfg.Zone}
-	e.agents = newAgentSet()
-	e.peers = newPeerSet()
+	e.agents = newLinkSet[*agentLink]()
+	e.peers = newLinkSet[*peerLink]()
 	e.services = newServiceSet(e)
 	e.quotas = newQuotas()
 	e.heirs = newHeirs()
@@ -190,125 +186,6 @@
 	}
 }
 
-// listeners holds the entry's sockets.
-type listeners struct {
-	callers, operators, links, metrics net.Listener
-}
-
-func (l *listeners) open(cfg settings.Entry) error {
-	for _, o := range []struct {
-		to   *net.Listener
-		addr string
-	}{
-		{&l.callers, cfg.Listen},
-		{&l.operators, cfg.OperatorListen},
-		{&l.links, cfg.LinkListen},
-		{&l.metrics, cfg.MetricsListen},
-	} {
-		if o.addr == "" {
-			continue
-		}
-		ln, err := net.Listen("tcp", o.addr)
-		if err != nil {
-			l.close()
-			return eris.Wrapf(err, "listen on %s", o.addr)
-		}
-		*o.to = ln
-	}
-	return nil
-}
-
-func (l *listeners) close() {
-	for _, ln := range []net.Listener{l.callers, l.operators, l.links, l.metrics} {
-		if ln != nil {
-			_ = ln.Close()
-		}
-	}
-}
-
-func (l *listeners) addrs() Addrs {
-	a := Addrs{Callers: l.callers.Addr().String(), Operators: l.operators.Addr().String(), Links: l.links.Addr().String()}
-	if l.metrics != nil {
-		a.Metrics = l.metrics.Addr().String()
-	}
-	return a
-}
-
-// linkAddr is the address others dial: the one set, or the bound one.
-func linkAddr(cfg settings.Entry, ln net.Listener) string {
-	if cfg.LinkAddr != "" && cfg.LinkAddr != cfg.LinkListen {
-		return cfg.LinkAddr
-	}
-	return ln.Addr().String()
-}
-
-type servers struct {
-	callers, operators, links, metrics *http.Server
-}
-
-// serve starts the HTTP servers.
-func (e *Entry) serve() (*servers, error) {
-	callersTLS, err := e.cfg.TLS.Server()
-	if err != nil {
-		return nil, err
-	}
-	linksTLS, err := e.cfg.LinkTLS.Server()
-	if err != nil {
-		return nil, err
-	}
-	s := &servers{
-		callers:   e.server(e.callerRoutes(), callersTLS),
-		operators: e.server(e.operatorRoutes(), callersTLS),
-		links:     e.server(e.linkRoutes(), linksTLS),
-		metrics:   e.server(e.metricsRoutes(), nil),
-	}
-	if e.cfg.HTTP2 {
-		p := new(http.Protocols)
-		p.SetHTTP1(true)
-		p.SetHTTP2(true)
-		p.SetUnencryptedHTTP2(true)
-		s.callers.Protocols = p
-	}
-	e.listen(s.callers, e.listeners.callers)
-	e.listen(s.operators, e.listeners.operators)
-	e.listen(s.links, e.listeners.links)
-	if e.listeners.metrics != nil {
-		e.listen(s.metrics, e.listeners.metrics)
-	}
-	return s, nil
-}
-
-func (e *Entry) server(h http.Handler, tlsConfig *tls.Config) *http.Server {
-	return &http.Server{
-		Handler:           h,
-		TLSConfig:         tlsConfig,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
-}
-
-func (e *Entry) listen(s *http.Server, ln net.Listener) {
-	e.background(context.Background(), func(context.Context) {
-		var err error
-		if s.TLSConfig != nil {
-			err = s.ServeTLS(ln, "", "")
-		} else {
-			err = s.Serve(ln)
-		}
-		if !errors.Is(err, http.ErrServerClosed) {
-			e.log.Error().Err(err).Str("listen", ln.Addr().String()).Msg("listener failed")
-		}
-	})
-}
-
-func (e *Entry) metricsRoutes() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", e.metrics.Handler())
-	mux.HandleFunc("GET "+api.PathHealth, e.health)
-	return mux
-}
-
 func newIncarnation() (wire.Incarnation, error) {
 	var b [8]byte
 	if _, err := rand.Read(b[:]); err != nil {
--- /dev/null
+++ b/entry/fence.go
@@ -0,0 +1,152 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"bergamotwing.example/ledger"
+	"bergamotwing.example/platform"
+	"bergamotwing.example/wire"
+)
+
+// fenceRound collects the agents' replies to one Fence.
+type fenceRound struct {
+	tickets []wire.TicketID
+	replies chan fenceReply
+}
+
+type fenceReply struct {
+	agent *agentLink
+	reply *wire.FenceReply // nil: the agent's link ended
+}
+
+// fenceInTable writes the fence row and then lists the agents.
+func (s *settler) fenceInTable(ctx context.Context, batch []*settlement) ([]platform.AgentRecord, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.e.cfg.Platform.Timeout.D())
+	defer cancel()
+	row := platform.FenceRecord{At: time.Now().Unix()}
+	for _, w := range batch {
+		row.Tickets = append(row.Tickets, platform.TicketKey{Entry: w.ticket.Entry, Incarnation: w.ticket.Incarnation, Seq: w.ticket.Seq})
+	}
+	value, err := json.Marshal(row)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.e.table.Commit(ctx, platform.Op{Key: s.rowKey(), Value: value, Any: true}); err != nil {
+		return nil, err
+	}
+	rows, err := s.e.table.List(ctx, platform.PrefixAgents)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]platform.AgentRecord, 0, len(rows))
+	for _, r := range rows {
+		var a platform.AgentRecord
+		if err := json.Unmarshal(r.Value, &a); err != nil {
+			return nil, err
+		}
+		out = append(out, a)
+	}
+	return out, nil
+}
+
+func (s *settler) rowKey() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rowNext++
+	return fmt.Sprintf("%s%s/%016x-%08d", platform.PrefixFences, s.e.self.ID, uint64(s.e.self.Incarnation), s.rowNext)
+}
+
+// fenceAgents sends the fence to every linked agent and returns the replies by
+// agent id.
+func (s *settler) fenceAgents(ctx context.Context, batch []*settlement) map[string]fenceReply {
+	agents := s.e.agents.list()
+	round := &fenceRound{replies: make(chan fenceReply, 2*len(agents)+1)}
+	for _, w := range batch {
+		round.tickets = append(round.tickets, ticketID(w.ticket))
+	}
+	id := s.openRound(round)
+	defer s.closeRound(id)
+	open := 0
+	for _, a := range agents {
+		if a.link.Send(&wire.Fence{Request: id, Tickets: round.tickets}) == nil {
+			open++
+		}
+	}
+	out := map[string]fenceReply{}
+	timeout := time.After(fenceTimeout)
+	for open > 0 {
+		select {
+		case r := <-round.replies:
+			open--
+			if r.reply != nil && len(r.reply.Started) == len(batch) {
+				out[r.agent.id] = r
+			}
+		case <-timeout:
+			return out
+		case <-ctx.Done():
+			return out
+		}
+	}
+	return out
+}
+
+func (s *settler) openRound(r *fenceRound) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next++
+	s.fences[s.next] = r
+	return s.next
+}
+
+func (s *settler) closeRound(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.fences, id)
+}
+
+// answered takes an agent's reply to a fence.
+func (s *settler) answered(a *agentLink, m *wire.FenceReply) {
+	s.mu.Lock()
+	round, ok := s.fences[m.Request]
+	s.mu.Unlock()
+	if !ok {
+		return
+	}
+	select {
+	case round.replies <- fenceReply{agent: a, reply: m}:
+	default:
+	}
+}
+
+// agentGone tells the open rounds that a link ended.
+func (s *settler) agentGone(a *agentLink) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, round := range s.fences {
+		select {
+		case round.replies <- fenceReply{agent: a}:
+		default:
+		}
+	}
+}
+
+// seen turns an agent's row and its reply about ticket i into evidence.
+func seen(row platform.AgentRecord, r fenceReply, i int) ledger.AgentSeen {
+	out := ledger.AgentSeen{ID: row.ID, Incarnation: row.Incarnation, Left: row.Left}
+	for _, run := range row.Replaced {
+		out.Replaced = append(out.Replaced, ledger.ReplacedRun{Incarnation: run.Incarnation, At: run.At, Clean: run.Clean})
+	}
+	if r.reply == nil || uint64(r.agent.incarnation) != row.Incarnation {
+		return out
+	}
+	out.Answered = true
+	for _, t := range r.reply.Started[i] {
+		out.Started = append(out.Started, ledger.StartedReport{
+			Index: t.Index, Finished: t.Finished, Held: t.Held, Code: t.Code, Body: t.Body, Digest: t.Digest,
+		})
+	}
+	return out
+}
--- a/entry/registry_test.go
+++ b/entry/registry_test.go
@@ -61,7 +61,7 @@
 		},
 	} {
 		table := &deletions{err: c.err}
-		e := &Entry{self: wire.Peer{ID: "a"}, peers: newPeerSet(), table: table}
+		e := &Entry{self: wire.Peer{ID: "a"}, peers: newLinkSet[*peerLink](), table: table}
 		for _, id := range c.linked {
 			e.peers.swap(&peerLink{id: id})
 		}
