--- a/entry/forward.go
+++ b/entry/forward.go
@@ -112,6 +112,9 @@
 	if heir, ok := e.heirs.of(t.Incarnation); ok {
 		run = heir
 	}
+	if run.id == e.self.ID {
+		return nil, true // an earlier run of this entry
+	}
 	p = e.peers.get(run.id)
 	if p == nil {
 		return nil, false
