--- a/integration/cost_measure_test.go
+++ b/integration/cost_measure_test.go
@@ -17,9 +17,9 @@
 
 // The dispatcher's own cost: zero-length tasks through one entry on two cores.
 const (
-	costAgents     = 4
+	costAgents     = 8
 	costSlots      = 32
-	costCallers    = 12
+	costCallers    = 24
 	costJobTasks   = 100
 	costTime       = 8 * time.Second
 	costProcessors = "2" // of each process
