load: an agent's metrics count as its zone's work done

Cause: the picture of the command's load showed no work, since no process could be named as an agent of a zone (seen by hand). Tried by hand: not yet again.

--- a/command/load.go
+++ b/command/load.go
@@ -16,6 +16,8 @@
 $ bergamotwing load --entries http://127.0.0.1:8080 --service postlink --slots 80
 $ bergamotwing load --entries http://127.0.0.1:8080 --service postlink --slots 80 \
     --utilization 0.95 --duration 1m --picture load.png
+$ bergamotwing load ... --metrics entry=http://127.0.0.1:9100/metrics \
+    --metrics gent-noord/agent-1=http://127.0.0.1:7001/metrics
 $ bergamotwing load ... --operators http://127.0.0.1:8090 \
     --zone-out gent-noord@20s --zone-back gent-noord@40s`
 
@@ -39,7 +41,7 @@
 	Callers       int           `long:"callers" default:"20" description:"callers with connections of their own"`
 	Deadline      time.Duration `long:"deadline" default:"1m" description:"deadline of a job"`
 	Network       time.Duration `long:"network" default:"0s" description:"network allowance in the ideal response"`
-	Metrics       []string      `long:"metrics" value-name:"NAME=URL" description:"process whose metrics are read; may be given several times"`
+	Metrics       []string      `long:"metrics" value-name:"[ZONE/]NAME=URL" description:"process whose metrics are read; with a zone it is an agent, whose results are the zone's work done; may be given several times"`
 	ZoneOut       []string      `long:"zone-out" value-name:"ZONE@TIME" description:"take a zone out of service at a time"`
 	ZoneBack      []string      `long:"zone-back" value-name:"ZONE@TIME" description:"take a zone back at a time"`
 	Report        string        `long:"report" value-name:"FILE" description:"write the report to this file too"`
@@ -138,9 +140,13 @@
 	for _, text := range c.Metrics {
 		name, url, ok := strings.Cut(text, "=")
 		if !ok {
-			return nil, usagef("%q is not of the form NAME=URL", text)
+			return nil, usagef("%q is not of the form NAME=URL or ZONE/NAME=URL", text)
 		}
-		out = append(out, load.Source{Name: name, URL: url})
+		source := load.Source{Name: name, URL: url}
+		if zone, agent, inZone := strings.Cut(name, "/"); inZone {
+			source.Name, source.Zone, source.Endpoint = agent, zone, true
+		}
+		out = append(out, source)
 	}
 	return out, nil
 }
