--- a/agent/fakes_test.go
+++ b/agent/fakes_test.go
@@ -85,6 +85,7 @@
 	vouches atomic.Bool
 	got     chan wire.Message
 	credits chan wire.SlotCredit
+	ended   chan struct{} // one signal for each link that ended
 
 	mu    sync.Mutex
 	link  *wire.Link
@@ -103,6 +104,7 @@
 		state:   &release.State{Version: 5, NoteID: "n5", Zones: map[string]release.Zone{testZone: {InService: true}}},
 		got:     make(chan wire.Message, 1024),
 		credits: make(chan wire.SlotCredit, 1024),
+		ended:   make(chan struct{}, 1024),
 	}
 	e.vouches.Store(true)
 	e.server = httptest.NewServer(http.HandlerFunc(e.accept))
@@ -121,6 +123,7 @@
 		return
 	}
 	_ = link.Serve(context.Background(), func(m wire.Message) { e.handle(link, m) })
+	e.ended <- struct{}{}
 }
 
 func (e *fakeEntry) handle(link *wire.Link, m wire.Message) {
@@ -219,8 +222,8 @@
 	}
 }
 
-// runAgent runs an agent until the test ends or the returned function is called.
-func runAgent(t *testing.T, endpoint string, table platform.Table, e *fakeEntry) (*Agent, func()) {
+// newAgent returns an agent with one slot, which has yet to be run.
+func newAgent(t *testing.T, endpoint string, table platform.Table, e *fakeEntry) *Agent {
 	t.Helper()
 	cfg := settings.DefaultAgent()
 	cfg.ID, cfg.Zone, cfg.Service, cfg.Endpoint = "agent-1", testZone, "postlink", endpoint
@@ -235,6 +238,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return a
+}
+
+// runAgent runs an agent until the test ends or the returned function is called.
+func runAgent(t *testing.T, endpoint string, table platform.Table, e *fakeEntry) (*Agent, func()) {
+	t.Helper()
+	a := newAgent(t, endpoint, table, e)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -256,10 +266,11 @@
 	server  *httptest.Server
 	started chan string
 	gate    chan struct{}
+	cutOff  chan struct{} // one signal for each request that was given up
 }
 
 func newGatedEndpoint(t *testing.T) *gatedEndpoint {
-	g := &gatedEndpoint{started: make(chan string, 64), gate: make(chan struct{}, 64)}
+	g := &gatedEndpoint{started: make(chan string, 64), gate: make(chan struct{}, 64), cutOff: make(chan struct{}, 64)}
 	g.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body) // the end of the body lets the server notice a closed connection
 		g.started <- r.Header.Get(headerTask)
@@ -267,12 +278,25 @@
 		case <-g.gate:
 			_, _ = w.Write([]byte("done"))
 		case <-r.Context().Done():
+			g.cutOff <- struct{}{}
 		}
 	}))
 	t.Cleanup(g.server.Close)
 	return g
 }
 
+// awaitSignal waits for a value of a channel.
+func awaitSignal[T any](t *testing.T, what string, from <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-from:
+		return v
+	case <-time.After(patience):
+		t.Fatalf("not within %v: %s", patience, what)
+		panic("unreachable")
+	}
+}
+
 // awaitStart waits until the endpoint has a task's request.
 func (g *gatedEndpoint) awaitStart(t *testing.T) {
 	t.Helper()
