Status calls a process silent after 20 s; the commands connect in one place

Cause: idle links are pinged every 15 s and entries beat each other every few seconds now, but status marked a process after 2 s and warned after 5 s of silence, so a healthy deployment would have been shown as off.

--- a/command/job.go
+++ b/command/job.go
@@ -55,15 +55,10 @@
 	if err != nil {
 		return err
 	}
-	cl, err := c.Options.connect()
-	if err != nil {
-		return err
-	}
-	defer cl.Close()
-	ctx, cancel := within(c.Options.Timeout)
-	defer cancel()
-	a, err := c.submit(ctx, cl, job)
-	return reportAnswer(c.out, c.Options.JSON, a, err)
+	return c.Options.call(func(ctx context.Context, cl *client.Client) error {
+		a, err := c.submit(ctx, cl, job)
+		return reportAnswer(c.out, c.Options.JSON, a, err)
+	})
 }
 
 func (c *jobSubmitCommand) submit(ctx context.Context, cl *client.Client, job api.Job) (*api.Answer, error) {
@@ -112,17 +107,12 @@
 
 // Execute gets or cancels the job and prints the answer.
 func (c *jobShowCommand) Execute([]string) error {
-	cl, err := c.Options.connect()
-	if err != nil {
-		return err
-	}
-	defer cl.Close()
-	ctx, cancel := within(c.Options.Timeout)
-	defer cancel()
-	ask := cl.Get
-	if c.cancel {
-		ask = cl.Cancel
-	}
-	a, err := ask(ctx, c.Args.Ticket)
-	return reportAnswer(c.out, c.Options.JSON, a, err)
+	return c.Options.call(func(ctx context.Context, cl *client.Client) error {
+		ask := cl.Get
+		if c.cancel {
+			ask = cl.Cancel
+		}
+		a, err := ask(ctx, c.Args.Ticket)
+		return reportAnswer(c.out, c.Options.JSON, a, err)
+	})
 }
--- a/command/note.go
+++ b/command/note.go
@@ -1,9 +1,11 @@
 package command
 
 import (
+	"context"
 	"fmt"
 	"strings"
 
+	"bergamotwing.example/client"
 	"bergamotwing.example/client/api"
 )
 
@@ -55,15 +57,10 @@
 	if err != nil {
 		return err
 	}
-	op, err := c.Options.connect()
-	if err != nil {
-		return err
-	}
-	defer op.Close()
-	ctx, cancel := within(c.Options.Timeout)
-	defer cancel()
-	a, err := op.ApplyNote(ctx, text)
-	return reportNoteAnswer(c.out, c.Options.JSON, a, err)
+	return c.Options.call(func(ctx context.Context, op *client.Operator) error {
+		a, err := op.ApplyNote(ctx, text)
+		return reportNoteAnswer(c.out, c.Options.JSON, a, err)
+	})
 }
 
 type noteShowCommand struct {
@@ -76,23 +73,18 @@
 
 // Execute prints one note.
 func (c *noteShowCommand) Execute([]string) error {
-	op, err := c.Options.connect()
-	if err != nil {
-		return err
-	}
-	defer op.Close()
-	ctx, cancel := within(c.Options.Timeout)
-	defer cancel()
-	v, err := op.Note(ctx, c.Args.ID)
-	if err != nil {
-		return err
-	}
-	if !c.Options.JSON {
-		c.out.printf("version %d, in force at %s\n", v.Version, listOrNone(v.InForce))
-		c.out.printf("missing at %s\n\n", listOrNone(v.Missing))
-		return c.out.printJSON(v.Note)
-	}
-	return c.out.printJSON(v)
+	return c.Options.call(func(ctx context.Context, op *client.Operator) error {
+		v, err := op.Note(ctx, c.Args.ID)
+		if err != nil {
+			return err
+		}
+		if !c.Options.JSON {
+			c.out.printf("version %d, in force at %s\n", v.Version, listOrNone(v.InForce))
+			c.out.printf("missing at %s\n\n", listOrNone(v.Missing))
+			return c.out.printJSON(v.Note)
+		}
+		return c.out.printJSON(v)
+	})
 }
 
 type noteListCommand struct {
@@ -102,25 +94,20 @@
 
 // Execute lists the notes.
 func (c *noteListCommand) Execute([]string) error {
-	op, err := c.Options.connect()
-	if err != nil {
-		return err
-	}
-	defer op.Close()
-	ctx, cancel := within(c.Options.Timeout)
-	defer cancel()
-	notes, err := op.Notes(ctx)
-	if err != nil {
-		return err
-	}
-	if c.Options.JSON {
-		return c.out.printJSON(notes)
-	}
-	t := newTable("VERSION", "ID", "BY", "TEXT", "NOTE")
-	for _, v := range notes.Notes {
-		t.add(v.Version, v.Note.ID, v.Note.By, v.Note.Text, missingNote(v))
-	}
-	return t.write(c.out.stdout)
+	return c.Options.call(func(ctx context.Context, op *client.Operator) error {
+		notes, err := op.Notes(ctx)
+		if err != nil {
+			return err
+		}
+		if c.Options.JSON {
+			return c.out.printJSON(notes)
+		}
+		t := newTable("VERSION", "ID", "BY", "TEXT", "NOTE")
+		for _, v := range notes.Notes {
+			t.add(v.Version, v.Note.ID, v.Note.By, v.Note.Text, missingNote(v))
+		}
+		return t.write(c.out.stdout)
+	})
 }
 
 func missingNote(v api.NoteView) string {
--- a/command/options.go
+++ b/command/options.go
@@ -41,6 +41,18 @@
 	return client.NewOperator(client.Config{Entries: urls, Token: token})
 }
 
+// call connects to the operators' listeners for one command.
+func (o *operatorOptions) call(do func(context.Context, *client.Operator) error) error {
+	op, err := o.connect()
+	if err != nil {
+		return err
+	}
+	defer op.Close()
+	ctx, cancel := within(o.Timeout)
+	defer cancel()
+	return do(ctx, op)
+}
+
 func (o *callerOptions) connect() (*client.Client, error) {
 	urls := nonEmpty(o.Entries)
 	if len(urls) == 0 {
@@ -53,6 +65,18 @@
 	return client.New(client.Config{Entries: urls, Token: token, TicketPack: 1})
 }
 
+// call connects to the callers' listeners for one command.
+func (o *callerOptions) call(do func(context.Context, *client.Client) error) error {
+	cl, err := o.connect()
+	if err != nil {
+		return err
+	}
+	defer cl.Close()
+	ctx, cancel := within(o.Timeout)
+	defer cancel()
+	return do(ctx, cl)
+}
+
 // nonEmpty drops the empty items that an empty environment variable brings.
 func nonEmpty(items []string) []string {
 	return slices.DeleteFunc(slices.Clone(items), func(s string) bool { return s == "" })
--- a/command/status.go
+++ b/command/status.go
@@ -1,8 +1,10 @@
 package command
 
 import (
+	"context"
 	"fmt"
 
+	"bergamotwing.example/client"
 	"bergamotwing.example/client/api"
 )
 
@@ -15,7 +17,7 @@
 
 // Bounds beyond which status marks a process.
 const (
-	silentMarkMS  = 2000
+	silentMarkMS  = 20_000 // idle links are pinged every 15 s
 	failureMarkPC = 10
 	waitingMarkMS = 1000
 )
@@ -27,21 +29,16 @@
 
 // Execute prints the status.
 func (c *statusCommand) Execute([]string) error {
-	op, err := c.Options.connect()
-	if err != nil {
-		return err
-	}
-	defer op.Close()
-	ctx, cancel := within(c.Options.Timeout)
-	defer cancel()
-	s, err := op.Status(ctx)
-	if err != nil {
-		return err
-	}
-	if c.Options.JSON {
-		return c.out.printJSON(s)
-	}
-	return writeStatus(c.out, s)
+	return c.Options.call(func(ctx context.Context, op *client.Operator) error {
+		s, err := op.Status(ctx)
+		if err != nil {
+			return err
+		}
+		if c.Options.JSON {
+			return c.out.printJSON(s)
+		}
+		return writeStatus(c.out, s)
+	})
 }
 
 func writeStatus(out *output, s *api.Status) error {
--- a/command/ticket.go
+++ b/command/ticket.go
@@ -1,5 +1,11 @@
 package command
 
+import (
+	"context"
+
+	"bergamotwing.example/client"
+)
+
 const ticketHelp = `Takes tickets and prints them, one a line. A ticket may be used for
 one job within ten minutes.
 
@@ -15,22 +21,17 @@
 
 // Execute takes and prints tickets.
 func (c *ticketCommand) Execute([]string) error {
-	cl, err := c.Options.connect()
-	if err != nil {
-		return err
-	}
-	defer cl.Close()
-	ctx, cancel := within(c.Options.Timeout)
-	defer cancel()
-	tickets, err := cl.Tickets(ctx, c.Count)
-	if err != nil {
-		return err
-	}
-	if c.Options.JSON {
-		return c.out.printJSON(tickets)
-	}
-	for _, t := range tickets {
-		c.out.printf("%s\n", t)
-	}
-	return nil
+	return c.Options.call(func(ctx context.Context, cl *client.Client) error {
+		tickets, err := cl.Tickets(ctx, c.Count)
+		if err != nil {
+			return err
+		}
+		if c.Options.JSON {
+			return c.out.printJSON(tickets)
+		}
+		for _, t := range tickets {
+			c.out.printf("%s\n", t)
+		}
+		return nil
+	})
 }
--- a/command/zone.go
+++ b/command/zone.go
@@ -1,6 +1,8 @@
 package command
 
 import (
+	"context"
+
 	"bergamotwing.example/client"
 	"bergamotwing.example/client/api"
 )
@@ -45,19 +47,14 @@
 
 // Execute takes the zone out or back and prints where that is in force.
 func (c *zoneCommand) Execute([]string) error {
-	op, err := c.Options.connect()
-	if err != nil {
-		return err
-	}
-	defer op.Close()
-	ctx, cancel := within(c.Options.Timeout)
-	defer cancel()
-	change := op.ZoneOut
-	if c.back {
-		change = op.ZoneBack
-	}
-	a, err := change(ctx, c.Args.Zone, c.Note)
-	return reportNoteAnswer(c.out, c.Options.JSON, a, err)
+	return c.Options.call(func(ctx context.Context, op *client.Operator) error {
+		change := op.ZoneOut
+		if c.back {
+			change = op.ZoneBack
+		}
+		a, err := change(ctx, c.Args.Zone, c.Note)
+		return reportNoteAnswer(c.out, c.Options.JSON, a, err)
+	})
 }
 
 type zoneListCommand struct {
@@ -67,17 +64,10 @@
 
 // Execute lists the zones.
 func (c *zoneListCommand) Execute([]string) error {
-	op, err := c.Options.connect()
-	if err != nil {
-		return err
-	}
-	defer op.Close()
-	return c.list(op)
+	return c.Options.call(c.list)
 }
 
-func (c *zoneListCommand) list(op *client.Operator) error {
-	ctx, cancel := within(c.Options.Timeout)
-	defer cancel()
+func (c *zoneListCommand) list(ctx context.Context, op *client.Operator) error {
 	zones, err := op.Zones(ctx)
 	if err != nil {
 		return err
--- a/entry/status.go
+++ b/entry/status.go
@@ -13,7 +13,7 @@
 // Marks beyond which status warns.
 const (
 	warnOldest = 5 * time.Second
-	warnSilent = 5 * time.Second
+	warnSilent = 20 * time.Second // idle links are pinged every 15 s
 )
 
 // status is what this entry knows of the deployment.
