--- a/integration/cost_measure_test.go
+++ b/integration/cost_measure_test.go
@@ -80,9 +80,11 @@
 		var jobs sync.WaitGroup
 		defer jobs.Wait()
 		caller := newCaller(t)
+		even := time.NewTicker(pause)
+		defer even.Stop()
 		for n := 0; time.Since(began) < costTime; n++ {
 			jobs.Go(func() { runZeroJob(t, caller, d, fmt.Sprintf("rest-%d", n), costJobTasks) })
-			time.Sleep(time.Until(began.Add(time.Duration(n+1) * pause)))
+			<-even.C
 		}
 	})
 	var took []time.Duration
--- a/integration/credits_test.go
+++ b/integration/credits_test.go
@@ -11,14 +11,21 @@
 // slotsBackWithin is how long the slots of a lost entry may stay unused.
 const slotsBackWithin = 2 * time.Second
 
-func TestSlotsOfALostEntryAreBackInUseWithin2s(t *testing.T) {
-	for _, c := range []struct {
-		name string
-		lose func(*harness.Entry) error
-	}{
+// loss is a way in which an entry is lost.
+type loss struct {
+	name string
+	lose func(*harness.Entry) error
+}
+
+func losses() []loss {
+	return []loss{
 		{"frozen", func(e *harness.Entry) error { return e.Freeze() }},
 		{"killed", func(e *harness.Entry) error { e.Kill(); return nil }},
-	} {
+	}
+}
+
+func TestSlotsOfALostEntryAreBackInUseWithin2s(t *testing.T) {
+	for _, c := range losses() {
 		t.Run(c.name, func(t *testing.T) {
 			const slotsEach = 8
 			d := deploy(t, harness.Options{Slots: slotsEach})
@@ -46,13 +53,7 @@
 }
 
 func TestTicketsOfAServiceComeFromItsHomeWhileItAnswers(t *testing.T) {
-	for _, c := range []struct {
-		name string
-		lose func(*harness.Entry) error
-	}{
-		{"frozen", func(e *harness.Entry) error { return e.Freeze() }},
-		{"killed", func(e *harness.Entry) error { e.Kill(); return nil }},
-	} {
+	for _, c := range losses() {
 		t.Run(c.name, func(t *testing.T) {
 			d := deploy(t, harness.Options{})
 			caller := newCaller(t)
