A task that fits no credit at hand holds up no other task

Cause: placing stopped at the first task in turn that no credit could be spent on. A task declared larger than the usable agents, such as one that fits only a zone out of service, so held up its whole service until its deadline. The next task in turn that fits goes now, the large one as soon as a credit fits; credits that no waiting task fits on go to peers that ask. Ruled out: refusing such tasks, which the design lets wait for their zone.

--- a/placement/credits.go
+++ b/placement/credits.go
@@ -1,5 +1,7 @@
 package placement
 
+import "slices"
+
 // creditPool holds credits by agent and hands them out agent by agent in turn,
 // so that work spreads over the endpoints.
 type creditPool struct {
@@ -29,6 +31,11 @@
 	p.count++
 }
 
+// any reports whether an agent with credits fits.
+func (p *creditPool) any(fits func(agent string) bool) bool {
+	return slices.ContainsFunc(p.order, fits)
+}
+
 // take removes and returns a credit of the next agent that fits.
 func (p *creditPool) take(fits func(agent string) bool) (Credit, bool) {
 	for i, agent := range p.order {
--- a/placement/fair.go
+++ b/placement/fair.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -90,20 +91,52 @@
 	return best
 }
 
-// take removes the task at the head of t.
-func (f *fairQueue) take(t *teamQueue) (Task, *waitingJob) {
-	j := t.jobs[0]
+// first returns the team and the place of the job there whose next task goes
+// next among those that fit; nil if none does. A task that fits nowhere now so
+// holds up no other.
+func (f *fairQueue) first(fits func(memoryMB int) bool) (*teamQueue, int) {
+	turn := f.next()
+	if turn == nil || fits(turn.jobs[0].tasks[0].MemoryMB) {
+		return turn, 0
+	}
+	for _, t := range f.inTurn() {
+		for i, j := range t.jobs {
+			if fits(j.tasks[0].MemoryMB) {
+				return t, i
+			}
+		}
+	}
+	return nil, 0
+}
+
+// inTurn returns the teams with waiting tasks in the order of their turn.
+func (f *fairQueue) inTurn() []*teamQueue {
+	var out []*teamQueue
+	for _, t := range f.teams {
+		if t.count > 0 {
+			out = append(out, t)
+		}
+	}
+	slices.SortFunc(out, func(a, b *teamQueue) int {
+		return cmp.Or(cmp.Compare(a.finish, b.finish), cmp.Compare(a.name, b.name))
+	})
+	return out
+}
+
+// take removes the next task of the job at place i of t.
+func (f *fairQueue) take(t *teamQueue, i int) Task {
+	j := t.jobs[i]
 	task := j.tasks[0]
 	j.tasks = j.tasks[1:]
 	if len(j.tasks) == 0 {
-		t.jobs = t.jobs[1:]
+		t.jobs = slices.Delete(t.jobs, i, i+1)
 	}
 	t.count--
 	f.waiting--
-	f.virtual = t.finish
+	f.virtual = max(f.virtual, t.finish)
 	t.finish += 1 / float64(t.weight)
 	f.forgetIdle()
-	return task, j
+	return task
 }
 
 // forgetIdle drops the teams' history once nothing waits.
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -173,6 +173,11 @@
 	return ok && a.Usable && a.MemoryMB >= memoryMB && q.eject.allows(now, agent)
 }
 
+// creditFor reports whether a credit can be spent on a task of a size now.
+func (q *Queue) creditFor(now time.Time, memoryMB int) bool {
+	return q.spare.any(func(agent string) bool { return q.usable(now, agent, memoryMB) })
+}
+
 func (q *Queue) usableSlots() int {
 	n := 0
 	for _, a := range q.agents {
@@ -194,22 +199,26 @@
 	}
 	if q.fair.waiting > 0 {
 		d.Ask = q.ask(now)
-		return d
+	} else {
+		d.Ask = q.withdraw(now)
 	}
-	d.Ask = q.withdraw(now)
+	// What is left no task that waits here fits on.
 	d.Give = append(d.Give, q.give(now)...)
 	d.Give = append(d.Give, q.giveHome(now)...)
 	return d
 }
 
-// placeNext places the next task or drops its job. It returns false if nothing
-// waits or no credit can be spent on the task.
+// placeNext places the next task that a credit can be spent on, or drops its
+// job. It returns false if there is none.
 func (q *Queue) placeNext(now time.Time, d *Decision) bool {
-	t := q.fair.next()
+	if !q.creditFor(now, 0) {
+		return false
+	}
+	t, i := q.fair.first(func(memoryMB int) bool { return q.creditFor(now, memoryMB) })
 	if t == nil {
 		return false
 	}
-	job := t.jobs[0]
+	job := t.jobs[i]
 	m := q.meta[job.id]
 	if m != nil && q.tooLate(now, m) {
 		q.Remove(job.id)
@@ -221,7 +230,7 @@
 	if !ok {
 		return false
 	}
-	task, _ := q.fair.take(t)
+	task := q.fair.take(t, i)
 	if m != nil {
 		m.waiting--
 	}
--- a/placement/queue_test.go
+++ b/placement/queue_test.go
@@ -260,3 +260,29 @@
 		t.Fatalf("got %+v, want the spare credit given to the home", d)
 	}
 }
+
+func TestTaskThatFitsNoUsableAgentDoesNotHoldOthersUp(t *testing.T) {
+	q := newTestQueue(1, 2)
+	q.SetAgent(Agent{ID: "large", Slots: 2, MemoryMB: 1000}) // its zone is out of service
+	large, same, other := testJob(1, "a", 1), testJob(2, "a", 1), testJob(3, "b", 1)
+	large.Tasks[0].MemoryMB = 500
+	for _, j := range []Job{large, same, other} {
+		if got := q.Admit(start, j); got != result.OK {
+			t.Fatalf("job %d: got %s", j.ID, got)
+		}
+		q.Add(start, j)
+	}
+	q.AddCredits(credit(0, 0, 1), credit(0, 1, 1))
+	placed := map[JobID]bool{}
+	for _, p := range q.Dispatch(start).Place {
+		placed[p.Task.Job] = true
+	}
+	if placed[1] || !placed[2] || !placed[3] {
+		t.Fatalf("placed %v, want jobs 2 and 3", placed)
+	}
+	q.SetAgent(Agent{ID: "large", Slots: 2, MemoryMB: 1000, Usable: true})
+	q.AddCredits(Credit{Agent: "large", Incarnation: 1, Epoch: 1})
+	if d := q.Dispatch(start); len(d.Place) != 1 || d.Place[0].Task.Job != 1 {
+		t.Fatalf("got %+v, want job 1 placed once its agent is back", d)
+	}
+}
