--- a/integration/callers_test.go
+++ b/integration/callers_test.go
@@ -231,3 +231,20 @@
 	})
 	return largest
 }
+
+func TestJobWithoutTicketRunsOnceThroughEveryEntry(t *testing.T) {
+	d := deploy(t, harness.Options{})
+	for _, e := range d.Entries {
+		job := harness.NewJob("once-"+e.ID, 4, 50*time.Millisecond)
+		body, err := json.Marshal(job)
+		if err != nil {
+			t.Fatal(err)
+		}
+		status, answer := request(t, http.MethodPost, e.URL+api.PathJobs, bytes.NewReader(body))
+		if status != http.StatusOK || answer.Code != result.OK || answer.Ticket == "" {
+			t.Fatalf("%s: status %d, %s (%s), ticket %q", e.ID, status, answer.Name, answer.Detail, answer.Ticket)
+		}
+		d.Oracle.Record(answer.Ticket, job, answer)
+	}
+	d.Oracle.Check(t)
+}
