--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"bergamotwing.example/client/api"
@@ -116,9 +117,25 @@
 func (e *Entry) finish(j *ledger.Job) { e.end(j.Spec.Ticket.Seq, j.Outcome()) }
 
 func (e *Entry) end(seq uint64, o *ledger.Outcome) {
-	if e.book.Finish(seq, o, time.Now()) {
-		e.openJobs.Add(-1)
+	if !e.book.Finish(seq, o, time.Now()) {
+		return
 	}
+	e.openJobs.Add(-1)
+	if o.Code != result.OK {
+		e.logOutcome(seq, o)
+	}
+}
+
+// logOutcome logs a job that did not end whole. The ticket is named as
+// endpoints see it, not by its text, which is a right to the answer.
+func (e *Entry) logOutcome(seq uint64, o *ledger.Outcome) {
+	e.log.Info().
+		Str("ticket", fmt.Sprintf("%s/%x/%d", e.self.ID, uint64(e.self.Incarnation), seq)).
+		Int("code", int(o.Code)).
+		Stringer("name", o.Code).
+		Str("detail", o.Detail).
+		Int("started", o.Started).
+		Msg("job not whole")
 }
 
 func (e *Entry) showHere(t ledger.Ticket, text string) api.Answer {
