Rename platform to tablestore, the product's own table interface

Cause: the folder platform/ is to hold the users' platform's names, formats and calls. The module that carried the name is the client of the product's own table and object interface.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -15,9 +15,9 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
-	"bergamotwing.example/platform"
 	"bergamotwing.example/result"
 	"bergamotwing.example/settings"
+	"bergamotwing.example/tablestore"
 	"bergamotwing.example/telemetry"
 	"bergamotwing.example/wire"
 )
@@ -26,7 +26,7 @@
 type Deps struct {
 	Log     zerolog.Logger
 	Metrics *telemetry.Metrics
-	Table   platform.Table
+	Table   tablestore.Table
 }
 
 // Agent runs the tasks that entries grant to the endpoint beside it.
@@ -34,7 +34,7 @@
 	cfg         settings.Agent
 	log         zerolog.Logger
 	metrics     *telemetry.Metrics
-	table       platform.Table
+	table       tablestore.Table
 	clock       clock
 	booted      time.Time
 	incarnation wire.Incarnation
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -9,9 +9,9 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"bergamotwing.example/platform"
 	"bergamotwing.example/release"
 	"bergamotwing.example/result"
+	"bergamotwing.example/tablestore"
 	"bergamotwing.example/wire"
 )
 
@@ -261,12 +261,12 @@
 	}
 }
 
-func agentRecord(t *testing.T, table *memTable) platform.AgentRecord {
+func agentRecord(t *testing.T, table *memTable) tablestore.AgentRecord {
 	t.Helper()
 	table.mu.Lock()
 	defer table.mu.Unlock()
-	var record platform.AgentRecord
-	if err := json.Unmarshal(table.rows[platform.PrefixAgents+"agent-1"].Value, &record); err != nil {
+	var record tablestore.AgentRecord
+	if err := json.Unmarshal(table.rows[tablestore.PrefixAgents+"agent-1"].Value, &record); err != nil {
 		t.Fatal(err)
 	}
 	return record
@@ -274,11 +274,11 @@
 
 func TestUnregisteredAgentRefusesUntilTheStoreIsBack(t *testing.T) {
 	e, g, table := newFakeEntry(t), openEndpoint(t), newMemTable()
-	fence, _ := json.Marshal(platform.FenceRecord{Tickets: []platform.TicketKey{{Entry: "entry-1", Incarnation: 77, Seq: 4}}})
-	table.rows[platform.PrefixFences+"x/1"] = platform.Row{Key: platform.PrefixFences + "x/1", Value: fence, Version: 1}
-	earlier, _ := json.Marshal(platform.AgentRecord{ID: "agent-1", Incarnation: 3})
-	table.rows[platform.PrefixAgents+"agent-1"] = platform.Row{Value: earlier, Version: 8}
-	table.fail = []error{platform.ErrUnavailable, platform.ErrUnavailable, platform.ErrUnavailable, platform.ErrUnknown}
+	fence, _ := json.Marshal(tablestore.FenceRecord{Tickets: []tablestore.TicketKey{{Entry: "entry-1", Incarnation: 77, Seq: 4}}})
+	table.rows[tablestore.PrefixFences+"x/1"] = tablestore.Row{Key: tablestore.PrefixFences + "x/1", Value: fence, Version: 1}
+	earlier, _ := json.Marshal(tablestore.AgentRecord{ID: "agent-1", Incarnation: 3})
+	table.rows[tablestore.PrefixAgents+"agent-1"] = tablestore.Row{Value: earlier, Version: 8}
+	table.fail = []error{tablestore.ErrUnavailable, tablestore.ErrUnavailable, tablestore.ErrUnavailable, tablestore.ErrUnknown}
 	a, _ := runAgent(t, g.server.URL, table, e)
 	await[*wire.AgentHello](e)
 	e.grant(1, 0, wire.SlotCredit{Slot: 0, Epoch: 1})
--- a/agent/control_state_test.go
+++ b/agent/control_state_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"bergamotwing.example/platform"
 	"bergamotwing.example/release"
+	"bergamotwing.example/tablestore"
 	"bergamotwing.example/wire"
 )
 
@@ -79,12 +79,12 @@
 func TestReplacedRunsKeepYoungOnesAndAddTheLast(t *testing.T) {
 	now := time.Unix(100000, 0)
 	old, young := now.Add(-replacedKept).Unix(), now.Add(-time.Minute).Unix()
-	earlier := platform.AgentRecord{
+	earlier := tablestore.AgentRecord{
 		Incarnation: 3,
 		Left:        99,
-		Replaced:    []platform.ReplacedRun{{Incarnation: 1, At: old}, {Incarnation: 2, At: young}},
+		Replaced:    []tablestore.ReplacedRun{{Incarnation: 1, At: old}, {Incarnation: 2, At: young}},
 	}
-	want := []platform.ReplacedRun{{Incarnation: 2, At: young}, {Incarnation: 3, At: 100000, Clean: true}}
+	want := []tablestore.ReplacedRun{{Incarnation: 2, At: young}, {Incarnation: 3, At: 100000, Clean: true}}
 	if diff := cmp.Diff(want, replacedRuns(earlier, now)); diff != "" {
 		t.Error(diff)
 	}
--- a/agent/fakes_test.go
+++ b/agent/fakes_test.go
@@ -14,9 +14,9 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
 
-	"bergamotwing.example/platform"
 	"bergamotwing.example/release"
 	"bergamotwing.example/settings"
+	"bergamotwing.example/tablestore"
 	"bergamotwing.example/telemetry"
 	"bergamotwing.example/wire"
 )
@@ -32,22 +32,22 @@
 // memTable is a table in memory whose next calls can be made to fail.
 type memTable struct {
 	mu   sync.Mutex
-	rows map[string]platform.Row
+	rows map[string]tablestore.Row
 	fail []error // of the next Commits; with ErrUnknown the write still takes effect
 }
 
-func newMemTable() *memTable { return &memTable{rows: map[string]platform.Row{}} }
+func newMemTable() *memTable { return &memTable{rows: map[string]tablestore.Row{}} }
 
-func (m *memTable) Get(_ context.Context, key string) (platform.Row, error) {
+func (m *memTable) Get(_ context.Context, key string) (tablestore.Row, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.rows[key], nil
 }
 
-func (m *memTable) List(_ context.Context, prefix string) ([]platform.Row, error) {
+func (m *memTable) List(_ context.Context, prefix string) ([]tablestore.Row, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out []platform.Row
+	var out []tablestore.Row
 	for key, row := range m.rows {
 		if strings.HasPrefix(key, prefix) {
 			out = append(out, row)
@@ -56,21 +56,21 @@
 	return out, nil
 }
 
-func (m *memTable) Commit(_ context.Context, ops ...platform.Op) error {
+func (m *memTable) Commit(_ context.Context, ops ...tablestore.Op) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var err error
 	if len(m.fail) > 0 {
 		err, m.fail = m.fail[0], m.fail[1:]
 	}
-	if err != nil && err != platform.ErrUnknown { //nolint:errorlint // set by the test
+	if err != nil && err != tablestore.ErrUnknown { //nolint:errorlint // set by the test
 		return err
 	}
 	for _, op := range ops {
 		if m.rows[op.Key].Version != op.IfVersion {
-			return platform.ErrConflict
+			return tablestore.ErrConflict
 		}
-		m.rows[op.Key] = platform.Row{Key: op.Key, Value: op.Value, Version: op.IfVersion + 1}
+		m.rows[op.Key] = tablestore.Row{Key: op.Key, Value: op.Value, Version: op.IfVersion + 1}
 	}
 	return err
 }
@@ -223,7 +223,7 @@
 }
 
 // newAgent returns an agent with one slot, which has yet to be run.
-func newAgent(t *testing.T, endpoint string, table platform.Table, e *fakeEntry) *Agent {
+func newAgent(t *testing.T, endpoint string, table tablestore.Table, e *fakeEntry) *Agent {
 	t.Helper()
 	cfg := settings.DefaultAgent()
 	cfg.ID, cfg.Zone, cfg.Service, cfg.Endpoint = "agent-1", testZone, "postlink", endpoint
@@ -242,7 +242,7 @@
 }
 
 // runAgent runs an agent until the test ends or the returned function is called.
-func runAgent(t *testing.T, endpoint string, table platform.Table, e *fakeEntry) (*Agent, func()) {
+func runAgent(t *testing.T, endpoint string, table tablestore.Table, e *fakeEntry) (*Agent, func()) {
 	t.Helper()
 	a := newAgent(t, endpoint, table, e)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/agent/kill_test.go
+++ b/agent/kill_test.go
@@ -5,7 +5,7 @@
 	"errors"
 	"testing"
 
-	"bergamotwing.example/platform"
+	"bergamotwing.example/tablestore"
 	"bergamotwing.example/wire"
 )
 
@@ -23,7 +23,7 @@
 
 func rowVersion(t *testing.T, table *memTable) uint64 {
 	t.Helper()
-	row, err := table.Get(context.Background(), platform.PrefixAgents+"agent-1")
+	row, err := table.Get(context.Background(), tablestore.PrefixAgents+"agent-1")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/agent/register.go
+++ b/agent/register.go
@@ -8,8 +8,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"bergamotwing.example/platform"
 	"bergamotwing.example/result"
+	"bergamotwing.example/tablestore"
 	"bergamotwing.example/wire"
 )
 
@@ -47,7 +47,7 @@
 	if err != nil || earlier.Incarnation == uint64(a.incarnation) {
 		return err
 	}
-	record := platform.AgentRecord{
+	record := tablestore.AgentRecord{
 		ID:          a.cfg.ID,
 		Incarnation: uint64(a.incarnation),
 		Zone:        a.cfg.Zone,
@@ -62,15 +62,15 @@
 
 // replacedRuns returns the runs that earlier names and earlier itself, without
 // those replaced too long ago.
-func replacedRuns(earlier platform.AgentRecord, now time.Time) []platform.ReplacedRun {
-	var out []platform.ReplacedRun
+func replacedRuns(earlier tablestore.AgentRecord, now time.Time) []tablestore.ReplacedRun {
+	var out []tablestore.ReplacedRun
 	oldest := now.Add(-replacedKept).Unix()
 	for _, run := range earlier.Replaced {
 		if run.At > oldest {
 			out = append(out, run)
 		}
 	}
-	return append(out, platform.ReplacedRun{
+	return append(out, tablestore.ReplacedRun{
 		Incarnation: earlier.Incarnation,
 		At:          now.Unix(),
 		Clean:       earlier.Left != 0,
@@ -97,8 +97,8 @@
 	return a.commitRecord(ctx, record, row.Version)
 }
 
-func (a *Agent) readRecord(ctx context.Context) (platform.Row, platform.AgentRecord, error) {
-	var record platform.AgentRecord
+func (a *Agent) readRecord(ctx context.Context) (tablestore.Row, tablestore.AgentRecord, error) {
+	var record tablestore.AgentRecord
 	row, err := a.table.Get(ctx, a.recordKey())
 	if err != nil {
 		return row, record, eris.Wrap(err, "read agent record")
@@ -112,31 +112,31 @@
 
 // commitRecord writes the row if it is still at version. An answer that was
 // lost is resolved by the caller's next reading.
-func (a *Agent) commitRecord(ctx context.Context, record platform.AgentRecord, version uint64) error {
+func (a *Agent) commitRecord(ctx context.Context, record tablestore.AgentRecord, version uint64) error {
 	value, err := json.Marshal(record)
 	if err != nil {
 		return eris.Wrap(err, "encode agent record")
 	}
-	op := platform.Op{Key: a.recordKey(), Value: value, IfVersion: version}
+	op := tablestore.Op{Key: a.recordKey(), Value: value, IfVersion: version}
 	err = a.table.Commit(ctx, op)
-	if errors.Is(err, platform.ErrUnknown) {
+	if errors.Is(err, tablestore.ErrUnknown) {
 		a.metrics.Count("bergamotwing_store_unknown_total", "Writes whose answer was lost.", 1)
 	}
 	return eris.Wrap(err, "write agent record")
 }
 
-func (a *Agent) recordKey() string { return platform.PrefixAgents + a.cfg.ID }
+func (a *Agent) recordKey() string { return tablestore.PrefixAgents + a.cfg.ID }
 
 // loadFences takes over all fences of the table. A row that cannot be read
 // keeps the agent from starting tasks, since it may fence any ticket.
 func (a *Agent) loadFences(ctx context.Context) error {
-	rows, err := a.table.List(ctx, platform.PrefixFences)
+	rows, err := a.table.List(ctx, tablestore.PrefixFences)
 	if err != nil {
 		return eris.Wrap(err, "list fences")
 	}
 	now := a.clock.now()
 	for _, row := range rows {
-		var fence platform.FenceRecord
+		var fence tablestore.FenceRecord
 		if err := json.Unmarshal(row.Value, &fence); err != nil {
 			return eris.Wrapf(err, "decode %s", row.Key)
 		}
@@ -147,6 +147,6 @@
 	return nil
 }
 
-func ticketID(t platform.TicketKey) wire.TicketID {
+func ticketID(t tablestore.TicketKey) wire.TicketID {
 	return wire.TicketID{Entry: t.Entry, Incarnation: wire.Incarnation(t.Incarnation), Seq: t.Seq}
 }
--- a/command/internal/trial/processes.go
+++ b/command/internal/trial/processes.go
@@ -5,8 +5,8 @@
 
 	"bergamotwing.example/agent"
 	"bergamotwing.example/entry"
-	"bergamotwing.example/platform"
 	"bergamotwing.example/settings"
+	"bergamotwing.example/tablestore"
 	"bergamotwing.example/telemetry"
 )
 
@@ -85,9 +85,9 @@
 	return nil
 }
 
-func (c *cluster) table() platform.Table {
+func (c *cluster) table() tablestore.Table {
 	p := c.platformSettings()
-	return platform.NewClient(platform.ClientConfig{URL: p.URL, Token: p.Token, Timeout: p.Timeout.D()})
+	return tablestore.NewClient(tablestore.ClientConfig{URL: p.URL, Token: p.Token, Timeout: p.Timeout.D()})
 }
 
 // killAgent ends an agent abruptly.
--- a/command/process.go
+++ b/command/process.go
@@ -1,8 +1,8 @@
 package command
 
 import (
-	"bergamotwing.example/platform"
 	"bergamotwing.example/settings"
+	"bergamotwing.example/tablestore"
 )
 
 // processOptions are common to the commands that run a process.
@@ -11,6 +11,6 @@
 	Check    bool   `long:"check-settings" description:"check the settings file and exit"`
 }
 
-func connectPlatform(p settings.Platform) platform.Table {
-	return platform.NewClient(platform.ClientConfig{URL: p.URL, Token: p.Token, Timeout: p.Timeout.D()})
+func connectPlatform(p settings.Platform) tablestore.Table {
+	return tablestore.NewClient(tablestore.ClientConfig{URL: p.URL, Token: p.Token, Timeout: p.Timeout.D()})
 }
--- a/entry/control.go
+++ b/entry/control.go
@@ -9,8 +9,8 @@
 
 	"github.com/asynkron/protoactor-go/actor"
 
-	"bergamotwing.example/platform"
 	"bergamotwing.example/release"
+	"bergamotwing.example/tablestore"
 	"bergamotwing.example/wire"
 )
 
@@ -45,7 +45,7 @@
 		noteID string
 		state  *release.State // after the note; nil if the hold has no object any more
 	}
-	entriesRead struct{ rows []platform.EntryRecord }
+	entriesRead struct{ rows []tablestore.EntryRecord }
 	peerHeard   struct{ peers []wire.Peer }
 	ackTo       struct{ peer *peerLink } // confirm the version in force to a peer
 )
@@ -146,7 +146,7 @@
 	}
 }
 
-func (c *control) members(next *view, rows []platform.EntryRecord) {
+func (c *control) members(next *view, rows []tablestore.EntryRecord) {
 	peers := make([]wire.Peer, 0, len(rows))
 	for _, r := range rows {
 		peers = append(peers, wire.Peer{ID: r.ID, Incarnation: wire.Incarnation(r.Incarnation), Addr: r.Addr, Zone: r.Zone})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,9 +19,9 @@
 	"github.com/rs/zerolog"
 
 	"bergamotwing.example/ledger"
-	"bergamotwing.example/platform"
 	"bergamotwing.example/release/notestore"
 	"bergamotwing.example/settings"
+	"bergamotwing.example/tablestore"
 	"bergamotwing.example/telemetry"
 	"bergamotwing.example/wire"
 )
@@ -40,7 +40,7 @@
 type Deps struct {
 	Log     zerolog.Logger
 	Metrics *telemetry.Metrics
-	Table   platform.Table
+	Table   tablestore.Table
 }
 
 // Addrs are the addresses an entry listens on, as IP:port.
@@ -56,7 +56,7 @@
 	cfg     settings.Entry
 	log     zerolog.Logger
 	metrics *telemetry.Metrics
-	table   platform.Table
+	table   tablestore.Table
 	notes   *notestore.Store
 	obs     wire.Observer
 
--- a/entry/fence.go
+++ b/entry/fence.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"bergamotwing.example/ledger"
-	"bergamotwing.example/platform"
+	"bergamotwing.example/tablestore"
 	"bergamotwing.example/wire"
 )
 
@@ -23,27 +23,27 @@
 }
 
 // fenceInTable writes the fence row and then lists the agents.
-func (s *settler) fenceInTable(ctx context.Context, batch []*settlement) ([]platform.AgentRecord, error) {
+func (s *settler) fenceInTable(ctx context.Context, batch []*settlement) ([]tablestore.AgentRecord, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.e.cfg.Platform.Timeout.D())
 	defer cancel()
-	row := platform.FenceRecord{At: time.Now().Unix()}
+	row := tablestore.FenceRecord{At: time.Now().Unix()}
 	for _, w := range batch {
-		row.Tickets = append(row.Tickets, platform.TicketKey{Entry: w.ticket.Entry, Incarnation: w.ticket.Incarnation, Seq: w.ticket.Seq})
+		row.Tickets = append(row.Tickets, tablestore.TicketKey{Entry: w.ticket.Entry, Incarnation: w.ticket.Incarnation, Seq: w.ticket.Seq})
 	}
 	value, err := json.Marshal(row)
 	if err != nil {
 		return nil, err
 	}
-	if err := s.e.table.Commit(ctx, platform.Op{Key: s.rowKey(), Value: value, Any: true}); err != nil {
+	if err := s.e.table.Commit(ctx, tablestore.Op{Key: s.rowKey(), Value: value, Any: true}); err != nil {
 		return nil, err
 	}
-	rows, err := s.e.table.List(ctx, platform.PrefixAgents)
+	rows, err := s.e.table.List(ctx, tablestore.PrefixAgents)
 	if err != nil {
 		return nil, err
 	}
-	out := make([]platform.AgentRecord, 0, len(rows))
+	out := make([]tablestore.AgentRecord, 0, len(rows))
 	for _, r := range rows {
-		var a platform.AgentRecord
+		var a tablestore.AgentRecord
 		if err := json.Unmarshal(r.Value, &a); err != nil {
 			return nil, err
 		}
@@ -56,7 +56,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rowNext++
-	return fmt.Sprintf("%s%s/%016x-%08d", platform.PrefixFences, s.e.self.ID, uint64(s.e.self.Incarnation), s.rowNext)
+	return fmt.Sprintf("%s%s/%016x-%08d", tablestore.PrefixFences, s.e.self.ID, uint64(s.e.self.Incarnation), s.rowNext)
 }
 
 // fenceAgents sends the fence to every linked agent and returns the replies by
@@ -134,7 +134,7 @@
 }
 
 // seen turns an agent's row and its reply about ticket i into evidence.
-func seen(row platform.AgentRecord, r fenceReply, i int) ledger.AgentSeen {
+func seen(row tablestore.AgentRecord, r fenceReply, i int) ledger.AgentSeen {
 	out := ledger.AgentSeen{ID: row.ID, Incarnation: row.Incarnation, Left: row.Left}
 	for _, run := range row.Replaced {
 		out.Replaced = append(out.Replaced, ledger.ReplacedRun{Incarnation: run.Incarnation, At: run.At, Clean: run.Clean})
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -8,9 +8,9 @@
 	"slices"
 	"time"
 
-	"bergamotwing.example/platform"
 	"bergamotwing.example/release"
 	"bergamotwing.example/result"
+	"bergamotwing.example/tablestore"
 	"bergamotwing.example/wire"
 )
 
@@ -123,15 +123,15 @@
 	ctx, cancel := context.WithTimeout(ctx, c.e.cfg.Platform.Timeout.D())
 	defer cancel()
 	self := c.e.self
-	row := platform.EntryRecord{ID: self.ID, Incarnation: uint64(self.Incarnation), Addr: self.Addr, Zone: self.Zone, Renewed: time.Now().Unix()}
+	row := tablestore.EntryRecord{ID: self.ID, Incarnation: uint64(self.Incarnation), Addr: self.Addr, Zone: self.Zone, Renewed: time.Now().Unix()}
 	value, err := json.Marshal(row)
 	if err != nil {
 		return err
 	}
-	if err := c.e.table.Commit(ctx, platform.Op{Key: platform.PrefixEntries + self.ID, Value: value, Any: true}); err != nil {
+	if err := c.e.table.Commit(ctx, tablestore.Op{Key: tablestore.PrefixEntries + self.ID, Value: value, Any: true}); err != nil {
 		return err
 	}
-	rows, err := c.e.table.List(ctx, platform.PrefixEntries)
+	rows, err := c.e.table.List(ctx, tablestore.PrefixEntries)
 	if err != nil {
 		return err
 	}
@@ -143,7 +143,7 @@
 // removes none unless a majority of the entries in the rows is linked: entries
 // on the other side of a partition go on vouching as long as they are a
 // majority, so their rows must still count on this side.
-func (c *control) liveEntries(ctx context.Context, rows []platform.Row) []platform.EntryRecord {
+func (c *control) liveEntries(ctx context.Context, rows []tablestore.Row) []tablestore.EntryRecord {
 	entries := c.decodeEntries(rows)
 	linked := 0
 	for _, e := range entries {
@@ -151,7 +151,7 @@
 			linked++
 		}
 	}
-	var live []platform.EntryRecord
+	var live []tablestore.EntryRecord
 	for _, e := range entries {
 		if linked < len(entries)/2+1 || !c.removeIfGone(ctx, e) {
 			live = append(live, e.EntryRecord)
@@ -162,11 +162,11 @@
 
 // entryRow is an entry's row at the version it was read.
 type entryRow struct {
-	platform.EntryRecord
+	tablestore.EntryRecord
 	version uint64
 }
 
-func (c *control) decodeEntries(rows []platform.Row) []entryRow {
+func (c *control) decodeEntries(rows []tablestore.Row) []entryRow {
 	out := make([]entryRow, 0, len(rows))
 	for _, row := range rows {
 		e := entryRow{version: row.Version}
@@ -186,7 +186,7 @@
 	if c.isLinked(r.ID) || time.Since(time.Unix(r.Renewed, 0)) <= entryRowLifetime {
 		return false
 	}
-	op := platform.Op{Key: platform.PrefixEntries + r.ID, Delete: true, IfVersion: r.version}
+	op := tablestore.Op{Key: tablestore.PrefixEntries + r.ID, Delete: true, IfVersion: r.version}
 	return c.e.table.Commit(ctx, op) == nil
 }
 
@@ -194,7 +194,7 @@
 func (c *control) deregister() {
 	ctx, cancel := context.WithTimeout(context.Background(), c.e.cfg.Platform.Timeout.D())
 	defer cancel()
-	if err := c.e.table.Commit(ctx, platform.Op{Key: platform.PrefixEntries + c.e.self.ID, Delete: true, Any: true}); err != nil {
+	if err := c.e.table.Commit(ctx, tablestore.Op{Key: tablestore.PrefixEntries + c.e.self.ID, Delete: true, Any: true}); err != nil {
 		c.e.log.Warn().Err(err).Msg("row in the table not removed")
 	}
 }
--- a/entry/registry_test.go
+++ b/entry/registry_test.go
@@ -9,18 +9,18 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"bergamotwing.example/platform"
+	"bergamotwing.example/tablestore"
 	"bergamotwing.example/wire"
 )
 
 // deletions is a table that notes which rows are deleted.
 type deletions struct {
-	platform.Table
+	tablestore.Table
 	keys []string
 	err  error
 }
 
-func (d *deletions) Commit(_ context.Context, ops ...platform.Op) error {
+func (d *deletions) Commit(_ context.Context, ops ...tablestore.Op) error {
 	if d.err != nil {
 		return d.err
 	}
@@ -31,15 +31,15 @@
 }
 
 // entryRows returns rows last renewed at a time.
-func entryRows(t *testing.T, renewed time.Time, ids ...string) []platform.Row {
+func entryRows(t *testing.T, renewed time.Time, ids ...string) []tablestore.Row {
 	t.Helper()
-	rows := make([]platform.Row, 0, len(ids))
+	rows := make([]tablestore.Row, 0, len(ids))
 	for _, id := range ids {
-		value, err := json.Marshal(platform.EntryRecord{ID: id, Renewed: renewed.Unix()})
+		value, err := json.Marshal(tablestore.EntryRecord{ID: id, Renewed: renewed.Unix()})
 		if err != nil {
 			t.Fatal(err)
 		}
-		rows = append(rows, platform.Row{Key: platform.PrefixEntries + id, Value: value, Version: 1})
+		rows = append(rows, tablestore.Row{Key: tablestore.PrefixEntries + id, Value: value, Version: 1})
 	}
 	return rows
 }
@@ -47,7 +47,7 @@
 func TestRowsOfLostEntriesAreRemovedOnlyWithAMajorityLinked(t *testing.T) {
 	old, fresh := time.Now().Add(-2*entryRowLifetime), time.Now()
 	for name, c := range map[string]struct {
-		rows    []platform.Row
+		rows    []tablestore.Row
 		linked  []string
 		err     error
 		removed []string
@@ -57,7 +57,7 @@
 		"two of three, all renewed":  {rows: entryRows(t, fresh, "a", "b", "c"), linked: []string{"b"}},
 		"all linked after an outage": {rows: entryRows(t, old, "a", "b", "c"), linked: []string{"b", "c"}},
 		"row renewed at the same time": {
-			rows: entryRows(t, old, "a", "b", "c"), linked: []string{"b"}, err: platform.ErrConflict,
+			rows: entryRows(t, old, "a", "b", "c"), linked: []string{"b"}, err: tablestore.ErrConflict,
 		},
 	} {
 		table := &deletions{err: c.err}
@@ -68,7 +68,7 @@
 		live := (&control{e: e}).liveEntries(t.Context(), c.rows)
 		var removed []string
 		for _, id := range []string{"a", "b", "c"} {
-			if !slices.ContainsFunc(live, func(r platform.EntryRecord) bool { return r.ID == id }) {
+			if !slices.ContainsFunc(live, func(r tablestore.EntryRecord) bool { return r.ID == id }) {
 				removed = append(removed, id)
 			}
 		}
--- a/entry/settle.go
+++ b/entry/settle.go
@@ -9,8 +9,8 @@
 
 	"bergamotwing.example/client/api"
 	"bergamotwing.example/ledger"
-	"bergamotwing.example/platform"
 	"bergamotwing.example/result"
+	"bergamotwing.example/tablestore"
 )
 
 // Times of settlements.
@@ -182,7 +182,7 @@
 		}
 		if err != nil {
 			for id, r := range replies {
-				ev.Agents = append(ev.Agents, seen(platform.AgentRecord{ID: id, Incarnation: uint64(r.agent.incarnation)}, r, i))
+				ev.Agents = append(ev.Agents, seen(tablestore.AgentRecord{ID: id, Incarnation: uint64(r.agent.incarnation)}, r, i))
 			}
 		}
 		w.evidence <- ev
--- a/release/notestore/apply.go
+++ b/release/notestore/apply.go
@@ -4,9 +4,9 @@
 	"context"
 	"errors"
 
-	"bergamotwing.example/platform"
 	"bergamotwing.example/release"
 	"bergamotwing.example/result"
+	"bergamotwing.example/tablestore"
 )
 
 // maxAttempts bounds the transactions of one call.
@@ -90,7 +90,7 @@
 
 // worthReading reports whether reading again can tell a transaction's fate.
 func worthReading(err error) bool {
-	return errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnknown)
+	return errors.Is(err, tablestore.ErrConflict) || errors.Is(err, tablestore.ErrUnknown)
 }
 
 // read reads the state before the note, so that a note which is absent cannot
--- a/release/notestore/store.go
+++ b/release/notestore/store.go
@@ -7,15 +7,15 @@
 	"slices"
 	"time"
 
-	"bergamotwing.example/platform"
 	"bergamotwing.example/release"
 	"bergamotwing.example/result"
+	"bergamotwing.example/tablestore"
 )
 
 // Store reads and writes notes in the table. It keeps nothing itself and is
 // safe for concurrent use.
 type Store struct {
-	Table platform.Table
+	Table tablestore.Table
 	Now   func() time.Time // nil is time.Now
 }
 
@@ -38,7 +38,7 @@
 // List returns the records of all notes, newest first. The error has code
 // StoreUnavailable.
 func (s Store) List(ctx context.Context) ([]release.NoteRecord, error) {
-	rows, err := s.Table.List(ctx, platform.PrefixNotes)
+	rows, err := s.Table.List(ctx, tablestore.PrefixNotes)
 	if err != nil {
 		return nil, unavailable(err)
 	}
@@ -55,7 +55,7 @@
 // load returns the state with the version of its row.
 func (s Store) load(ctx context.Context) (release.State, uint64, error) {
 	var state release.State
-	row, err := s.Table.Get(ctx, platform.KeyState)
+	row, err := s.Table.Get(ctx, tablestore.KeyState)
 	if err != nil {
 		return release.State{}, 0, unavailable(err)
 	}
@@ -68,7 +68,7 @@
 
 func (s Store) find(ctx context.Context, id string) (release.NoteRecord, bool, error) {
 	var rec release.NoteRecord
-	row, err := s.Table.Get(ctx, platform.PrefixNotes+id)
+	row, err := s.Table.Get(ctx, tablestore.PrefixNotes+id)
 	if err != nil {
 		return rec, false, unavailable(err)
 	}
@@ -92,8 +92,8 @@
 		return result.Errorf(result.NoteInvalid, "%v", err)
 	}
 	return s.Table.Commit(ctx,
-		platform.Op{Key: platform.PrefixNotes + n.ID, Value: noteRow},
-		platform.Op{Key: platform.KeyState, Value: stateRow, IfVersion: rowVersion},
+		tablestore.Op{Key: tablestore.PrefixNotes + n.ID, Value: noteRow},
+		tablestore.Op{Key: tablestore.KeyState, Value: stateRow, IfVersion: rowVersion},
 	)
 }
 
@@ -104,7 +104,7 @@
 	return s.Now()
 }
 
-func decode(row platform.Row, into any) error {
+func decode(row tablestore.Row, into any) error {
 	if err := json.Unmarshal(row.Value, into); err != nil {
 		return result.Errorf(result.StoreUnavailable, "row %s cannot be read: %v", row.Key, err)
 	}
--- a/release/notestore/store_test.go
+++ b/release/notestore/store_test.go
@@ -11,11 +11,11 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"bergamotwing.example/platform"
 	"bergamotwing.example/release"
 	"bergamotwing.example/release/notestore"
 	"bergamotwing.example/result"
 	"bergamotwing.example/standin"
+	"bergamotwing.example/tablestore"
 )
 
 // deployment returns a store that holds version 1 with the zones gwent and powys in service.
@@ -25,7 +25,7 @@
 	srv := httptest.NewServer(p)
 	t.Cleanup(srv.Close)
 	s := notestore.Store{
-		Table: platform.NewClient(platform.ClientConfig{URL: srv.URL}),
+		Table: tablestore.NewClient(tablestore.ClientConfig{URL: srv.URL}),
 		Now:   func() time.Time { return time.Unix(7, 0) },
 	}
 	in := release.Zone{InService: true}
@@ -48,7 +48,7 @@
 func TestDeploymentWithoutNotesIsAtVersionZero(t *testing.T) {
 	srv := httptest.NewServer(standin.NewPlatform())
 	defer srv.Close()
-	s := notestore.Store{Table: platform.NewClient(platform.ClientConfig{URL: srv.URL})}
+	s := notestore.Store{Table: tablestore.NewClient(tablestore.ClientConfig{URL: srv.URL})}
 	state, err := s.Load(t.Context())
 	if diff := cmp.Diff(release.State{}, state); diff != "" || err != nil {
 		t.Error(diff, err)
@@ -143,11 +143,11 @@
 
 // racing makes another writer's note land just before a transaction.
 type racing struct {
-	platform.Table
+	tablestore.Table
 	before []func(context.Context)
 }
 
-func (r *racing) Commit(ctx context.Context, ops ...platform.Op) error {
+func (r *racing) Commit(ctx context.Context, ops ...tablestore.Op) error {
 	if len(r.before) > 0 {
 		race := r.before[0]
 		r.before = r.before[1:]
--- a/standin/objects.go
+++ b/standin/objects.go
@@ -4,7 +4,7 @@
 	"io"
 	"net/http"
 
-	"bergamotwing.example/platform"
+	"bergamotwing.example/tablestore"
 )
 
 func (p *Platform) serveObject(w http.ResponseWriter, r *http.Request) {
@@ -21,7 +21,7 @@
 }
 
 func (p *Platform) servePutObject(w http.ResponseWriter, r *http.Request) {
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxObjectBytes))
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, tablestore.MaxObjectBytes))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 		return
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"bergamotwing.example/platform"
+	"bergamotwing.example/tablestore"
 )
 
 // Faults are the faults of a Platform.
@@ -35,7 +35,7 @@
 	faults  Faults
 	counts  PlatformCounts
 	commits uint64 // transactions asked for, for ConflictEvery
-	rows    map[string]platform.Row
+	rows    map[string]tablestore.Row
 	objects map[string][]byte
 }
 
@@ -43,7 +43,7 @@
 func NewPlatform() *Platform {
 	p := &Platform{
 		mux:     http.NewServeMux(),
-		rows:    make(map[string]platform.Row),
+		rows:    make(map[string]tablestore.Row),
 		objects: make(map[string][]byte),
 	}
 	p.mux.HandleFunc("GET /table/row", p.reading(p.serveRow))
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -10,16 +10,16 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"bergamotwing.example/platform"
 	"bergamotwing.example/standin"
+	"bergamotwing.example/tablestore"
 )
 
-func newPlatform(t *testing.T) (*standin.Platform, *platform.Client, string) {
+func newPlatform(t *testing.T) (*standin.Platform, *tablestore.Client, string) {
 	t.Helper()
 	p := standin.NewPlatform()
 	srv := httptest.NewServer(p)
 	t.Cleanup(srv.Close)
-	return p, platform.NewClient(platform.ClientConfig{URL: srv.URL}), srv.URL
+	return p, tablestore.NewClient(tablestore.ClientConfig{URL: srv.URL}), srv.URL
 }
 
 func post(t *testing.T, url, body string) *http.Response {
@@ -35,21 +35,21 @@
 func TestTransactionIsMadeWholeOrNotAtAll(t *testing.T) {
 	_, c, _ := newPlatform(t)
 	ctx := t.Context()
-	if err := c.Commit(ctx, platform.Op{Key: "a/1", Value: []byte("x")}, platform.Op{Key: "b"}); err != nil {
+	if err := c.Commit(ctx, tablestore.Op{Key: "a/1", Value: []byte("x")}, tablestore.Op{Key: "b"}); err != nil {
 		t.Fatal(err)
 	}
-	stale := c.Commit(ctx, platform.Op{Key: "a/2", Value: []byte("y")}, platform.Op{Key: "b", IfVersion: 7})
-	if !errors.Is(stale, platform.ErrConflict) {
+	stale := c.Commit(ctx, tablestore.Op{Key: "a/2", Value: []byte("y")}, tablestore.Op{Key: "b", IfVersion: 7})
+	if !errors.Is(stale, tablestore.ErrConflict) {
 		t.Errorf("stale commit: %v", stale)
 	}
-	if err := c.Commit(ctx, platform.Op{Key: "b", Delete: true, IfVersion: 1}); err != nil {
+	if err := c.Commit(ctx, tablestore.Op{Key: "b", Delete: true, IfVersion: 1}); err != nil {
 		t.Error(err)
 	}
-	if err := c.Commit(ctx, platform.Op{Key: "a/0", Any: true}); err != nil {
+	if err := c.Commit(ctx, tablestore.Op{Key: "a/0", Any: true}); err != nil {
 		t.Error(err)
 	}
 	rows, err := c.List(ctx, "")
-	want := []platform.Row{{Key: "a/0", Version: 3}, {Key: "a/1", Value: []byte("x"), Version: 1}}
+	want := []tablestore.Row{{Key: "a/0", Version: 3}, {Key: "a/1", Value: []byte("x"), Version: 1}}
 	if diff := cmp.Diff(want, rows); err != nil || diff != "" {
 		t.Error(err, diff)
 	}
@@ -67,7 +67,7 @@
 	if err != nil || string(got) != "v" {
 		t.Errorf("%q %v", got, err)
 	}
-	if _, err := c.GetObject(t.Context(), "b c"); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := c.GetObject(t.Context(), "b c"); !errors.Is(err, tablestore.ErrNotFound) {
 		t.Errorf("absent object: %v", err)
 	}
 }
@@ -75,7 +75,7 @@
 func TestLostAnswerLeavesTheWriteMade(t *testing.T) {
 	p, c, url := newPlatform(t)
 	post(t, url+"/control", `{"loseAnswers":true}`)
-	if err := c.Commit(t.Context(), platform.Op{Key: "k"}); !errors.Is(err, platform.ErrUnknown) {
+	if err := c.Commit(t.Context(), tablestore.Op{Key: "k"}); !errors.Is(err, tablestore.ErrUnknown) {
 		t.Errorf("Commit: %v", err)
 	}
 	if row, err := c.Get(t.Context(), "k"); err != nil || row.Version != 1 {
@@ -90,13 +90,13 @@
 func TestDownAnswers503AndConflictsComeAtTheirRate(t *testing.T) {
 	p, c, _ := newPlatform(t)
 	p.SetFaults(standin.Faults{Down: true})
-	if _, err := c.Get(t.Context(), "k"); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := c.Get(t.Context(), "k"); !errors.Is(err, tablestore.ErrUnavailable) {
 		t.Errorf("Get: %v", err)
 	}
 	p.SetFaults(standin.Faults{ConflictEvery: 2})
 	conflicts := 0
 	for range 6 {
-		if errors.Is(c.Commit(t.Context(), platform.Op{Key: "k", Any: true}), platform.ErrConflict) {
+		if errors.Is(c.Commit(t.Context(), tablestore.Op{Key: "k", Any: true}), tablestore.ErrConflict) {
 			conflicts++
 		}
 	}
--- a/standin/table.go
+++ b/standin/table.go
@@ -6,7 +6,7 @@
 	"slices"
 	"strings"
 
-	"bergamotwing.example/platform"
+	"bergamotwing.example/tablestore"
 )
 
 // reading wraps a handler of reads with the faults and the count.
@@ -40,22 +40,22 @@
 	writeJSON(w, rows)
 }
 
-func (p *Platform) list(prefix string) []platform.Row {
+func (p *Platform) list(prefix string) []tablestore.Row {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	rows := make([]platform.Row, 0)
+	rows := make([]tablestore.Row, 0)
 	for key, row := range p.rows {
 		if strings.HasPrefix(key, prefix) {
 			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b tablestore.Row) int { return strings.Compare(a.Key, b.Key) })
 	return rows
 }
 
 func (p *Platform) serveCommit(w http.ResponseWriter, r *http.Request) {
-	var tx platform.Transaction
-	body := http.MaxBytesReader(w, r.Body, platform.MaxCommitBytes)
+	var tx tablestore.Transaction
+	body := http.MaxBytesReader(w, r.Body, tablestore.MaxCommitBytes)
 	if err := json.NewDecoder(body).Decode(&tx); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -71,7 +71,7 @@
 }
 
 // commit makes all writes or none and reports which.
-func (p *Platform) commit(ops []platform.Op) bool {
+func (p *Platform) commit(ops []tablestore.Op) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.commits++
@@ -88,7 +88,7 @@
 	return true
 }
 
-func (p *Platform) holds(ops []platform.Op) bool {
+func (p *Platform) holds(ops []tablestore.Op) bool {
 	for _, op := range ops {
 		if !op.Any && p.rows[op.Key].Version != op.IfVersion {
 			return false
@@ -97,10 +97,10 @@
 	return true
 }
 
-func (p *Platform) apply(op platform.Op) {
+func (p *Platform) apply(op tablestore.Op) {
 	if op.Delete {
 		delete(p.rows, op.Key)
 		return
 	}
-	p.rows[op.Key] = platform.Row{Key: op.Key, Value: op.Value, Version: p.counts.Version}
+	p.rows[op.Key] = tablestore.Row{Key: op.Key, Value: op.Value, Version: p.counts.Version}
 }
--- a/platform/client.go
+++ b/tablestore/client.go
@@ -1,4 +1,4 @@
-package platform
+package tablestore
 
 import (
 	"bytes"
--- a/platform/client_test.go
+++ b/tablestore/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package tablestore_test
 
 import (
 	"context"
@@ -13,15 +13,15 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"bergamotwing.example/platform"
+	"bergamotwing.example/tablestore"
 )
 
 // client returns a client of a server that answers with handle.
-func client(t *testing.T, handle http.HandlerFunc) *platform.Client {
+func client(t *testing.T, handle http.HandlerFunc) *tablestore.Client {
 	t.Helper()
 	srv := httptest.NewServer(handle)
 	t.Cleanup(srv.Close)
-	return platform.NewClient(platform.ClientConfig{URL: srv.URL, Token: "secret", Timeout: 5 * time.Second})
+	return tablestore.NewClient(tablestore.ClientConfig{URL: srv.URL, Token: "secret", Timeout: 5 * time.Second})
 }
 
 func status(code int) http.HandlerFunc {
@@ -40,16 +40,16 @@
 		want   error
 	}{
 		"made":            {status(http.StatusNoContent), nil},
-		"condition fails": {status(http.StatusConflict), platform.ErrConflict},
-		"down":            {status(http.StatusServiceUnavailable), platform.ErrUnavailable},
-		"not accepted":    {status(http.StatusUnauthorized), platform.ErrRefused},
-		"server fails":    {status(http.StatusInternalServerError), platform.ErrUnknown},
-		"redirected":      {status(http.StatusTemporaryRedirect), platform.ErrUnknown},
-		"answer lost":     {lose, platform.ErrUnknown},
+		"condition fails": {status(http.StatusConflict), tablestore.ErrConflict},
+		"down":            {status(http.StatusServiceUnavailable), tablestore.ErrUnavailable},
+		"not accepted":    {status(http.StatusUnauthorized), tablestore.ErrRefused},
+		"server fails":    {status(http.StatusInternalServerError), tablestore.ErrUnknown},
+		"redirected":      {status(http.StatusTemporaryRedirect), tablestore.ErrUnknown},
+		"answer lost":     {lose, tablestore.ErrUnknown},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := client(t, tc.handle)
-			if err := c.Commit(t.Context(), platform.Op{Key: "k"}); !errors.Is(err, tc.want) {
+			if err := c.Commit(t.Context(), tablestore.Op{Key: "k"}); !errors.Is(err, tc.want) {
 				t.Errorf("Commit: %v, want %v", err, tc.want)
 			}
 			if err := c.PutObject(t.Context(), "k", []byte("v")); !errors.Is(err, tc.want) {
@@ -67,15 +67,15 @@
 		"answer lost":  lose,
 		"not JSON":     func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "{") },
 		"too large": func(w http.ResponseWriter, _ *http.Request) {
-			_, _ = io.CopyN(w, zeros{}, platform.MaxListBytes+1)
+			_, _ = io.CopyN(w, zeros{}, tablestore.MaxListBytes+1)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := client(t, handle)
-			if _, err := c.Get(t.Context(), "k"); !errors.Is(err, platform.ErrUnavailable) {
+			if _, err := c.Get(t.Context(), "k"); !errors.Is(err, tablestore.ErrUnavailable) {
 				t.Errorf("Get: %v", err)
 			}
-			if _, err := c.List(t.Context(), "k"); !errors.Is(err, platform.ErrUnavailable) {
+			if _, err := c.List(t.Context(), "k"); !errors.Is(err, tablestore.ErrUnavailable) {
 				t.Errorf("List: %v", err)
 			}
 		})
@@ -93,8 +93,8 @@
 	}
 	addr := l.Addr().String()
 	_ = l.Close()
-	c := platform.NewClient(platform.ClientConfig{URL: "http://" + addr})
-	if err := c.Commit(t.Context(), platform.Op{Key: "k"}); !errors.Is(err, platform.ErrUnavailable) {
+	c := tablestore.NewClient(tablestore.ClientConfig{URL: "http://" + addr})
+	if err := c.Commit(t.Context(), tablestore.Op{Key: "k"}); !errors.Is(err, tablestore.ErrUnavailable) {
 		t.Errorf("Commit: %v", err)
 	}
 }
@@ -105,8 +105,8 @@
 		<-r.Context().Done()
 	}))
 	defer srv.Close()
-	c := platform.NewClient(platform.ClientConfig{URL: srv.URL, Timeout: 50 * time.Millisecond})
-	if err := c.Commit(t.Context(), platform.Op{Key: "k"}); !errors.Is(err, platform.ErrUnknown) {
+	c := tablestore.NewClient(tablestore.ClientConfig{URL: srv.URL, Timeout: 50 * time.Millisecond})
+	if err := c.Commit(t.Context(), tablestore.Op{Key: "k"}); !errors.Is(err, tablestore.ErrUnknown) {
 		t.Errorf("Commit: %v", err)
 	}
 }
@@ -114,19 +114,19 @@
 func TestCancelledWriteThatWasNeverSentIsUnavailable(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	err := client(t, status(http.StatusOK)).Commit(ctx, platform.Op{Key: "k"})
-	if !errors.Is(err, platform.ErrUnavailable) {
+	err := client(t, status(http.StatusOK)).Commit(ctx, tablestore.Op{Key: "k"})
+	if !errors.Is(err, tablestore.ErrUnavailable) {
 		t.Errorf("Commit: %v", err)
 	}
 }
 
 func TestOversizedWritesAreRefusedUnsent(t *testing.T) {
 	c := client(t, func(http.ResponseWriter, *http.Request) { t.Error("a request was sent") })
-	big := []byte(strings.Repeat("x", platform.MaxObjectBytes+1))
-	if err := c.Commit(t.Context(), platform.Op{Key: "k", Value: big}); !errors.Is(err, platform.ErrRefused) {
+	big := []byte(strings.Repeat("x", tablestore.MaxObjectBytes+1))
+	if err := c.Commit(t.Context(), tablestore.Op{Key: "k", Value: big}); !errors.Is(err, tablestore.ErrRefused) {
 		t.Errorf("Commit: %v", err)
 	}
-	if err := c.PutObject(t.Context(), "k", big); !errors.Is(err, platform.ErrRefused) {
+	if err := c.PutObject(t.Context(), "k", big); !errors.Is(err, tablestore.ErrRefused) {
 		t.Errorf("PutObject: %v", err)
 	}
 }
@@ -138,7 +138,7 @@
 		http.NotFound(w, r)
 	})
 	_, _ = c.Get(t.Context(), "a/b&c")
-	if _, err := c.GetObject(t.Context(), "a/b c"); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := c.GetObject(t.Context(), "a/b c"); !errors.Is(err, tablestore.ErrNotFound) {
 		t.Errorf("GetObject: %v", err)
 	}
 	want := []string{"Bearer secret GET /table/row?key=a%2Fb%26c", "Bearer secret GET /objects/a%2Fb%20c"}
--- a/platform/records.go
+++ b/tablestore/records.go
@@ -1,4 +1,4 @@
-package platform
+package tablestore
 
 // EntryRecord is the row an entry keeps of itself under PrefixEntries.
 type EntryRecord struct {
--- a/platform/platform.go
+++ b/tablestore/tablestore.go
@@ -1,9 +1,9 @@
-// Package platform reaches the platform's transactional table and object store
+// Package tablestore reaches the platform's transactional table and object store
 // through a narrow interface and an HTTP client.
 //
 // It keeps nothing itself. A call that fails with ErrUnknown may have taken
 // effect; callers make their writes idempotent.
-package platform
+package tablestore
 
 import (
 	"context"
@@ -45,11 +45,11 @@
 
 // Errors of the platform.
 var (
-	ErrConflict    = errors.New("platform: a condition of the transaction does not hold")
-	ErrUnavailable = errors.New("platform: unavailable")
-	ErrUnknown     = errors.New("platform: no answer, the write may have taken effect")
-	ErrNotFound    = errors.New("platform: no such object")
-	ErrRefused     = errors.New("platform: the request was not accepted and took no effect")
+	ErrConflict    = errors.New("table store: a condition of the transaction does not hold")
+	ErrUnavailable = errors.New("table store: unavailable")
+	ErrUnknown     = errors.New("table store: no answer, the write may have taken effect")
+	ErrNotFound    = errors.New("table store: no such object")
+	ErrRefused     = errors.New("table store: the request was not accepted and took no effect")
 )
 
 // Keys of the table.
