--- a/command/commands.go
+++ b/command/commands.go
@@ -17,6 +17,7 @@
 	return []spec{
 		{name: "entry", short: "Run an entry", long: entryHelp, run: &entryCommand{out: out}},
 		{name: "agent", short: "Run an agent beside an endpoint", long: agentHelp, run: &agentCommand{out: out}},
+		{name: "hosted", short: "Run the processes of a deployment on the hosting platform", sub: hostedCommands(out)},
 		{name: "try", short: "Try the whole path in one process", long: tryHelp, run: &tryCommand{out: out}},
 		{name: "note", short: "Check, apply and show release notes", sub: noteCommands(out)},
 		{name: "zone", short: "Take availability zones out of service and back", sub: zoneCommands(out)},
--- /dev/null
+++ b/command/hosted.go
@@ -0,0 +1,93 @@
+package command
+
+import (
+	"context"
+	"runtime/debug"
+
+	"github.com/rotisserie/eris"
+
+	hostedagent "bergamotwing.example/hosted/agent"
+	hostedentry "bergamotwing.example/hosted/entry"
+	"bergamotwing.example/platform"
+)
+
+const (
+	hostedEntryHelp = `Runs an entry on the hosting platform. It learns its addresses from the
+settings file that the platform writes. Logs go to standard output as JSON
+lines. SIGTERM stops it after the open jobs are answered, SIGHUP has it read
+its settings again.
+
+Example:
+$ bergamotwing hosted entry --metrics-port 9464`
+	hostedAgentHelp = `Runs an agent beside an endpoint on the hosting platform. Settings, logs and
+signals are as for an entry.
+
+Example:
+$ bergamotwing hosted agent --metrics-port 9464`
+)
+
+// hostedGCPercent is the heap's growth between two collections. Memory is
+// dearer than processor time on the hosting platform.
+const hostedGCPercent = 50
+
+func hostedCommands(out *output) []spec {
+	return []spec{
+		{name: "entry", short: "Run an entry on the hosting platform", long: hostedEntryHelp, run: &hostedEntryCommand{hostedOptions{out: out}}},
+		{name: "agent", short: "Run an agent on the hosting platform", long: hostedAgentHelp, run: &hostedAgentCommand{hostedOptions{out: out}}},
+	}
+}
+
+type hostedOptions struct {
+	out         *output
+	MetricsPort int    `long:"metrics-port" value-name:"PORT" description:"serve metrics at this port; 0 serves none"`
+	NodeFile    string `long:"node-file" value-name:"FILE" description:"settings file of the platform; otherwise as its environment variable says"`
+}
+
+type hostedEntryCommand struct{ hostedOptions }
+
+// Execute runs the entry until a signal.
+func (c *hostedEntryCommand) Execute([]string) error {
+	return c.run("entry", func(node platform.Node, p *hostedProcess) runner {
+		return hostedentry.New(node, hostedentry.Deps{Log: p.log, Metrics: p.metrics})
+	})
+}
+
+type hostedAgentCommand struct{ hostedOptions }
+
+// Execute runs the agent until a signal.
+func (c *hostedAgentCommand) Execute([]string) error {
+	return c.run("agent", func(node platform.Node, p *hostedProcess) runner {
+		return hostedagent.New(node, hostedagent.Deps{Log: p.log, Metrics: p.metrics})
+	})
+}
+
+// runner is a process of a hosted deployment.
+type runner interface {
+	Run(stopping context.Context) error
+	Reload(node platform.Node)
+}
+
+func (o *hostedOptions) run(role string, build func(platform.Node, *hostedProcess) runner) error {
+	file := o.NodeFile
+	if file == "" {
+		file = platform.NodeFile()
+	}
+	node, err := platform.LoadNode(file)
+	if err != nil {
+		return err
+	}
+	debug.SetGCPercent(hostedGCPercent)
+	p, err := newHostedProcess(o.out, role, node)
+	if err != nil {
+		return err
+	}
+	defer p.close()
+	if err := p.serveMetrics(node.IP, o.MetricsPort); err != nil {
+		return err
+	}
+	r := build(node, p)
+	ctx, stop := untilSignal()
+	defer stop()
+	go p.reloadOnChange(ctx, file, node, r)
+	return eris.Wrap(r.Run(ctx), role)
+}
--- /dev/null
+++ b/command/hostedprocess.go
@@ -0,0 +1,108 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"reflect"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"bergamotwing.example/hosted/logs"
+	"bergamotwing.example/platform"
+	"bergamotwing.example/telemetry"
+)
+
+const (
+	metricsTimeout = 5 * time.Second // for a request's header
+	// settingsEvery is the pause between two looks at the settings file, which
+	// may change without a signal.
+	settingsEvery = time.Second
+)
+
+// hostedProcess holds what the roles of a hosted deployment share.
+type hostedProcess struct {
+	log     zerolog.Logger
+	metrics *telemetry.Metrics
+	close   func()
+}
+
+func newHostedProcess(out *output, role string, node platform.Node) (*hostedProcess, error) {
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		return nil, err
+	}
+	log, flush := logs.New(out.stdout, role, node.Name, node.Zone, func(n int) {
+		metrics.Count("bergamotwing_log_lines_dropped_total", "Log lines dropped because the reader was too slow.", int64(n))
+	})
+	return &hostedProcess{log: log, metrics: metrics, close: flush}, nil
+}
+
+func (p *hostedProcess) serveMetrics(ip string, port int) error {
+	if port == 0 {
+		return nil
+	}
+	listener, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port)))
+	if err != nil {
+		return eris.Wrap(err, "listen for metrics")
+	}
+	server := &http.Server{Handler: p.metrics.Handler(), ReadHeaderTimeout: metricsTimeout}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			p.log.Error().Err(err).Msg("metrics listener ended")
+		}
+	}()
+	return nil
+}
+
+// reloadOnChange reads the settings file again on SIGHUP and when it has changed.
+func (p *hostedProcess) reloadOnChange(ctx context.Context, file string, node platform.Node, r runner) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	ticker := time.NewTicker(settingsEvery)
+	defer ticker.Stop()
+	modified := modTime(file)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+		case <-ticker.C:
+			if modTime(file).Equal(modified) {
+				continue
+			}
+		}
+		modified = modTime(file)
+		node = p.reload(file, node, r)
+	}
+}
+
+func (p *hostedProcess) reload(file string, node platform.Node, r runner) platform.Node {
+	next, err := platform.LoadNode(file)
+	if err != nil {
+		p.log.Error().Str("event", "reload_failed").Err(err).Msg("settings not read; the old ones stay in force")
+		return node
+	}
+	changed := !reflect.DeepEqual(node, next)
+	p.log.Info().Str("event", "reload").Bool("changed", changed).Strs("seeds", next.SeedHosts).Msg("settings read again")
+	if changed {
+		r.Reload(next)
+	}
+	return next
+}
+
+func modTime(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{} // being replaced; read once it is back
+	}
+	return info.ModTime()
+}
--- /dev/null
+++ b/dispatch/endpoint.go
@@ -0,0 +1,173 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// Times and limits that keep work away from endpoints in trouble.
+const (
+	staleRunSkip = 3                      // run numbers passed over after a stale one
+	fullPause    = 20 * time.Millisecond  // no task for an endpoint without room that should have had it
+	busyPause    = 50 * time.Millisecond  // the time an endpoint takes to stop a run
+	checkEvery   = 20 * time.Millisecond  // between two checks of overdue runs and jobs
+	ejectAfter   = 3                      // faults in a row
+	ejectFirst   = 500 * time.Millisecond // pause before the first probe
+	ejectMax     = 2 * time.Second        // pause before later probes
+	slowWeight   = 0.2                    // of one run in the slowness of an endpoint
+	slowFrom     = 1.7                    // slowness that counts; below it, it is noise of the estimates
+	overdueFrom  = 2.2                    // times the expected run time
+	stuckFrom    = 4.0                    // times the expected run time
+	stuckMin     = 400 * time.Millisecond // past the expected run time
+)
+
+// endpoint is one lifetime of an endpoint as one run of its agent reports it.
+type endpoint struct {
+	agent     AgentID
+	id        EndpointID
+	status    EndpointStatus
+	used      Resources
+	active    int
+	lost      bool // the agent is not heard
+	goneBy    Time // runs are over then
+	fullUntil Time
+
+	slow         float64 // run times as a multiple of what is expected
+	overdue      int     // runs that take much longer than expected
+	faults       int     // in a row
+	ejectedUntil Time    // 0: not ejected
+	ejectPause   Time
+	probing      bool
+}
+
+// room returns what is free.
+func (e *endpoint) room() Resources {
+	return e.status.Capacity.Sub(e.used).Sub(e.status.Others)
+}
+
+// usable reports whether the endpoint takes a new task now.
+func (e *endpoint) usable(now Time, evacuated []string) bool {
+	if e.lost || !e.status.Available || now < e.fullUntil || slices.Contains(evacuated, e.status.Zone) {
+		return false
+	}
+	return e.ejectedUntil == 0 || now >= e.ejectedUntil && e.active == 0
+}
+
+// healthy reports whether the endpoint counts as capacity.
+func (e *endpoint) healthy(evacuated []string) bool {
+	return !e.lost && e.status.Available && e.ejectedUntil == 0 && !slices.Contains(evacuated, e.status.Zone)
+}
+
+// slowness returns by how much longer a task is expected to take here.
+func (e *endpoint) slowness() float64 {
+	slow := e.slow
+	if e.overdue >= 2 && 2*e.overdue >= e.active {
+		slow = max(slow, overdueFrom)
+	}
+	if slow < slowFrom {
+		return 1
+	}
+	return slow
+}
+
+// fault counts a run that went wrong for a reason that may be the endpoint's.
+func (e *endpoint) fault(now Time) (ejected bool) {
+	e.faults++
+	if e.ejectedUntil != 0 {
+		e.ejectPause = min(2*e.ejectPause, ejectMax)
+		e.ejectedUntil = now + e.ejectPause
+		return false
+	}
+	if e.faults < ejectAfter {
+		return false
+	}
+	e.ejectPause = ejectFirst
+	e.ejectedUntil = now + e.ejectPause
+	return true
+}
+
+// sound counts a run that went well.
+func (e *endpoint) sound() (restored bool) {
+	restored = e.ejectedUntil != 0
+	e.faults = 0
+	e.ejectedUntil = 0
+	return restored
+}
+
+// learn takes in how a run ended.
+func (s *Scheduler) learn(now Time, r *run, reason EndReason, age Time) {
+	e := r.endpoint
+	if r.stuck {
+		e.overdue = max(e.overdue-1, 0)
+	}
+	switch reason {
+	case EndDone:
+		s.learnTime(r, age)
+		if e.sound() {
+			s.logEndpoint(e, "endpoint_restored", "a task ended well")
+		}
+	case EndFailed:
+		if len(r.task.failedAt) == 0 && e.fault(now) {
+			s.logEndpoint(e, "endpoint_ejected", "tasks fail")
+		}
+	case Unanswered, Unhealthy, NotStarted:
+		if e.fault(now) {
+			s.logEndpoint(e, "endpoint_ejected", reason.String())
+		}
+	}
+}
+
+func (s *Scheduler) learnTime(r *run, age Time) {
+	declared := r.job.sub.Job.Steps[r.task.step].Estimate
+	if age <= 0 || declared <= 0 {
+		return
+	}
+	est := s.estimateOf(r.job.sub.Route.Name)
+	expected := est.apply(declared)
+	e := r.endpoint
+	e.slow += slowWeight * (float64(age)/float64(max(expected, time.Millisecond)) - e.slow)
+	if e.slowness() == 1 {
+		est.observe(declared, age)
+	}
+}
+
+func (s *Scheduler) logEndpoint(e *endpoint, event, reason string) {
+	s.do(SchedulerAction{Kind: LogDecision, Agent: e.agent, Endpoint: e.id, Event: event, Reason: reason})
+}
+
+// watch marks overdue runs and stops the ones that make no progress.
+func (s *Scheduler) watch(now Time) {
+	for _, e := range s.endpoints {
+		e.overdue = 0
+	}
+	for _, r := range s.runs {
+		if r.stopping || r.endpoint.lost {
+			continue
+		}
+		elapsed := now - r.ordered
+		if float64(elapsed) > overdueFrom*float64(r.expected) {
+			r.endpoint.overdue++
+		}
+	}
+	for _, e := range s.endpoints {
+		if e.overdue == 0 || e.lost {
+			continue
+		}
+		for _, r := range s.runsAt(e) {
+			elapsed := now - r.ordered
+			if r.stopping || float64(elapsed) < stuckFrom*float64(r.expected) || elapsed < r.expected+stuckMin {
+				continue
+			}
+			if !s.elsewhere(now, r) {
+				continue
+			}
+			r.stuck = true
+			s.stop(r)
+			if e.fault(now) {
+				s.logEndpoint(e, "endpoint_ejected", "tasks make no progress")
+			}
+			s.do(SchedulerAction{Kind: LogDecision, Agent: e.agent, Endpoint: e.id, Job: r.ref.Task.Job, Run: r.ref,
+				Event: "run_stuck", Reason: "no progress"})
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/estimate.go
@@ -0,0 +1,34 @@
+package dispatch
+
+import "time"
+
+const (
+	estimateWeight = 0.05 // of one run in the moving average of a route
+	estimateMin    = 0.3
+	estimateMax    = 4.0
+)
+
+// estimate corrects a route's declared run times by the run times seen.
+type estimate struct {
+	factor float64
+}
+
+func (s *Scheduler) estimateOf(route string) *estimate {
+	e := s.estimates[route]
+	if e == nil {
+		e = &estimate{factor: 1}
+		s.estimates[route] = e
+	}
+	return e
+}
+
+func (e *estimate) apply(t Time) Time { return time.Duration(float64(t) * e.factor) }
+
+// observe takes in the run time of a task with a declared one.
+func (e *estimate) observe(declared, actual Time) {
+	if declared <= 0 {
+		return
+	}
+	ratio := min(max(float64(actual)/float64(declared), estimateMin), estimateMax)
+	e.factor += estimateWeight * (ratio - e.factor)
+}
--- /dev/null
+++ b/dispatch/guard.go
@@ -0,0 +1,562 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Times of a guard.
+const (
+	// OwnerLease is how long an agent keeps the runs of an entry after the
+	// moment at which that entry is known to have lived. With EntryLease it
+	// stays below the shortest time after which clients send a job again.
+	OwnerLease = 800 * time.Millisecond
+	// orderMaxAge bounds the age of the agent's clock reading that an order
+	// echoes, so that orders delivered late do nothing. Three heartbeats.
+	orderMaxAge = 450 * time.Millisecond
+	// stopLead is how long before the end of an owner's lease its runs are
+	// stopped: two tries to stop and the endpoint's time to do so.
+	stopLead = 150 * time.Millisecond
+	// renewEvery is the pause between two renewals of the endpoint's lease:
+	// three may be lost before runs lapse.
+	renewEvery = 150 * time.Millisecond
+	// retryStopEvery is the pause between two tries to stop a run.
+	retryStopEvery = 60 * time.Millisecond
+	// confirmEvery is the pause between two looks for the end of a run.
+	confirmEvery = 25 * time.Millisecond
+	// lateMargin is added to the last moment at which an endpoint may accept an order.
+	lateMargin = 50 * time.Millisecond
+	// unreachableAfter is the silence after which an endpoint takes no new tasks.
+	unreachableAfter = 600 * time.Millisecond
+	// clockDriftPercent bounds how much slower an endpoint's clock may run.
+	clockDriftPercent = 2
+	// endsPerAnswer is how many ends an endpoint lists in one answer.
+	endsPerAnswer = 500
+)
+
+// CallResult is an endpoint's answer to an order.
+type CallResult struct {
+	Refusal EndReason // 0: accepted
+	Clock   Time      // endpoint's clock; 0 if it did not say
+}
+
+// RunningRun is a run that an endpoint lists as running.
+type RunningRun struct {
+	Run     RunRef
+	Percent float64 // of its work that is done
+}
+
+// EndedRun is an end that an endpoint lists.
+type EndedRun struct {
+	Seq    int64 // from 1 in each lifetime of the endpoint
+	Run    RunRef
+	Reason EndReason
+}
+
+// Snapshot is what an endpoint lists at one moment of its clock.
+type Snapshot struct {
+	Clock   Time
+	Born    int64 // lifetime, 0 if not said
+	Running []RunningRun
+	Ended   []EndedRun
+}
+
+// Order asks for a run.
+type Order struct {
+	Owner   Owner
+	Run     RunRef
+	Need    Resources
+	Payload string
+	Echo    Time // newest reading of the agent's clock that the owner had
+}
+
+// GuardActionKind says what the caller of a Guard has to do.
+type GuardActionKind uint8
+
+// Kinds of guard actions.
+const (
+	CallStart GuardActionKind = iota + 1
+	CallStop
+	CallLook      // Until 0: without extending the lease
+	ReportEnd     // tell the owner
+	StatusChanged // tell all owners
+)
+
+// GuardAction is one thing to do.
+type GuardAction struct {
+	Kind    GuardActionKind
+	Owner   Owner
+	Run     RunRef
+	Payload string
+	Until   Time // on the endpoint's clock
+	Reason  EndReason
+	Age     Time // since the order
+}
+
+type runState uint8
+
+const (
+	runStarting runState = iota // the call has no answer yet
+	runRunning
+	runUnknown // the call had no answer in time
+)
+
+type guardedRun struct {
+	ref          RunRef
+	owner        Owner
+	need         Resources
+	state        runState
+	ordered      Time
+	until        Time // endpoint's clock: the start is refused after it
+	confirmed    Time // endpoint's clock: listed or acknowledged as running then
+	stopWanted   bool
+	nextStop     Time
+	stopAnswered Time // endpoint's clock, 0: no answer yet
+}
+
+// Guard keeps the runs at one lifetime of an endpoint. It starts a task only
+// while the owner's lease is valid, the endpoint is available and has room, and
+// reports a run as ended only when it is certain that it does not run.
+type Guard struct {
+	endpoint EndpointID
+	service  string
+	zone     string
+	capacity Resources
+	labels   []string
+	maxLease Time
+
+	draining  bool
+	evacuated bool
+	clean     bool // no run of an earlier agent is left
+	gone      bool // the lifetime is over
+
+	runs     map[RunRef]*guardedRun
+	tasks    map[TaskRef]RunRef
+	owners   map[Owner]Time // end of the lease, host clock
+	foreign  map[RunRef]Time
+	used     Resources
+	cursor   int64
+	newest   Time // clock of the newest snapshot
+	offset   Time // endpoint's clock less the host's
+	sampled  Time // host clock of the offset; 0: none yet
+	maxUntil Time // latest lease end sent, endpoint's clock
+
+	lastLook  Time // host clock of the newest answer
+	nextLook  Time
+	nextRenew Time
+	available bool // as last reported
+	out       []GuardAction
+}
+
+// NewGuard returns the guard of an endpoint that was just announced.
+func NewGuard(id EndpointID, service, zone string, capacity Resources, labels []string, maxLease Time) *Guard {
+	return &Guard{
+		endpoint: id, service: service, zone: zone, capacity: capacity, labels: labels,
+		maxLease: maxLease,
+		runs:     map[RunRef]*guardedRun{},
+		tasks:    map[TaskRef]RunRef{},
+		owners:   map[Owner]Time{},
+		foreign:  map[RunRef]Time{},
+	}
+}
+
+// Endpoint returns the lifetime that is guarded.
+func (g *Guard) Endpoint() EndpointID { return g.endpoint }
+
+// Gone reports whether the lifetime is over.
+func (g *Guard) Gone() bool { return g.gone }
+
+// Cursor returns the sequence number of the last end taken in.
+func (g *Guard) Cursor() int64 { return g.cursor }
+
+// Runs returns how many runs are kept.
+func (g *Guard) Runs() int { return len(g.runs) }
+
+// Busy reports whether a run of the owner is kept.
+func (g *Guard) Busy(owner Owner) bool {
+	for _, r := range g.runs {
+		if r.owner == owner {
+			return true
+		}
+	}
+	return false
+}
+
+// Owners returns the owners of the runs kept.
+func (g *Guard) Owners() []Owner {
+	var owners []Owner
+	for _, r := range g.runs {
+		if !slices.Contains(owners, r.owner) {
+			owners = append(owners, r.owner)
+		}
+	}
+	return owners
+}
+
+// RunsOf returns the runs kept for an owner.
+func (g *Guard) RunsOf(owner Owner) []RunRef {
+	var refs []RunRef
+	for ref, r := range g.runs {
+		if r.owner == owner {
+			refs = append(refs, ref)
+		}
+	}
+	return refs
+}
+
+// Status returns what to report to an owner.
+func (g *Guard) Status(owner Owner) EndpointStatus {
+	var others Resources
+	for _, r := range g.runs {
+		if r.owner != owner {
+			others = others.Add(r.need)
+		}
+	}
+	return EndpointStatus{
+		Endpoint: g.endpoint, Service: g.service, Zone: g.zone, Capacity: g.capacity,
+		Labels: g.labels, Available: g.available, Others: others,
+	}
+}
+
+// Take returns the actions collected since the last call.
+func (g *Guard) Take() []GuardAction {
+	out := g.out
+	g.out = nil
+	return out
+}
+
+func (g *Guard) do(a GuardAction) { g.out = append(g.out, a) }
+
+// Announced takes in a heartbeat of the guarded lifetime.
+func (g *Guard) Announced(now Time, draining bool, capacity Resources) {
+	g.draining = g.draining || draining
+	if capacity != g.capacity {
+		g.capacity = capacity
+		g.do(GuardAction{Kind: StatusChanged})
+	}
+	g.updateAvailable(now)
+}
+
+// SetEvacuated says whether the endpoint's zone takes new tasks.
+func (g *Guard) SetEvacuated(now Time, evacuated bool) {
+	g.evacuated = evacuated
+	g.updateAvailable(now)
+}
+
+// End ends the guarded lifetime: its runs are over.
+func (g *Guard) End(now Time) {
+	g.gone = true
+	for _, r := range g.sorted() {
+		g.finish(now, r, EndLapsed)
+	}
+	g.updateAvailable(now)
+}
+
+// RenewOwner extends the lease of an owner to a reading of the host's clock.
+func (g *Guard) RenewOwner(owner Owner, until Time) {
+	g.owners[owner] = max(g.owners[owner], until)
+}
+
+// OwnerLost ends an owner's lease: its process is gone.
+func (g *Guard) OwnerLost(now Time, owner Owner) {
+	delete(g.owners, owner)
+	g.Tick(now)
+}
+
+// Start takes an order for a run.
+func (g *Guard) Start(now Time, o Order) {
+	if _, known := g.runs[o.Run]; known {
+		return
+	}
+	if reason := g.check(now, o); reason != 0 {
+		g.do(GuardAction{Kind: ReportEnd, Owner: o.Owner, Run: o.Run, Reason: reason})
+		return
+	}
+	r := &guardedRun{ref: o.Run, owner: o.Owner, need: o.Need, ordered: now}
+	g.runs[o.Run] = r
+	g.tasks[o.Run.Task] = o.Run
+	g.used = g.used.Add(o.Need)
+	r.until = g.leaseEnd(now)
+	g.maxUntil = max(g.maxUntil, r.until)
+	g.do(GuardAction{Kind: CallStart, Owner: o.Owner, Run: o.Run, Payload: o.Payload, Until: r.until})
+}
+
+// check returns why an order is refused, or 0.
+func (g *Guard) check(now Time, o Order) EndReason {
+	switch {
+	case !g.available:
+		return NotAvailable
+	case now-o.Echo > orderMaxAge, g.owners[o.Owner]-stopLead <= now:
+		return Expired
+	case !g.used.Add(o.Need).Fits(g.capacity):
+		return NoRoom
+	}
+	if _, busy := g.tasks[o.Run.Task]; busy {
+		return TaskBusy
+	}
+	return 0
+}
+
+// leaseEnd returns the end of the endpoint's lease on its own clock: no owner's
+// runs may outlive the owner's lease.
+func (g *Guard) leaseEnd(now Time) Time {
+	until := now + g.maxLease - lateMargin
+	for _, r := range g.runs {
+		until = min(until, g.owners[r.owner])
+	}
+	return until + g.offset
+}
+
+// StartAnswered takes the endpoint's answer to a start.
+func (g *Guard) StartAnswered(now Time, run RunRef, res CallResult) {
+	r := g.runs[run]
+	if r == nil {
+		return
+	}
+	if res.Refusal != 0 {
+		g.finish(now, r, res.Refusal)
+		return
+	}
+	if r.state != runRunning {
+		r.state = runRunning
+		r.confirmed = res.Clock
+	}
+}
+
+// StartUnanswered says that a start had no answer in time.
+func (g *Guard) StartUnanswered(now Time, run RunRef) {
+	r := g.runs[run]
+	if r == nil || r.state != runStarting {
+		return
+	}
+	r.state = runUnknown
+	g.look(now)
+}
+
+// Stop takes an owner's order to end a run.
+func (g *Guard) Stop(now Time, owner Owner, run RunRef) {
+	r := g.runs[run]
+	if r == nil || r.owner != owner {
+		return
+	}
+	g.wantStop(now, r)
+}
+
+func (g *Guard) wantStop(now Time, r *guardedRun) {
+	r.stopWanted = true
+	if r.stopAnswered != 0 || now < r.nextStop {
+		return
+	}
+	r.nextStop = now + retryStopEvery
+	g.do(GuardAction{Kind: CallStop, Run: r.ref})
+}
+
+// StopAnswered says that the endpoint accepted a stop: the run ends, or is
+// refused if it was not there yet.
+func (g *Guard) StopAnswered(now Time, run RunRef, res CallResult) {
+	r := g.runs[run]
+	if r == nil || res.Refusal != 0 {
+		return
+	}
+	r.stopAnswered = max(res.Clock, 1)
+	g.look(now)
+}
+
+// Looked takes in what the endpoint lists. received is the host's clock when
+// the answer arrived.
+func (g *Guard) Looked(now, received Time, s Snapshot) {
+	if g.gone {
+		return
+	}
+	if g.endpoint.Born != 0 && s.Born != 0 && s.Born != g.endpoint.Born {
+		g.End(now)
+		return
+	}
+	g.lastLook = max(g.lastLook, received)
+	g.sampleClock(received, s.Clock)
+	g.takeEnds(now, s.Ended)
+	if s.Clock >= g.newest {
+		g.newest = s.Clock
+		g.compare(now, s)
+	}
+	g.updateAvailable(now)
+}
+
+// sampleClock keeps a low estimate of the endpoint's clock, so that leases end
+// too early rather than too late.
+func (g *Guard) sampleClock(received, clock Time) {
+	sample := clock - received
+	if g.sampled == 0 || sample > g.offset || received-g.sampled > time.Second {
+		g.offset = sample
+		g.sampled = received
+	}
+}
+
+func (g *Guard) takeEnds(now Time, ends []EndedRun) {
+	for _, e := range ends {
+		if e.Seq <= g.cursor {
+			continue
+		}
+		g.cursor = e.Seq
+		delete(g.foreign, e.Run)
+		if r := g.runs[e.Run]; r != nil {
+			g.finish(now, r, e.Reason)
+		}
+	}
+}
+
+// compare settles the fate of runs from a newest snapshot.
+func (g *Guard) compare(now Time, s Snapshot) {
+	listed := make(map[RunRef]bool, len(s.Running))
+	for _, running := range s.Running {
+		listed[running.Run] = true
+		g.takeRunning(now, running.Run, s.Clock)
+	}
+	for ref := range g.foreign {
+		if !listed[ref] {
+			delete(g.foreign, ref)
+		}
+	}
+	g.clean = g.clean || len(g.foreign) == 0
+	if len(s.Ended) >= endsPerAnswer {
+		return // the end of an absent run may be listed in the next answer
+	}
+	for _, r := range g.sorted() {
+		if !listed[r.ref] {
+			g.takeAbsent(now, r, s.Clock)
+		}
+	}
+}
+
+func (g *Guard) takeRunning(now Time, ref RunRef, clock Time) {
+	r := g.runs[ref]
+	if r == nil {
+		// A run of an earlier agent process, or an order carried out late.
+		if now >= g.foreign[ref] {
+			g.foreign[ref] = now + retryStopEvery
+			g.do(GuardAction{Kind: CallStop, Run: ref})
+		}
+		return
+	}
+	r.state = runRunning
+	r.confirmed = clock
+}
+
+func (g *Guard) takeAbsent(now Time, r *guardedRun, clock Time) {
+	switch {
+	case r.state == runRunning && clock > r.confirmed:
+		reason := EndLapsed
+		if r.stopAnswered != 0 {
+			reason = EndStopped
+		}
+		g.finish(now, r, reason)
+	case r.state == runUnknown && r.stopAnswered != 0 && clock > r.stopAnswered,
+		r.state == runUnknown && clock > r.until+lateMargin:
+		g.finish(now, r, Unanswered)
+	case r.state == runUnknown:
+		g.wantStop(now, r)
+	}
+}
+
+// finish forgets a run that is certain not to run and tells its owner.
+func (g *Guard) finish(now Time, r *guardedRun, reason EndReason) {
+	delete(g.runs, r.ref)
+	delete(g.tasks, r.ref.Task)
+	g.used = g.used.Sub(r.need)
+	g.do(GuardAction{Kind: ReportEnd, Owner: r.owner, Run: r.ref, Reason: reason, Age: now - r.ordered})
+}
+
+// Tick does what is due.
+func (g *Guard) Tick(now Time) {
+	if g.gone {
+		return
+	}
+	g.stopUnowned(now)
+	g.lapse(now)
+	if g.confirming() && now >= g.nextLook {
+		g.look(now)
+	}
+	if len(g.runs) > 0 && now >= g.nextRenew {
+		g.nextRenew = now + renewEvery
+		until := g.leaseEnd(now)
+		g.maxUntil = max(g.maxUntil, until)
+		g.do(GuardAction{Kind: CallLook, Until: until})
+	}
+	if !g.clean && now >= g.nextLook {
+		g.look(now)
+	}
+	g.updateAvailable(now)
+}
+
+// stopUnowned stops the runs of owners whose lease is about to end, and tries
+// again the stops that had no answer.
+func (g *Guard) stopUnowned(now Time) {
+	for _, r := range g.sorted() {
+		if r.stopWanted || g.owners[r.owner]-stopLead <= now {
+			g.wantStop(now, r)
+		}
+	}
+}
+
+// lapse ends all runs once the endpoint's lease is certain to have run out
+// without an answer from it.
+func (g *Guard) lapse(now Time) {
+	if len(g.runs) == 0 || g.sampled == 0 {
+		return
+	}
+	silence := now - g.lastLook
+	slowest := now + g.offset - silence*clockDriftPercent/100
+	if silence < unreachableAfter || slowest < g.maxUntil+lateMargin {
+		return
+	}
+	for _, r := range g.sorted() {
+		g.finish(now, r, EndLapsed)
+	}
+}
+
+func (g *Guard) confirming() bool {
+	for _, r := range g.runs {
+		if r.state == runUnknown || r.stopAnswered != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Guard) look(now Time) {
+	g.nextLook = now + confirmEvery
+	g.do(GuardAction{Kind: CallLook})
+}
+
+func (g *Guard) updateAvailable(now Time) {
+	available := g.clean && !g.gone && !g.draining && !g.evacuated && now-g.lastLook < unreachableAfter+renewEvery+g.pollPause()
+	if available != g.available {
+		g.available = available
+		g.do(GuardAction{Kind: StatusChanged})
+	}
+}
+
+// pollPause is the longest pause between two looks while nothing runs.
+func (g *Guard) pollPause() Time {
+	if len(g.runs) > 0 {
+		return 0
+	}
+	return WatchTime
+}
+
+// WatchTime is how long a look waits for an end while nothing else happens.
+const WatchTime = time.Second
+
+// sorted returns the runs in a fixed order, so that decisions can be replayed.
+func (g *Guard) sorted() []*guardedRun {
+	runs := make([]*guardedRun, 0, len(g.runs))
+	for _, r := range g.runs {
+		runs = append(runs, r)
+	}
+	slices.SortFunc(runs, func(a, b *guardedRun) int {
+		return cmp.Or(cmp.Compare(a.ref.Task.Job, b.ref.Task.Job), cmp.Compare(a.ref.Task.Step, b.ref.Task.Step),
+			cmp.Compare(a.ref.Task.Index, b.ref.Task.Index), cmp.Compare(a.ref.Run, b.ref.Run))
+	})
+	return runs
+}
--- /dev/null
+++ b/dispatch/job.go
@@ -0,0 +1,95 @@
+package dispatch
+
+import (
+	"time"
+)
+
+// job is an open job.
+type job struct {
+	sub       Submission
+	arrived   Time
+	objective Time // latest end that meets the latency objective
+	lateBy    Time // latest end that is worth anything
+	chain     Time // expected work on the longest path through the steps
+	tasks     []*task
+	left      []int // tasks of each step that are not done
+	released  []bool
+	remaining int
+	waiting   []*task
+	queued    bool
+	ordered   bool // a run was ordered, so a task may have started
+	over      bool // answered or cancelled; runs may be left
+	next      *Submission
+}
+
+type task struct {
+	ref       TaskRef
+	step      int
+	run       *run
+	nextRun   int
+	done      bool
+	failures  int
+	failedAt  []EndpointID
+	notBefore Time
+}
+
+// run is an ordered run that is not known to be over.
+type run struct {
+	ref      RunRef
+	job      *job
+	task     *task
+	endpoint *endpoint
+	need     Resources
+	ordered  Time
+	expected Time
+	stopping bool
+	stuck    bool
+}
+
+// lateFactor is how many times the objective a job may take and still be of use.
+const lateFactor = 3
+
+func newJob(now Time, sub Submission, est *estimate) *job {
+	j := &job{sub: sub, arrived: now}
+	steps := sub.Job.Steps
+	j.left = make([]int, len(steps))
+	j.released = make([]bool, len(steps))
+	for i, st := range steps {
+		j.left[i] = st.Count
+		j.remaining += st.Count
+		for index := range st.Count {
+			j.tasks = append(j.tasks, &task{ref: TaskRef{Job: sub.Job.ID, Step: i, Index: index}, step: i, nextRun: 1})
+		}
+	}
+	j.chain = est.apply(longestChain(steps))
+	budget := time.Duration(sub.Route.Stretch*float64(j.chain)) + sub.Route.TargetLatency
+	j.objective = now + budget
+	j.lateBy = now + lateFactor*budget
+	return j
+}
+
+// longestChain returns the estimated work on the longest path through the steps.
+func longestChain(steps []Step) Time {
+	ends := make([]Time, len(steps))
+	var longest Time
+	for i, st := range steps {
+		for _, a := range st.After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		ends[i] += st.Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+func (j *job) stepsDone(steps []int) bool {
+	for _, s := range steps {
+		if j.left[s] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// latestStart is when the job has to start to meet its objective.
+func (j *job) latestStart() Time { return j.objective - j.chain }
--- /dev/null
+++ b/dispatch/place.go
@@ -0,0 +1,247 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bergamotwing.example/result"
+)
+
+const (
+	// admitShare is the share of a job's latency objective that the work ahead
+	// of it may take. Shared with the refusal of jobs on arrival only.
+	admitShare = 0.15
+	// lookahead is how many tasks that fit nowhere are passed over.
+	lookahead = 8
+	// minRetryAfter is the least time after which a refused client may return.
+	minRetryAfter = time.Second
+)
+
+// admit decides on arrival whether a job is taken. It answers bursts: a job that
+// would wait too long behind the work ahead of it is refused at once.
+func (s *Scheduler) admit(now Time, sub *Submission) (Outcome, bool) {
+	capacity, free := s.capacity(now)
+	if capacity == 0 {
+		return Outcome{Code: result.Overloaded, RetryAfter: minRetryAfter, Detail: "no endpoint takes tasks"}, true
+	}
+	for _, st := range sub.Job.Steps {
+		if !s.everFits(st) {
+			return Outcome{Code: result.NeverFits, Detail: "a task is larger than any endpoint"}, true
+		}
+	}
+	j := newJob(now, *sub, s.estimateOf(sub.Route.Name))
+	ahead := s.workAhead(j)
+	if ahead == 0 && free {
+		return Outcome{}, false
+	}
+	wait := time.Duration(ahead / float64(capacity) * float64(time.Second))
+	if float64(wait) > admitShare*float64(j.objective-now) {
+		return Outcome{Code: result.Overloaded, RetryAfter: max(wait, minRetryAfter), Detail: "work ahead takes " + wait.String()}, true
+	}
+	return Outcome{}, false
+}
+
+// capacity returns the processors of healthy endpoints in thousandths of a
+// core, corrected by their slowness, and whether a part of them is free.
+func (s *Scheduler) capacity(now Time) (capacity int, free bool) {
+	for _, e := range s.endpoints {
+		if !e.healthy(s.evacuated) {
+			continue
+		}
+		capacity += int(float64(e.status.Capacity.CPUMilli) / e.slowness())
+		free = free || e.usable(now, s.evacuated) && e.room().CPUMilli > 0
+	}
+	return capacity, free
+}
+
+// everFits reports whether a step's tasks fit an empty endpoint.
+func (s *Scheduler) everFits(st Step) bool {
+	return slices.ContainsFunc(s.endpoints, func(e *endpoint) bool {
+		return !e.lost && st.Need.Fits(e.status.Capacity) && (st.RequiredLabel == "" || slices.Contains(e.status.Labels, st.RequiredLabel))
+	})
+}
+
+// workAhead returns the waiting work, in core-seconds times 1000, that goes
+// before a job.
+func (s *Scheduler) workAhead(j *job) float64 {
+	var work float64
+	for _, o := range s.queue {
+		if before(o, j) > 0 {
+			continue
+		}
+		est := s.estimateOf(o.sub.Route.Name)
+		for _, t := range o.waiting {
+			st := o.sub.Job.Steps[t.step]
+			work += float64(st.Need.CPUMilli) * est.apply(st.Estimate).Seconds()
+		}
+	}
+	return work
+}
+
+// before orders jobs: by priority, begun ones first, so that a wide job
+// gathers its room, then by the latest start that meets the objective.
+func before(a, b *job) int {
+	return cmp.Or(
+		cmp.Compare(a.sub.Route.Priority, b.sub.Route.Priority),
+		cmp.Compare(boolRank(!a.ordered), boolRank(!b.ordered)),
+		cmp.Compare(a.latestStart(), b.latestStart()),
+		cmp.Compare(a.sub.Job.ID, b.sub.Job.ID),
+	)
+}
+
+func boolRank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// place starts waiting tasks where there is room.
+func (s *Scheduler) place(now Time) {
+	if len(s.queue) == 0 {
+		return
+	}
+	slices.SortFunc(s.queue, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(boolRank(now > a.latestStart() && !a.ordered), boolRank(now > b.latestStart() && !b.ordered)), before(a, b))
+	})
+	misses := 0
+	for _, j := range slices.Clone(s.queue) {
+		misses += s.placeJob(now, j)
+		if misses > lookahead {
+			break
+		}
+	}
+	s.queue = slices.DeleteFunc(s.queue, func(j *job) bool {
+		j.queued = len(j.waiting) > 0
+		return !j.queued
+	})
+}
+
+// placeJob places a job's waiting tasks and returns how many fitted nowhere; it
+// stops at the second.
+func (s *Scheduler) placeJob(now Time, j *job) (misses int) {
+	kept := j.waiting[:0:0]
+	for i, t := range j.waiting {
+		e := s.choose(now, j, t)
+		if e == nil {
+			kept = append(kept, t)
+			if misses++; misses > 1 {
+				kept = append(kept, j.waiting[i+1:]...)
+				break
+			}
+			continue
+		}
+		s.order(now, j, t, e)
+	}
+	j.waiting = kept
+	return misses
+}
+
+// choose returns the endpoint for a task, or nil. Among those with room it
+// prefers the soonest end, then the most free room. An endpoint known to be
+// slow is used only if the job still meets its objective there.
+func (s *Scheduler) choose(now Time, j *job, t *task) *endpoint {
+	st := &j.sub.Job.Steps[t.step]
+	if now < t.notBefore {
+		return nil
+	}
+	expected := s.estimateOf(j.sub.Route.Name).apply(st.Estimate)
+	var best *endpoint
+	var bestCost Time
+	for _, e := range s.endpoints {
+		if !e.usable(now, s.evacuated) || !st.Need.Fits(e.room()) || !s.allowed(j, t, st, e) {
+			continue
+		}
+		cost := time.Duration(float64(expected) * s.penalty(st, t, e))
+		if cost > expected && now+cost > j.objective && now < j.lateBy && s.anyHealthy(e) {
+			continue
+		}
+		if best == nil || cost < bestCost || cost == bestCost && e.room().CPUMilli > best.room().CPUMilli {
+			best, bestCost = e, cost
+		}
+	}
+	return best
+}
+
+// penalty is how much longer a task takes at an endpoint than at a sound one
+// near its data.
+func (s *Scheduler) penalty(st *Step, t *task, e *endpoint) float64 {
+	p := e.slowness()
+	if st.DataRack != "" && !slices.Contains(e.status.Labels, st.DataRack) {
+		p *= farFactor
+	}
+	if slices.Contains(t.failedAt, e.id) {
+		p *= failedHereFactor
+	}
+	return p
+}
+
+const (
+	farFactor        = 1.5 // run time of a task away from its data
+	failedHereFactor = 1.4 // prefers other endpoints after a failure
+)
+
+// anyHealthy reports whether a task may get a better place than e by waiting.
+func (s *Scheduler) anyHealthy(e *endpoint) bool {
+	return slices.ContainsFunc(s.endpoints, func(o *endpoint) bool {
+		return o != e && o.healthy(s.evacuated) && o.slowness() == 1
+	})
+}
+
+func (s *Scheduler) allowed(j *job, t *task, st *Step, e *endpoint) bool {
+	if st.RequiredLabel != "" && !slices.Contains(e.status.Labels, st.RequiredLabel) {
+		return false
+	}
+	if st.MaxPerEndpoint == 0 {
+		return true
+	}
+	here := 0
+	for _, o := range j.tasks {
+		if o.step == t.step && o.run != nil && o.run.endpoint.id == e.id {
+			here++
+		}
+	}
+	return here < st.MaxPerEndpoint
+}
+
+func (s *Scheduler) order(now Time, j *job, t *task, e *endpoint) {
+	st := j.sub.Job.Steps[t.step]
+	r := &run{
+		ref: RunRef{Task: t.ref, Run: t.nextRun}, job: j, task: t, endpoint: e, need: st.Need,
+		ordered: now, expected: s.estimateOf(j.sub.Route.Name).apply(st.Estimate),
+	}
+	t.run = r
+	j.ordered = true
+	e.used = e.used.Add(st.Need)
+	e.active++
+	s.runs[r.ref] = r
+	s.do(SchedulerAction{
+		Kind: OrderRun, Agent: e.agent, Endpoint: e.id, Run: r.ref, Need: st.Need,
+		Payload: j.sub.Job.Payload, Job: j.sub.Job.ID,
+	})
+}
+
+// elsewhere reports whether a run's task has room at another sound endpoint.
+func (s *Scheduler) elsewhere(now Time, r *run) bool {
+	return slices.ContainsFunc(s.endpoints, func(o *endpoint) bool {
+		return o != r.endpoint && o.usable(now, s.evacuated) && o.slowness() == 1 && r.need.Fits(o.room())
+	})
+}
+
+// giveUp answers the jobs that cannot end in time any more.
+func (s *Scheduler) giveUp(now Time) {
+	for _, id := range s.jobIDs() {
+		j := s.jobs[id]
+		if j.over {
+			continue
+		}
+		last := min(j.sub.Deadline, j.lateBy)
+		switch {
+		case !j.ordered && now+j.chain/2 > last:
+			s.end(now, j, Outcome{Code: result.DeadlineUnmet, RetryAfter: minRetryAfter, Detail: "no room in time"})
+		case now > j.sub.Deadline:
+			s.end(now, j, Outcome{Code: result.DeadlinePassed, Detail: "deadline passed"})
+		}
+	}
+}
--- /dev/null
+++ b/hosted/agent/control.go
@@ -0,0 +1,335 @@
+package agent
+
+import (
+	"slices"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	"bergamotwing.example/dispatch"
+	"bergamotwing.example/hosted/mesh"
+	"bergamotwing.example/wire"
+)
+
+const (
+	busyTick  = 25 * time.Millisecond  // while runs are kept
+	idleTick  = 100 * time.Millisecond // otherwise
+	homeBeat  = 150 * time.Millisecond // heartbeats to an entry that places tasks; five in an owner's lease
+	otherBeat = 450 * time.Millisecond // heartbeats to other entries
+	// entrySilence is the time without an echo after which a link is made anew.
+	entrySilence = 1200 * time.Millisecond
+	// endsKept is how long an end is told again to an owner that links anew.
+	endsKept = 2 * time.Second
+)
+
+// state is the control actor's.
+type state struct {
+	a         *Agent
+	peers     map[string]*mesh.Peer // linked entries by name
+	addrs     map[string]string     // entries known, by name
+	endpoints map[dispatch.EndpointID]*endpoint
+	operator  dispatch.OperatorState
+	ends      []keptEnd
+	seeds     []string // addresses where entries may listen
+	stopping  bool
+}
+
+type keptEnd struct {
+	owner dispatch.Owner
+	end   wire.EndedRun
+	at    time.Duration
+}
+
+func newState(a *Agent) *state {
+	return &state{
+		a: a, seeds: mesh.SeedAddrs(a.node), peers: map[string]*mesh.Peer{}, addrs: map[string]string{},
+		endpoints: map[dispatch.EndpointID]*endpoint{},
+	}
+}
+
+func (a *Agent) receive(ctx actor.Context) {
+	now := mesh.Now()
+	s := a.state
+	switch m := ctx.Message().(type) {
+	case tick:
+		s.tick(now)
+	case stop:
+		s.stop(now)
+	case reload:
+		s.seeds = mesh.SeedAddrs(m.node)
+		s.retarget()
+	case linkUp:
+		s.linkUp(now, m.link)
+	case linkDown:
+		s.linkDown(m.link)
+	case refused:
+		s.refused(now, m.addr)
+	case received:
+		s.received(now, m.link, m.m)
+	case membersRead:
+		s.addMembers(m.members)
+	case askLinked:
+		m.reply <- len(s.peers) > 0
+	case announced:
+		m.reply <- s.announced(now, m.n)
+	case left:
+		s.left(now, m.id)
+	case startAnswered:
+		s.startAnswered(now, m)
+	case stopAnswered:
+		s.stopAnswered(now, m)
+	case looked:
+		s.looked(now, m)
+	}
+	s.carryOut(now)
+}
+
+func ownerOf(l *mesh.Link) dispatch.Owner {
+	return dispatch.Owner{Entry: l.Hello.Name, Incarnation: uint64(l.Hello.Incarnation)}
+}
+
+func (s *state) tick(now time.Duration) {
+	busy := false
+	for _, e := range s.endpoints {
+		e.guard.Tick(now)
+		busy = busy || e.guard.Runs() > 0
+	}
+	for _, p := range s.peers {
+		if p.Silent(now, entrySilence) {
+			p.Close()
+		}
+		if now-p.LastSent >= s.beatPause(p) {
+			s.beat(now, p)
+		}
+	}
+	s.ends = slices.DeleteFunc(s.ends, func(k keptEnd) bool { return now-k.at > endsKept })
+	pause := idleTick
+	if busy {
+		pause = busyTick
+	}
+	if s.stopping && !busy {
+		s.finishStop()
+	}
+	time.AfterFunc(pause, func() { s.a.send(tick{}) })
+}
+
+func (s *state) beatPause(p *mesh.Peer) time.Duration {
+	if p.Beat.Home || s.busyFor(ownerOf(p.Link)) {
+		return homeBeat
+	}
+	return otherBeat
+}
+
+func (s *state) busyFor(owner dispatch.Owner) bool {
+	for _, e := range s.endpoints {
+		if e.guard.Busy(owner) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *state) beat(now time.Duration, p *mesh.Peer) {
+	p.SendBeat(now, wire.NodeBeat{StoreVersion: s.operator.StoreVersion, Draining: s.stopping})
+}
+
+func (s *state) stop(now time.Duration) {
+	s.stopping = true
+	for _, e := range s.endpoints {
+		e.guard.Announced(now, true, e.announced.Capacity)
+	}
+	s.a.deps.Log.Info().Str("event", "stopping").Msg("agent takes no new tasks")
+}
+
+func (s *state) finishStop() {
+	select {
+	case <-s.a.idle:
+	default:
+		close(s.a.idle)
+	}
+}
+
+func (s *state) linkUp(now time.Duration, l *mesh.Link) {
+	name := l.Hello.Name
+	if l.Hello.Role != wire.RoleEntry {
+		l.Close()
+		return
+	}
+	if old := s.peers[name]; old != nil {
+		old.Close()
+		if old.Hello.Incarnation != l.Hello.Incarnation {
+			s.ownerLost(now, ownerOf(old.Link), "replaced by a new process")
+		}
+	}
+	p := mesh.NewPeer(l, now)
+	s.peers[name] = p
+	s.addEntry(name, l.Hello.Addr)
+	s.beat(now, p)
+	owner := ownerOf(l)
+	s.sendKeptEnds(p, owner)
+	kept := &wire.RunsKept{}
+	for _, e := range s.endpoints {
+		kept.Runs = append(kept.Runs, e.guard.RunsOf(owner)...)
+	}
+	_ = p.Send(kept) // a closed link is reported as down
+	for _, e := range s.endpoints {
+		_ = p.Send(&wire.EndpointReport{Status: e.guard.Status(owner)})
+	}
+	s.a.deps.Log.Info().Str("event", "entry_linked").Str("entry", name).Int("runs", len(kept.Runs)).Msg("entry linked")
+}
+
+func (s *state) sendKeptEnds(p *mesh.Peer, owner dispatch.Owner) {
+	m := &wire.RunEnd{}
+	for _, k := range s.ends {
+		if k.owner == owner {
+			m.Ends = append(m.Ends, k.end)
+		}
+	}
+	if len(m.Ends) > 0 {
+		_ = p.Send(m) // a closed link is reported as down
+	}
+}
+
+func (s *state) linkDown(l *mesh.Link) {
+	if p := s.peers[l.Hello.Name]; p != nil && p.Link == l {
+		delete(s.peers, l.Hello.Name)
+		s.a.deps.Log.Warn().Str("event", "entry_lost").Str("entry", l.Hello.Name).Msg("link to entry lost")
+	}
+}
+
+// refused ends the leases of the entry at addr: no process listens there.
+func (s *state) refused(now time.Duration, addr string) {
+	for name, known := range s.addrs {
+		if known != addr {
+			continue
+		}
+		for _, e := range s.endpoints {
+			for _, owner := range e.guard.Owners() {
+				if owner.Entry == name {
+					s.ownerLost(now, owner, "nothing listens at its address")
+				}
+			}
+		}
+	}
+}
+
+func (s *state) ownerLost(now time.Duration, owner dispatch.Owner, why string) {
+	for _, e := range s.endpoints {
+		if e.guard.Busy(owner) {
+			s.a.deps.Log.Warn().Str("event", "owner_lost").Str("entry", owner.Entry).Str("reason", why).Msg("runs of entry stopped")
+		}
+		e.guard.OwnerLost(now, owner)
+	}
+}
+
+func (s *state) addMembers(members []mesh.MemberRow) {
+	for _, m := range members {
+		s.addEntry(m.Name, m.Addr)
+	}
+}
+
+// addEntry learns an entry's address and dials it.
+func (s *state) addEntry(name, addr string) {
+	if addr == "" || s.addrs[name] == addr {
+		return
+	}
+	s.addrs[name] = addr
+	s.retarget()
+}
+
+func (s *state) retarget() {
+	targets := slices.Clone(s.seeds)
+	for _, addr := range s.addrs {
+		targets = append(targets, addr)
+	}
+	s.a.mesh.SetTargets(s.a.ctx, targets)
+}
+
+func (s *state) received(now time.Duration, l *mesh.Link, m wire.Message) {
+	p := s.peers[l.Hello.Name]
+	if p == nil || p.Link != l {
+		return // a link that was replaced
+	}
+	owner := ownerOf(l)
+	switch m := m.(type) {
+	case *wire.NodeBeat:
+		s.heard(now, p, m)
+	case *wire.OperatorUpdate:
+		s.adopt(now, p, m.State)
+	case *wire.Members:
+		s.setMembers(m.Entries)
+	case *wire.RunOrder:
+		s.order(now, owner, m)
+	case *wire.RunStop:
+		if e := s.endpoints[m.Endpoint]; e != nil {
+			for _, run := range m.Runs {
+				e.guard.Stop(now, owner, run)
+			}
+		}
+	}
+}
+
+func (s *state) heard(now time.Duration, p *mesh.Peer, b *wire.NodeBeat) {
+	becameHome := b.Home && !p.Beat.Home
+	p.Heard(b)
+	if b.Echo > 0 {
+		for _, e := range s.endpoints {
+			e.guard.RenewOwner(ownerOf(p.Link), b.Echo+dispatch.OwnerLease)
+		}
+	}
+	if becameHome {
+		s.beat(now, p)
+	}
+}
+
+func (s *state) adopt(now time.Duration, p *mesh.Peer, next dispatch.OperatorState) {
+	if next.StoreVersion <= s.operator.StoreVersion {
+		return
+	}
+	if !slices.Equal(s.operator.Evacuated, next.Evacuated) {
+		s.a.deps.Log.Info().Str("event", "operator_state").Uint64("store_version", next.StoreVersion).
+			Strs("evacuated", next.Evacuated).Str("from", p.Hello.Name).Msg("zones out of service changed")
+	}
+	s.operator = next
+	for _, e := range s.endpoints {
+		e.guard.SetEvacuated(now, next.ZoneEvacuated(e.announced.Zone))
+	}
+}
+
+// setMembers forgets entries that are in nobody's list any more.
+func (s *state) setMembers(entries []wire.Member) {
+	next := map[string]string{}
+	for _, e := range entries {
+		next[e.Name] = e.Addr
+	}
+	for name, p := range s.peers {
+		next[name] = p.Hello.Addr
+	}
+	s.addrs = next
+	s.retarget()
+}
+
+func (s *state) order(now time.Duration, owner dispatch.Owner, m *wire.RunOrder) {
+	e := s.endpoints[m.Endpoint]
+	for _, r := range m.Runs {
+		if e == nil {
+			s.tellEnd(now, owner, wire.EndedRun{Run: r.Run, Reason: dispatch.NotAvailable})
+			continue
+		}
+		e.guard.Start(now, dispatch.Order{Owner: owner, Run: r.Run, Need: r.Need, Payload: m.Payload, Echo: m.Echo})
+	}
+}
+
+// tellEnd reports an end to its owner and keeps it for a link made anew.
+func (s *state) tellEnd(now time.Duration, owner dispatch.Owner, end wire.EndedRun) {
+	s.ends = append(s.ends, keptEnd{owner, end, now})
+	if p := s.peers[owner.Entry]; p != nil && ownerOf(p.Link) == owner {
+		_ = p.Send(&wire.RunEnd{Ends: []wire.EndedRun{end}}) // told again on the next link
+	}
+	if end.Reason != dispatch.EndDone {
+		s.a.deps.Metrics.Count("bergamotwing_runs_"+end.Reason.String()+"_total", "Runs that ended so.", 1)
+		s.a.deps.Log.Info().Str("event", "run_ended").Str("job", end.Run.Task.Job).Int("step", end.Run.Task.Step).
+			Int("task", end.Run.Task.Index).Int("run", end.Run.Run).Str("reason", end.Reason.String()).
+			Dur("age_ms", end.Age).Str("entry", owner.Entry).Msg("run ended")
+	}
+}
--- /dev/null
+++ b/hosted/agent/messages.go
@@ -0,0 +1,50 @@
+package agent
+
+import (
+	"time"
+
+	"bergamotwing.example/dispatch"
+	"bergamotwing.example/hosted/mesh"
+	"bergamotwing.example/platform"
+	"bergamotwing.example/wire"
+)
+
+// Messages of the control actor.
+type (
+	tick     struct{}
+	stop     struct{}
+	reload   struct{ node platform.Node }
+	linkUp   struct{ link *mesh.Link }
+	linkDown struct{ link *mesh.Link }
+	refused  struct{ addr string }
+	received struct {
+		link *mesh.Link
+		m    wire.Message
+	}
+	membersRead struct{ members []mesh.MemberRow }
+	askLinked   struct{ reply chan bool }
+	announced   struct {
+		n     platform.Announcement
+		reply chan bool
+	}
+	left          struct{ id string }
+	startAnswered struct {
+		endpoint dispatch.EndpointID
+		run      dispatch.RunRef
+		res      dispatch.CallResult
+		err      error
+	}
+	stopAnswered struct {
+		endpoint dispatch.EndpointID
+		run      dispatch.RunRef
+		res      dispatch.CallResult
+		err      error
+	}
+	looked struct {
+		endpoint dispatch.EndpointID
+		received time.Duration
+		snapshot dispatch.Snapshot
+		err      error
+		cursor   chan int64 // gets the sequence number of the last end taken in; nil: not wanted
+	}
+)
--- /dev/null
+++ b/hosted/entry/agents.go
@@ -0,0 +1,88 @@
+package entry
+
+import (
+	"time"
+
+	"bergamotwing.example/dispatch"
+	"bergamotwing.example/hosted/mesh"
+	"bergamotwing.example/wire"
+)
+
+func (s *state) agentUp(now time.Duration, l *mesh.Link) {
+	name := l.Hello.Name
+	if old := s.agents[name]; old != nil {
+		old.Close()
+		if old.Hello.Incarnation != l.Hello.Incarnation {
+			s.agentLost(now, old)
+		}
+	}
+	p := mesh.NewPeer(l, now)
+	s.agents[name] = p
+	s.sendOperator(p)
+	_ = p.Send(s.memberList()) // a closed link is reported as down
+	s.e.deps.Log.Info().Str("event", "agent_linked").Str("agent", name).Msg("agent linked")
+}
+
+func (s *state) agentDown(now time.Duration, l *mesh.Link) {
+	p := s.agents[l.Hello.Name]
+	if p == nil || p.Link != l {
+		return
+	}
+	delete(s.agents, l.Hello.Name)
+	s.agentLost(now, p)
+}
+
+// agentLost gives the runs of an agent that is not heard the time for which
+// they may go on: its lease of this entry, counted from the last heartbeat that
+// it may have got.
+func (s *state) agentLost(now time.Duration, p *mesh.Peer) {
+	id := agentID(p.Link)
+	goneBy := p.LastSent + dispatch.OwnerLease + runMargin
+	for key, v := range s.endpoints {
+		if v.agent == id.Name {
+			delete(s.endpoints, key)
+		}
+	}
+	for _, sched := range s.schedulers {
+		sched.AgentLost(now, id, goneBy)
+	}
+	s.e.deps.Log.Warn().Str("event", "agent_lost").Str("agent", id.Name).Dur("runs_over_in_ms", goneBy-now).Msg("agent lost")
+}
+
+func (s *state) fromAgent(now time.Duration, l *mesh.Link, m wire.Message) {
+	p := s.agents[l.Hello.Name]
+	if p == nil || p.Link != l {
+		return // a link that was replaced
+	}
+	id := agentID(l)
+	switch m := m.(type) {
+	case *wire.NodeBeat:
+		p.Heard(m)
+		p.SendBeat(now, s.beat())
+		if op := s.e.operator.Load(); op != nil && m.StoreVersion < op.StoreVersion {
+			s.sendOperator(p)
+		}
+	case *wire.RunsKept:
+		for _, sched := range s.schedulers {
+			sched.AgentBack(now, id, m.Runs)
+		}
+	case *wire.EndpointReport:
+		s.report(now, id, m.Status)
+	case *wire.EndpointGone:
+		delete(s.endpoints, m.Endpoint)
+		for _, sched := range s.schedulers {
+			sched.EndpointGone(now, id, m.Endpoint)
+		}
+	case *wire.RunEnd:
+		for _, end := range m.Ends {
+			for _, sched := range s.schedulers {
+				sched.Ended(now, end.Run, end.Reason, end.Age)
+			}
+		}
+	}
+}
+
+func (s *state) report(now time.Duration, id dispatch.AgentID, status dispatch.EndpointStatus) {
+	s.endpoints[status.Endpoint] = endpointView{agent: id.Name, service: status.Service, available: status.Available}
+	s.scheduler(status.Service).Report(now, id, status)
+}
--- /dev/null
+++ b/hosted/entry/clients.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"bergamotwing.example/dispatch"
+	"bergamotwing.example/hosted/mesh"
+	"bergamotwing.example/platform"
+	"bergamotwing.example/result"
+)
+
+const (
+	defaultWait   = 30 * time.Second // of a client that names no deadline
+	notReadyRetry = time.Second
+)
+
+// serveClient answers one request of a client.
+func (e *Entry) serveClient(w http.ResponseWriter, r *http.Request) {
+	if e.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	operator := e.operator.Load()
+	if operator == nil {
+		e.refuse(w, "", result.NoVersion, notReadyRetry, "no configuration yet")
+		return
+	}
+	route, ok := operator.Config.Match(hostName(r.Host), r.URL.Path)
+	if !ok {
+		e.refuse(w, "", result.NotFound, 0, "no route for "+r.Host+r.URL.Path)
+		return
+	}
+	req, ok := platform.ParseJobRequest(r, route.Prefix)
+	switch {
+	case !ok:
+		e.refuse(w, "", result.BadRequest, 0, "malformed job id")
+	case req.ID == "" && r.Method == http.MethodGet:
+		e.serveWaiting(w, r, route)
+	case req.ID == "":
+		e.refuse(w, "", result.MethodNotAllowed, 0, r.Method)
+	case r.Method == http.MethodPost:
+		e.serveJob(w, r, req, route, operator)
+	case r.Method == http.MethodGet, r.Method == http.MethodDelete:
+		e.serveKnown(w, r, req.ID)
+	default:
+		e.refuse(w, req.ID, result.MethodNotAllowed, 0, r.Method)
+	}
+}
+
+func hostName(hostport string) string {
+	if host, _, err := net.SplitHostPort(hostport); err == nil {
+		return host
+	}
+	return hostport
+}
+
+func (e *Entry) serveJob(w http.ResponseWriter, r *http.Request, req platform.JobRequest, route dispatch.Route, operator *dispatch.OperatorState) {
+	arrived := mesh.Now()
+	body, err := platform.ReadBody(w, r, operator.Config.MaxBodyBytes)
+	if err != nil {
+		e.refuse(w, req.ID, result.BadRequest, 0, err.Error())
+		return
+	}
+	job, unsupported, err := platform.DecodeJob(req.ID, body)
+	if err != nil {
+		e.refuse(w, req.ID, result.BadRequest, 0, err.Error())
+		return
+	}
+	if unsupported != "" {
+		e.refuse(w, req.ID, result.Unsupported, notReadyRetry, unsupported)
+		return
+	}
+	wait := waitOf(req, route)
+	reply := make(chan dispatch.Outcome, 1)
+	e.send(submit{job: job, route: route, wait: wait, deadline: arrived + wait, reply: reply})
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case out := <-reply:
+		e.answer(w, job.ID, route, operator, out, mesh.Now()-arrived)
+	case <-r.Context().Done():
+		e.send(clientGone{job.ID, reply})
+		e.deps.Log.Info().Str("event", "client_left").Str("job", job.ID).Dur("age_ms", mesh.Now()-arrived).Msg("client left; job cancelled")
+	case <-timer.C:
+		e.send(clientGone{job.ID, reply})
+		e.answer(w, job.ID, route, operator, dispatch.Outcome{Code: result.DeadlinePassed}, mesh.Now()-arrived)
+	}
+}
+
+// waitOf returns how long the client waits, at most the route's timeout.
+func waitOf(req platform.JobRequest, route dispatch.Route) time.Duration {
+	wait := req.Wait
+	if wait <= 0 {
+		wait = defaultWait
+	}
+	if route.Timeout > 0 {
+		wait = min(wait, route.Timeout)
+	}
+	return wait
+}
+
+// answer writes a job's outcome.
+func (e *Entry) answer(w http.ResponseWriter, id string, route dispatch.Route, operator *dispatch.OperatorState, out dispatch.Outcome, age time.Duration) {
+	e.deps.Log.Info().Str("event", "job_answered").Str("job", id).Str("route", route.Name).Str("code", out.Code.String()).
+		Str("detail", out.Detail).Int64("config", operator.Config.Version).Dur("age_ms", age).Msg("job answered")
+	e.deps.Metrics.Observe("bergamotwing_job_seconds", "Time from a job's arrival to its answer.", age.Seconds())
+	switch out.Code {
+	case result.OK:
+		platform.WriteJobState(w, platform.JobCompleted)
+	case result.TaskFailed:
+		platform.WriteJobState(w, platform.JobFailed)
+	default:
+		e.deps.Metrics.Refused(out.Code)
+		writeRefusal(w, out.Code, out.RetryAfter, out.Detail)
+	}
+}
+
+// refuse answers a request that reached no queue.
+func (e *Entry) refuse(w http.ResponseWriter, id string, code result.Code, retryAfter time.Duration, detail string) {
+	e.deps.Metrics.Refused(code)
+	e.deps.Log.Info().Str("event", "refused").Str("job", id).Str("code", code.String()).Str("detail", detail).Msg("request refused")
+	writeRefusal(w, code, retryAfter, detail)
+}
+
+// writeRefusal tells the client whether anything may have run: 502 if so, which
+// has it send the job again, else 503 or the code's own status.
+func writeRefusal(w http.ResponseWriter, code result.Code, retryAfter time.Duration, detail string) {
+	info := result.Lookup(code)
+	status := info.HTTPStatus
+	switch {
+	case info.Ran != result.RanNo:
+		status = http.StatusBadGateway
+	case status >= http.StatusInternalServerError || code == result.NeverFits:
+		status = http.StatusServiceUnavailable
+	}
+	if status == http.StatusServiceUnavailable {
+		retryAfter = max(retryAfter, notReadyRetry)
+	}
+	platform.WriteError(w, status, code.String()+": "+detail, retryAfter)
+}
+
+// serveKnown answers a question about a job, or cancels it. Jobs that have
+// ended are not kept.
+func (e *Entry) serveKnown(w http.ResponseWriter, r *http.Request, id string) {
+	known := make(chan bool, 1)
+	e.send(deleteJob{id, known})
+	if r.Method == http.MethodGet {
+		platform.WriteError(w, http.StatusGone, "no such job", 0)
+		return
+	}
+	select {
+	case ok := <-known:
+		status := http.StatusGone
+		if ok {
+			status = http.StatusOK
+		}
+		platform.WriteError(w, status, "cancelled", 0)
+	case <-r.Context().Done():
+	}
+}
+
+func (e *Entry) serveWaiting(w http.ResponseWriter, r *http.Request, route dispatch.Route) {
+	reply := make(chan int, 1)
+	e.send(askWaiting{route, reply})
+	select {
+	case n := <-reply:
+		platform.WriteWaiting(w, n)
+	case <-r.Context().Done():
+	}
+}
--- /dev/null
+++ b/hosted/entry/control.go
@@ -0,0 +1,293 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	"bergamotwing.example/dispatch"
+	"bergamotwing.example/hosted/mesh"
+	"bergamotwing.example/result"
+	"bergamotwing.example/wire"
+)
+
+const (
+	tickEvery = 25 * time.Millisecond
+	peerBeat  = 100 * time.Millisecond // heartbeats between entries; five in an entry's lease
+	// EntryLease is how long an entry counts as alive after the moment at which
+	// it is known to have lived. With dispatch.OwnerLease it stays within the
+	// shortest time after which clients send a job again.
+	entryLease = 500 * time.Millisecond
+	// agentSilence is the time without an echo after which an agent's link is
+	// made anew: beyond three of its rare heartbeats.
+	agentSilence = 1500 * time.Millisecond
+	// runMargin is added to the last moment at which a lost agent's runs end:
+	// the endpoint's clock may be 2% slow, and a run takes 50 ms to stop.
+	runMargin = 100 * time.Millisecond
+	// outcomeKept is how long the end of a job is kept for an entry that links anew.
+	outcomeKept = 2 * time.Second
+)
+
+// state is the control actor's.
+type state struct {
+	e          *Entry
+	peers      map[string]*mesh.Peer // linked entries by name
+	agents     map[string]*mesh.Peer // linked agents by name
+	lost       map[string]lostEntry  // entries whose link is down, within their lease
+	members    map[string]mesh.MemberRow
+	refusedAt  map[string]time.Duration // since when nothing listens at an address
+	schedulers map[string]*dispatch.Scheduler
+	endpoints  map[dispatch.EndpointID]endpointView
+	requests   map[string]*request
+	recent     map[string]recentEnd
+	home       map[string]string // entry that holds the queue, by service
+	seeds      []string          // addresses where entries may listen
+	stopping   bool
+}
+
+type lostEntry struct {
+	owner dispatch.Owner
+	until time.Duration
+}
+
+type endpointView struct {
+	agent     string
+	service   string
+	available bool
+}
+
+// request is a client's submission that waits here.
+type request struct {
+	submit
+	home dispatch.Owner // entry that has the job
+}
+
+type recentEnd struct {
+	outcome dispatch.Outcome
+	caller  dispatch.Owner
+	at      time.Duration
+}
+
+func newState(e *Entry) *state {
+	return &state{
+		e: e, seeds: mesh.SeedAddrs(e.node), peers: map[string]*mesh.Peer{}, agents: map[string]*mesh.Peer{}, lost: map[string]lostEntry{},
+		members: map[string]mesh.MemberRow{}, refusedAt: map[string]time.Duration{},
+		schedulers: map[string]*dispatch.Scheduler{}, endpoints: map[dispatch.EndpointID]endpointView{},
+		requests: map[string]*request{}, recent: map[string]recentEnd{}, home: map[string]string{},
+	}
+}
+
+func (e *Entry) receive(ctx actor.Context) {
+	now := mesh.Now()
+	s := e.state
+	switch m := ctx.Message().(type) {
+	case tick:
+		s.tick(now)
+	case stop:
+		s.stopping = true
+		s.beatAll(now)
+	case askJobs:
+		m.reply <- s.openJobs()
+	case reload:
+		s.seeds = mesh.SeedAddrs(m.node)
+		s.retarget()
+	case linkUp:
+		s.linkUp(now, m.link)
+	case linkDown:
+		s.linkDown(now, m.link)
+	case refused:
+		s.refused(now, m.addr)
+	case received:
+		s.received(now, m.link, m.m)
+	case membersRead:
+		s.setMembers(m.members)
+	case operatorRead:
+		s.adopt(now, m.state, "store")
+	case submit:
+		s.submit(now, m)
+	case clientGone:
+		s.clientGone(now, m)
+	case deleteJob:
+		s.deleteJob(now, m)
+	case askWaiting:
+		m.reply <- s.scheduler(m.route.Service).Waiting(m.route.Name)
+	}
+	s.carryOut(now)
+}
+
+func (s *state) openJobs() int {
+	n := len(s.requests)
+	for _, sched := range s.schedulers {
+		n += sched.Jobs()
+	}
+	return n
+}
+
+func (s *state) scheduler(service string) *dispatch.Scheduler {
+	sched := s.schedulers[service]
+	if sched == nil {
+		sched = dispatch.NewScheduler(service)
+		s.schedulers[service] = sched
+		if op := s.e.operator.Load(); op != nil {
+			sched.SetEvacuated(mesh.Now(), op.Evacuated)
+		}
+	}
+	return sched
+}
+
+func (s *state) tick(now time.Duration) {
+	s.checkPeers(now)
+	s.chooseHomes()
+	for _, sched := range s.schedulers {
+		sched.Tick(now)
+	}
+	for id, r := range s.recent {
+		if now-r.at > outcomeKept {
+			delete(s.recent, id)
+		}
+	}
+	s.e.ready.Store(s.isReady())
+	time.AfterFunc(tickEvery, func() { s.e.send(tick{}) })
+}
+
+// isReady reports whether clients are served: with a configuration and
+// endpoints, here or through the entry that holds the queue.
+func (s *state) isReady() bool {
+	return !s.stopping && s.e.operator.Load() != nil && len(s.endpoints) > 0
+}
+
+// submit takes a client's job. The same job again joins the one that is open.
+func (s *state) submit(now time.Duration, m submit) {
+	if old := s.requests[m.job.ID]; old != nil {
+		s.answer(m.job.ID, dispatch.Outcome{Code: result.OutcomeUnknown, Detail: "sent again on another connection"})
+	}
+	r := &request{submit: m}
+	s.requests[m.job.ID] = r
+	s.pass(now, r)
+}
+
+// pass hands a request to the entry that holds its service's queue.
+func (s *state) pass(now time.Duration, r *request) {
+	home := s.homeOf(r.route.Service)
+	if home == "" || home == s.e.self.Name {
+		r.home = s.e.owner()
+		s.scheduler(r.route.Service).Submit(now, dispatch.Submission{
+			Caller: r.home, Job: r.job, Route: r.route, Deadline: r.deadline,
+		})
+		return
+	}
+	p := s.peers[home]
+	r.home = ownerOf(p.Link)
+	_ = p.Send(&wire.JobSubmit{Job: r.job, Route: r.route, Wait: r.deadline - now}) // sent again on the next link
+}
+
+// answer ends a request.
+func (s *state) answer(id string, out dispatch.Outcome) {
+	r := s.requests[id]
+	if r == nil {
+		return
+	}
+	delete(s.requests, id)
+	r.reply <- out
+}
+
+func (s *state) clientGone(now time.Duration, m clientGone) {
+	r := s.requests[m.job]
+	if r == nil || r.reply != m.reply {
+		return
+	}
+	delete(s.requests, m.job)
+	s.cancelAtHome(now, r)
+}
+
+func (s *state) cancelAtHome(now time.Duration, r *request) {
+	if r.home == s.e.owner() {
+		s.scheduler(r.route.Service).Cancel(now, r.job.ID, r.home)
+		return
+	}
+	if p := s.peers[r.home.Entry]; p != nil {
+		_ = p.Send(&wire.JobCancel{Job: r.job.ID}) // a home that does not hear it loses this entry's lease
+	}
+}
+
+// deleteJob cancels a job on its client's request.
+func (s *state) deleteJob(now time.Duration, m deleteJob) {
+	r := s.requests[m.job]
+	m.known <- r != nil
+	if r == nil {
+		return
+	}
+	s.cancelAtHome(now, r)
+	s.answer(m.job, dispatch.Outcome{Code: result.Cancelled})
+}
+
+// carryOut does what the schedulers decided.
+func (s *state) carryOut(now time.Duration) {
+	for _, sched := range s.schedulers {
+		actions := sched.Take()
+		for i := 0; i < len(actions); {
+			i += s.carry(now, actions[i:])
+		}
+	}
+}
+
+// carry does the first of actions, with those after it that go into the same
+// message, and returns how many that were.
+func (s *state) carry(now time.Duration, actions []dispatch.SchedulerAction) int {
+	first := actions[0]
+	switch first.Kind {
+	case dispatch.OrderRun:
+		return s.orderRuns(now, actions)
+	case dispatch.CancelRun:
+		if p := s.agentOf(first.Agent); p != nil {
+			_ = p.Send(&wire.RunStop{Endpoint: first.Endpoint, Runs: []dispatch.RunRef{first.Run}}) // sent again on the next link
+		}
+	case dispatch.FinishJob:
+		s.finish(now, first)
+	case dispatch.LogDecision:
+		s.e.deps.Metrics.Count("bergamotwing_"+first.Event+"_total", "Decisions of the scheduler.", 1)
+		s.e.deps.Log.Info().Str("event", first.Event).Str("agent", first.Agent.Name).Str("endpoint", first.Endpoint.ID).
+			Str("job", first.Job).Str("reason", first.Reason).Msg("scheduler decision")
+	}
+	return 1
+}
+
+func (s *state) agentOf(id dispatch.AgentID) *mesh.Peer {
+	p := s.agents[id.Name]
+	if p == nil || uint64(p.Hello.Incarnation) != id.Incarnation {
+		return nil
+	}
+	return p
+}
+
+// orderRuns sends the orders for one job at one endpoint together.
+func (s *state) orderRuns(now time.Duration, actions []dispatch.SchedulerAction) int {
+	first := actions[0]
+	m := &wire.RunOrder{Endpoint: first.Endpoint, Payload: first.Payload}
+	n := 0
+	for n < len(actions) {
+		a := actions[n]
+		if a.Kind != dispatch.OrderRun || a.Agent != first.Agent || a.Endpoint != first.Endpoint || a.Job != first.Job {
+			break
+		}
+		m.Runs = append(m.Runs, wire.OrderedRun{Run: a.Run, Need: a.Need})
+		n++
+	}
+	if p := s.agentOf(first.Agent); p != nil {
+		m.Echo = p.Clock
+		_ = p.Send(m) // the runs that a closed link loses are missed when the next one is up
+	}
+	return n
+}
+
+// finish passes a job's outcome to the entry whose client waits.
+func (s *state) finish(now time.Duration, a dispatch.SchedulerAction) {
+	if a.Caller == s.e.owner() {
+		s.answer(a.Job, a.Outcome)
+		return
+	}
+	s.recent[a.Job] = recentEnd{a.Outcome, a.Caller, now}
+	if p := s.peers[a.Caller.Entry]; p != nil && ownerOf(p.Link) == a.Caller {
+		_ = p.Send(&wire.JobEnd{Job: a.Job, Outcome: a.Outcome}) // told again on the next link
+	}
+}
--- /dev/null
+++ b/hosted/entry/entry.go
@@ -0,0 +1,184 @@
+// Package entry is the process behind the platform's balancer. It takes
+// clients' jobs, passes each to the entry that holds its service's queue, and
+// answers it. Any entry can hold a queue.
+package entry
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"bergamotwing.example/dispatch"
+	"bergamotwing.example/hosted/mesh"
+	"bergamotwing.example/platform"
+	"bergamotwing.example/telemetry"
+	"bergamotwing.example/wire"
+)
+
+const (
+	headerTimeout = 3 * time.Second
+	// rotationTime is how long after it stops being ready an entry may still
+	// get new connections: two probes a second apart, and their time.
+	rotationTime = 2500 * time.Millisecond
+	stopMargin   = 400 * time.Millisecond // kept of the time between SIGTERM and SIGKILL
+)
+
+// Deps are what an entry works with.
+type Deps struct {
+	Log     zerolog.Logger
+	Metrics *telemetry.Metrics
+}
+
+// Entry is one run of the process.
+type Entry struct {
+	node  platform.Node
+	deps  Deps
+	self  wire.NodeHello
+	mesh  *mesh.Mesh
+	store *platform.Store
+	ctx   context.Context //nolint:containedctx // of the process; ends its background work
+
+	system   *actor.ActorSystem
+	pid      *actor.PID
+	state    *state
+	operator atomic.Pointer[dispatch.OperatorState] // newest, for traffic; nil: none yet
+	ready    atomic.Bool
+	stopping atomic.Bool
+}
+
+// New returns an entry that does nothing yet.
+func New(node platform.Node, deps Deps) *Entry {
+	e := &Entry{node: node, deps: deps, store: platform.NewStore(node.StoreAddr)}
+	e.self = wire.NodeHello{
+		Name: node.Name, Incarnation: wire.Incarnation(rand.Uint64()), Role: wire.RoleEntry, Zone: node.Zone,
+		Addr: net.JoinHostPort(node.IP, strconv.Itoa(node.LinkPort)),
+	}
+	e.mesh = mesh.New(e.self, e, wire.Count(deps.Metrics), deps.Log)
+	e.system = actor.NewActorSystem(
+		actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) }),
+		actor.WithDeadLetterThrottleInterval(time.Millisecond),
+	)
+	e.state = newState(e)
+	return e
+}
+
+func (e *Entry) owner() dispatch.Owner {
+	return dispatch.Owner{Entry: e.self.Name, Incarnation: uint64(e.self.Incarnation)}
+}
+
+// Run serves until stopping ends, then until open requests are answered.
+func (e *Entry) Run(stopping context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	e.ctx = ctx
+	e.pid = e.system.Root.Spawn(actor.PropsFromFunc(e.receive))
+	defer e.system.Shutdown()
+	clients, err := e.listenAll(ctx)
+	if err != nil {
+		return err
+	}
+	e.mesh.SetTargets(ctx, mesh.SeedAddrs(e.node))
+	go e.watchOperator(ctx)
+	go e.register(ctx)
+	e.send(tick{})
+	e.deps.Log.Info().Str("event", "start").Str("addr", e.self.Addr).Uint64("incarnation", uint64(e.self.Incarnation)).Msg("entry started")
+	<-stopping.Done()
+	e.drain(clients)
+	e.deps.Log.Info().Str("event", "stop").Msg("entry stopped")
+	return nil
+}
+
+// drain stops being ready, serves on while clients may still come, and then
+// answers what is open.
+func (e *Entry) drain(clients *http.Server) {
+	e.deps.Log.Info().Str("event", "stopping").Msg("entry leaves rotation")
+	e.stopping.Store(true)
+	e.ready.Store(false)
+	e.send(stop{})
+	limit := e.node.Grace - stopMargin
+	time.Sleep(min(rotationTime, limit/2))
+	ctx, cancel := context.WithTimeout(context.Background(), limit-min(rotationTime, limit/2))
+	defer cancel()
+	if err := clients.Shutdown(ctx); err != nil {
+		e.deps.Log.Warn().Err(err).Msg("requests were open at the end of the grace period")
+	}
+	e.waitIdle(ctx)
+}
+
+// waitIdle returns when this entry holds no job for others either.
+func (e *Entry) waitIdle(ctx context.Context) {
+	reply := make(chan int, 1)
+	for ctx.Err() == nil {
+		e.send(askJobs{reply})
+		if <-reply == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(idlePoll):
+		}
+	}
+}
+
+const idlePoll = 50 * time.Millisecond
+
+func (e *Entry) listenAll(ctx context.Context) (*http.Server, error) {
+	links, err := mesh.Listen(ctx, e.self.Addr)
+	if err != nil {
+		return nil, err
+	}
+	e.serve(links, e.mesh.Handler(ctx), "links")
+	control := http.NotFoundHandler() // endpoints beside agents call their agents
+	for addr, h := range map[string]http.Handler{e.node.ReadyAddr: platform.ReadyHandler(e.ready.Load), e.node.ControlAddr: control} {
+		if addr == "" {
+			continue
+		}
+		l, err := mesh.Listen(ctx, addr)
+		if err != nil {
+			return nil, err
+		}
+		e.serve(l, h, addr)
+	}
+	l, err := mesh.Listen(ctx, e.node.ClientAddr)
+	if err != nil {
+		return nil, err
+	}
+	return e.serve(l, http.HandlerFunc(e.serveClient), "clients"), nil
+}
+
+func (e *Entry) serve(l net.Listener, h http.Handler, name string) *http.Server {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	go func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			e.deps.Log.Error().Err(eris.Wrap(err, name)).Msg("listener ended")
+		}
+	}()
+	return server
+}
+
+// LinkUp implements mesh.Events.
+func (e *Entry) LinkUp(l *mesh.Link) { e.send(linkUp{l}) }
+
+// LinkDown implements mesh.Events.
+func (e *Entry) LinkDown(l *mesh.Link) { e.send(linkDown{l}) }
+
+// Received implements mesh.Events.
+func (e *Entry) Received(l *mesh.Link, m wire.Message) { e.send(received{l, m}) }
+
+// Refused implements mesh.Events.
+func (e *Entry) Refused(addr string) { e.send(refused{addr}) }
+
+func (e *Entry) send(m any) { e.system.Root.Send(e.pid, m) }
+
+// Reload takes in settings that have changed: the hosts to ask for entries.
+func (e *Entry) Reload(node platform.Node) { e.send(reload{node}) }
--- /dev/null
+++ b/hosted/entry/peers.go
@@ -0,0 +1,333 @@
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"bergamotwing.example/dispatch"
+	"bergamotwing.example/hosted/mesh"
+	"bergamotwing.example/result"
+	"bergamotwing.example/wire"
+)
+
+func ownerOf(l *mesh.Link) dispatch.Owner {
+	return dispatch.Owner{Entry: l.Hello.Name, Incarnation: uint64(l.Hello.Incarnation)}
+}
+
+func agentID(l *mesh.Link) dispatch.AgentID {
+	return dispatch.AgentID{Name: l.Hello.Name, Incarnation: uint64(l.Hello.Incarnation)}
+}
+
+func (s *state) linkUp(now time.Duration, l *mesh.Link) {
+	if l.Hello.Role == wire.RoleAgent {
+		s.agentUp(now, l)
+		return
+	}
+	name := l.Hello.Name
+	owner := ownerOf(l)
+	if old := s.peers[name]; old != nil {
+		old.Close()
+		if ownerOf(old.Link) != owner {
+			s.entryLost(now, ownerOf(old.Link), "replaced by a new process")
+		}
+	}
+	if gone, ok := s.lost[name]; ok {
+		delete(s.lost, name)
+		if gone.owner != owner {
+			s.entryLost(now, gone.owner, "replaced by a new process")
+		}
+	}
+	p := mesh.NewPeer(l, now)
+	s.peers[name] = p
+	s.learnMember(name, l.Hello.Addr)
+	p.SendBeat(now, s.beat())
+	s.sendOperator(p)
+	_ = p.Send(s.memberList()) // a closed link is reported as down
+	s.resume(now, p, owner)
+	s.e.deps.Log.Info().Str("event", "entry_linked").Str("entry", name).Msg("entry linked")
+}
+
+// resume sends again what a broken link may have lost.
+func (s *state) resume(now time.Duration, p *mesh.Peer, owner dispatch.Owner) {
+	for _, r := range s.requests {
+		if r.home == owner {
+			_ = p.Send(&wire.JobSubmit{Job: r.job, Route: r.route, Wait: r.deadline - now}) // as above
+		}
+	}
+}
+
+func (s *state) linkDown(now time.Duration, l *mesh.Link) {
+	name := l.Hello.Name
+	if l.Hello.Role == wire.RoleAgent {
+		s.agentDown(now, l)
+		return
+	}
+	p := s.peers[name]
+	if p == nil || p.Link != l {
+		return
+	}
+	delete(s.peers, name)
+	s.lost[name] = lostEntry{ownerOf(l), p.Echoed + entryLease}
+	s.e.deps.Log.Warn().Str("event", "entry_link_lost").Str("entry", name).Msg("link to entry lost")
+}
+
+// refused notes that no process listens at an address.
+func (s *state) refused(now time.Duration, addr string) {
+	if _, ok := s.refusedAt[addr]; !ok {
+		s.refusedAt[addr] = now
+	}
+	for name, gone := range s.lost {
+		if s.members[name].Addr == addr {
+			delete(s.lost, name)
+			s.entryLost(now, gone.owner, "nothing listens at its address")
+		}
+	}
+}
+
+// checkPeers ends the leases that ran out and sends heartbeats.
+func (s *state) checkPeers(now time.Duration) {
+	for name, p := range s.peers {
+		if p.Silent(now, entryLease) {
+			delete(s.peers, name)
+			p.Close()
+			s.entryLost(now, ownerOf(p.Link), "silent")
+			continue
+		}
+		if now-p.LastSent >= peerBeat {
+			p.SendBeat(now, s.beat())
+		}
+	}
+	for name, gone := range s.lost {
+		if now > gone.until {
+			delete(s.lost, name)
+			s.entryLost(now, gone.owner, "link not made anew in time")
+		}
+	}
+	for _, p := range s.agents {
+		if p.Silent(now, agentSilence) {
+			p.Close()
+		}
+	}
+}
+
+// entryLost cancels the jobs of a lost entry's clients, and answers the
+// requests whose jobs it held.
+func (s *state) entryLost(now time.Duration, owner dispatch.Owner, why string) {
+	s.e.deps.Log.Warn().Str("event", "entry_lost").Str("entry", owner.Entry).Str("reason", why).Msg("entry lost")
+	for _, sched := range s.schedulers {
+		sched.CallerLost(now, owner)
+	}
+	for id, r := range s.requests {
+		if r.home == owner {
+			s.answer(id, dispatch.Outcome{Code: result.OutcomeUnknown, Detail: "entry " + owner.Entry + " lost: " + why})
+		}
+	}
+}
+
+func (s *state) beat() wire.NodeBeat {
+	b := wire.NodeBeat{Draining: s.stopping, Home: s.isHome()}
+	if op := s.e.operator.Load(); op != nil {
+		b.StoreVersion = op.StoreVersion
+	}
+	for _, v := range s.endpoints {
+		if v.available {
+			b.Endpoints++
+		}
+	}
+	return b
+}
+
+func (s *state) isHome() bool {
+	for _, name := range s.home {
+		if name == s.e.self.Name {
+			return true
+		}
+	}
+	for _, sched := range s.schedulers {
+		if sched.Jobs() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *state) beatAll(now time.Duration) {
+	b := s.beat()
+	for _, p := range s.peers {
+		p.SendBeat(now, b)
+	}
+	for _, p := range s.agents {
+		p.SendBeat(now, b)
+	}
+}
+
+// homeOf returns the entry that holds a service's queue.
+func (s *state) homeOf(service string) string {
+	self := s.beat()
+	var candidates []dispatch.Candidate
+	if !s.stopping {
+		candidates = append(candidates, dispatch.Candidate{Name: s.e.self.Name, Endpoints: self.Endpoints})
+	}
+	for name, p := range s.peers {
+		if p.Clock > 0 && !p.Beat.Draining && p.Beat.StoreVersion > 0 {
+			candidates = append(candidates, dispatch.Candidate{Name: name, Endpoints: p.Beat.Endpoints})
+		}
+	}
+	return dispatch.ChooseHome(service, candidates)
+}
+
+// chooseHomes notes which services' queues this entry holds, and tells agents
+// at once when that changes.
+func (s *state) chooseHomes() {
+	op := s.e.operator.Load()
+	if op == nil {
+		return
+	}
+	changed := false
+	for _, service := range op.Config.Services {
+		home := s.homeOf(service.Name)
+		if home == s.home[service.Name] {
+			continue
+		}
+		s.e.deps.Log.Info().Str("event", "home_changed").Str("service", service.Name).Str("from", s.home[service.Name]).
+			Str("to", home).Msg("another entry holds the service's queue")
+		s.home[service.Name] = home
+		changed = true
+	}
+	if changed {
+		s.beatAll(mesh.Now())
+	}
+}
+
+func (s *state) received(now time.Duration, l *mesh.Link, m wire.Message) {
+	if l.Hello.Role == wire.RoleAgent {
+		s.fromAgent(now, l, m)
+		return
+	}
+	p := s.peers[l.Hello.Name]
+	if p == nil || p.Link != l {
+		return // a link that was replaced
+	}
+	owner := ownerOf(l)
+	switch m := m.(type) {
+	case *wire.NodeBeat:
+		p.Heard(m)
+		if op := s.e.operator.Load(); op != nil && m.StoreVersion < op.StoreVersion {
+			s.sendOperator(p)
+		}
+	case *wire.OperatorUpdate:
+		s.adopt(now, m.State, l.Hello.Name)
+	case *wire.Members:
+		for _, e := range m.Entries {
+			s.learnMember(e.Name, e.Addr)
+		}
+	case *wire.JobSubmit:
+		s.submitted(now, p, owner, m)
+	case *wire.JobCancel:
+		for _, sched := range s.schedulers {
+			sched.Cancel(now, m.Job, owner)
+		}
+	case *wire.JobEnd:
+		if r := s.requests[m.Job]; r != nil && r.home == owner {
+			s.answer(m.Job, m.Outcome)
+		}
+	}
+}
+
+// submitted takes a job from another entry.
+func (s *state) submitted(now time.Duration, p *mesh.Peer, owner dispatch.Owner, m *wire.JobSubmit) {
+	if r, ok := s.recent[m.Job.ID]; ok && r.caller == owner {
+		_ = p.Send(&wire.JobEnd{Job: m.Job.ID, Outcome: r.outcome}) // told again on the next link
+		return
+	}
+	s.scheduler(m.Route.Service).Submit(now, dispatch.Submission{
+		Caller: owner, Job: m.Job, Route: m.Route, Deadline: now + m.Wait, MayHaveRun: m.MayHaveRun,
+	})
+}
+
+// adopt takes in the operator's state unless a newer one is known.
+func (s *state) adopt(now time.Duration, next dispatch.OperatorState, from string) {
+	old := s.e.operator.Load()
+	if old != nil && next.StoreVersion <= old.StoreVersion {
+		return
+	}
+	s.e.operator.Store(&next)
+	for _, sched := range s.schedulers {
+		sched.SetEvacuated(now, next.Evacuated)
+	}
+	s.e.deps.Log.Info().Str("event", "operator_state").Uint64("store_version", next.StoreVersion).Int64("config", next.Config.Version).
+		Strs("evacuated", next.Evacuated).Int("routes", len(next.Config.Routes)).Str("from", from).Msg("operator's state in force")
+	for _, p := range s.peers {
+		if p.Beat.StoreVersion < next.StoreVersion {
+			s.sendOperator(p)
+		}
+	}
+	for _, p := range s.agents {
+		s.sendOperator(p)
+	}
+}
+
+// sendOperator sends the operator's state. Agents need the zones only.
+func (s *state) sendOperator(p *mesh.Peer) {
+	op := s.e.operator.Load()
+	if op == nil {
+		return
+	}
+	m := &wire.OperatorUpdate{State: *op}
+	if p.Hello.Role == wire.RoleAgent {
+		m.State.Config = dispatch.Config{Version: op.Config.Version}
+	}
+	_ = p.Send(m) // sent again on the next link
+}
+
+func (s *state) learnMember(name, addr string) {
+	if addr == "" || name == s.e.self.Name || s.members[name].Addr == addr {
+		return
+	}
+	s.members[name] = mesh.MemberRow{Member: wire.Member{Name: name, Addr: addr}}
+	delete(s.refusedAt, addr)
+	s.retarget()
+}
+
+// setMembers takes in the entries registered in the store.
+func (s *state) setMembers(rows []mesh.MemberRow) {
+	next := map[string]mesh.MemberRow{}
+	for _, row := range rows {
+		if row.Name != s.e.self.Name {
+			next[row.Name] = row
+		}
+	}
+	for name, p := range s.peers {
+		if _, ok := next[name]; !ok {
+			next[name] = mesh.MemberRow{Member: wire.Member{Name: name, Addr: p.Hello.Addr}}
+		}
+	}
+	s.members = next
+	s.retarget()
+}
+
+func (s *state) retarget() {
+	targets := slices.Clone(s.seeds)
+	for _, m := range s.members {
+		targets = append(targets, m.Addr)
+	}
+	s.e.mesh.SetTargets(s.e.ctx, targets)
+	list := s.memberList()
+	for _, p := range s.agents {
+		_ = p.Send(list) // sent again on the next link
+	}
+}
+
+func (s *state) memberList() *wire.Members {
+	list := &wire.Members{Entries: []wire.Member{{Name: s.e.self.Name, Addr: s.e.self.Addr}}}
+	for _, m := range s.members {
+		list.Entries = append(list.Entries, m.Member)
+	}
+	slices.SortFunc(list.Entries, func(a, b wire.Member) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
--- /dev/null
+++ b/hosted/entry/store.go
@@ -0,0 +1,156 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"bergamotwing.example/hosted/mesh"
+	"bergamotwing.example/platform"
+	"bergamotwing.example/wire"
+)
+
+const (
+	storeTimeout  = time.Second            // of one call that does not wait
+	watchSlack    = 500 * time.Millisecond // of a call that waits for changes
+	storePause    = 200 * time.Millisecond // after a failed call
+	storePauseMax = 2 * time.Second        // after many failed calls
+	membersEvery  = 3 * time.Second        // between two readings of the entries
+	removeAfter   = 20 * time.Second       // without a listener, until an entry's row is removed
+	watchShare    = 2                      // a watch waits for a part of the time for a change to be in force
+	rereadEvery   = 5 * time.Second        // between two full readings, besides the watch
+)
+
+// watchOperator keeps the operator's state up to date.
+func (e *Entry) watchOperator(ctx context.Context) {
+	pause := storePause
+	failing := false
+	for ctx.Err() == nil {
+		err := e.readAndWatch(ctx)
+		if err == nil {
+			pause, failing = storePause, e.logStore(failing, nil)
+			continue
+		}
+		failing = e.logStore(failing, err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, storePauseMax)
+		if errors.Is(err, platform.ErrHistoryLost) {
+			pause = storePause
+		}
+	}
+}
+
+// logStore logs the loss and the return of the store.
+func (e *Entry) logStore(failing bool, err error) bool {
+	switch {
+	case err != nil && !failing:
+		e.deps.Metrics.Count("bergamotwing_store_losses_total", "Times the store was lost.", 1)
+		e.deps.Log.Warn().Str("event", "store_lost").Err(err).Msg("store does not answer; its last state stays in force")
+	case err == nil && failing:
+		e.deps.Log.Info().Str("event", "store_back").Msg("store answers again")
+	}
+	return err != nil
+}
+
+// readAndWatch reads the whole state, then watches it for a while.
+func (e *Entry) readAndWatch(ctx context.Context) error {
+	version, err := e.readOperator(ctx)
+	if err != nil {
+		return err
+	}
+	for until := time.Now().Add(rereadEvery); time.Now().Before(until); {
+		wait := e.node.ConfigApply / watchShare
+		changes, err := e.watchOnce(ctx, version, wait)
+		if errors.Is(err, platform.ErrHistoryLost) {
+			e.deps.Log.Info().Str("event", "store_history_lost").Uint64("after", version).Msg("reading the operator's state anew")
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if len(changes.Rows) > 0 {
+			return nil
+		}
+		version = max(version, changes.Version)
+	}
+	return nil
+}
+
+func (e *Entry) watchOnce(ctx context.Context, after uint64, wait time.Duration) (platform.Rows, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	defer cancel()
+	return e.store.Watch(ctx, platform.OperatorTable, after, wait)
+}
+
+func (e *Entry) readOperator(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	rows, err := e.store.Get(ctx, platform.OperatorTable)
+	if err != nil {
+		return 0, err
+	}
+	state, ok, err := platform.DecodeOperatorRows(rows.Rows, rows.Version)
+	if err != nil {
+		e.deps.Log.Error().Str("event", "bad_configuration").Err(err).Msg("operator's state not adopted")
+		return rows.Version, nil
+	}
+	if ok {
+		e.send(operatorRead{state})
+	}
+	return rows.Version, nil
+}
+
+// register writes this entry's row and reads those of the others.
+func (e *Entry) register(ctx context.Context) {
+	written := false
+	for ctx.Err() == nil {
+		if !written {
+			written = e.writeMember(ctx)
+		}
+		found := e.readMembers(ctx)
+		if written && found != nil && !containsMember(found, e.self.Name) {
+			written = false // removed by an entry that could not reach this one
+		}
+		pause := membersEvery
+		if !written {
+			pause = storePause
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+func containsMember(members []mesh.MemberRow, name string) bool {
+	for _, m := range members {
+		if m.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *Entry) writeMember(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	err := mesh.WriteMember(ctx, e.store, wire.Member{Name: e.self.Name, Addr: e.self.Addr})
+	if err != nil {
+		e.deps.Log.Warn().Str("event", "register_failed").Err(err).Msg("entry not registered; trying again")
+	}
+	return err == nil
+}
+
+func (e *Entry) readMembers(ctx context.Context) []mesh.MemberRow {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	members, err := mesh.ReadMembers(ctx, e.store)
+	if err != nil {
+		return nil // the watch of the operator's state logs the store's loss
+	}
+	e.send(membersRead{members})
+	return members
+}
--- a/result/code.go
+++ b/result/code.go
@@ -43,6 +43,7 @@
 	TooManyTickets   Code = 209
 	IssuerClosed     Code = 210
 	ServiceWithdrawn Code = 211
+	Unsupported      Code = 212
 
 	TaskFailed      Code = 300
 	DeadlinePassed  Code = 301
--- a/result/table.go
+++ b/result/table.go
@@ -31,6 +31,7 @@
 	{TooManyTickets, "too_many_tickets", http.StatusBadRequest, RanNo, ResubmitNever, "More tickets were asked for than one request may take."},
 	{IssuerClosed, "issuer_closed", http.StatusConflict, RanNo, ResubmitNewTicket, "The issuing entry shut down without having seen the job."},
 	{ServiceWithdrawn, "service_withdrawn", http.StatusGone, RanNo, ResubmitNewTicket, "The service was withdrawn before any task started."},
+	{Unsupported, "unsupported", http.StatusServiceUnavailable, RanNo, ResubmitNever, "The job asks for something that this deployment does not serve yet."},
 	{TaskFailed, "task_failed", http.StatusBadGateway, RanMaybe, ResubmitSameTicket, "An endpoint failed a task, so the job failed as a whole."},
 	{DeadlinePassed, "deadline_passed", http.StatusGatewayTimeout, RanMaybe, ResubmitSameTicket, "The deadline passed after some tasks had started."},
 	{Cancelled, "cancelled", http.StatusConflict, RanMaybe, ResubmitSameTicket, "The job was cancelled after some tasks had started."},
--- a/telemetry/instruments.go
+++ b/telemetry/instruments.go
@@ -32,6 +32,7 @@
 
 	mu       sync.Mutex
 	counters map[string]metric.Int64Counter
+	timings  map[string]metric.Float64Histogram
 }
 
 // NewMetrics returns the metrics of one process. Several can live in one
@@ -53,6 +54,7 @@
 		reasons:  newLabelOptions("reason", result.Code.String),
 		kinds:    newLabelOptions("kind", func(kind string) string { return kind }),
 		counters: map[string]metric.Int64Counter{},
+		timings:  map[string]metric.Float64Histogram{},
 	}
 	for _, c := range []struct {
 		to         *metric.Int64Counter
@@ -110,6 +112,20 @@
 	c.Add(context.Background(), n)
 }
 
+func (in *instruments) observe(name, help string, seconds float64) {
+	in.mu.Lock()
+	h, ok := in.timings[name]
+	if !ok {
+		h, _ = in.meter.Float64Histogram(name, metric.WithDescription(help), metric.WithExplicitBucketBoundaries(latencyBuckets...))
+		in.timings[name] = h
+	}
+	in.mu.Unlock()
+	h.Record(context.Background(), seconds)
+}
+
+// latencyBuckets are upper bounds in seconds, from a round trip to a client's deadline.
+var latencyBuckets = []float64{0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6}
+
 func (in *instruments) handler() http.Handler {
 	return promhttp.HandlerFor(in.registry, promhttp.HandlerOpts{})
 }
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -46,5 +46,8 @@
 // Count adds n to the counter name, which is made at its first use.
 func (m *Metrics) Count(name, help string, n int64) { m.count(name, help, n) }
 
+// Observe records a time in seconds in the histogram name, which is made at its first use.
+func (m *Metrics) Observe(name, help string, seconds float64) { m.observe(name, help, seconds) }
+
 // Handler serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler { return m.handler() }
--- /dev/null
+++ b/wire/hosted.go
@@ -0,0 +1,116 @@
+package wire
+
+import (
+	"time"
+
+	"bergamotwing.example/dispatch"
+)
+
+// Messages between entries and agents that run on the hosting platform.
+
+// Roles of a node.
+const (
+	RoleEntry = "entry"
+	RoleAgent = "agent"
+)
+
+// NodeHello is the first message of each side of a link.
+type NodeHello struct {
+	Name        string      `cbor:"1,keyasint"`
+	Incarnation Incarnation `cbor:"2,keyasint"`
+	Role        string      `cbor:"3,keyasint"`
+	Zone        string      `cbor:"4,keyasint"`
+	Addr        string      `cbor:"5,keyasint,omitempty"` // IP:port of the listener for links; entries only
+}
+
+// NodeBeat is a heartbeat.
+type NodeBeat struct {
+	Clock        time.Duration `cbor:"1,keyasint"`           // sender's
+	Echo         time.Duration `cbor:"2,keyasint"`           // newest clock reading of the receiver that the sender has; 0: none
+	StoreVersion uint64        `cbor:"3,keyasint"`           // of the operator's state that the sender has; 0: none
+	Draining     bool          `cbor:"4,keyasint,omitempty"` // takes no new work
+	Endpoints    int           `cbor:"5,keyasint,omitempty"` // that the sender may place tasks on; entries only
+	Home         bool          `cbor:"6,keyasint,omitempty"` // the sender places tasks; entries only
+}
+
+// OperatorUpdate carries the operator's state to a process that is behind.
+type OperatorUpdate struct {
+	State dispatch.OperatorState `cbor:"1,keyasint"`
+}
+
+// Member is an entry as others know it.
+type Member struct {
+	Name string `cbor:"1,keyasint"`
+	Addr string `cbor:"2,keyasint"`
+}
+
+// Members lists the entries known to the sender.
+type Members struct {
+	Entries []Member `cbor:"1,keyasint"`
+}
+
+// JobSubmit passes a job to the entry that holds its service's queue.
+type JobSubmit struct {
+	Job        dispatch.Job   `cbor:"1,keyasint"`
+	Route      dispatch.Route `cbor:"2,keyasint"`
+	Wait       time.Duration  `cbor:"3,keyasint"` // left until the client stops waiting
+	MayHaveRun bool           `cbor:"4,keyasint,omitempty"`
+}
+
+// JobCancel says that the client has gone.
+type JobCancel struct {
+	Job string `cbor:"1,keyasint"`
+}
+
+// JobEnd answers a JobSubmit.
+type JobEnd struct {
+	Job     string           `cbor:"1,keyasint"`
+	Outcome dispatch.Outcome `cbor:"2,keyasint"`
+}
+
+// EndpointReport tells an entry about an endpoint.
+type EndpointReport struct {
+	Status dispatch.EndpointStatus `cbor:"1,keyasint"`
+}
+
+// EndpointGone tells an entry that a lifetime of an endpoint is over.
+type EndpointGone struct {
+	Endpoint dispatch.EndpointID `cbor:"1,keyasint"`
+}
+
+// RunsKept lists the runs that an agent keeps for the entry, after a new link.
+type RunsKept struct {
+	Runs []dispatch.RunRef `cbor:"1,keyasint"`
+}
+
+// RunOrder asks an agent for runs of tasks of one job at one endpoint.
+type RunOrder struct {
+	Endpoint dispatch.EndpointID `cbor:"1,keyasint"`
+	Echo     time.Duration       `cbor:"2,keyasint"` // newest clock reading of the agent that the sender has
+	Payload  string              `cbor:"3,keyasint"`
+	Runs     []OrderedRun        `cbor:"4,keyasint"`
+}
+
+// OrderedRun is one run of a RunOrder.
+type OrderedRun struct {
+	Run  dispatch.RunRef    `cbor:"1,keyasint"`
+	Need dispatch.Resources `cbor:"2,keyasint"`
+}
+
+// RunStop asks an agent to end runs.
+type RunStop struct {
+	Endpoint dispatch.EndpointID `cbor:"1,keyasint"`
+	Runs     []dispatch.RunRef   `cbor:"2,keyasint"`
+}
+
+// RunEnd tells an entry that runs are over, or never began.
+type RunEnd struct {
+	Ends []EndedRun `cbor:"1,keyasint"`
+}
+
+// EndedRun is one run of a RunEnd.
+type EndedRun struct {
+	Run    dispatch.RunRef    `cbor:"1,keyasint"`
+	Reason dispatch.EndReason `cbor:"2,keyasint"`
+	Age    time.Duration      `cbor:"3,keyasint"` // from the order to the end, at the agent
+}
--- a/wire/kinds.go
+++ b/wire/kinds.go
@@ -30,6 +30,20 @@
 	KindHandover      Kind = 23
 	KindHandoverAck   Kind = 24
 	KindHeir          Kind = 25
+
+	KindNodeHello      Kind = 30
+	KindNodeBeat       Kind = 31
+	KindOperatorUpdate Kind = 32
+	KindMembers        Kind = 33
+	KindJobSubmit      Kind = 34
+	KindJobCancel      Kind = 35
+	KindJobEnd         Kind = 36
+	KindEndpointReport Kind = 37
+	KindEndpointGone   Kind = 38
+	KindRunsKept       Kind = 39
+	KindRunOrder       Kind = 40
+	KindRunStop        Kind = 41
+	KindRunEnd         Kind = 42
 )
 
 func (*AgentHello) kind() Kind    { return KindAgentHello }
@@ -58,6 +72,20 @@
 func (*HandoverAck) kind() Kind   { return KindHandoverAck }
 func (*Heir) kind() Kind          { return KindHeir }
 
+func (*NodeHello) kind() Kind      { return KindNodeHello }
+func (*NodeBeat) kind() Kind       { return KindNodeBeat }
+func (*OperatorUpdate) kind() Kind { return KindOperatorUpdate }
+func (*Members) kind() Kind        { return KindMembers }
+func (*JobSubmit) kind() Kind      { return KindJobSubmit }
+func (*JobCancel) kind() Kind      { return KindJobCancel }
+func (*JobEnd) kind() Kind         { return KindJobEnd }
+func (*EndpointReport) kind() Kind { return KindEndpointReport }
+func (*EndpointGone) kind() Kind   { return KindEndpointGone }
+func (*RunsKept) kind() Kind       { return KindRunsKept }
+func (*RunOrder) kind() Kind       { return KindRunOrder }
+func (*RunStop) kind() Kind        { return KindRunStop }
+func (*RunEnd) kind() Kind         { return KindRunEnd }
+
 // newMessage returns an empty message of a kind, or nil for an unknown kind.
 func newMessage(k Kind) Message {
 	switch k {
@@ -111,6 +139,32 @@
 		return &HandoverAck{}
 	case KindHeir:
 		return &Heir{}
+	case KindNodeHello:
+		return &NodeHello{}
+	case KindNodeBeat:
+		return &NodeBeat{}
+	case KindOperatorUpdate:
+		return &OperatorUpdate{}
+	case KindMembers:
+		return &Members{}
+	case KindJobSubmit:
+		return &JobSubmit{}
+	case KindJobCancel:
+		return &JobCancel{}
+	case KindJobEnd:
+		return &JobEnd{}
+	case KindEndpointReport:
+		return &EndpointReport{}
+	case KindEndpointGone:
+		return &EndpointGone{}
+	case KindRunsKept:
+		return &RunsKept{}
+	case KindRunOrder:
+		return &RunOrder{}
+	case KindRunStop:
+		return &RunStop{}
+	case KindRunEnd:
+		return &RunEnd{}
 	default:
 		return nil
 	}
@@ -172,6 +226,32 @@
 		return "handover_ack"
 	case KindHeir:
 		return "heir"
+	case KindNodeHello:
+		return "node_hello"
+	case KindNodeBeat:
+		return "node_beat"
+	case KindOperatorUpdate:
+		return "operator_update"
+	case KindMembers:
+		return "members"
+	case KindJobSubmit:
+		return "job_submit"
+	case KindJobCancel:
+		return "job_cancel"
+	case KindJobEnd:
+		return "job_end"
+	case KindEndpointReport:
+		return "endpoint_report"
+	case KindEndpointGone:
+		return "endpoint_gone"
+	case KindRunsKept:
+		return "runs_kept"
+	case KindRunOrder:
+		return "run_order"
+	case KindRunStop:
+		return "run_stop"
+	case KindRunEnd:
+		return "run_end"
 	default:
 		return "unknown"
 	}
