--- a/hosted/entry/clients.go
+++ b/hosted/entry/clients.go
@@ -78,13 +78,13 @@
 	defer timer.Stop()
 	select {
 	case out := <-reply:
-		e.answer(w, job.ID, route, operator, out, mesh.Now()-arrived)
+		e.answer(w, job.ID, route, operator, out, arrived, wait)
 	case <-r.Context().Done():
 		e.send(clientGone{job.ID, reply})
 		e.deps.Log.Info().Str("event", "client_left").Str("job", job.ID).Dur("age_ms", mesh.Now()-arrived).Msg("client left; job cancelled")
 	case <-timer.C:
 		e.send(clientGone{job.ID, reply})
-		e.answer(w, job.ID, route, operator, dispatch.Outcome{Code: result.DeadlinePassed}, mesh.Now()-arrived)
+		e.answer(w, job.ID, route, operator, dispatch.Outcome{Code: result.DeadlinePassed}, arrived, wait)
 	}
 }
 
@@ -94,16 +94,14 @@
 	if wait <= 0 {
 		wait = defaultWait
 	}
-	if route.Timeout > 0 {
-		wait = min(wait, route.Timeout)
-	}
 	return wait
 }
 
 // answer writes a job's outcome.
-func (e *Entry) answer(w http.ResponseWriter, id string, route dispatch.Route, operator *dispatch.OperatorState, out dispatch.Outcome, age time.Duration) {
+func (e *Entry) answer(w http.ResponseWriter, id string, route dispatch.Route, operator *dispatch.OperatorState, out dispatch.Outcome, arrived, wait time.Duration) {
+	age := mesh.Now() - arrived
 	e.deps.Log.Info().Str("event", "job_answered").Str("job", id).Str("route", route.Name).Str("code", out.Code.String()).
-		Str("detail", out.Detail).Int64("config", operator.Config.Version).Dur("age_ms", age).Msg("job answered")
+		Str("detail", out.Detail).Int64("config", operator.Config.Version).Dur("age_ms", age).Dur("wait_ms", wait).Msg("job answered")
 	e.deps.Metrics.Observe("bergamotwing_job_seconds", "Time from a job's arrival to its answer.", age.Seconds())
 	switch out.Code {
 	case result.OK:
