Orders wait for the agent's list of runs; a new agent lets late starts settle

Found by the new simulation of schedulers, guards and model endpoints (dispatch/sim_test.go), each as a task that ran twice at the same time: - an order sent on a new link before the agent had listed its runs was missing in that list and counted as lost (hosted/entry agentUp); - a start sent by an agent just before it was killed landed after its successor had looked (Guard settles for 100 ms). Also: an order refused as expired was sent again 2 ms later, without end; the endpoint now pauses for 100 ms.

--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -9,6 +9,7 @@
 const (
 	staleRunSkip = 3                      // run numbers passed over after a stale one
 	fullPause    = 20 * time.Millisecond  // no task for an endpoint without room that should have had it
+	expiredPause = 100 * time.Millisecond // until a heartbeat renews what an agent goes by
 	busyPause    = 50 * time.Millisecond  // the time an endpoint takes to stop a run
 	checkEvery   = 20 * time.Millisecond  // between two checks of overdue runs and jobs
 	ejectAfter   = 3                      // faults in a row
@@ -23,14 +24,14 @@
 
 // endpoint is one lifetime of an endpoint as one run of its agent reports it.
 type endpoint struct {
-	agent     AgentID
-	id        EndpointID
-	status    EndpointStatus
-	used      Resources
-	active    int
-	lost      bool // the agent is not heard
-	goneBy    Time // runs are over then
-	fullUntil Time
+	agent       AgentID
+	id          EndpointID
+	status      EndpointStatus
+	used        Resources
+	active      int
+	lost        bool // the agent is not heard
+	goneBy      Time // runs are over then
+	pausedUntil Time // takes no task before
 
 	slow         float64 // run times as a multiple of what is expected
 	overdue      int     // runs that take much longer than expected
@@ -47,7 +48,7 @@
 
 // usable reports whether the endpoint takes a new task now.
 func (e *endpoint) usable(now Time, evacuated []string) bool {
-	if e.lost || !e.status.Available || now < e.fullUntil || slices.Contains(evacuated, e.status.Zone) {
+	if e.lost || !e.status.Available || now < e.pausedUntil || slices.Contains(evacuated, e.status.Zone) {
 		return false
 	}
 	return e.ejectedUntil == 0 || now >= e.ejectedUntil && e.active == 0
--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -31,6 +31,10 @@
 	unreachableAfter = 600 * time.Millisecond
 	// clockDriftPercent bounds how much slower an endpoint's clock may run.
 	clockDriftPercent = 2
+	// settleTime is how long a new guard looks for runs of an earlier agent:
+	// a start that it sent just before it died arrives within the time in which
+	// endpoints answer calls.
+	settleTime = 100 * time.Millisecond
 	// endsPerAnswer is how many ends an endpoint lists in one answer.
 	endsPerAnswer = 500
 )
@@ -138,6 +142,7 @@
 	used     Resources
 	cursor   int64
 	newest   Time // clock of the newest snapshot
+	settled  Time // endpoint's clock from which on no start of an earlier agent arrives; 0: not known yet
 	offset   Time // endpoint's clock less the host's
 	sampled  Time // host clock of the offset; 0: none yet
 	maxUntil Time // latest lease end sent, endpoint's clock
@@ -418,7 +423,10 @@
 			delete(g.foreign, ref)
 		}
 	}
-	g.clean = g.clean || len(g.foreign) == 0
+	if g.settled == 0 {
+		g.settled = s.Clock + settleTime
+	}
+	g.clean = g.clean || len(g.foreign) == 0 && s.Clock >= g.settled
 	if len(s.Ended) >= endsPerAnswer {
 		return // the end of an absent run may be listed in the next answer
 	}
--- /dev/null
+++ b/dispatch/guard_test.go
@@ -0,0 +1,284 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const ms = time.Millisecond
+
+var (
+	ownerA   = Owner{Entry: "a", Incarnation: 1}
+	ownerB   = Owner{Entry: "b", Incarnation: 2}
+	taskSize = Resources{CPUMilli: 1000, MemoryMB: 10}
+)
+
+func ref(job string, index, run int) RunRef {
+	return RunRef{Task: TaskRef{Job: job, Index: index}, Run: run}
+}
+
+// newGuard returns the guard of a clean endpoint with room for four tasks and a
+// lease of owner a, at time 10 s. The endpoint's clock is 5 s behind.
+func newGuard(t *testing.T) (*Guard, Time) {
+	t.Helper()
+	now := 10 * time.Second
+	g := NewGuard(EndpointID{ID: "e", Born: 7}, "svc", "z1", Resources{CPUMilli: 4000, MemoryMB: 100}, nil, time.Second)
+	g.Tick(now)
+	for _, at := range []Time{now - settleTime, now} {
+		g.Looked(at, at, Snapshot{Clock: at - 5*time.Second, Born: 7})
+	}
+	g.RenewOwner(ownerA, now+OwnerLease)
+	g.Take()
+	return g, now
+}
+
+func order(owner Owner, run RunRef, now Time) Order {
+	return Order{Owner: owner, Run: run, Need: taskSize, Payload: "p", Echo: now}
+}
+
+// kinds returns what the guard asked for, without pure status reports.
+func kinds(g *Guard) (calls []GuardAction) {
+	for _, a := range g.Take() {
+		if a.Kind != StatusChanged {
+			calls = append(calls, a)
+		}
+	}
+	return calls
+}
+
+func ends(actions []GuardAction) map[RunRef]EndReason {
+	out := map[RunRef]EndReason{}
+	for _, a := range actions {
+		if a.Kind == ReportEnd {
+			out[a.Run] = a.Reason
+		}
+	}
+	return out
+}
+
+func asked(actions []GuardAction, kind GuardActionKind, run RunRef) bool {
+	for _, a := range actions {
+		if a.Kind == kind && a.Run == run {
+			return true
+		}
+	}
+	return false
+}
+
+func wantEnds(t *testing.T, g *Guard, want map[RunRef]EndReason) {
+	t.Helper()
+	if diff := cmp.Diff(want, ends(g.Take())); diff != "" {
+		t.Errorf("reported ends (-want +got):\n%s", diff)
+	}
+}
+
+func TestGuardStartsWithinTheOwnersLease(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("j", 0, 1)
+	g.Start(now, order(ownerA, run, now))
+	calls := kinds(g)
+	if len(calls) != 1 || calls[0].Kind != CallStart {
+		t.Fatalf("got %+v, want one start", calls)
+	}
+	if limit := now + OwnerLease - 5*time.Second; calls[0].Until != limit {
+		t.Errorf("start valid until %v of the endpoint's clock, want %v", calls[0].Until, limit)
+	}
+	g.StartAnswered(now+ms, run, CallResult{Clock: now - 5*time.Second})
+	g.Looked(now+60*ms, now+60*ms, Snapshot{Clock: now - 5*time.Second + 60*ms, Ended: []EndedRun{{Seq: 1, Run: run, Reason: EndDone}}})
+	wantEnds(t, g, map[RunRef]EndReason{run: EndDone})
+	if g.Cursor() != 1 {
+		t.Errorf("cursor %d, want 1", g.Cursor())
+	}
+}
+
+func TestGuardRefusesAnOrderThatIsTooOld(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("j", 0, 1)
+	g.Start(now, order(ownerA, run, now-orderMaxAge-ms))
+	wantEnds(t, g, map[RunRef]EndReason{run: Expired})
+}
+
+func TestGuardRefusesAnOwnerWithoutLease(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("j", 0, 1)
+	g.Start(now, order(ownerB, run, now))
+	wantEnds(t, g, map[RunRef]EndReason{run: Expired})
+}
+
+func TestGuardRefusesWhatDoesNotFit(t *testing.T) {
+	g, now := newGuard(t)
+	for i := range 5 {
+		g.Start(now, order(ownerA, ref("j", i, 1), now))
+	}
+	wantEnds(t, g, map[RunRef]EndReason{ref("j", 4, 1): NoRoom})
+}
+
+func TestGuardRefusesASecondRunOfATask(t *testing.T) {
+	g, now := newGuard(t)
+	g.Start(now, order(ownerA, ref("j", 0, 1), now))
+	g.RenewOwner(ownerB, now+OwnerLease)
+	g.Start(now, order(ownerB, ref("j", 0, 2), now))
+	wantEnds(t, g, map[RunRef]EndReason{ref("j", 0, 2): TaskBusy})
+}
+
+func TestGuardRefusesStartsWhileDrainingOrEvacuated(t *testing.T) {
+	g, now := newGuard(t)
+	g.SetEvacuated(now, true)
+	g.Start(now, order(ownerA, ref("j", 0, 1), now))
+	g.SetEvacuated(now, false)
+	g.Announced(now, true, Resources{CPUMilli: 4000, MemoryMB: 100})
+	g.Start(now, order(ownerA, ref("j", 1, 1), now))
+	wantEnds(t, g, map[RunRef]EndReason{ref("j", 0, 1): NotAvailable, ref("j", 1, 1): NotAvailable})
+}
+
+// A start without an answer is looked up. The run is adopted if it is there.
+func TestGuardAdoptsARunWhoseAnswerWasLost(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("j", 0, 1)
+	g.Start(now, order(ownerA, run, now))
+	g.Take()
+	g.StartUnanswered(now+80*ms, run)
+	if calls := kinds(g); !asked(calls, CallLook, RunRef{}) {
+		t.Fatalf("got %+v, want a look", calls)
+	}
+	clock := now - 5*time.Second + 90*ms
+	g.Looked(now+90*ms, now+90*ms, Snapshot{Clock: clock, Running: []RunningRun{{Run: run}}})
+	g.Looked(now+200*ms, now+200*ms, Snapshot{Clock: clock + 110*ms, Ended: []EndedRun{{Seq: 1, Run: run, Reason: EndDone}}})
+	wantEnds(t, g, map[RunRef]EndReason{run: EndDone})
+}
+
+// A start without an answer that may be carried out later is stopped first: a
+// stopped run is refused by the endpoint. Only then may it run elsewhere.
+func TestGuardReportsAnUnansweredRunOnlyOnceItCannotStart(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("j", 0, 1)
+	clock := func(at Time) Time { return at - 5*time.Second }
+	g.Start(now, order(ownerA, run, now))
+	g.Take()
+	g.StartUnanswered(now+80*ms, run)
+	g.Looked(now+82*ms, now+82*ms, Snapshot{Clock: clock(now + 82*ms)})
+	calls := kinds(g)
+	if !asked(calls, CallStop, run) {
+		t.Fatalf("got %+v, want a stop", calls)
+	}
+	if len(ends(calls)) > 0 {
+		t.Fatalf("reported %v before the stop was answered", ends(calls))
+	}
+	// The first stop has no answer either.
+	g.Tick(now + 150*ms)
+	if calls := kinds(g); !asked(calls, CallStop, run) {
+		t.Fatalf("got %+v, want another stop", calls)
+	}
+	g.StopAnswered(now+152*ms, run, CallResult{Clock: clock(now + 152*ms)})
+	g.Looked(now+151*ms, now+151*ms, Snapshot{Clock: clock(now + 151*ms)})
+	if got := ends(g.Take()); len(got) > 0 {
+		t.Fatalf("reported %v from a snapshot taken before the stop", got)
+	}
+	g.Looked(now+154*ms, now+154*ms, Snapshot{Clock: clock(now + 154*ms)})
+	wantEnds(t, g, map[RunRef]EndReason{run: Unanswered})
+}
+
+func TestGuardLetsNothingOutliveItsOwner(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("j", 0, 1)
+	g.Start(now, order(ownerA, run, now))
+	g.StartAnswered(now+ms, run, CallResult{Clock: now - 5*time.Second + ms})
+	g.Take()
+	end := now + OwnerLease
+	for at := now; at < end+2*time.Second; at += 25 * ms {
+		g.Tick(at)
+		for _, a := range kinds(g) {
+			if a.Kind == CallLook && a.Until > end-5*time.Second {
+				t.Fatalf("lease renewed to %v, owner's ends at %v", a.Until, end-5*time.Second)
+			}
+		}
+	}
+}
+
+func TestGuardStopsTheRunsOfALostOwner(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("j", 0, 1)
+	g.Start(now, order(ownerA, run, now))
+	g.StartAnswered(now+ms, run, CallResult{Clock: now - 5*time.Second + ms})
+	g.Take()
+	g.OwnerLost(now+10*ms, ownerA)
+	if calls := kinds(g); !asked(calls, CallStop, run) {
+		t.Fatalf("got %+v, want a stop", calls)
+	}
+}
+
+// A new agent finds the runs of its predecessor. It stops them and is available
+// only once they are gone.
+func TestGuardStopsRunsOfAnEarlierAgentFirst(t *testing.T) {
+	now := 10 * time.Second
+	run := ref("old", 0, 1)
+	g := NewGuard(EndpointID{ID: "e"}, "svc", "z1", Resources{CPUMilli: 4000, MemoryMB: 100}, nil, time.Second)
+	g.Looked(now, now, Snapshot{Clock: now, Running: []RunningRun{{Run: run}}})
+	if calls := kinds(g); !asked(calls, CallStop, run) {
+		t.Fatalf("got %+v, want a stop", calls)
+	}
+	if g.Status(ownerA).Available {
+		t.Fatal("available while an unknown run goes on")
+	}
+	g.Looked(now+60*ms, now+60*ms, Snapshot{Clock: now + 60*ms, Ended: []EndedRun{{Seq: 3, Run: run, Reason: EndStopped}}})
+	if g.Status(ownerA).Available {
+		t.Fatal("available while a start of the earlier agent may be on its way")
+	}
+	g.Looked(now+settleTime, now+settleTime, Snapshot{Clock: now + settleTime})
+	if !g.Status(ownerA).Available {
+		t.Fatal("not available once it is gone")
+	}
+}
+
+func TestGuardIgnoresAnOlderSnapshot(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("j", 0, 1)
+	clock := now - 5*time.Second
+	g.Start(now, order(ownerA, run, now))
+	g.StartAnswered(now+ms, run, CallResult{Clock: clock + ms})
+	g.Looked(now+20*ms, now+20*ms, Snapshot{Clock: clock + 20*ms, Running: []RunningRun{{Run: run}}})
+	g.Looked(now+21*ms, now+21*ms, Snapshot{Clock: clock})
+	if got := ends(g.Take()); len(got) > 0 {
+		t.Errorf("reported %v from a snapshot that was overtaken", got)
+	}
+}
+
+func TestGuardEndsAllRunsWithTheLifetime(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("j", 0, 1)
+	g.Start(now, order(ownerA, run, now))
+	g.Looked(now+20*ms, now+20*ms, Snapshot{Clock: 3 * ms, Born: 8})
+	wantEnds(t, g, map[RunRef]EndReason{run: EndLapsed})
+	if !g.Gone() {
+		t.Error("the lifetime is not over")
+	}
+}
+
+// An endpoint that answers nothing has lost its lease once its clock, 2% slow
+// at worst, is past the last one granted.
+func TestGuardReportsLapsedRunsOfASilentEndpoint(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("j", 0, 1)
+	g.Start(now, order(ownerA, run, now))
+	g.StartAnswered(now+ms, run, CallResult{Clock: now - 5*time.Second + ms})
+	g.Take()
+	certain := now + OwnerLease + OwnerLease*clockDriftPercent/100 + lateMargin
+	var at Time
+	for at = now; at < now+5*time.Second; at += 5 * ms {
+		g.Tick(at)
+		if reason, ok := ends(g.Take())[run]; ok {
+			if reason != EndLapsed {
+				t.Errorf("reported %v, want lapsed", reason)
+			}
+			break
+		}
+	}
+	if at < certain {
+		t.Errorf("reported %v after the start, before it is certain at %v", at-now, certain-now)
+	}
+	if at > certain+100*ms {
+		t.Errorf("reported only %v after the start", at-now)
+	}
+}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -367,7 +367,9 @@
 	case StaleRun:
 		t.nextRun += staleRunSkip
 	case NoRoom:
-		r.endpoint.fullUntil = now + fullPause
+		r.endpoint.pausedUntil = now + fullPause
+	case Expired, NotAvailable:
+		r.endpoint.pausedUntil = now + expiredPause
 	case TaskBusy:
 		t.notBefore = now + busyPause
 	}
--- /dev/null
+++ b/dispatch/sim_test.go
@@ -0,0 +1,602 @@
+package dispatch
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bergamotwing.example/result"
+)
+
+// The simulation runs two schedulers and some guards against model endpoints.
+// Messages and calls are delayed, lost, carried out late and cut; agents and
+// entries are killed and frozen; clients send unanswered jobs again. It checks
+// that no task ever runs twice at the same time.
+
+const (
+	simResend   = 1300 * time.Millisecond // after which clients send again
+	simBeat     = 150 * time.Millisecond
+	simEndRoom  = 4 // runs on an endpoint
+	simJobs     = 60
+	simLinkTime = 2 * time.Millisecond
+)
+
+// simAttempt is the connection on which a client waits for a job's answer.
+type simAttempt struct {
+	entry *simEntry // nil: none
+	owner Owner
+}
+
+type simEvent struct {
+	at  Time
+	seq int
+	do  func()
+}
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int { return len(q) }
+func (q simQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *simQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+type sim struct {
+	rng     *rand.Rand
+	now     Time
+	seq     int
+	events  simQueue
+	faulty  bool // messages and calls go wrong
+	agents  []*simAgent
+	entries []*simEntry
+	running map[TaskRef]string // endpoint on which a task runs
+	problem string
+	ended   map[result.Code]int // answers to clients
+	attempt map[string]simAttempt
+	starts  int
+}
+
+func (s *sim) after(d Time, do func()) {
+	s.seq++
+	heap.Push(&s.events, simEvent{s.now + d, s.seq, do})
+}
+
+func (s *sim) chance(p float64) bool { return s.faulty && s.rng.Float64() < p }
+
+// simEndpoint is the model of an endpoint, by its published protocol.
+type simEndpoint struct {
+	s       *sim
+	name    string
+	rate    float64
+	until   Time // lease, own clock
+	runs    map[RunRef]bool
+	highest map[TaskRef]int // runs stopped or ended here
+	ends    []EndedRun
+	endSeq  int64
+}
+
+func (e *simEndpoint) clock() Time { return Time(float64(e.s.now) * e.rate) }
+
+func (e *simEndpoint) start(run RunRef, until Time) CallResult {
+	if until < e.clock() {
+		return CallResult{Refusal: Expired, Clock: e.clock()}
+	}
+	e.extend(until)
+	switch {
+	case e.runs[run]:
+		return CallResult{Clock: e.clock()}
+	case run.Run <= e.highest[run.Task]:
+		return CallResult{Refusal: StaleRun, Clock: e.clock()}
+	case len(e.runs) >= simEndRoom:
+		return CallResult{Refusal: NoRoom, Clock: e.clock()}
+	}
+	if on, twice := e.s.running[run.Task]; twice {
+		e.s.problem = fmt.Sprintf("%v: task %v starts at %s while it runs at %s", e.s.now, run, e.name, on)
+	}
+	e.s.running[run.Task] = e.name
+	e.s.starts++
+	e.runs[run] = true
+	e.s.after(Time(20+e.s.rng.IntN(300))*ms, func() { e.end(run, EndDone) })
+	return CallResult{Clock: e.clock()}
+}
+
+func (e *simEndpoint) end(run RunRef, reason EndReason) {
+	if !e.runs[run] {
+		return
+	}
+	delete(e.runs, run)
+	delete(e.s.running, run.Task)
+	e.highest[run.Task] = max(e.highest[run.Task], run.Run)
+	e.endSeq++
+	e.ends = append(e.ends, EndedRun{Seq: e.endSeq, Run: run, Reason: reason})
+}
+
+func (e *simEndpoint) stop(run RunRef) CallResult {
+	e.highest[run.Task] = max(e.highest[run.Task], run.Run)
+	if e.runs[run] {
+		e.s.after(Time(e.s.rng.IntN(50))*ms, func() { e.end(run, EndStopped) })
+	}
+	return CallResult{Clock: e.clock()}
+}
+
+// extend takes a new end of the lease, at most a second ahead.
+func (e *simEndpoint) extend(until Time) {
+	until = min(until, e.clock()+time.Second)
+	if until <= e.until {
+		return
+	}
+	e.until = until
+	e.s.after(Time(float64(until-e.clock())/e.rate)+ms, e.lapse)
+}
+
+func (e *simEndpoint) lapse() {
+	if e.clock() <= e.until {
+		return
+	}
+	for _, run := range e.listed() {
+		e.end(run, EndLapsed)
+	}
+}
+
+// listed returns what runs, in a fixed order.
+func (e *simEndpoint) listed() []RunRef {
+	return slices.SortedFunc(maps.Keys(e.runs), func(a, b RunRef) int {
+		return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Run, b.Run))
+	})
+}
+
+func (e *simEndpoint) look(until Time, acknowledged int64) Snapshot {
+	if until > 0 {
+		e.extend(until)
+	}
+	snap := Snapshot{Clock: e.clock()}
+	for _, run := range e.listed() {
+		snap.Running = append(snap.Running, RunningRun{Run: run})
+	}
+	for _, end := range e.ends {
+		if end.Seq > acknowledged {
+			snap.Ended = append(snap.Ended, end)
+		}
+	}
+	return snap
+}
+
+// simAgent is an agent process: a guard and its calls.
+type simAgent struct {
+	s           *sim
+	name        string
+	incarnation uint64
+	guard       *Guard
+	endpoint    *simEndpoint
+	frozenTill  Time
+	held        []func()       // arrived while frozen
+	links       map[string]int // version of the link to each entry, by name
+}
+
+func (a *simAgent) boot() {
+	a.incarnation++
+	a.guard = NewGuard(EndpointID{ID: a.endpoint.name}, "svc", "z", Resources{CPUMilli: simEndRoom * 1000}, nil, time.Second)
+	for _, e := range a.s.entries {
+		e.linkAgent(a)
+	}
+	a.tick(a.incarnation)
+	a.beat(a.incarnation)
+}
+
+// run does something in the process, after a thaw if it is frozen.
+func (a *simAgent) run(incarnation uint64, do func()) {
+	if a.incarnation != incarnation {
+		return
+	}
+	if a.s.now < a.frozenTill {
+		a.held = append(a.held, func() { a.run(incarnation, do) })
+		return
+	}
+	do()
+	a.carryOut()
+}
+
+// linkUp tells the entry what is kept for it.
+func (a *simAgent) linkUp(e *simEntry, l *simLink) {
+	a.links[e.name] = l.version
+	kept := a.guard.RunsOf(e.owner())
+	status := a.guard.Status(e.owner())
+	a.send(e, func() {
+		e.sched.AgentBack(e.s.now, AgentID{a.name, l.incarnation}, kept)
+		e.sched.Report(e.s.now, AgentID{a.name, l.incarnation}, status)
+	})
+}
+
+func (a *simAgent) freeze(d Time) {
+	a.frozenTill = a.s.now + d
+	a.s.after(d, func() {
+		held := a.held
+		a.held = nil
+		for _, do := range held {
+			do()
+		}
+	})
+}
+
+func (a *simAgent) tick(incarnation uint64) {
+	a.run(incarnation, func() {
+		a.guard.Tick(a.s.now)
+		a.s.after(25*ms, func() { a.tick(incarnation) })
+	})
+}
+
+func (a *simAgent) beat(incarnation uint64) {
+	a.run(incarnation, func() {
+		for _, e := range a.s.entries {
+			reading := a.s.now
+			a.send(e, func() { e.heard(a, incarnation, reading) })
+		}
+		a.s.after(simBeat, func() { a.beat(incarnation) })
+	})
+}
+
+func (a *simAgent) send(e *simEntry, do func()) {
+	incarnation, version := e.incarnation, a.links[e.name]
+	a.s.message(e.links[a.name], toEntry, func() {
+		e.run(incarnation, func() {
+			if e.links[a.name].version == version {
+				do()
+			}
+		})
+	})
+}
+
+func (a *simAgent) carryOut() {
+	incarnation := a.incarnation
+	for _, action := range a.guard.Take() {
+		switch action.Kind {
+		case CallStart:
+			a.call(func() CallResult { return a.endpoint.start(action.Run, action.Until) },
+				func(res CallResult, err bool) {
+					if err {
+						a.guard.StartUnanswered(a.s.now, action.Run)
+						return
+					}
+					a.guard.StartAnswered(a.s.now, action.Run, res)
+				})
+		case CallStop:
+			a.call(func() CallResult { return a.endpoint.stop(action.Run) },
+				func(res CallResult, err bool) {
+					if !err {
+						a.guard.StopAnswered(a.s.now, action.Run, res)
+					}
+				})
+		case CallLook:
+			a.look(action.Until)
+		case ReportEnd:
+			for _, e := range a.s.entries {
+				if e.owner() == action.Owner {
+					a.send(e, func() { e.sched.Ended(a.s.now, action.Run, action.Reason, action.Age) })
+				}
+			}
+		case StatusChanged:
+			for _, e := range a.s.entries {
+				status := a.guard.Status(e.owner())
+				a.send(e, func() { e.report(a, incarnation, status) })
+			}
+		}
+	}
+}
+
+// call makes a call to the endpoint, which may be answered late, lose its
+// answer or be carried out only seconds later.
+func (a *simAgent) call(do func() CallResult, answer func(CallResult, bool)) {
+	incarnation := a.incarnation
+	delay := Time(1+a.s.rng.IntN(3)) * ms
+	if a.s.chance(0.05) {
+		a.s.after(Time(2000+a.s.rng.IntN(3000))*ms, func() { do() })
+		a.s.after(80*ms, func() { a.run(incarnation, func() { answer(CallResult{}, true) }) })
+		return
+	}
+	lost := a.s.chance(0.05)
+	a.s.after(delay, func() {
+		res := do()
+		if lost {
+			a.s.after(80*ms, func() { a.run(incarnation, func() { answer(CallResult{}, true) }) })
+			return
+		}
+		a.s.after(ms, func() { a.run(incarnation, func() { answer(res, false) }) })
+	})
+}
+
+func (a *simAgent) look(until Time) {
+	incarnation := a.incarnation
+	cursor := a.guard.Cursor()
+	if a.s.chance(0.05) {
+		return
+	}
+	a.s.after(ms, func() {
+		snap := a.endpoint.look(until, cursor)
+		a.s.after(Time(1+a.s.rng.IntN(4))*ms, func() {
+			a.run(incarnation, func() { a.guard.Looked(a.s.now, a.s.now, snap) })
+		})
+	})
+}
+
+// simEntry is an entry process that holds its own queue.
+type simEntry struct {
+	s           *sim
+	name        string
+	incarnation uint64
+	sched       *Scheduler
+	frozenTill  Time
+	held        []func()
+	links       map[string]*simLink
+}
+
+type simLink struct {
+	agent       *simAgent
+	incarnation uint64 // of the agent
+	clock       Time   // newest reading of the agent's clock
+	lastSent    Time   // newest heartbeat sent
+	lastSeen    Time
+	cutTill     Time
+	lost        bool
+	version     int     // each link made anew has a higher one
+	newest      [2]Time // delivery of the newest message, by direction
+}
+
+// Directions of messages.
+const (
+	toEntry = iota
+	toAgent
+)
+
+func (e *simEntry) owner() Owner { return Owner{e.name, e.incarnation} }
+
+func (e *simEntry) boot() {
+	e.incarnation++
+	e.sched = NewScheduler("svc")
+	for _, a := range e.s.agents {
+		e.linkAgent(a)
+	}
+	e.tick(e.incarnation)
+}
+
+// linkAgent makes a link anew; the agent tells what it keeps.
+func (e *simEntry) linkAgent(a *simAgent) {
+	old := e.links[a.name]
+	l := &simLink{agent: a, incarnation: a.incarnation, lastSent: e.s.now, lastSeen: e.s.now}
+	if old != nil {
+		l.version = old.version + 1
+		l.cutTill = old.cutTill
+		if !old.lost {
+			e.sched.AgentLost(e.s.now, AgentID{a.name, old.incarnation}, old.lastSent+OwnerLease+100*ms)
+		}
+	}
+	e.links[a.name] = l
+	e.s.after(simLinkTime, func() {
+		a.run(l.incarnation, func() { a.linkUp(e, l) })
+	})
+}
+
+func (e *simEntry) run(incarnation uint64, do func()) {
+	if e.incarnation != incarnation || e.sched == nil {
+		return
+	}
+	if e.s.now < e.frozenTill {
+		e.held = append(e.held, func() { e.run(incarnation, do) })
+		return
+	}
+	do()
+	e.carryOut()
+}
+
+func (e *simEntry) freeze(d Time) {
+	e.frozenTill = e.s.now + d
+	e.s.after(d, func() {
+		held := e.held
+		e.held = nil
+		for _, do := range held {
+			do()
+		}
+	})
+}
+
+func (e *simEntry) tick(incarnation uint64) {
+	e.run(incarnation, func() {
+		for _, a := range e.s.agents {
+			l := e.links[a.name]
+			if !l.lost && e.s.now-l.lastSeen > OwnerLease {
+				l.lost = true
+				e.sched.AgentLost(e.s.now, AgentID{l.agent.name, l.incarnation}, l.lastSent+OwnerLease+100*ms)
+			}
+		}
+		e.sched.Tick(e.s.now)
+		e.s.after(25*ms, func() { e.tick(incarnation) })
+	})
+}
+
+func (e *simEntry) heard(a *simAgent, incarnation uint64, reading Time) {
+	l := e.links[a.name]
+	if a.incarnation != incarnation || l == nil {
+		return
+	}
+	if l.lost {
+		e.linkAgent(a)
+		l = e.links[a.name]
+	}
+	l.clock = max(l.clock, reading)
+	l.lastSeen = e.s.now
+	l.lastSent = e.s.now
+	owner := e.owner()
+	echo := l.clock
+	e.tell(l, func(a *simAgent) { a.guard.RenewOwner(owner, echo+OwnerLease) })
+}
+
+// tell has an agent do something unless the link was made anew by then.
+func (e *simEntry) tell(l *simLink, do func(*simAgent)) {
+	a := l.agent
+	e.s.message(l, toAgent, func() {
+		a.run(l.incarnation, func() {
+			if a.links[e.name] == l.version {
+				do(a)
+			}
+		})
+	})
+}
+
+func (e *simEntry) report(a *simAgent, incarnation uint64, status EndpointStatus) {
+	if l := e.links[a.name]; l != nil && !l.lost {
+		e.sched.Report(e.s.now, AgentID{a.name, incarnation}, status)
+	}
+}
+
+func (e *simEntry) carryOut() {
+	for _, action := range e.sched.Take() {
+		switch action.Kind {
+		case OrderRun:
+			l := e.links[action.Agent.Name]
+			o := Order{Owner: e.owner(), Run: action.Run, Need: action.Need, Echo: l.clock}
+			e.tell(l, func(a *simAgent) { a.guard.Start(e.s.now, o) })
+		case CancelRun:
+			owner := e.owner()
+			e.tell(e.links[action.Agent.Name], func(a *simAgent) { a.guard.Stop(e.s.now, owner, action.Run) })
+		case FinishJob:
+			e.s.answered(e, action.Job, action.Outcome)
+		}
+	}
+}
+
+// message carries something between an agent and an entry unless they are cut.
+// A cut delays it until the cut heals, as TCP does.
+func (s *sim) message(l *simLink, direction int, do func()) {
+	at := s.now + simLinkTime
+	if s.now < l.cutTill {
+		at = l.cutTill + Time(s.rng.IntN(20))*ms
+	}
+	at = max(at, l.newest[direction]) // messages of one link keep their order
+	l.newest[direction] = at
+	s.after(at-s.now, do)
+}
+
+// answered has the client send an unanswered job again, at another entry.
+func (s *sim) answered(e *simEntry, id string, out Outcome) {
+	if s.attempt[id] != (simAttempt{e, e.owner()}) {
+		return // the client does not wait there any more
+	}
+	delete(s.attempt, id)
+	s.ended[out.Code]++
+	if out.Code == result.OK {
+		return
+	}
+	if result.Lookup(out.Code).Ran != result.RanNo {
+		s.after(simResend, func() { s.submit(id) })
+	}
+}
+
+func (s *sim) submit(id string) {
+	e := s.entries[s.rng.IntN(len(s.entries))]
+	if e.sched == nil || s.now < e.frozenTill {
+		s.after(simResend, func() { s.submit(id) })
+		return
+	}
+	job := Job{ID: id, Steps: []Step{{Count: 1 + s.rng.IntN(3), Need: Resources{CPUMilli: 1000}, Estimate: 150 * ms}}}
+	route := Route{Name: "r", MaxAttempts: 3, Stretch: 1.6, TargetLatency: 60 * ms}
+	caller := Owner{Entry: "client", Incarnation: 1}
+	s.attempt[id] = simAttempt{e, e.owner()}
+	e.run(e.incarnation, func() {
+		e.sched.Submit(s.now, Submission{Caller: caller, Job: job, Route: route, Deadline: s.now + 1500*ms})
+	})
+	if s.chance(0.2) { // the connection breaks
+		incarnation, attempt := e.incarnation, s.attempt[id]
+		s.after(Time(s.rng.IntN(200))*ms, func() {
+			if s.attempt[id] != attempt {
+				return
+			}
+			delete(s.attempt, id)
+			e.run(incarnation, func() { e.sched.Cancel(s.now, id, caller) })
+			s.after(simResend, func() { s.submit(id) })
+		})
+	}
+}
+
+// fault hurts one process or path.
+func (s *sim) fault() {
+	a := s.agents[s.rng.IntN(len(s.agents))]
+	e := s.entries[s.rng.IntN(len(s.entries))]
+	switch s.rng.IntN(5) {
+	case 0:
+		a.boot() // killed and started again
+	case 1:
+		a.freeze(Time(100+s.rng.IntN(3000)) * ms)
+	case 2:
+		e.freeze(Time(100+s.rng.IntN(3000)) * ms)
+	case 3:
+		e.links[a.name].cutTill = s.now + Time(100+s.rng.IntN(3000))*ms
+	case 4:
+		e.boot()
+	}
+}
+
+func runSim(seed uint64, faulty bool) *sim {
+	s := &sim{rng: rand.New(rand.NewPCG(seed, 1)), running: map[TaskRef]string{}, ended: map[result.Code]int{}, attempt: map[string]simAttempt{}, faulty: faulty, now: 10 * time.Second}
+	for i := range 3 {
+		ep := &simEndpoint{s: s, name: fmt.Sprintf("e%d", i), rate: 1 - 0.02*s.rng.Float64(), runs: map[RunRef]bool{}, highest: map[TaskRef]int{}}
+		s.agents = append(s.agents, &simAgent{s: s, name: fmt.Sprintf("a%d", i), endpoint: ep, links: map[string]int{}})
+	}
+	for i := range 2 {
+		s.entries = append(s.entries, &simEntry{s: s, name: fmt.Sprintf("n%d", i), links: map[string]*simLink{}})
+	}
+	for _, e := range s.entries {
+		e.boot()
+	}
+	for _, a := range s.agents {
+		a.boot()
+	}
+	for i := range simJobs {
+		s.after(Time(500+s.rng.IntN(8000))*ms, func() { s.submit(fmt.Sprintf("j%d", i)) })
+	}
+	if faulty {
+		for range 8 {
+			s.after(Time(500+s.rng.IntN(8000))*ms, s.fault)
+		}
+	}
+	for s.events.Len() > 0 && s.now < 25*time.Second && s.problem == "" {
+		ev := heap.Pop(&s.events).(simEvent)
+		s.now = ev.at
+		ev.do()
+	}
+	return s
+}
+
+func TestNoTaskRunsTwiceAtTheSameTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		if s := runSim(seed, true); s.problem != "" {
+			t.Fatalf("seed %d: %s", seed, s.problem)
+		}
+	})
+}
+
+func TestEachJobEndsWellOrIsRefusedWithoutFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		s := runSim(seed, false)
+		if s.problem != "" {
+			t.Fatalf("seed %d: %s", seed, s.problem)
+		}
+		if s.ended[result.OK]+s.ended[result.Overloaded] != simJobs {
+			t.Fatalf("seed %d: jobs ended as %v", seed, s.ended)
+		}
+	})
+}
--- a/hosted/entry/agents.go
+++ b/hosted/entry/agents.go
@@ -11,10 +11,10 @@
 func (s *state) agentUp(now time.Duration, l *mesh.Link) {
 	name := l.Hello.Name
 	if old := s.agents[name]; old != nil {
+		// Nothing is ordered before the agent has said which runs it keeps:
+		// an order sent earlier would be missing there and seem lost.
 		old.Close()
-		if old.Hello.Incarnation != l.Hello.Incarnation {
-			s.agentLost(now, old)
-		}
+		s.agentLost(now, old)
 	}
 	p := mesh.NewPeer(l, now)
 	s.agents[name] = p
