Orders have numbers of their own; run numbers go on after a resubmission

Ends and lists of kept runs now name the order. A job sent again to the same scheduler continues its run numbers, so endpoints do not refuse them as stale.

--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -69,6 +69,7 @@
 // Order asks for a run.
 type Order struct {
 	Owner   Owner
+	Number  uint64 // unique among the owner's orders
 	Run     RunRef
 	Need    Resources
 	Payload string
@@ -91,6 +92,7 @@
 type GuardAction struct {
 	Kind    GuardActionKind
 	Owner   Owner
+	Order   uint64 // of ReportEnd
 	Run     RunRef
 	Payload string
 	Until   Time // on the endpoint's clock
@@ -108,6 +110,7 @@
 
 type guardedRun struct {
 	ref          RunRef
+	order        uint64
 	owner        Owner
 	need         Resources
 	state        runState
@@ -199,15 +202,15 @@
 	return owners
 }
 
-// RunsOf returns the runs kept for an owner.
-func (g *Guard) RunsOf(owner Owner) []RunRef {
-	var refs []RunRef
-	for ref, r := range g.runs {
+// OrdersOf returns the numbers of the orders kept for an owner.
+func (g *Guard) OrdersOf(owner Owner) []uint64 {
+	var orders []uint64
+	for _, r := range g.runs {
 		if r.owner == owner {
-			refs = append(refs, ref)
+			orders = append(orders, r.order)
 		}
 	}
-	return refs
+	return orders
 }
 
 // Status returns what to report to an owner.
@@ -271,14 +274,11 @@
 
 // Start takes an order for a run.
 func (g *Guard) Start(now Time, o Order) {
-	if _, known := g.runs[o.Run]; known {
-		return
-	}
 	if reason := g.check(now, o); reason != 0 {
-		g.do(GuardAction{Kind: ReportEnd, Owner: o.Owner, Run: o.Run, Reason: reason})
+		g.do(GuardAction{Kind: ReportEnd, Owner: o.Owner, Order: o.Number, Run: o.Run, Reason: reason})
 		return
 	}
-	r := &guardedRun{ref: o.Run, owner: o.Owner, need: o.Need, ordered: now}
+	r := &guardedRun{ref: o.Run, order: o.Number, owner: o.Owner, need: o.Need, ordered: now}
 	g.runs[o.Run] = r
 	g.tasks[o.Run.Task] = o.Run
 	g.used = g.used.Add(o.Need)
@@ -472,7 +472,7 @@
 	delete(g.runs, r.ref)
 	delete(g.tasks, r.ref.Task)
 	g.used = g.used.Sub(r.need)
-	g.do(GuardAction{Kind: ReportEnd, Owner: r.owner, Run: r.ref, Reason: reason, Age: now - r.ordered})
+	g.do(GuardAction{Kind: ReportEnd, Owner: r.owner, Order: r.order, Run: r.ref, Reason: reason, Age: now - r.ordered})
 }
 
 // Tick does what is due.
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -35,6 +35,7 @@
 
 // run is an ordered run that is not known to be over.
 type run struct {
+	order    uint64
 	ref      RunRef
 	job      *job
 	task     *task
@@ -91,5 +92,14 @@
 	return true
 }
 
+// highestRun returns the highest number given to a run of a task.
+func (j *job) highestRun() int {
+	highest := 0
+	for _, t := range j.tasks {
+		highest = max(highest, t.nextRun-1)
+	}
+	return highest
+}
+
 // latestStart is when the job has to start to meet its objective.
 func (j *job) latestStart() Time { return j.objective - j.chain }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -208,16 +208,16 @@
 func (s *Scheduler) order(now Time, j *job, t *task, e *endpoint) {
 	st := j.sub.Job.Steps[t.step]
 	r := &run{
-		ref: RunRef{Task: t.ref, Run: t.nextRun}, job: j, task: t, endpoint: e, need: st.Need,
+		order: s.orders.next(), ref: RunRef{Task: t.ref, Run: t.nextRun}, job: j, task: t, endpoint: e, need: st.Need,
 		ordered: now, expected: s.estimateOf(j.sub.Route.Name).apply(st.Estimate),
 	}
 	t.run = r
 	j.ordered = true
 	e.used = e.used.Add(st.Need)
 	e.active++
-	s.runs[r.ref] = r
+	s.runs[r.order] = r
 	s.do(SchedulerAction{
-		Kind: OrderRun, Agent: e.agent, Endpoint: e.id, Run: r.ref, Need: st.Need,
+		Kind: OrderRun, Agent: e.agent, Endpoint: e.id, Order: r.order, Run: r.ref, Need: st.Need,
 		Payload: j.sub.Job.Payload, Job: j.sub.Job.ID,
 	})
 }
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -48,6 +49,7 @@
 	Kind     SchedulerActionKind
 	Agent    AgentID
 	Endpoint EndpointID
+	Order    uint64 // unique among the orders of the process
 	Run      RunRef
 	Need     Resources
 	Payload  string
@@ -58,6 +60,17 @@
 	Reason   string
 }
 
+// recentKept is how long the run numbers of a job are kept after its end: twice
+// the time after which clients send a job again, and the length of a try.
+const recentKept = 5 * time.Second
+
+// recentRuns is kept of a job that is over: endpoints refuse the numbers of
+// runs that they have seen.
+type recentRuns struct {
+	highest int
+	at      Time
+}
+
 // Scheduler holds one service's queue and decides what runs where.
 type Scheduler struct {
 	service   string
@@ -66,18 +79,30 @@
 	jobs      map[string]*job
 	queue     []*job // with waiting tasks
 	estimates map[string]*estimate
-	runs      map[RunRef]*run
+	runs      map[uint64]*run // by order
+	orders    *OrderNumbers
+	recent    map[string]recentRuns
 	out       []SchedulerAction
 	nextCheck Time
 }
 
+// OrderNumbers numbers the orders of one process, whose schedulers share it.
+type OrderNumbers struct{ last uint64 }
+
+func (n *OrderNumbers) next() uint64 {
+	n.last++
+	return n.last
+}
+
 // NewScheduler returns an empty scheduler of a service.
-func NewScheduler(service string) *Scheduler {
+func NewScheduler(service string, orders *OrderNumbers) *Scheduler {
 	return &Scheduler{
 		service:   service,
+		orders:    orders,
 		jobs:      map[string]*job{},
 		estimates: map[string]*estimate{},
-		runs:      map[RunRef]*run{},
+		runs:      map[uint64]*run{},
+		recent:    map[string]recentRuns{},
 	}
 }
 
@@ -116,6 +141,9 @@
 		return
 	}
 	j := newJob(now, sub, s.estimateOf(sub.Route.Name))
+	for _, t := range j.tasks {
+		t.nextRun = s.recent[sub.Job.ID].highest + 1
+	}
 	s.jobs[sub.Job.ID] = j
 	s.release(j)
 	s.place(now)
@@ -203,6 +231,7 @@
 		}
 	}
 	delete(s.jobs, j.sub.Job.ID)
+	s.recent[j.sub.Job.ID] = recentRuns{highest: j.highestRun(), at: now}
 	if j.next != nil {
 		s.Submit(now, *j.next)
 	}
@@ -259,7 +288,7 @@
 
 func (s *Scheduler) dropEndpoint(now Time, e *endpoint) {
 	for _, r := range s.runsAt(e) {
-		s.Ended(now, r.ref, EndLapsed, 0)
+		s.Ended(now, r.order, EndLapsed, 0)
 	}
 	s.endpoints = slices.DeleteFunc(s.endpoints, func(o *endpoint) bool { return o == e })
 }
@@ -284,17 +313,17 @@
 	s.place(now)
 }
 
-// AgentBack compares the runs of an agent that is heard again with the ones
-// expected there.
-func (s *Scheduler) AgentBack(now Time, agent AgentID, kept []RunRef) {
+// AgentBack compares the orders kept by an agent that is heard again with the
+// ones expected there.
+func (s *Scheduler) AgentBack(now Time, agent AgentID, kept []uint64) {
 	for _, e := range slices.Clone(s.endpoints) {
 		if e.agent != agent {
 			continue
 		}
 		e.lost = false
 		for _, r := range s.runsAt(e) {
-			if !slices.Contains(kept, r.ref) {
-				s.Ended(now, r.ref, EndLapsed, 0)
+			if !slices.Contains(kept, r.order) {
+				s.Ended(now, r.order, EndLapsed, 0)
 			} else if r.stopping {
 				s.do(SchedulerAction{Kind: CancelRun, Agent: agent, Endpoint: e.id, Run: r.ref})
 			}
@@ -319,21 +348,18 @@
 			runs = append(runs, r)
 		}
 	}
-	slices.SortFunc(runs, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(a.ref.Task.Job, b.ref.Task.Job), cmp.Compare(a.ref.Task.Step, b.ref.Task.Step),
-			cmp.Compare(a.ref.Task.Index, b.ref.Task.Index))
-	})
+	slices.SortFunc(runs, func(a, b *run) int { return cmp.Compare(a.order, b.order) })
 	return runs
 }
 
-// Ended takes the end of a run; it is certain that it does not run. age is the
-// time from the order to the end at the agent.
-func (s *Scheduler) Ended(now Time, ref RunRef, reason EndReason, age Time) {
-	r := s.runs[ref]
+// Ended takes the end of an ordered run; it is certain that it does not run. age
+// is the time from the order to the end at the agent.
+func (s *Scheduler) Ended(now Time, order uint64, reason EndReason, age Time) {
+	r := s.runs[order]
 	if r == nil {
 		return
 	}
-	delete(s.runs, ref)
+	delete(s.runs, order)
 	e, j, t := r.endpoint, r.job, r.task
 	e.used = e.used.Sub(r.need)
 	e.active--
@@ -434,6 +460,7 @@
 		s.nextCheck = now + checkEvery
 		s.giveUp(now)
 		s.watch(now)
+		maps.DeleteFunc(s.recent, func(_ string, r recentRuns) bool { return now-r.at > recentKept })
 	}
 	s.place(now)
 }
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -213,7 +213,7 @@
 // linkUp tells the entry what is kept for it.
 func (a *simAgent) linkUp(e *simEntry, l *simLink) {
 	a.links[e.name] = l.version
-	kept := a.guard.RunsOf(e.owner())
+	kept := a.guard.OrdersOf(e.owner())
 	status := a.guard.Status(e.owner())
 	a.send(e, func() {
 		e.sched.AgentBack(e.s.now, AgentID{a.name, l.incarnation}, kept)
@@ -285,7 +285,7 @@
 		case ReportEnd:
 			for _, e := range a.s.entries {
 				if e.owner() == action.Owner {
-					a.send(e, func() { e.sched.Ended(a.s.now, action.Run, action.Reason, action.Age) })
+					a.send(e, func() { e.sched.Ended(a.s.now, action.Order, action.Reason, action.Age) })
 				}
 			}
 		case StatusChanged:
@@ -365,7 +365,7 @@
 
 func (e *simEntry) boot() {
 	e.incarnation++
-	e.sched = NewScheduler("svc")
+	e.sched = NewScheduler("svc", &OrderNumbers{})
 	for _, a := range e.s.agents {
 		e.linkAgent(a)
 	}
@@ -466,7 +466,7 @@
 		switch action.Kind {
 		case OrderRun:
 			l := e.links[action.Agent.Name]
-			o := Order{Owner: e.owner(), Run: action.Run, Need: action.Need, Echo: l.clock}
+			o := Order{Owner: e.owner(), Number: action.Order, Run: action.Run, Need: action.Need, Echo: l.clock}
 			e.tell(l, func(a *simAgent) { a.guard.Start(e.s.now, o) })
 		case CancelRun:
 			owner := e.owner()
--- a/hosted/agent/control.go
+++ b/hosted/agent/control.go
@@ -169,13 +169,13 @@
 	s.sendKeptEnds(p, owner)
 	kept := &wire.RunsKept{}
 	for _, e := range s.endpoints {
-		kept.Runs = append(kept.Runs, e.guard.RunsOf(owner)...)
+		kept.Orders = append(kept.Orders, e.guard.OrdersOf(owner)...)
 	}
 	_ = p.Send(kept) // a closed link is reported as down
 	for _, e := range s.endpoints {
 		_ = p.Send(&wire.EndpointReport{Status: e.guard.Status(owner)})
 	}
-	s.a.deps.Log.Info().Str("event", "entry_linked").Str("entry", name).Int("runs", len(kept.Runs)).Msg("entry linked")
+	s.a.deps.Log.Info().Str("event", "entry_linked").Str("entry", name).Int("runs", len(kept.Orders)).Msg("entry linked")
 }
 
 func (s *state) sendKeptEnds(p *mesh.Peer, owner dispatch.Owner) {
@@ -313,10 +313,10 @@
 	e := s.endpoints[m.Endpoint]
 	for _, r := range m.Runs {
 		if e == nil {
-			s.tellEnd(now, owner, wire.EndedRun{Run: r.Run, Reason: dispatch.NotAvailable})
+			s.tellEnd(now, owner, wire.EndedRun{Run: r.Run, Order: r.Order, Reason: dispatch.NotAvailable})
 			continue
 		}
-		e.guard.Start(now, dispatch.Order{Owner: owner, Run: r.Run, Need: r.Need, Payload: m.Payload, Echo: m.Echo})
+		e.guard.Start(now, dispatch.Order{Owner: owner, Number: r.Order, Run: r.Run, Need: r.Need, Payload: m.Payload, Echo: m.Echo})
 	}
 }
 
--- a/hosted/agent/endpoint.go
+++ b/hosted/agent/endpoint.go
@@ -185,7 +185,7 @@
 			a.send(looked{endpoint: id, received: mesh.Now(), snapshot: snapshot, err: err})
 		}()
 	case dispatch.ReportEnd:
-		s.tellEnd(now, action.Owner, wire.EndedRun{Run: action.Run, Reason: action.Reason, Age: action.Age})
+		s.tellEnd(now, action.Owner, wire.EndedRun{Run: action.Run, Order: action.Order, Reason: action.Reason, Age: action.Age})
 	case dispatch.StatusChanged:
 		s.reportStatus(e)
 	}
--- a/hosted/entry/agents.go
+++ b/hosted/entry/agents.go
@@ -64,7 +64,7 @@
 		}
 	case *wire.RunsKept:
 		for _, sched := range s.schedulers {
-			sched.AgentBack(now, id, m.Runs)
+			sched.AgentBack(now, id, m.Orders)
 		}
 	case *wire.EndpointReport:
 		s.report(now, id, m.Status)
@@ -75,9 +75,7 @@
 		}
 	case *wire.RunEnd:
 		for _, end := range m.Ends {
-			for _, sched := range s.schedulers {
-				sched.Ended(now, end.Run, end.Reason, end.Age)
-			}
+			s.runEnded(now, end)
 		}
 	}
 }
@@ -86,3 +84,12 @@
 	s.endpoints[status.Endpoint] = endpointView{agent: id.Name, service: status.Service, available: status.Available}
 	s.scheduler(status.Service).Report(now, id, status)
 }
+
+func (s *state) runEnded(now time.Duration, end wire.EndedRun) {
+	if end.Reason != dispatch.EndDone {
+		s.e.deps.Metrics.Count("bergamotwing_runs_"+end.Reason.String()+"_total", "Runs that ended so.", 1)
+	}
+	for _, sched := range s.schedulers {
+		sched.Ended(now, end.Order, end.Reason, end.Age)
+	}
+}
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -35,8 +35,9 @@
 	agents     map[string]*mesh.Peer // linked agents by name
 	lost       map[string]lostEntry  // entries whose link is down, within their lease
 	members    map[string]mesh.MemberRow
-	refusedAt  map[string]time.Duration // since when nothing listens at an address
-	schedulers map[string]*dispatch.Scheduler
+	refusedAt  map[string]time.Duration       // since when nothing listens at an address
+	schedulers map[string]*dispatch.Scheduler // by service
+	orders     *dispatch.OrderNumbers
 	endpoints  map[dispatch.EndpointID]endpointView
 	requests   map[string]*request
 	recent     map[string]recentEnd
@@ -72,7 +73,7 @@
 	return &state{
 		e: e, seeds: mesh.SeedAddrs(e.node), peers: map[string]*mesh.Peer{}, agents: map[string]*mesh.Peer{}, lost: map[string]lostEntry{},
 		members: map[string]mesh.MemberRow{}, refusedAt: map[string]time.Duration{},
-		schedulers: map[string]*dispatch.Scheduler{}, endpoints: map[dispatch.EndpointID]endpointView{},
+		schedulers: map[string]*dispatch.Scheduler{}, orders: &dispatch.OrderNumbers{}, endpoints: map[dispatch.EndpointID]endpointView{},
 		requests: map[string]*request{}, recent: map[string]recentEnd{}, home: map[string]string{},
 	}
 }
@@ -126,7 +127,7 @@
 func (s *state) scheduler(service string) *dispatch.Scheduler {
 	sched := s.schedulers[service]
 	if sched == nil {
-		sched = dispatch.NewScheduler(service)
+		sched = dispatch.NewScheduler(service, s.orders)
 		s.schedulers[service] = sched
 		if op := s.e.operator.Load(); op != nil {
 			sched.SetEvacuated(mesh.Now(), op.Evacuated)
@@ -270,7 +271,7 @@
 		if a.Kind != dispatch.OrderRun || a.Agent != first.Agent || a.Endpoint != first.Endpoint || a.Job != first.Job {
 			break
 		}
-		m.Runs = append(m.Runs, wire.OrderedRun{Run: a.Run, Need: a.Need})
+		m.Runs = append(m.Runs, wire.OrderedRun{Run: a.Run, Need: a.Need, Order: a.Order})
 		n++
 	}
 	if p := s.agentOf(first.Agent); p != nil {
--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -78,9 +78,9 @@
 	Endpoint dispatch.EndpointID `cbor:"1,keyasint"`
 }
 
-// RunsKept lists the runs that an agent keeps for the entry, after a new link.
+// RunsKept lists the orders whose runs an agent keeps for the entry, after a new link.
 type RunsKept struct {
-	Runs []dispatch.RunRef `cbor:"1,keyasint"`
+	Orders []uint64 `cbor:"1,keyasint"`
 }
 
 // RunOrder asks an agent for runs of tasks of one job at one endpoint.
@@ -93,8 +93,9 @@
 
 // OrderedRun is one run of a RunOrder.
 type OrderedRun struct {
-	Run  dispatch.RunRef    `cbor:"1,keyasint"`
-	Need dispatch.Resources `cbor:"2,keyasint"`
+	Run   dispatch.RunRef    `cbor:"1,keyasint"`
+	Need  dispatch.Resources `cbor:"2,keyasint"`
+	Order uint64             `cbor:"3,keyasint"` // unique among the sender's orders
 }
 
 // RunStop asks an agent to end runs.
@@ -113,4 +114,5 @@
 	Run    dispatch.RunRef    `cbor:"1,keyasint"`
 	Reason dispatch.EndReason `cbor:"2,keyasint"`
 	Age    time.Duration      `cbor:"3,keyasint"` // from the order to the end, at the agent
+	Order  uint64             `cbor:"4,keyasint"`
 }
