Calls to the endpoint are given up after 20 ms; two looks wait for ends

Ruled out: queueing at the entry (half of the jobs started within 3 ms). Single unanswered orders eject no endpoint any more (six in a row).

--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -12,7 +12,8 @@
 	expiredPause = 100 * time.Millisecond // until a heartbeat renews what an agent goes by
 	busyPause    = 50 * time.Millisecond  // the time an endpoint takes to stop a run
 	checkEvery   = 20 * time.Millisecond  // between two checks of overdue runs and jobs
-	ejectAfter   = 3                      // faults in a row
+	ejectAfter   = 3                      // failed tasks in a row
+	ejectSilent  = 6                      // unanswered orders in a row; single ones are lost without an endpoint's fault
 	ejectFirst   = 500 * time.Millisecond // pause before the first probe
 	ejectMax     = 2 * time.Second        // pause before later probes
 	slowWeight   = 0.2                    // of one run in the slowness of an endpoint
@@ -72,14 +73,14 @@
 }
 
 // fault counts a run that went wrong for a reason that may be the endpoint's.
-func (e *endpoint) fault(now Time) (ejected bool) {
+func (e *endpoint) fault(now Time, limit int) (ejected bool) {
 	e.faults++
 	if e.ejectedUntil != 0 {
 		e.ejectPause = min(2*e.ejectPause, ejectMax)
 		e.ejectedUntil = now + e.ejectPause
 		return false
 	}
-	if e.faults < ejectAfter {
+	if e.faults < limit {
 		return false
 	}
 	e.ejectPause = ejectFirst
@@ -108,11 +109,11 @@
 			s.logEndpoint(e, "endpoint_restored", "a task ended well")
 		}
 	case EndFailed:
-		if len(r.task.failedAt) == 0 && e.fault(now) {
+		if len(r.task.failedAt) == 0 && e.fault(now, ejectAfter) {
 			s.logEndpoint(e, "endpoint_ejected", "tasks fail")
 		}
 	case Unanswered, Unhealthy, NotStarted:
-		if e.fault(now) {
+		if e.fault(now, ejectSilent) {
 			s.logEndpoint(e, "endpoint_ejected", reason.String())
 		}
 	}
@@ -164,7 +165,7 @@
 			}
 			r.stuck = true
 			s.stop(r)
-			if e.fault(now) {
+			if e.fault(now, ejectAfter) {
 				s.logEndpoint(e, "endpoint_ejected", "tasks make no progress")
 			}
 			s.do(SchedulerAction{Kind: LogDecision, Agent: e.agent, Endpoint: e.id, Job: r.ref.Task.Job, Run: r.ref,
--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -22,9 +22,9 @@
 	// three may be lost before runs lapse.
 	renewEvery = 150 * time.Millisecond
 	// retryStopEvery is the pause between two tries to stop a run.
-	retryStopEvery = 60 * time.Millisecond
+	retryStopEvery = 40 * time.Millisecond
 	// confirmEvery is the pause between two looks for the end of a run.
-	confirmEvery = 25 * time.Millisecond
+	confirmEvery = 20 * time.Millisecond
 	// lateMargin is added to the last moment at which an endpoint may accept an order.
 	lateMargin = 50 * time.Millisecond
 	// unreachableAfter is the silence after which an endpoint takes no new tasks.
--- /dev/null
+++ b/dispatch/load_test.go
@@ -0,0 +1,222 @@
+package dispatch
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bergamotwing.example/result"
+)
+
+// The replay plays arrivals against a scheduler whose endpoints do as they are
+// told. Sizes, run times and rates are those of the users' request sheet;
+// declared run times are off by 0.4.
+
+// jobClass is a kind of request.
+type jobClass struct {
+	route  Route
+	perS   float64
+	width  float64
+	work   Time
+	cpu    int
+	worth  float64
+	shareW float64 // of the replay's worth, filled in
+}
+
+func sheet(cpu int) []jobClass {
+	route := func(name string, priority int) Route {
+		return Route{Name: name, Priority: priority, MaxAttempts: 4, Stretch: 1.6, TargetLatency: 60 * ms}
+	}
+	return []jobClass{
+		{route: route("short", 0), perS: 34.4, width: 8, work: 60 * ms, cpu: cpu, worth: 0.0291},
+		{route: route("long", 2), perS: 6.25, width: 4, work: 900 * ms, cpu: cpu, worth: 0.16},
+		{route: route("middle", 1), perS: 100, width: 2, work: 200 * ms, cpu: cpu, worth: 0.01},
+	}
+}
+
+// loadPattern says how requests arrive: rate as a multiple of the sheet's, by time.
+type loadPattern struct {
+	seed      uint64
+	length    Time
+	endpoints int
+	capacity  int
+	classes   []jobClass
+	rate      func(at Time) float64
+	slow      func(endpoint int, at Time) float64 // run times as a multiple
+}
+
+// loadResult counts worth by windows of two seconds.
+type loadResult struct {
+	owed, earned                map[int]float64
+	inTime, late, refused, lost int
+	heldRefused                 int // refused after more than a quarter of the objective
+}
+
+func (r *loadResult) share() float64 {
+	var owed, earned float64
+	for w, o := range r.owed {
+		owed += o
+		earned += r.earned[w]
+	}
+	return earned / owed
+}
+
+func (r *loadResult) worst() float64 {
+	worst := 1.0
+	for w, o := range r.owed {
+		worst = math.Min(worst, r.earned[w]/o)
+	}
+	return worst
+}
+
+func (r *loadResult) String() string {
+	return fmt.Sprintf("share %.3f, worst window %.3f, in time %d, late %d, refused %d (held %d), given up %d",
+		r.share(), r.worst(), r.inTime, r.late, r.refused, r.heldRefused, r.lost)
+}
+
+type openJob struct {
+	class     jobClass
+	arrived   Time
+	objective Time
+	actual    []Time // run time of each task
+}
+
+// playLoad replays a pattern.
+func playLoad(p loadPattern) *loadResult {
+	rng := rand.New(rand.NewPCG(p.seed, 7))
+	s := NewScheduler("svc", &OrderNumbers{})
+	res := &loadResult{owed: map[int]float64{}, earned: map[int]float64{}}
+	var events simQueue
+	now, seq := Time(0), 0
+	after := func(d Time, do func()) {
+		seq++
+		heap.Push(&events, simEvent{now + d, seq, do})
+	}
+	for i := range p.endpoints {
+		capacity := p.capacity
+		if i%3 == 2 {
+			capacity += capacity / 2
+		}
+		s.Report(0, AgentID{Name: fmt.Sprintf("a%02d", i), Incarnation: 1}, EndpointStatus{
+			Endpoint: EndpointID{ID: fmt.Sprintf("e%02d", i)}, Service: "svc", Available: true,
+			Capacity: Resources{CPUMilli: capacity, MemoryMB: 1 << 20},
+		})
+	}
+	open := map[string]*openJob{}
+	caller := Owner{Entry: "c", Incarnation: 1}
+	var carry func()
+	carry = func() {
+		for _, a := range s.Take() {
+			switch a.Kind {
+			case OrderRun:
+				j := open[a.Run.Task.Job]
+				takes := j.actual[a.Run.Task.Index]
+				var index int
+				_, _ = fmt.Sscanf(a.Endpoint.ID, "e%d", &index)
+				if p.slow != nil {
+					takes = Time(float64(takes) * p.slow(index, now))
+				}
+				after(takes+2*ms, func() {
+					s.Ended(now, a.Order, EndDone, takes)
+					carry()
+				})
+			case FinishJob:
+				j := open[a.Job]
+				took := now - j.arrived
+				window := int(j.arrived / (2 * time.Second))
+				switch {
+				case a.Outcome.Code != result.OK && result.Lookup(a.Outcome.Code).Ran == result.RanNo:
+					res.refused++
+					if took > (j.objective-j.arrived)/4 {
+						res.heldRefused++
+					}
+				case a.Outcome.Code != result.OK:
+					res.lost++
+				case now <= j.objective:
+					res.inTime++
+					res.earned[window] += j.class.worth
+				case now <= j.arrived+3*(j.objective-j.arrived):
+					res.late++
+					res.earned[window] += j.class.worth / 5
+				default:
+					res.lost++
+				}
+			}
+		}
+	}
+	lognormal := func(sigma float64) float64 { return math.Exp(sigma*rng.NormFloat64() - sigma*sigma/2) }
+	jobs := 0
+	for _, c := range p.classes {
+		var arrive func()
+		arrive = func() {
+			jobs++
+			width := 1 + int(math.Round((c.width-1)*lognormal(0.4)))
+			work := float64(c.work) * lognormal(0.4)
+			oj := &openJob{class: c, arrived: now}
+			var longest Time
+			for range width {
+				actual := Time(work * lognormal(0.15))
+				oj.actual = append(oj.actual, actual)
+				longest = max(longest, actual)
+			}
+			oj.objective = now + Time(1.6*float64(longest)) + 60*ms
+			id := fmt.Sprintf("%016x", jobs)
+			open[id] = oj
+			res.owed[int(now/(2*time.Second))] += c.worth
+			s.Submit(now, Submission{
+				Caller: caller, Route: c.route, Deadline: now + 1500*ms + 2*longest,
+				Job: Job{ID: id, Steps: []Step{{
+					Count: width, Need: Resources{CPUMilli: int(float64(c.cpu) * lognormal(0.2)), MemoryMB: 64},
+					Estimate: Time(work * lognormal(0.4)),
+				}}},
+			})
+			carry()
+			if rate := c.perS * p.rate(now); rate > 0 {
+				after(Time(rng.ExpFloat64()/rate*float64(time.Second)), arrive)
+			}
+		}
+		after(Time(rng.Float64()/c.perS*float64(time.Second)), arrive)
+	}
+	var tick func()
+	tick = func() {
+		s.Tick(now)
+		carry()
+		after(25*ms, tick)
+	}
+	tick()
+	for events.Len() > 0 && now < p.length {
+		ev := heap.Pop(&events).(simEvent)
+		now = ev.at
+		ev.do()
+	}
+	return res
+}
+
+// burst is a rate of 1 with a burst of x from 4 s to 8 s.
+func burst(base, x float64) func(Time) float64 {
+	return func(at Time) float64 {
+		if at > 4*time.Second && at < 8*time.Second {
+			return base * x
+		}
+		return base
+	}
+}
+
+func bannerstroomLoad(seed uint64, rate func(Time) float64) loadPattern {
+	return loadPattern{seed: seed, length: 16 * time.Second, endpoints: 11, capacity: 64000, classes: sheet(6200), rate: rate}
+}
+
+func orchardLoad(seed uint64, rate func(Time) float64) loadPattern {
+	return loadPattern{seed: seed, length: 16 * time.Second, endpoints: 11, capacity: 32000, classes: sheet(3100), rate: rate}
+}
+
+func TestPrintLoad(t *testing.T) {
+	for _, x := range []float64{1, 1.3, 1.6, 2.0} {
+		for seed := range uint64(2) {
+			fmt.Println("x", x, playLoad(orchardLoad(seed, burst(1.1, x))))
+		}
+	}
+}
--- a/hosted/agent/endpoint.go
+++ b/hosted/agent/endpoint.go
@@ -13,11 +13,16 @@
 // Limits of calls to the endpoint on the same host. A call that has no answer
 // by then counts as unanswered, and what became of it is looked up.
 const (
-	startTimeout = 80 * time.Millisecond
-	stopTimeout  = 100 * time.Millisecond // a stop may take the endpoint 50 ms
-	lookTimeout  = 100 * time.Millisecond
-	watchSlack   = 300 * time.Millisecond // of a look that waits for an end
-	watchPause   = 50 * time.Millisecond  // after a failed look
+	startTimeout = 20 * time.Millisecond // ten times a call on the same host
+	stopTimeout  = 60 * time.Millisecond // a stop may take the endpoint 50 ms
+	lookTimeout  = 30 * time.Millisecond
+	watchSlack   = 50 * time.Millisecond // of a look that waits for an end
+	watchPause   = 20 * time.Millisecond // after a failed look
+	// watchers is how many looks wait for an end at the same time, so that one
+	// lost answer delays no end.
+	watchers = 2
+	// busyWatch is how long a look waits while runs are kept.
+	busyWatch = 150 * time.Millisecond
 )
 
 // endpoint is one lifetime of an endpoint beside this agent.
@@ -74,7 +79,9 @@
 	e.guard.Announced(now, n.Draining || s.stopping, n.Capacity)
 	s.a.deps.Log.Info().Str("event", "endpoint_found").Str("endpoint", n.Endpoint.ID).Int64("born", n.Endpoint.Born).
 		Str("addr", n.Addr).Int("cpu_milli", n.Capacity.CPUMilli).Msg("endpoint found")
-	go s.a.watch(ctx, e.client, n.Endpoint)
+	for range watchers {
+		go s.a.watch(ctx, e.client, n.Endpoint)
+	}
 	return true
 }
 
@@ -93,20 +100,17 @@
 // watch looks at the endpoint all the time; each look waits for an end.
 func (a *Agent) watch(ctx context.Context, client *platform.EndpointClient, id dispatch.EndpointID) {
 	defer client.Close()
-	var acknowledged int64
-	reply := make(chan int64, 1)
-	wait := time.Duration(0)
+	var next nextWatch
+	reply := make(chan nextWatch, 1)
 	for ctx.Err() == nil {
-		snapshot, err := a.lookOnce(ctx, client, 0, acknowledged, wait)
-		a.send(looked{endpoint: id, received: mesh.Now(), snapshot: snapshot, err: err, cursor: reply})
+		snapshot, err := a.lookOnce(ctx, client, 0, next.acknowledge, next.wait)
+		a.send(looked{endpoint: id, received: mesh.Now(), snapshot: snapshot, err: err, next: reply})
 		select {
-		case acknowledged = <-reply:
+		case next = <-reply:
 		case <-ctx.Done():
 			return
 		}
-		wait = dispatch.WatchTime
 		if err != nil {
-			wait = 0
 			time.Sleep(watchPause)
 		}
 	}
@@ -153,9 +157,18 @@
 	if m.err == nil {
 		e.guard.Looked(now, m.received, m.snapshot)
 	}
-	if m.cursor != nil {
-		m.cursor <- e.guard.Cursor()
+	if m.next != nil {
+		m.next <- e.nextWatch()
+	}
+}
+
+// nextWatch says what the next look that waits for an end is to carry.
+func (e *endpoint) nextWatch() nextWatch {
+	wait := dispatch.WatchTime
+	if e.guard.Runs() > 0 {
+		wait = busyWatch
 	}
+	return nextWatch{acknowledge: e.guard.Cursor(), wait: wait}
 }
 
 // carryOut does what the guards decided.
--- a/hosted/agent/messages.go
+++ b/hosted/agent/messages.go
@@ -45,6 +45,10 @@
 		received time.Duration
 		snapshot dispatch.Snapshot
 		err      error
-		cursor   chan int64 // gets the sequence number of the last end taken in; nil: not wanted
+		next     chan nextWatch // gets what the next look is to carry; nil: not wanted
+	}
+	nextWatch struct {
+		acknowledge int64 // sequence number of the last end taken in
+		wait        time.Duration
 	}
 )
