Agents recall their endpoint from the store; entries notice a silent one in 300 ms

Cause: after all processes were killed the endpoints' next heartbeats came up to 1.5 s later, and until then jobs were refused for want of endpoints. The agent now keeps the announcement in a row, checks it by a look and is replaced by heartbeats. Lifetimes that neither announce themselves nor answer are ended, so that no look goes on for them.

--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -236,6 +236,9 @@
 
 func (g *Guard) do(a GuardAction) { g.out = append(g.out, a) }
 
+// Silence returns the time since the endpoint last answered a look.
+func (g *Guard) Silence(now Time) Time { return now - g.lastLook }
+
 // Announced takes in a heartbeat of the guarded lifetime.
 func (g *Guard) Announced(now Time, draining bool, capacity Resources) {
 	g.draining = g.draining || draining
--- a/hosted/agent/agent.go
+++ b/hosted/agent/agent.go
@@ -42,15 +42,16 @@
 	store *platform.Store
 	ctx   context.Context //nolint:containedctx // of the process; ends its background work
 
-	system *actor.ActorSystem
-	pid    *actor.PID
-	idle   chan struct{} // closed once a stopping agent keeps no run
-	state  *state
+	system     *actor.ActorSystem
+	pid        *actor.PID
+	toRemember chan platform.Announcement // the newest that is not written yet
+	idle       chan struct{}              // closed once a stopping agent keeps no run
+	state      *state
 }
 
 // New returns an agent that does nothing yet.
 func New(node platform.Node, deps Deps) *Agent {
-	a := &Agent{node: node, deps: deps, store: platform.NewStore(node.StoreAddr), idle: make(chan struct{})}
+	a := &Agent{node: node, deps: deps, store: platform.NewStore(node.StoreAddr), toRemember: make(chan platform.Announcement, 1), idle: make(chan struct{})}
 	hello := wire.NodeHello{
 		Name: node.Name, Incarnation: wire.Incarnation(rand.Uint64()), Role: wire.RoleAgent, Zone: node.Zone,
 	}
@@ -77,6 +78,8 @@
 	defer func() { _ = server.Close() }()
 	a.mesh.SetTargets(ctx, mesh.SeedAddrs(a.node))
 	go a.findEntries(ctx)
+	go a.recall(ctx)
+	go a.remember(ctx)
 	a.send(tick{})
 	a.deps.Log.Info().Str("event", "start").Str("endpoint", a.node.EndpointAddr).Msg("agent started")
 	<-stopping.Done()
--- a/hosted/agent/control.go
+++ b/hosted/agent/control.go
@@ -72,6 +72,8 @@
 		m.reply <- len(s.peers) > 0
 	case announced:
 		m.reply <- s.announced(now, m.n)
+	case recalled:
+		s.recalled(now, m.n)
 	case left:
 		s.left(now, m.id)
 	case startAnswered:
@@ -92,6 +94,7 @@
 	busy := false
 	for _, e := range s.endpoints {
 		e.guard.Tick(now)
+		s.endIfDead(now, e)
 		busy = busy || e.guard.Runs() > 0
 	}
 	for _, p := range s.peers {
--- a/hosted/agent/endpoint.go
+++ b/hosted/agent/endpoint.go
@@ -18,6 +18,8 @@
 	lookTimeout  = 30 * time.Millisecond
 	watchSlack   = 50 * time.Millisecond // of a look that waits for an end
 	watchPause   = 20 * time.Millisecond // after a failed look
+	// deadAfter is how many heartbeats a lifetime may miss.
+	deadAfter = 4
 	// watchers is how many looks wait for an end at the same time, so that one
 	// lost answer delays no end.
 	watchers = 2
@@ -31,33 +33,67 @@
 	guard     *dispatch.Guard
 	client    *platform.EndpointClient
 	cancel    context.CancelFunc
+	heard     time.Duration                         // when the last heartbeat came
 	othersFor map[dispatch.Owner]dispatch.Resources // as last reported to busy owners
 }
 
 func (s *state) announced(now time.Duration, n platform.Announcement) bool {
 	e := s.endpoints[n.Endpoint]
 	if e == nil {
-		return s.newEndpoint(now, n)
+		if s.newEndpoint(now, n) {
+			s.remember(n)
+		}
+		return true
 	}
 	if n.Seq <= e.announced.Seq {
 		return true // delivered late
 	}
 	if n.Draining && !e.announced.Draining {
 		s.a.deps.Log.Info().Str("event", "endpoint_draining").Str("endpoint", n.Endpoint.ID).Msg("endpoint drains")
+		s.remember(n)
 	}
 	e.announced = n
+	e.heard = now
 	e.guard.Announced(now, n.Draining || s.stopping, n.Capacity)
 	return true
 }
 
-// newEndpoint takes in a new lifetime. An older one of the same id is over.
+// remember has an announcement written to the store, in place of an older one
+// that is not written yet.
+func (s *state) remember(n platform.Announcement) {
+	select {
+	case <-s.a.toRemember:
+	default:
+	}
+	s.a.toRemember <- n
+}
+
+// recalled takes in what an earlier run of this agent had heard, unless the
+// endpoint has been heard since.
+func (s *state) recalled(now time.Duration, n platform.Announcement) {
+	if len(s.endpoints) == 0 {
+		s.newEndpoint(now, n)
+	}
+}
+
+// endIfDead ends a lifetime that has neither announced itself nor answered for
+// several heartbeats.
+func (s *state) endIfDead(now time.Duration, e *endpoint) {
+	limit := deadAfter * s.a.node.Heartbeat
+	if now-e.heard > limit && e.guard.Silence(now) > limit {
+		e.guard.End(now)
+	}
+}
+
+// newEndpoint takes in a new lifetime and reports whether it is one. An older
+// one of the same id is over.
 func (s *state) newEndpoint(now time.Duration, n platform.Announcement) bool {
 	for id, e := range s.endpoints {
 		if id.ID != n.Endpoint.ID {
 			continue
 		}
 		if id.Born > n.Endpoint.Born {
-			return true // delivered late, by an earlier lifetime
+			return false // delivered late, by an earlier lifetime
 		}
 		s.end(now, e)
 	}
@@ -67,6 +103,7 @@
 		guard:     dispatch.NewGuard(n.Endpoint, n.Service, n.Zone, n.Capacity, n.Labels, s.a.node.MaxLease),
 		client:    platform.NewEndpointClient(n.Addr, n.Endpoint.ID),
 		cancel:    cancel,
+		heard:     now,
 		othersFor: map[dispatch.Owner]dispatch.Resources{},
 	}
 	s.endpoints[n.Endpoint] = e
--- a/hosted/agent/messages.go
+++ b/hosted/agent/messages.go
@@ -27,6 +27,7 @@
 		n     platform.Announcement
 		reply chan bool
 	}
+	recalled      struct{ n platform.Announcement }
 	left          struct{ id string }
 	startAnswered struct {
 		endpoint dispatch.EndpointID
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -13,11 +13,11 @@
 
 const (
 	tickEvery = 25 * time.Millisecond
-	peerBeat  = 100 * time.Millisecond // heartbeats between entries; five in an entry's lease
-	// EntryLease is how long an entry counts as alive after the moment at which
+	peerBeat  = 50 * time.Millisecond // heartbeats between entries; six in an entry's lease
+	// entryLease is how long an entry counts as alive after the moment at which
 	// it is known to have lived. With dispatch.OwnerLease it stays within the
 	// shortest time after which clients send a job again.
-	entryLease = 500 * time.Millisecond
+	entryLease = 300 * time.Millisecond
 	// agentSilence is the time without an echo after which an agent's link is
 	// made anew: beyond three of its rare heartbeats.
 	agentSilence = 1500 * time.Millisecond
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -26,6 +26,10 @@
 	name := l.Hello.Name
 	owner := ownerOf(l)
 	if old := s.peers[name]; old != nil {
+		if ownerOf(old.Link) == owner && now-old.Up < duplicateTime && s.preferred(old.Link) && !s.preferred(l) {
+			l.Close()
+			return
+		}
 		old.Close()
 		if ownerOf(old.Link) != owner {
 			s.entryLost(now, ownerOf(old.Link), "replaced by a new process")
@@ -47,6 +51,15 @@
 	s.e.deps.Log.Info().Str("event", "entry_linked").Str("entry", name).Msg("entry linked")
 }
 
+// duplicateTime is within how long of each other both sides may dial.
+const duplicateTime = time.Second
+
+// preferred reports whether the side with the lower address dialed a link. Both
+// sides keep such a link if both dialed at the same time.
+func (s *state) preferred(l *mesh.Link) bool {
+	return (l.Dialed != "") == (s.e.self.Addr < l.Hello.Addr)
+}
+
 // resume sends again what a broken link may have lost.
 func (s *state) resume(now time.Duration, p *mesh.Peer, owner dispatch.Owner) {
 	for _, r := range s.requests {
--- a/hosted/mesh/mesh.go
+++ b/hosted/mesh/mesh.go
@@ -24,7 +24,8 @@
 	dialTimeout   = 300 * time.Millisecond // a round trip between regions takes a tenth of it
 	dialFirst     = 20 * time.Millisecond  // pause after the first failed dial
 	dialMax       = 500 * time.Millisecond // pause after many failed dials
-	acceptorPause = 300 * time.Millisecond // an entry leaves dialing to the one with the lower address for so long
+	acceptorPause = 300 * time.Millisecond // an entry that starts leaves dialing to the one with the lower address for so long
+	linkedPause   = 50 * time.Millisecond  // between two checks of a link that the other side dialed
 )
 
 // Link is an open link with the other side's introduction.
@@ -111,11 +112,14 @@
 
 // keepDialed holds a link to addr and dials again, with a growing pause, when it is lost.
 func (m *Mesh) keepDialed(ctx context.Context, addr string) {
+	if m.self.Role == wire.RoleEntry && m.self.Addr > addr {
+		sleep(ctx, acceptorPause)
+	}
 	pause := dialFirst
 	for ctx.Err() == nil {
-		if m.isLinked(addr) || m.leavesDialing(addr, pause) {
-			sleep(ctx, acceptorPause)
-			pause = dialMax
+		if m.isLinked(addr) {
+			sleep(ctx, linkedPause)
+			pause = dialFirst
 			continue
 		}
 		if m.dialOnce(ctx, addr) {
@@ -127,11 +131,6 @@
 	}
 }
 
-// leavesDialing reports whether the other side is to dial first.
-func (m *Mesh) leavesDialing(addr string, pause time.Duration) bool {
-	return m.self.Role == wire.RoleEntry && m.self.Addr > addr && pause == dialFirst
-}
-
 // dialOnce reports whether a link was made and has ended.
 func (m *Mesh) dialOnce(ctx context.Context, addr string) bool {
 	dialing, cancel := context.WithTimeout(ctx, dialTimeout)
--- a/integration/hosted/cluster.go
+++ b/integration/hosted/cluster.go
@@ -107,7 +107,7 @@
 	name := fmt.Sprintf("%s-%d", role, index)
 	zone := zones[index%len(zones)]
 	node := map[string]any{
-		"NodeName": name, "Ip": ip, "Zone": zone, "PortRange": []int{linkPort, linkPort + 9},
+		"NodeName": name, "Ip": ip, "HeartbeatMs": heartbeat.Milliseconds(), "Zone": zone, "PortRange": []int{linkPort, linkPort + 9},
 		"Listen": map[string]string{"Control": at(ip, controlPort)},
 		"Seeds":  []string{at(address(10), controlPort), at(address(11), controlPort)},
 		"Bounds": map[string]float64{"ConfigApplyMs": 2000, "GraceS": 6, "HoldMaxMs": 1000, "StopTimeoutMs": 50, "ResendMs": 1300},
