A new scheduler holds jobs until agents link; tests of the scheduler and of load

A new guard settles in 50 ms, over twice the time limit of a start. A fault found by a new test: a job cancelled and sent again at once started its runs with the number that the endpoint had just stopped.

--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -34,7 +34,7 @@
 	// settleTime is how long a new guard looks for runs of an earlier agent:
 	// a start that it sent just before it died arrives within the time in which
 	// endpoints answer calls.
-	settleTime = 100 * time.Millisecond
+	settleTime = 50 * time.Millisecond
 	// endsPerAnswer is how many ends an endpoint lists in one answer.
 	endsPerAnswer = 500
 )
@@ -236,6 +236,9 @@
 
 func (g *Guard) do(a GuardAction) { g.out = append(g.out, a) }
 
+// Settled reports whether no run of an earlier agent is left.
+func (g *Guard) Settled() bool { return g.clean || g.gone }
+
 // Silence returns the time since the endpoint last answered a look.
 func (g *Guard) Silence(now Time) Time { return now - g.lastLook }
 
--- a/dispatch/guard_test.go
+++ b/dispatch/guard_test.go
@@ -222,7 +222,7 @@
 	if g.Status(ownerA).Available {
 		t.Fatal("available while an unknown run goes on")
 	}
-	g.Looked(now+60*ms, now+60*ms, Snapshot{Clock: now + 60*ms, Ended: []EndedRun{{Seq: 3, Run: run, Reason: EndStopped}}})
+	g.Looked(now+settleTime/2, now+settleTime/2, Snapshot{Clock: now + settleTime/2, Ended: []EndedRun{{Seq: 3, Run: run, Reason: EndStopped}}})
 	if g.Status(ownerA).Available {
 		t.Fatal("available while a start of the earlier agent may be on its way")
 	}
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -90,7 +90,7 @@
 // playLoad replays a pattern.
 func playLoad(p loadPattern) *loadResult {
 	rng := rand.New(rand.NewPCG(p.seed, 7))
-	s := NewScheduler("svc", &OrderNumbers{})
+	s := NewScheduler("svc", &OrderNumbers{}, -time.Minute)
 	res := &loadResult{owed: map[int]float64{}, earned: map[int]float64{}}
 	var events simQueue
 	now, seq := Time(0), 0
@@ -226,12 +226,52 @@
 	return loadPattern{seed: seed, length: 16 * time.Second, endpoints: 11, capacity: 32000, classes: sheet(3100), rate: rate}
 }
 
-func TestPrintLoad(t *testing.T) {
-	for _, x := range []float64{1, 1.3, 1.6, 2.0} {
-		for seed := range uint64(2) {
-			p := orchardLoad(seed, burst(1.1, x))
+// The users' aim for the worst two seconds of a burst, as a share of its worth.
+const burstAim = 0.6
+
+func TestABurstIsServedInItsWorstSeconds(t *testing.T) {
+	for seed := range uint64(3) {
+		for name, p := range map[string]loadPattern{
+			"bannerstroom": bannerstroomLoad(seed, burst(1, 1.8)),
+			"ysgol-hire":   orchardLoad(seed, burst(1, 1.8)),
+		} {
 			p.unanswered = 0.06
-			fmt.Println("x", x, playLoad(p))
+			res := playLoad(p)
+			t.Logf("%s, seed %d: %v", name, seed, res)
+			if res.worst() < burstAim {
+				t.Errorf("%s, seed %d: %v", name, seed, res)
+			}
+		}
+	}
+}
+
+// quietAim is the users' aim for a quiet day.
+const quietAim = 0.94
+
+func TestOrdinaryLoadIsServedWhileOrdersGetNoAnswer(t *testing.T) {
+	for seed := range uint64(3) {
+		p := bannerstroomLoad(seed, burst(1, 1))
+		p.unanswered = 0.06
+		if res := playLoad(p); res.share() < quietAim {
+			t.Errorf("seed %d: %v", seed, res)
+		}
+	}
+}
+
+// Two of eleven endpoints take five times as long for four seconds.
+func TestSlowEndpointsLoseTheirShare(t *testing.T) {
+	for seed := range uint64(3) {
+		p := bannerstroomLoad(seed, burst(0.8, 1))
+		p.slow = func(endpoint int, at Time) float64 {
+			if endpoint < 2 && at > 4*time.Second && at < 8*time.Second {
+				return 5
+			}
+			return 1
+		}
+		res := playLoad(p)
+		t.Logf("seed %d: %v", seed, res)
+		if res.worst() < burstAim {
+			t.Errorf("seed %d: %v", seed, res)
 		}
 	}
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -12,6 +12,9 @@
 	// admitShare is the share of the time that a job can spare for which it may
 	// wait. The rest covers estimates that are off.
 	admitShare = 0.5
+	// startGrace is how long a new scheduler takes jobs before it knows an
+	// endpoint: after a restart of everything agents link within this time.
+	startGrace = 600 * time.Millisecond
 	// lookahead is how many tasks that fit nowhere are passed over.
 	lookahead = 8
 	// minRetryAfter is the least time after which a refused client may return.
@@ -21,6 +24,9 @@
 // admit decides on arrival whether a job is taken. It answers bursts: a job that
 // would wait too long behind the work ahead of it is refused at once.
 func (s *Scheduler) admit(now Time, sub *Submission) (Outcome, bool) {
+	if !s.hasCapacity() && now < s.started+startGrace {
+		return Outcome{}, false
+	}
 	if !s.hasCapacity() {
 		return Outcome{Code: result.Overloaded, RetryAfter: minRetryAfter, Detail: "no endpoint takes tasks"}, true
 	}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -84,6 +84,7 @@
 	recent    map[string]recentRuns
 	out       []SchedulerAction
 	nextCheck Time
+	started   Time
 }
 
 // OrderNumbers numbers the orders of one process, whose schedulers share it.
@@ -94,9 +95,10 @@
 	return n.last
 }
 
-// NewScheduler returns an empty scheduler of a service.
-func NewScheduler(service string, orders *OrderNumbers) *Scheduler {
+// NewScheduler returns an empty scheduler of a service, started now.
+func NewScheduler(service string, orders *OrderNumbers, now Time) *Scheduler {
 	return &Scheduler{
+		started:   now,
 		service:   service,
 		orders:    orders,
 		jobs:      map[string]*job{},
@@ -364,6 +366,7 @@
 	e.used = e.used.Sub(r.need)
 	e.active--
 	t.run = nil
+	t.nextRun = r.ref.Run + 1
 	s.learn(now, r, reason, age)
 	if j.over {
 		s.forgetIfIdle(now, j)
@@ -374,7 +377,6 @@
 }
 
 func (s *Scheduler) taskEnded(now Time, j *job, t *task, r *run, reason EndReason) {
-	t.nextRun = r.ref.Run + 1
 	switch reason {
 	case EndDone:
 		t.done = true
--- /dev/null
+++ b/dispatch/scheduler_test.go
@@ -0,0 +1,376 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bergamotwing.example/result"
+)
+
+var (
+	callerA = Owner{Entry: "ca", Incarnation: 1}
+	callerB = Owner{Entry: "cb", Incarnation: 1}
+)
+
+// testBed is a scheduler with named endpoints that has been up for a minute.
+type testBed struct {
+	t   *testing.T
+	s   *Scheduler
+	now Time
+}
+
+func newBed(t *testing.T, endpoints ...string) *testBed {
+	t.Helper()
+	b := &testBed{t: t, s: NewScheduler("svc", &OrderNumbers{}, -time.Minute), now: 10 * time.Second}
+	for _, name := range endpoints {
+		b.report(name, EndpointStatus{Available: true, Capacity: Resources{CPUMilli: 4000, MemoryMB: 1000}})
+	}
+	return b
+}
+
+func agentOf(name string) AgentID { return AgentID{Name: "agent-" + name, Incarnation: 1} }
+
+func (b *testBed) report(name string, status EndpointStatus) {
+	status.Endpoint = EndpointID{ID: name}
+	status.Service = "svc"
+	b.s.Report(b.now, agentOf(name), status)
+}
+
+func step(count int) Step {
+	return Step{Count: count, Need: Resources{CPUMilli: 1000, MemoryMB: 10}, Estimate: 100 * ms}
+}
+
+func (b *testBed) submit(id string, caller Owner, priority int, steps ...Step) {
+	b.s.Submit(b.now, Submission{
+		Caller: caller, Job: Job{ID: id, Steps: steps}, Deadline: b.now + 2*time.Second,
+		Route: Route{Name: "r", Priority: priority, MaxAttempts: 3, Stretch: 2, TargetLatency: 100 * ms},
+	})
+}
+
+// orders returns the orders given since the last call, and outcomes the ends.
+func (b *testBed) take() (orders []SchedulerAction, outcomes map[string]result.Code, cancels []RunRef) {
+	outcomes = map[string]result.Code{}
+	for _, a := range b.s.Take() {
+		switch a.Kind {
+		case OrderRun:
+			orders = append(orders, a)
+		case FinishJob:
+			outcomes[a.Job] = a.Outcome.Code
+		case CancelRun:
+			cancels = append(cancels, a.Run)
+		}
+	}
+	return orders, outcomes, cancels
+}
+
+func (b *testBed) end(a SchedulerAction, reason EndReason) {
+	b.now += 100 * ms
+	b.s.Ended(b.now, a.Order, reason, 100*ms)
+}
+
+func TestAJobEndsOnceAllItsTasksAreDone(t *testing.T) {
+	b := newBed(t, "e1", "e2")
+	second := step(1)
+	second.After = []int{0}
+	b.submit("j", callerA, 0, step(2), second)
+	first, _, _ := b.take()
+	if len(first) != 2 {
+		t.Fatalf("%d orders, want the two tasks of the first step", len(first))
+	}
+	b.end(first[0], EndDone)
+	if orders, _, _ := b.take(); len(orders) > 0 {
+		t.Fatal("the second step began before the first was done")
+	}
+	b.end(first[1], EndDone)
+	last, outcomes, _ := b.take()
+	if len(last) != 1 || len(outcomes) > 0 {
+		t.Fatalf("%d orders, outcomes %v", len(last), outcomes)
+	}
+	b.end(last[0], EndDone)
+	_, outcomes, _ = b.take()
+	if diff := cmp.Diff(map[string]result.Code{"j": result.OK}, outcomes); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestAFailedTaskRunsElsewhereUpToItsAttempts(t *testing.T) {
+	b := newBed(t, "e1", "e2", "e3")
+	b.submit("j", callerA, 0, step(1))
+	seen := map[string]bool{}
+	for i := range 3 {
+		orders, outcomes, _ := b.take()
+		if len(orders) != 1 {
+			t.Fatalf("attempt %d: %d orders, outcomes %v", i, len(orders), outcomes)
+		}
+		seen[orders[0].Endpoint.ID] = true
+		b.end(orders[0], EndFailed)
+	}
+	_, outcomes, _ := b.take()
+	if outcomes["j"] != result.TaskFailed || len(seen) != 3 {
+		t.Errorf("outcome %v after attempts on %v", outcomes["j"], seen)
+	}
+}
+
+// A task that failed on several endpoints says nothing against the last one.
+func TestAHopelessJobEjectsNoEndpoint(t *testing.T) {
+	b := newBed(t, "e1", "e2", "e3")
+	for i := range 4 {
+		b.submit(string(rune('a'+i)), callerA, 0, step(1))
+		for range 3 {
+			orders, _, _ := b.take()
+			b.end(orders[0], EndFailed)
+		}
+		b.take()
+		b.submit("good", callerA, 0, step(3))
+		good, _, _ := b.take()
+		for _, o := range good {
+			b.end(o, EndDone)
+		}
+	}
+	for _, e := range b.s.endpoints {
+		if e.ejectedUntil != 0 {
+			t.Errorf("%s is ejected", e.id.ID)
+		}
+	}
+}
+
+func TestAnEndpointThatFailsAllIsEjectedAndProbedWithSingleTasks(t *testing.T) {
+	b := newBed(t, "bad")
+	for i := range ejectAfter {
+		b.submit(string(rune('a'+i)), callerA, 0, step(1))
+		orders, _, _ := b.take()
+		if len(orders) != 1 {
+			t.Fatalf("task %d: %d orders", i, len(orders))
+		}
+		b.end(orders[0], EndFailed)
+		b.s.Cancel(b.now, string(rune('a'+i)), callerA)
+		for _, o := range first(b.take()) {
+			b.end(o, EndStopped)
+		}
+	}
+	b.submit("later", callerA, 0, step(1))
+	if orders, outcomes, _ := b.take(); len(orders) > 0 || outcomes["later"] != result.Overloaded {
+		t.Fatalf("%d orders, outcome %v: the only endpoint is ejected", len(orders), outcomes)
+	}
+	b.report("good", EndpointStatus{Available: true, Capacity: Resources{CPUMilli: 4000, MemoryMB: 1000}})
+	b.now += ejectFirst
+	b.submit("probe", callerA, 0, step(4))
+	probes := 0
+	for _, o := range first(b.take()) {
+		if o.Endpoint.ID == "bad" {
+			probes++
+			b.s.Ended(b.now, o.Order, EndDone, 100*ms)
+		}
+	}
+	if probes > 1 {
+		t.Errorf("%d tasks on an endpoint on probation", probes)
+	}
+}
+
+func first(orders []SchedulerAction, _ map[string]result.Code, _ []RunRef) []SchedulerAction {
+	return orders
+}
+
+func TestACancelledJobHasItsRunsStoppedAndStartsAgainOnlyOnceTheyAreGone(t *testing.T) {
+	b := newBed(t, "e1")
+	b.submit("j", callerA, 0, step(1))
+	old, _, _ := b.take()
+	b.s.Cancel(b.now, "j", callerA)
+	if _, _, cancels := b.take(); len(cancels) != 1 {
+		t.Fatalf("%d runs stopped, want 1", len(cancels))
+	}
+	b.submit("j", callerB, 0, step(1))
+	if orders, _, _ := b.take(); len(orders) > 0 {
+		t.Fatal("started again while the old run may go on")
+	}
+	b.end(old[0], EndStopped)
+	orders, _, _ := b.take()
+	if len(orders) != 1 || orders[0].Run.Run <= old[0].Run.Run {
+		t.Fatalf("got %+v, want a run with a higher number", orders)
+	}
+	b.end(orders[0], EndDone)
+	if _, outcomes, _ := b.take(); outcomes["j"] != result.OK {
+		t.Errorf("outcome %v", outcomes)
+	}
+}
+
+func TestTheSameJobAgainJoinsTheOneThatIsOpen(t *testing.T) {
+	b := newBed(t, "e1")
+	b.submit("j", callerA, 0, step(1))
+	b.submit("j", callerB, 0, step(1))
+	orders, _, _ := b.take()
+	if len(orders) != 1 {
+		t.Fatalf("%d orders, want 1", len(orders))
+	}
+	b.s.Cancel(b.now, "j", callerA) // its first client has gone; another waits
+	b.end(orders[0], EndDone)
+	for _, a := range b.s.Take() {
+		if a.Kind == FinishJob && a.Caller != callerB {
+			t.Errorf("answered to %v", a.Caller)
+		}
+	}
+}
+
+func TestHigherPriorityGoesFirst(t *testing.T) {
+	b := newBed(t, "e1")
+	b.submit("running", callerA, 0, step(4))
+	running, _, _ := b.take()
+	b.submit("low", callerA, 2, step(1))
+	b.submit("high", callerA, 0, step(1))
+	b.take()
+	b.end(running[0], EndDone)
+	if orders, _, _ := b.take(); len(orders) != 1 || orders[0].Job != "high" {
+		t.Errorf("got %+v, want the job of higher priority", orders)
+	}
+}
+
+func TestAJobThatWouldWaitTooLongIsRefusedAtOnce(t *testing.T) {
+	b := newBed(t, "e1")
+	b.submit("running", callerA, 0, Step{Count: 4, Need: Resources{CPUMilli: 1000}, Estimate: time.Second})
+	b.take()
+	b.submit("j", callerA, 0, step(1))
+	if _, outcomes, _ := b.take(); outcomes["j"] != result.Overloaded {
+		t.Errorf("outcome %v, want a refusal", outcomes)
+	}
+}
+
+func TestNothingIsRefusedWhileThereIsRoom(t *testing.T) {
+	b := newBed(t, "e1", "e2")
+	for i := range 8 {
+		b.submit(string(rune('a'+i)), callerA, i%3, step(1))
+	}
+	if orders, outcomes, _ := b.take(); len(orders) != 8 || len(outcomes) > 0 {
+		t.Errorf("%d orders, outcomes %v", len(orders), outcomes)
+	}
+}
+
+// After everything was restarted clients come before the agents do.
+func TestANewSchedulerTakesJobsBeforeItKnowsAnEndpoint(t *testing.T) {
+	b := newBed(t)
+	b.s = NewScheduler("svc", &OrderNumbers{}, b.now)
+	b.submit("early", callerA, 0, step(1))
+	b.now += 100 * ms
+	b.report("e1", EndpointStatus{Available: true, Capacity: Resources{CPUMilli: 4000, MemoryMB: 1000}})
+	if orders, outcomes, _ := b.take(); len(orders) != 1 || len(outcomes) > 0 {
+		t.Errorf("%d orders, outcomes %v", len(orders), outcomes)
+	}
+	b.s = NewScheduler("svc", &OrderNumbers{}, b.now)
+	b.now += startGrace
+	b.submit("late", callerA, 0, step(1))
+	if _, outcomes, _ := b.take(); outcomes["late"] != result.Overloaded {
+		t.Errorf("outcome %v, want a refusal", outcomes)
+	}
+}
+
+func TestAnEvacuatedZoneAndADrainingEndpointGetNoTask(t *testing.T) {
+	b := newBed(t)
+	capacity := Resources{CPUMilli: 4000, MemoryMB: 1000}
+	b.report("out", EndpointStatus{Available: true, Zone: "z1", Capacity: capacity})
+	b.report("drains", EndpointStatus{Available: false, Zone: "z2", Capacity: capacity})
+	b.report("good", EndpointStatus{Available: true, Zone: "z2", Capacity: capacity})
+	b.s.SetEvacuated(b.now, []string{"z1"})
+	b.submit("j", callerA, 0, step(4))
+	for _, o := range first(b.take()) {
+		if o.Endpoint.ID != "good" {
+			t.Errorf("task at %s", o.Endpoint.ID)
+		}
+	}
+}
+
+func TestLabelsRacksAndLimitsPerEndpointAreKept(t *testing.T) {
+	b := newBed(t)
+	capacity := Resources{CPUMilli: 4000, MemoryMB: 1000}
+	b.report("e1", EndpointStatus{Available: true, Labels: []string{"a", "rack1"}, Capacity: capacity})
+	b.report("e2", EndpointStatus{Available: true, Labels: []string{"a", "rack2"}, Capacity: capacity})
+	b.report("e3", EndpointStatus{Available: true, Labels: []string{"b", "rack2"}, Capacity: capacity})
+	at := func(id string, st Step) (places []string) {
+		b.submit(id, callerA, 0, st)
+		for _, o := range first(b.take()) {
+			places = append(places, o.Endpoint.ID)
+		}
+		b.s.Cancel(b.now, id, callerA)
+		for _, r := range b.s.endpoints {
+			for _, run := range b.s.runsAt(r) {
+				b.s.Ended(b.now, run.order, EndStopped, 0)
+			}
+		}
+		b.take()
+		return places
+	}
+	labelled, near, spread := step(2), step(1), step(2)
+	labelled.RequiredLabel = "b"
+	if got := at("j1", labelled); !cmp.Equal(got, []string{"e3", "e3"}) {
+		t.Errorf("required label: %v", got)
+	}
+	near.DataRack = "rack1"
+	if got := at("j2", near); !cmp.Equal(got, []string{"e1"}) {
+		t.Errorf("data on rack1: %v", got)
+	}
+	spread.MaxPerEndpoint, spread.RequiredLabel = 1, "a"
+	if got := at("j3", spread); len(got) != 2 || got[0] == got[1] {
+		t.Errorf("at most one task an endpoint: %v", got)
+	}
+}
+
+func TestRunsOfALostAgentStartElsewhereOnlyWhenTheyAreOver(t *testing.T) {
+	b := newBed(t, "e1")
+	b.submit("j", callerA, 0, Step{Count: 1, Need: Resources{CPUMilli: 1000}, Estimate: time.Second})
+	b.take()
+	b.report("e2", EndpointStatus{Available: true, Capacity: Resources{CPUMilli: 4000, MemoryMB: 1000}})
+	goneBy := b.now + 900*ms
+	b.s.AgentLost(b.now, agentOf("e1"), goneBy)
+	for b.now < goneBy {
+		if orders, _, _ := b.take(); len(orders) > 0 {
+			t.Fatalf("started elsewhere %v before the run is over", goneBy-b.now)
+		}
+		b.now += 25 * ms
+		b.s.Tick(b.now)
+	}
+	if orders, _, _ := b.take(); len(orders) != 1 || orders[0].Endpoint.ID != "e2" {
+		t.Errorf("got %+v, want a start elsewhere", orders)
+	}
+}
+
+func TestARefusalAfterAStartDoesNotSayNotRun(t *testing.T) {
+	b := newBed(t, "e1")
+	b.submit("j", callerA, 0, step(1))
+	orders, _, _ := b.take()
+	b.end(orders[0], EndLapsed)
+	b.take()
+	b.now += 3 * time.Second
+	b.s.Tick(b.now)
+	_, outcomes, _ := b.take()
+	if code, ok := outcomes["j"]; !ok || result.Lookup(code).Ran == result.RanNo {
+		t.Errorf("outcome %v of a job that may have run", code)
+	}
+}
+
+func TestAnEndOfAnEarlierOrderIsNotTakenForALaterOnes(t *testing.T) {
+	b := newBed(t, "e1")
+	b.submit("j", callerA, 0, step(1))
+	old, _, _ := b.take()
+	b.end(old[0], EndLapsed)
+	newer, _, _ := b.take()
+	b.s.Ended(b.now, old[0].Order, Expired, 0)
+	if orders, _, _ := b.take(); len(newer) != 1 || len(orders) > 0 {
+		t.Errorf("%d orders, then %d", len(newer), len(orders))
+	}
+}
+
+func TestHomesAreChosenAmongWellConnectedEntries(t *testing.T) {
+	all := []Candidate{{"a", 10}, {"b", 10}, {"c", 4}}
+	home := ChooseHome("svc", all)
+	if home == "c" || home == "" {
+		t.Errorf("home %q, want one that reaches the endpoints", home)
+	}
+	for _, c := range all {
+		if got := ChooseHome("svc", []Candidate{c}); got != c.Name {
+			t.Errorf("home %q of %q alone", got, c.Name)
+		}
+	}
+	if got := ChooseHome("svc", nil); got != "" {
+		t.Errorf("home %q without entries", got)
+	}
+}
--- a/hosted/agent/control.go
+++ b/hosted/agent/control.go
@@ -95,7 +95,7 @@
 	for _, e := range s.endpoints {
 		e.guard.Tick(now)
 		s.endIfDead(now, e)
-		busy = busy || e.guard.Runs() > 0
+		busy = busy || e.guard.Runs() > 0 || !e.guard.Settled()
 	}
 	for _, p := range s.peers {
 		if p.Silent(now, entrySilence) {
@@ -110,7 +110,7 @@
 	if busy {
 		pause = busyTick
 	}
-	if s.stopping && !busy {
+	if s.stopping && s.runs() == 0 {
 		s.finishStop()
 	}
 	time.AfterFunc(pause, func() { s.a.send(tick{}) })
@@ -144,6 +144,14 @@
 	s.a.deps.Log.Info().Str("event", "stopping").Msg("agent takes no new tasks")
 }
 
+func (s *state) runs() int {
+	n := 0
+	for _, e := range s.endpoints {
+		n += e.guard.Runs()
+	}
+	return n
+}
+
 func (s *state) finishStop() {
 	select {
 	case <-s.a.idle:
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -127,7 +127,7 @@
 func (s *state) scheduler(service string) *dispatch.Scheduler {
 	sched := s.schedulers[service]
 	if sched == nil {
-		sched = dispatch.NewScheduler(service, s.orders)
+		sched = dispatch.NewScheduler(service, s.orders, mesh.Now())
 		s.schedulers[service] = sched
 		if op := s.e.operator.Load(); op != nil {
 			sched.SetEvacuated(mesh.Now(), op.Evacuated)
