The entry with the queue is a large one

Homes now have at least half of the best entry's endpoints, bandwidth and processor time. Test: TestHomesAreChosenAmongWellConnectedEntries.

--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -360,10 +360,10 @@
 }
 
 func TestHomesAreChosenAmongWellConnectedEntries(t *testing.T) {
-	all := []Candidate{{"a", 10}, {"b", 10}, {"c", 4}}
+	all := []Candidate{{"a", 10, 0.8, 200}, {"b", 10, 0.5, 150}, {"c", 4, 0.8, 200}, {"small", 10, 0.2, 200}, {"slow", 10, 0.8, 25}}
 	home := ChooseHome("svc", all)
-	if home == "c" || home == "" {
-		t.Errorf("home %q, want one that reaches the endpoints", home)
+	if home != "a" && home != "b" {
+		t.Errorf("home %q, want a large one that reaches the endpoints", home)
 	}
 	for _, c := range all {
 		if got := ChooseHome("svc", []Candidate{c}); got != c.Name {
--- a/hosted/entry/entry.go
+++ b/hosted/entry/entry.go
@@ -61,7 +61,8 @@
 	e := &Entry{node: node, deps: deps, store: platform.NewStore(node.StoreAddr)}
 	e.self = wire.NodeHello{
 		Name: node.Name, Incarnation: wire.Incarnation(rand.Uint64()), Role: wire.RoleEntry, Zone: node.Zone,
-		Addr: net.JoinHostPort(node.IP, strconv.Itoa(node.LinkPort)),
+		Addr:  net.JoinHostPort(node.IP, strconv.Itoa(node.LinkPort)),
+		Cores: node.Cores, LinkMbps: node.LinkMbps,
 	}
 	e.mesh = mesh.New(e.self, e, wire.Count(deps.Metrics), deps.Log)
 	e.system = actor.NewActorSystem(
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -179,16 +179,20 @@
 	self := s.beat()
 	var candidates []dispatch.Candidate
 	if !s.stopping {
-		candidates = append(candidates, dispatch.Candidate{Name: s.e.self.Name, Endpoints: self.Endpoints})
+		candidates = append(candidates, candidate(s.e.self, self))
 	}
-	for name, p := range s.peers {
+	for _, p := range s.peers {
 		if p.Clock > 0 && !p.Beat.Draining && p.Beat.StoreVersion > 0 {
-			candidates = append(candidates, dispatch.Candidate{Name: name, Endpoints: p.Beat.Endpoints})
+			candidates = append(candidates, candidate(p.Hello, p.Beat))
 		}
 	}
 	return dispatch.ChooseHome(service, candidates)
 }
 
+func candidate(hello wire.NodeHello, beat wire.NodeBeat) dispatch.Candidate {
+	return dispatch.Candidate{Name: hello.Name, Endpoints: beat.Endpoints, Cores: hello.Cores, LinkMbps: hello.LinkMbps}
+}
+
 // chooseHomes notes which services' queues this entry holds, and tells agents
 // at once when that changes.
 func (s *state) chooseHomes() {
--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -21,6 +21,8 @@
 	Role        string      `cbor:"3,keyasint"`
 	Zone        string      `cbor:"4,keyasint"`
 	Addr        string      `cbor:"5,keyasint,omitempty"` // IP:port of the listener for links; entries only
+	Cores       float64     `cbor:"6,keyasint,omitempty"` // processor time of the host
+	LinkMbps    float64     `cbor:"7,keyasint,omitempty"` // bandwidth of the host
 }
 
 // NodeBeat is a heartbeat.
