--- a/settings/guide_test.go
+++ b/settings/guide_test.go
@@ -10,7 +10,7 @@
 // guideExample writes the n-th settings example of the operators' guide to a file.
 func guideExample(t *testing.T, n int) string {
 	t.Helper()
-	guide, err := os.ReadFile("../docs/OPERATORS.md")
+	guide, err := os.ReadFile("../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
