--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -39,7 +39,6 @@
 	faults       int     // in a row
 	ejectedUntil Time    // 0: not ejected
 	ejectPause   Time
-	probing      bool
 }
 
 // room returns what is free.
@@ -168,8 +167,10 @@
 			if e.fault(now, ejectAfter) {
 				s.logEndpoint(e, "endpoint_ejected", "tasks make no progress")
 			}
-			s.do(SchedulerAction{Kind: LogDecision, Agent: e.agent, Endpoint: e.id, Job: r.ref.Task.Job, Run: r.ref,
-				Event: "run_stuck", Reason: "no progress"})
+			s.do(SchedulerAction{
+				Kind: LogDecision, Agent: e.agent, Endpoint: e.id, Job: r.ref.Task.Job, Run: r.ref,
+				Event: "run_stuck", Reason: "no progress",
+			})
 		}
 	}
 }
--- a/hosted/agent/agent.go
+++ b/hosted/agent/agent.go
@@ -153,11 +153,11 @@
 
 // Announced implements platform.EndpointEvents.
 func (a *Agent) Announced(n platform.Announcement) bool {
-	reply := make(chan bool, 1)
-	a.send(announced{n, reply})
+	taken := make(chan struct{}, 1)
+	a.send(announced{n, taken})
 	select {
-	case ok := <-reply:
-		return ok
+	case <-taken:
+		return true
 	case <-a.ctx.Done():
 		return false
 	}
--- a/hosted/agent/control.go
+++ b/hosted/agent/control.go
@@ -71,7 +71,8 @@
 	case askLinked:
 		m.reply <- len(s.peers) > 0
 	case announced:
-		m.reply <- s.announced(now, m.n)
+		s.announced(now, m.n)
+		m.taken <- struct{}{}
 	case recalled:
 		s.recalled(now, m.n)
 	case left:
--- a/hosted/agent/endpoint.go
+++ b/hosted/agent/endpoint.go
@@ -37,16 +37,16 @@
 	othersFor map[dispatch.Owner]dispatch.Resources // as last reported to busy owners
 }
 
-func (s *state) announced(now time.Duration, n platform.Announcement) bool {
+func (s *state) announced(now time.Duration, n platform.Announcement) {
 	e := s.endpoints[n.Endpoint]
 	if e == nil {
 		if s.newEndpoint(now, n) {
 			s.remember(n)
 		}
-		return true
+		return
 	}
 	if n.Seq <= e.announced.Seq {
-		return true // delivered late
+		return // delivered late
 	}
 	if n.Draining && !e.announced.Draining {
 		s.a.deps.Log.Info().Str("event", "endpoint_draining").Str("endpoint", n.Endpoint.ID).Msg("endpoint drains")
@@ -55,7 +55,6 @@
 	e.announced = n
 	e.heard = now
 	e.guard.Announced(now, n.Draining || s.stopping, n.Capacity)
-	return true
 }
 
 // remember has an announcement written to the store, in place of an older one
--- a/hosted/agent/messages.go
+++ b/hosted/agent/messages.go
@@ -25,7 +25,7 @@
 	askLinked   struct{ reply chan bool }
 	announced   struct {
 		n     platform.Announcement
-		reply chan bool
+		taken chan struct{}
 	}
 	recalled      struct{ n platform.Announcement }
 	left          struct{ id string }
--- a/hosted/entry/clients.go
+++ b/hosted/entry/clients.go
@@ -71,7 +71,7 @@
 		e.refuse(w, req.ID, result.Unsupported, notReadyRetry, unsupported)
 		return
 	}
-	wait := waitOf(req, route)
+	wait := waitOf(req)
 	reply := make(chan dispatch.Outcome, 1)
 	e.send(submit{job: job, route: route, wait: wait, deadline: arrived + wait, reply: reply})
 	timer := time.NewTimer(wait)
@@ -88,8 +88,8 @@
 	}
 }
 
-// waitOf returns how long the client waits, at most the route's timeout.
-func waitOf(req platform.JobRequest, route dispatch.Route) time.Duration {
+// waitOf returns how long the client waits.
+func waitOf(req platform.JobRequest) time.Duration {
 	wait := req.Wait
 	if wait <= 0 {
 		wait = defaultWait
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -238,7 +238,7 @@
 	first := actions[0]
 	switch first.Kind {
 	case dispatch.OrderRun:
-		return s.orderRuns(now, actions)
+		return s.orderRuns(actions)
 	case dispatch.CancelRun:
 		if p := s.agentOf(first.Agent); p != nil {
 			_ = p.Send(&wire.RunStop{Endpoint: first.Endpoint, Runs: []dispatch.RunRef{first.Run}}) // sent again on the next link
@@ -262,7 +262,7 @@
 }
 
 // orderRuns sends the orders for one job at one endpoint together.
-func (s *state) orderRuns(now time.Duration, actions []dispatch.SchedulerAction) int {
+func (s *state) orderRuns(actions []dispatch.SchedulerAction) int {
 	first := actions[0]
 	m := &wire.RunOrder{Endpoint: first.Endpoint, Payload: first.Payload}
 	n := 0
--- a/hosted/mesh/mesh.go
+++ b/hosted/mesh/mesh.go
@@ -126,7 +126,7 @@
 			pause = dialFirst
 			continue
 		}
-		sleep(ctx, pause/2+rand.N(pause))
+		sleep(ctx, pause/2+rand.N(pause)) //nolint:gosec // jitter needs no secrecy
 		pause = min(2*pause, dialMax)
 	}
 }
@@ -209,7 +209,7 @@
 
 // SeedAddrs returns the addresses at which the settings say that entries may listen.
 func SeedAddrs(node platform.Node) []string {
-	var addrs []string
+	addrs := make([]string, 0, len(node.SeedHosts))
 	for _, host := range node.SeedHosts {
 		addrs = append(addrs, net.JoinHostPort(host, strconv.Itoa(node.LinkPort)))
 	}
--- a/integration/arrows_test.go
+++ b/integration/arrows_test.go
@@ -99,6 +99,10 @@
 		"entry":  {"agent", "command"},
 		"agent":  {"entry", "command"},
 		"client": {"entry", "agent", "wire"},
+		// The product's own processes and the hosted ones share no roles, and
+		// only the hosted ones know the hosting platform.
+		"hosted": {"entry", "agent", "ledger", "placement", "command"},
+		"wire":   {"platform"},
 	}
 	for from, modules := range never {
 		if _, ok := all[from]; !ok {
@@ -114,7 +118,7 @@
 
 func TestPureModulesRequireOnlyResult(t *testing.T) {
 	all := readArrows(t)
-	for name, allowed := range map[string][]string{"result": nil, "placement": {"result"}, "ledger": {"result"}, "release": {"result", "strictjson"}, "strictjson": nil} {
+	for name, allowed := range map[string][]string{"result": nil, "placement": {"result"}, "dispatch": {"result"}, "ledger": {"result"}, "release": {"result", "strictjson"}, "strictjson": nil} {
 		requires, ok := all[name]
 		if !ok {
 			t.Errorf("no module %s", name)
--- a/integration/hosted/cluster.go
+++ b/integration/hosted/cluster.go
@@ -49,7 +49,6 @@
 
 	t   testing.TB
 	dir string
-	net byte // second byte of the hosts' addresses
 }
 
 // Host is an entry's or an agent's host.
@@ -214,7 +213,9 @@
 }
 
 // NewJobID returns a random job id.
-func NewJobID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+func NewJobID() string {
+	return fmt.Sprintf("%016x", rand.Uint64()) //nolint:gosec // ids of a test
+}
 
 // Tasks returns a job of n tasks that run for ms milliseconds on a core each.
 func Tasks(n, ms int) string {
@@ -296,7 +297,7 @@
 }
 
 func (tr *Traffic) job(ctx context.Context, n int) {
-	id, body := NewJobID(), Tasks(1+rand.IntN(4), 20+rand.IntN(200))
+	id, body := NewJobID(), Tasks(1+rand.IntN(4), 20+rand.IntN(200)) //nolint:gosec // sizes of a test
 	for try := range 3 {
 		a := tr.c.Submit(tr.c.Entries[(n+try)%len(tr.c.Entries)], id, body)
 		tr.note(id, a)
