A job sent again after a lost link is not refused as not run

An entry that the home had counted as lost sent its open jobs again on the new link. Test: TestAJobThatRanBeforeIsNotRefusedAsNotRun (failed before).

--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -138,6 +138,7 @@
 		s.resubmit(j, sub)
 		return
 	}
+	sub.MayHaveRun = sub.MayHaveRun || s.recent[sub.Job.ID].highest > 0
 	if out, refused := s.admit(now, &sub); refused {
 		s.finishUnknown(sub, out)
 		return
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -374,3 +374,20 @@
 		t.Errorf("home %q without entries", got)
 	}
 }
+
+// An entry that was lost for a moment sends its open jobs again. Their runs
+// were stopped meanwhile, so they may not be refused as not run.
+func TestAJobThatRanBeforeIsNotRefusedAsNotRun(t *testing.T) {
+	b := newBed(t, "e1")
+	b.submit("j", callerA, 0, step(1))
+	orders, _, _ := b.take()
+	b.s.CallerLost(b.now, callerA)
+	b.end(orders[0], EndStopped)
+	b.submit("running", callerB, 0, Step{Count: 4, Need: Resources{CPUMilli: 1000}, Estimate: time.Second})
+	b.take()
+	b.submit("j", callerA, 0, step(1))
+	_, outcomes, _ := b.take()
+	if code, ok := outcomes["j"]; !ok || result.Lookup(code).Ran == result.RanNo {
+		t.Errorf("answered %v (%v), though a task had started", code, ok)
+	}
+}
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -64,7 +64,7 @@
 func (s *state) resume(now time.Duration, p *mesh.Peer, owner dispatch.Owner) {
 	for _, r := range s.requests {
 		if r.home == owner {
-			_ = p.Send(&wire.JobSubmit{Job: r.job, Route: r.route, Wait: r.deadline - now}) // as above
+			_ = p.Send(&wire.JobSubmit{Job: r.job, Route: r.route, Wait: r.deadline - now, MayHaveRun: true}) // as above
 		}
 	}
 }
