A randomized soak of the hosted processes against the stand-ins

Kills, freezes, stops, store outages for all or one host, dropped history, endpoint faults and evacuations that overlap, under traffic; checks that no task runs twice at the same time, that refusals are true and that service is back within 8 s. Not in it yet: delayed, reset or one-way links between processes, steps of clocks.

--- /dev/null
+++ b/integration/hosted/soak_test.go
@@ -0,0 +1,161 @@
+package hosted
+
+import (
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"bergamotwing.example/platform/fake"
+)
+
+// The soak plays random faults, which overlap, against real processes under
+// traffic, and checks the promises from what clients and endpoints see.
+//
+//	BERGAMOTWING_SOAK_SEED=7 BERGAMOTWING_SOAK_RUNS=20 go test ./integration/hosted -run TestSoak -timeout 1h -v
+
+const (
+	soakEntries = 3
+	soakAgents  = 5
+	soakFaults  = 8
+	soakSpan    = 8 * time.Second // in which the faults begin
+	soakBack    = 8 * time.Second // after the last fault, until all is served again
+)
+
+// soakCases are the seeds that failed once, with the cause.
+var soakCases = []struct {
+	seed  uint64
+	cause string
+}{
+	{1, "the first seed of the short run in CI; it has not failed"},
+}
+
+func soakNumber(name string, otherwise uint64) uint64 {
+	n, err := strconv.ParseUint(os.Getenv(name), 10, 64)
+	if err != nil {
+		return otherwise
+	}
+	return n
+}
+
+func TestSoak(t *testing.T) {
+	for _, c := range soakCases {
+		t.Run(strconv.FormatUint(c.seed, 10), func(t *testing.T) { soak(t, c.seed) })
+	}
+	first := soakNumber("BERGAMOTWING_SOAK_SEED", 100)
+	for seed := first; seed < first+soakNumber("BERGAMOTWING_SOAK_RUNS", 0); seed++ {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { soak(t, seed) })
+	}
+}
+
+func soak(t *testing.T, seed uint64) {
+	t.Helper()
+	rng := rand.New(rand.NewPCG(seed, 0)) //nolint:gosec // reproducible
+	c := New(t, soakEntries, soakAgents)
+	tr := c.StartTraffic(8, 25*time.Millisecond)
+	var faults sync.WaitGroup
+	for range soakFaults {
+		at := time.Duration(rng.Int64N(int64(soakSpan)))
+		lasts := 200*time.Millisecond + time.Duration(rng.Int64N(int64(2500*time.Millisecond)))
+		f := pickFault(c, rng)
+		faults.Add(1)
+		go func() {
+			defer faults.Done()
+			time.Sleep(at)
+			t.Logf("seed %d: %s at %v for %v", seed, f.name, at.Round(time.Millisecond), lasts.Round(time.Millisecond))
+			f.play(lasts)
+		}()
+	}
+	faults.Wait()
+	servedAgain(t, c, soakBack)
+	tr.Stop()
+	tr.Check()
+	if all, completed, _ := tr.Counts(); completed == 0 {
+		t.Errorf("none of %d jobs was completed", all)
+	}
+}
+
+type soakFault struct {
+	name string
+	play func(lasts time.Duration)
+}
+
+// hostLock keeps two faults from starting and stopping one process at the same time.
+var hostLock sync.Map // *Host to *sync.Mutex
+
+func alone(h *Host, do func()) {
+	lock, _ := hostLock.LoadOrStore(h, &sync.Mutex{})
+	mu := lock.(*sync.Mutex)
+	mu.Lock()
+	defer mu.Unlock()
+	do()
+}
+
+// pickFault draws a fault and what it hits.
+func pickFault(c *Cluster, rng *rand.Rand) soakFault {
+	entry := c.Entries[rng.IntN(len(c.Entries))]
+	agent := c.Agents[rng.IntN(len(c.Agents))]
+	host := entry
+	if rng.IntN(2) == 0 {
+		host = agent
+	}
+	storeFault := fake.StoreFault(1 + rng.IntN(4))
+	version := 100 + rng.IntN(1000)
+	endpointFault := fake.EndpointFault(1 + rng.IntN(5))
+	all := []soakFault{
+		{"kill " + host.Name, func(lasts time.Duration) {
+			alone(host, func() {
+				host.Kill()
+				time.Sleep(lasts / 4)
+				host.Start(c.t)
+			})
+		}},
+		{"freeze " + host.Name, func(lasts time.Duration) {
+			alone(host, func() {
+				_ = host.Freeze() // it runs: faults of one host do not overlap
+				time.Sleep(lasts)
+				_ = host.Thaw()
+			})
+		}},
+		{"stop " + host.Name, func(time.Duration) {
+			alone(host, func() {
+				if err := host.Stop(7 * time.Second); err != nil {
+					c.t.Errorf("stop of %s: %v", host.Name, err)
+				}
+				host.Start(c.t)
+			})
+		}},
+		{"store", func(lasts time.Duration) {
+			c.Store.SetFault(func(string) fake.StoreFault { return storeFault })
+			time.Sleep(lasts)
+			c.Store.SetFault(func(string) fake.StoreFault { return fake.StoreWell })
+		}},
+		{"store of " + host.Name, func(lasts time.Duration) {
+			c.Store.SetFault(func(ip string) fake.StoreFault {
+				if ip == host.IP {
+					return storeFault
+				}
+				return fake.StoreWell
+			})
+			time.Sleep(lasts)
+			c.Store.SetFault(func(string) fake.StoreFault { return fake.StoreWell })
+		}},
+		{"endpoint of " + agent.Name, func(lasts time.Duration) {
+			agent.Endpoint.SetFault(endpointFault)
+			time.Sleep(lasts)
+			agent.Endpoint.SetFault(fake.EndpointWell)
+		}},
+		{"history of the store", func(time.Duration) {
+			c.SetConfig(version, prefix)
+			c.Store.DropHistory()
+		}},
+		{"evacuate " + agent.Zone, func(lasts time.Duration) {
+			c.Store.Put("op", "evacuate/"+agent.Zone, struct{}{})
+			time.Sleep(lasts)
+			c.Store.Delete("op", "evacuate/"+agent.Zone)
+		}},
+	}
+	return all[rng.IntN(len(all))]
+}
