Rows of entries that are gone are removed after 20 s

Cause: nothing removed the row of a host that never came back, so its address was dialed for ever. The row is removed under the condition that nobody has written it since; an entry that lives after all registers again. Test: TestTheRowOfAnEntryThatIsGoneIsRemoved.

--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -35,7 +35,7 @@
 	agents     map[string]*mesh.Peer // linked agents by name
 	lost       map[string]lostEntry  // entries whose link is down, within their lease
 	members    map[string]mesh.MemberRow
-	refusedAt  map[string]time.Duration       // since when nothing listens at an address
+	unlinked   map[string]time.Duration       // since when a member is not linked
 	schedulers map[string]*dispatch.Scheduler // by service
 	orders     *dispatch.OrderNumbers
 	endpoints  map[dispatch.EndpointID]endpointView
@@ -72,7 +72,7 @@
 func newState(e *Entry) *state {
 	return &state{
 		e: e, seeds: mesh.SeedAddrs(e.node), peers: map[string]*mesh.Peer{}, agents: map[string]*mesh.Peer{}, lost: map[string]lostEntry{},
-		members: map[string]mesh.MemberRow{}, refusedAt: map[string]time.Duration{},
+		members: map[string]mesh.MemberRow{}, unlinked: map[string]time.Duration{},
 		schedulers: map[string]*dispatch.Scheduler{}, orders: &dispatch.OrderNumbers{}, endpoints: map[dispatch.EndpointID]endpointView{},
 		requests: map[string]*request{}, recent: map[string]recentEnd{}, home: map[string]string{},
 	}
@@ -101,7 +101,7 @@
 	case received:
 		s.received(now, m.link, m.m)
 	case membersRead:
-		s.setMembers(m.members)
+		s.setMembers(now, m.members)
 	case operatorRead:
 		s.adopt(now, m.state, "store")
 	case submit:
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -86,9 +86,6 @@
 
 // refused notes that no process listens at an address.
 func (s *state) refused(now time.Duration, addr string) {
-	if _, ok := s.refusedAt[addr]; !ok {
-		s.refusedAt[addr] = now
-	}
 	for name, gone := range s.lost {
 		if s.members[name].Addr == addr {
 			delete(s.lost, name)
@@ -302,16 +299,16 @@
 		return
 	}
 	s.members[name] = mesh.MemberRow{Member: wire.Member{Name: name, Addr: addr}}
-	delete(s.refusedAt, addr)
 	s.retarget()
 }
 
 // setMembers takes in the entries registered in the store.
-func (s *state) setMembers(rows []mesh.MemberRow) {
+func (s *state) setMembers(now time.Duration, rows []mesh.MemberRow) {
 	next := map[string]mesh.MemberRow{}
 	for _, row := range rows {
 		if row.Name != s.e.self.Name {
 			next[row.Name] = row
+			s.removeIfGone(now, row)
 		}
 	}
 	for name, p := range s.peers {
@@ -323,6 +320,21 @@
 	s.retarget()
 }
 
+// removeIfGone removes the row of an entry that has not been linked for long.
+// One that lives after all registers again.
+func (s *state) removeIfGone(now time.Duration, row mesh.MemberRow) {
+	since, known := s.unlinked[row.Name]
+	switch {
+	case s.peers[row.Name] != nil:
+		delete(s.unlinked, row.Name)
+	case !known:
+		s.unlinked[row.Name] = now
+	case now-since > removeAfter:
+		delete(s.unlinked, row.Name)
+		go s.e.removeMember(row)
+	}
+}
+
 func (s *state) retarget() {
 	targets := slices.Clone(s.seeds)
 	for _, m := range s.members {
--- a/hosted/entry/store.go
+++ b/hosted/entry/store.go
@@ -16,7 +16,7 @@
 	storePause    = 200 * time.Millisecond // after a failed call
 	storePauseMax = 2 * time.Second        // after many failed calls
 	membersEvery  = 3 * time.Second        // between two readings of the entries
-	removeAfter   = 20 * time.Second       // without a listener, until an entry's row is removed
+	removeAfter   = 20 * time.Second       // without a link, until an entry's row is removed
 	watchShare    = 2                      // a watch waits for a part of the time for a change to be in force
 	rereadEvery   = 5 * time.Second        // between two full readings, besides the watch
 )
@@ -144,6 +144,13 @@
 	return err == nil
 }
 
+func (e *Entry) removeMember(row mesh.MemberRow) {
+	ctx, cancel := context.WithTimeout(e.ctx, storeTimeout)
+	defer cancel()
+	err := mesh.RemoveMember(ctx, e.store, row)
+	e.deps.Log.Info().Str("event", "member_removed").Str("entry", row.Name).AnErr("error", err).Msg("row of a lost entry removed")
+}
+
 func (e *Entry) readMembers(ctx context.Context) []mesh.MemberRow {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
--- a/integration/hosted/hosted_test.go
+++ b/integration/hosted/hosted_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -320,3 +321,15 @@
 		return c.SubmitWithin(t.Context(), c.Entries[1], "/new/", NewJobID(), Tasks(1, 10)).Completed()
 	})
 }
+
+func TestTheRowOfAnEntryThatIsGoneIsRemoved(t *testing.T) {
+	c := New(t, 2, 1)
+	c.Entries[1].Kill()
+	gone := c.Entries[1].Name
+	harness.Eventually(t, 30*time.Second, "the row is removed", func() bool {
+		return !slices.Contains(c.Store.Keys("bergamotwing-entries"), gone)
+	})
+	if a := c.Submit(c.Entries[0], NewJobID(), Tasks(2, 20)); !a.Completed() {
+		t.Errorf("the other entry: %+v", a)
+	}
+}
