--- a/hosted/agent/agent.go
+++ b/hosted/agent/agent.go
@@ -53,7 +53,7 @@
 func New(node platform.Node, deps Deps) *Agent {
 	a := &Agent{node: node, deps: deps, store: platform.NewStore(node.StoreAddr), toRemember: make(chan platform.Announcement, 1), idle: make(chan struct{})}
 	hello := wire.NodeHello{
-		Name: node.Name, Incarnation: wire.Incarnation(rand.Uint64()), Role: wire.RoleAgent, Zone: node.Zone,
+		Name: node.Name, Incarnation: wire.Incarnation(rand.Uint64()), Role: wire.RoleAgent, Zone: node.Zone, //nolint:gosec // tells runs apart, keeps no secret
 	}
 	a.mesh = mesh.New(hello, a, wire.Count(deps.Metrics), deps.Log)
 	a.system = actor.NewActorSystem(
--- a/hosted/entry/entry.go
+++ b/hosted/entry/entry.go
@@ -60,7 +60,7 @@
 func New(node platform.Node, deps Deps) *Entry {
 	e := &Entry{node: node, deps: deps, store: platform.NewStore(node.StoreAddr)}
 	e.self = wire.NodeHello{
-		Name: node.Name, Incarnation: wire.Incarnation(rand.Uint64()), Role: wire.RoleEntry, Zone: node.Zone,
+		Name: node.Name, Incarnation: wire.Incarnation(rand.Uint64()), Role: wire.RoleEntry, Zone: node.Zone, //nolint:gosec // tells runs apart, keeps no secret
 		Addr:  net.JoinHostPort(node.IP, strconv.Itoa(node.LinkPort)),
 		Cores: node.Cores, LinkMbps: node.LinkMbps,
 	}
