Endpoints are judged by shares of failed and unanswered runs

The replay of such loads showed two more faults of the landed code: a service whose endpoints are all ejected never came back, since jobs were refused and so nothing was probed; and faults that all endpoints have ejected up to 6 of 11.

Change: moving shares of failed and of unanswered runs, compared with the median of the others; only probes restore, eight good ones in a row, whose number doubles; a second failure elsewhere clears the first endpoint; jobs are taken while a probe is due; at most a part of the endpoints is ejected.

--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -12,10 +12,6 @@
 	expiredPause = 100 * time.Millisecond // until a heartbeat renews what an agent goes by
 	busyPause    = 50 * time.Millisecond  // the time an endpoint takes to stop a run
 	checkEvery   = 20 * time.Millisecond  // between two checks of overdue runs and jobs
-	ejectAfter   = 3                      // failed tasks in a row
-	ejectSilent  = 6                      // unanswered orders in a row; single ones are lost without an endpoint's fault
-	ejectFirst   = 500 * time.Millisecond // pause before the first probe
-	ejectMax     = 2 * time.Second        // pause before later probes
 	slowWeight   = 0.2                    // of one run in the slowness of an endpoint
 	slowFrom     = 1.7                    // slowness that counts; below it, it is noise of the estimates
 	overdueFrom  = 2.2                    // times the expected run time
@@ -34,11 +30,9 @@
 	goneBy      Time // runs are over then
 	pausedUntil Time // takes no task before
 
-	slow         float64 // run times as a multiple of what is expected
-	overdue      int     // runs that take much longer than expected
-	faults       int     // in a row
-	ejectedUntil Time    // 0: not ejected
-	ejectPause   Time
+	slow    float64 // run times as a multiple of what is expected
+	overdue int     // runs that take much longer than expected
+	health  health
 }
 
 // room returns what is free.
@@ -51,12 +45,12 @@
 	if e.lost || !e.status.Available || now < e.pausedUntil || slices.Contains(evacuated, e.status.Zone) {
 		return false
 	}
-	return e.ejectedUntil == 0 || now >= e.ejectedUntil && e.active == 0
+	return !e.health.ejected() || e.active < e.health.runsAllowed(now)
 }
 
 // healthy reports whether the endpoint counts as capacity.
 func (e *endpoint) healthy(evacuated []string) bool {
-	return !e.lost && e.status.Available && e.ejectedUntil == 0 && !slices.Contains(evacuated, e.status.Zone)
+	return !e.lost && e.status.Available && !e.health.ejected() && !slices.Contains(evacuated, e.status.Zone)
 }
 
 // slowness returns by how much longer a task is expected to take here.
@@ -71,30 +65,6 @@
 	return slow
 }
 
-// fault counts a run that went wrong for a reason that may be the endpoint's.
-func (e *endpoint) fault(now Time, limit int) (ejected bool) {
-	e.faults++
-	if e.ejectedUntil != 0 {
-		e.ejectPause = min(2*e.ejectPause, ejectMax)
-		e.ejectedUntil = now + e.ejectPause
-		return false
-	}
-	if e.faults < limit {
-		return false
-	}
-	e.ejectPause = ejectFirst
-	e.ejectedUntil = now + e.ejectPause
-	return true
-}
-
-// sound counts a run that went well.
-func (e *endpoint) sound() (restored bool) {
-	restored = e.ejectedUntil != 0
-	e.faults = 0
-	e.ejectedUntil = 0
-	return restored
-}
-
 // learn takes in how a run ended.
 func (s *Scheduler) learn(now Time, r *run, reason EndReason, age Time) {
 	e := r.endpoint
@@ -104,20 +74,47 @@
 	switch reason {
 	case EndDone:
 		s.learnTime(r, age)
-		if e.sound() {
-			s.logEndpoint(e, "endpoint_restored", "a task ended well")
+		if e.health.goodRun(r.ordered) {
+			s.logEndpoint(e, "endpoint_restored", "tasks end well")
 		}
 	case EndFailed:
-		if len(r.task.failedAt) == 0 && e.fault(now, ejectAfter) {
-			s.logEndpoint(e, "endpoint_ejected", "tasks fail")
-		}
+		s.learnFailure(now, r)
 	case Unanswered, Unhealthy, NotStarted:
-		if e.fault(now, ejectSilent) {
+		if e.health.unansweredOrder(now, r.ordered, s.limitsFor(e)) {
 			s.logEndpoint(e, "endpoint_ejected", reason.String())
 		}
 	}
 }
 
+// learnFailure blames an endpoint for a failed run, unless the task fails
+// wherever it runs: the second failure clears the endpoint of the first.
+func (s *Scheduler) learnFailure(now Time, r *run) {
+	e := r.endpoint
+	switch failedAt := r.task.failedAt; len(failedAt) {
+	case 0:
+		if e.health.failedRun(now, r.ordered, s.limitsFor(e)) {
+			s.logEndpoint(e, "endpoint_ejected", "tasks fail")
+		}
+	case 1:
+		for _, o := range s.endpoints {
+			if o.id == failedAt[0] && o.id != e.id {
+				o.health.forgive()
+			}
+		}
+	}
+}
+
+// limitsFor returns from when on an endpoint is ejected.
+func (s *Scheduler) limitsFor(e *endpoint) limits {
+	var others []health
+	for _, o := range s.endpoints {
+		if o != e && !o.lost {
+			others = append(others, o.health)
+		}
+	}
+	return ejectionLimits(others)
+}
+
 func (s *Scheduler) learnTime(r *run, age Time) {
 	declared := r.job.sub.Job.Steps[r.task.step].Estimate
 	if age <= 0 || declared <= 0 {
@@ -140,6 +137,10 @@
 func (s *Scheduler) watch(now Time) {
 	for _, e := range s.endpoints {
 		e.overdue = 0
+		e.health.fade(checkEvery)
+		if e.health.ejected() && e.health.restoreIfNoWorse(s.limitsFor(e)) {
+			s.logEndpoint(e, "endpoint_restored", "the others are no better")
+		}
 	}
 	for _, r := range s.runs {
 		if r.stopping || r.endpoint.lost {
@@ -164,7 +165,7 @@
 			}
 			r.stuck = true
 			s.stop(r)
-			if e.fault(now, ejectAfter) {
+			if e.health.failedRun(now, r.ordered, s.limitsFor(e)) {
 				s.logEndpoint(e, "endpoint_ejected", "tasks make no progress")
 			}
 			s.do(SchedulerAction{
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -49,13 +49,38 @@
 	rate       func(at Time) float64
 	slow       func(endpoint int, at Time) float64 // run times as a multiple
 	unanswered float64                             // share of the orders without an answer
+	fails      func(endpoint int, at Time) float64 // share of the tasks that fail
 }
 
+// never is a share of none.
+func never(int, Time) float64 { return 0 }
+
 // loadResult counts worth by windows of two seconds.
 type loadResult struct {
 	owed, earned                map[int]float64
 	inTime, late, refused, lost int
 	heldRefused                 int // refused after more than a quarter of the objective
+	starts                      map[string][]Time
+	ejections                   int
+	mostEjected                 int // endpoints at the same time
+}
+
+// startsAt counts the runs ordered at an endpoint from one time to another, as
+// a share of all.
+func (r *loadResult) startsAt(endpoint string, from, to Time) float64 {
+	here, all := 0, 0
+	for name, times := range r.starts {
+		for _, at := range times {
+			if at < from || at >= to {
+				continue
+			}
+			all++
+			if name == endpoint {
+				here++
+			}
+		}
+	}
+	return float64(here) / float64(max(all, 1))
 }
 
 func (r *loadResult) share() float64 {
@@ -91,7 +116,10 @@
 func playLoad(p loadPattern) *loadResult {
 	rng := rand.New(rand.NewPCG(p.seed, 7))
 	s := NewScheduler("svc", &OrderNumbers{}, -time.Minute)
-	res := &loadResult{owed: map[int]float64{}, earned: map[int]float64{}}
+	res := &loadResult{owed: map[int]float64{}, earned: map[int]float64{}, starts: map[string][]Time{}}
+	if p.fails == nil {
+		p.fails = never
+	}
 	var events simQueue
 	now, seq := Time(0), 0
 	after := func(d Time, do func()) {
@@ -112,6 +140,13 @@
 	caller := Owner{Entry: "c", Incarnation: 1}
 	var carry func()
 	carry = func() {
+		ejected := 0
+		for _, e := range s.endpoints {
+			if e.health.ejected() {
+				ejected++
+			}
+		}
+		res.mostEjected = max(res.mostEjected, ejected)
 		for _, a := range s.Take() {
 			switch a.Kind {
 			case OrderRun:
@@ -122,6 +157,7 @@
 				if p.slow != nil {
 					takes = Time(float64(takes) * p.slow(index, now))
 				}
+				res.starts[a.Endpoint.ID] = append(res.starts[a.Endpoint.ID], now)
 				if rng.Float64() < p.unanswered {
 					after(30*ms, func() {
 						s.Ended(now, a.Order, Unanswered, 30*ms)
@@ -129,10 +165,18 @@
 					})
 					continue
 				}
+				reason := EndDone
+				if rng.Float64() < p.fails(index, now) {
+					reason = EndFailed
+				}
 				after(takes+2*ms, func() {
-					s.Ended(now, a.Order, EndDone, takes)
+					s.Ended(now, a.Order, reason, takes)
 					carry()
 				})
+			case LogDecision:
+				if a.Event == "endpoint_ejected" {
+					res.ejections++
+				}
 			case FinishJob:
 				j := open[a.Job]
 				took := now - j.arrived
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -24,10 +24,11 @@
 // admit decides on arrival whether a job is taken. It answers bursts: a job that
 // would wait too long behind the work ahead of it is refused at once.
 func (s *Scheduler) admit(now Time, sub *Submission) (Outcome, bool) {
-	if !s.hasCapacity() && now < s.started+startGrace {
+	capacity := s.hasCapacity(now)
+	if !capacity && now < s.started+startGrace {
 		return Outcome{}, false
 	}
-	if !s.hasCapacity() {
+	if !capacity {
 		return Outcome{Code: result.Overloaded, RetryAfter: minRetryAfter, Detail: "no endpoint takes tasks"}, true
 	}
 	for _, st := range sub.Job.Steps {
@@ -43,8 +44,11 @@
 	return Outcome{}, false
 }
 
-func (s *Scheduler) hasCapacity() bool {
-	return slices.ContainsFunc(s.endpoints, func(e *endpoint) bool { return e.healthy(s.evacuated) })
+// hasCapacity reports whether an endpoint takes tasks, be it a probe.
+func (s *Scheduler) hasCapacity(now Time) bool {
+	return slices.ContainsFunc(s.endpoints, func(e *endpoint) bool {
+		return e.healthy(s.evacuated) || e.health.ejected() && e.usable(now, s.evacuated)
+	})
 }
 
 // everFits reports whether a step's tasks fit an empty endpoint.
@@ -132,6 +136,7 @@
 		if cost > expected && now+cost > j.objective && now < j.lateBy && s.anyHealthy(e) {
 			continue
 		}
+		cost = time.Duration(float64(cost) * e.health.attempts())
 		if best == nil || cost < bestCost || cost == bestCost && e.room().CPUMilli > best.room().CPUMilli {
 			best, bestCost = e, cost
 		}
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -130,7 +130,7 @@
 		}
 	}
 	for _, e := range b.s.endpoints {
-		if e.ejectedUntil != 0 {
+		if e.health.ejected() {
 			t.Errorf("%s is ejected", e.id.ID)
 		}
 	}
@@ -138,7 +138,7 @@
 
 func TestAnEndpointThatFailsAllIsEjectedAndProbedWithSingleTasks(t *testing.T) {
 	b := newBed(t, "bad")
-	for i := range ejectAfter {
+	for i := range 3 {
 		b.submit(string(rune('a'+i)), callerA, 0, step(1))
 		orders, _, _ := b.take()
 		if len(orders) != 1 {
