Jobs that clients send again after a loss count from their first submission

A client that sends again waits only for the rest of its time, which its submission says; new ones on a route wait for about as long as each other beyond three times the objective.

Change: patience learns the usual wait of a route and tells ones that are shorter by most of the time after which clients send again; their objective counts from then. Such jobs go last, are taken if there is room, and refused at once otherwise. One order for admission and placement.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -7,7 +7,7 @@
 // job is an open job.
 type job struct {
 	sub       Submission
-	arrived   Time
+	sentAgain bool // the client waited for an earlier submission
 	objective Time // latest end that meets the latency objective
 	lateBy    Time // latest end that is worth anything
 	chain     Time // expected work on the longest path through the steps
@@ -51,7 +51,7 @@
 const lateFactor = 3
 
 func newJob(now Time, sub Submission, est *estimate) *job {
-	j := &job{sub: sub, arrived: now}
+	j := &job{sub: sub}
 	steps := sub.Job.Steps
 	j.left = make([]int, len(steps))
 	j.released = make([]bool, len(steps))
@@ -69,6 +69,13 @@
 	return j
 }
 
+// submittedBefore moves the times that count from the job's first submission.
+func (j *job) submittedBefore(age Time) {
+	j.sentAgain = age > 0
+	j.objective -= age
+	j.lateBy -= age
+}
+
 // longestChain returns the estimated work on the longest path through the steps.
 func longestChain(steps []Step) Time {
 	ends := make([]Time, len(steps))
@@ -103,3 +110,15 @@
 
 // latestStart is when the job has to start to meet its objective.
 func (j *job) latestStart() Time { return j.objective - j.chain }
+
+// tooLate reports whether a job that has not begun misses its objective.
+func (j *job) tooLate(now Time) bool { return !j.ordered && now > j.latestStart() }
+
+// spare returns how long the job may wait: to meet its objective or, if that is
+// missed, to be of use.
+func (j *job) spare(now Time) Time {
+	if spare := j.latestStart() - now; spare >= 0 {
+		return spare
+	}
+	return j.lateBy - j.chain - now
+}
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -3,8 +3,10 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -50,8 +52,13 @@
 	slow       func(endpoint int, at Time) float64 // run times as a multiple
 	unanswered float64                             // share of the orders without an answer
 	fails      func(endpoint int, at Time) float64 // share of the tasks that fail
+	outage     outage
 }
 
+// outage is a loss of all processes. Clients send what was lost again, as long
+// as they wait.
+type outage struct{ from, until Time }
+
 // never is a share of none.
 func never(int, Time) float64 { return 0 }
 
@@ -92,6 +99,12 @@
 	return earned / owed
 }
 
+// window returns the share of what was owed in two seconds that was earned.
+func (r *loadResult) window(from Time) float64 {
+	w := int(from / (2 * time.Second))
+	return r.earned[w] / r.owed[w]
+}
+
 func (r *loadResult) worst() float64 {
 	worst := 1.0
 	for w, o := range r.owed {
@@ -109,13 +122,15 @@
 	class     jobClass
 	arrived   Time
 	objective Time
+	deadline  Time
 	actual    []Time // run time of each task
+	sub       Submission
 }
 
 // playLoad replays a pattern.
 func playLoad(p loadPattern) *loadResult {
 	rng := rand.New(rand.NewPCG(p.seed, 7))
-	s := NewScheduler("svc", &OrderNumbers{}, -time.Minute)
+	s := NewScheduler("svc", NewTiming(0), &OrderNumbers{}, -time.Minute)
 	res := &loadResult{owed: map[int]float64{}, earned: map[int]float64{}, starts: map[string][]Time{}}
 	if p.fails == nil {
 		p.fails = never
@@ -126,14 +141,27 @@
 		seq++
 		heap.Push(&events, simEvent{now + d, seq, do})
 	}
-	for i := range p.endpoints {
-		capacity := p.capacity
-		if i%3 == 2 {
-			capacity += capacity / 2
+	report := func() {
+		for i := range p.endpoints {
+			capacity := p.capacity
+			if i%3 == 2 {
+				capacity += capacity / 2
+			}
+			s.Report(now, AgentID{Name: fmt.Sprintf("a%02d", i), Incarnation: 1}, EndpointStatus{
+				Endpoint: EndpointID{ID: fmt.Sprintf("e%02d", i)}, Service: "svc", Available: true,
+				Capacity: Resources{CPUMilli: capacity, MemoryMB: 1 << 20},
+			})
 		}
-		s.Report(0, AgentID{Name: fmt.Sprintf("a%02d", i), Incarnation: 1}, EndpointStatus{
-			Endpoint: EndpointID{ID: fmt.Sprintf("e%02d", i)}, Service: "svc", Available: true,
-			Capacity: Resources{CPUMilli: capacity, MemoryMB: 1 << 20},
+	}
+	report()
+	incarnation, down := 0, false
+	// inRun is after, unless the processes are lost meanwhile.
+	inRun := func(d Time, do func()) {
+		at := incarnation
+		after(d, func() {
+			if at == incarnation {
+				do()
+			}
 		})
 	}
 	open := map[string]*openJob{}
@@ -159,7 +187,7 @@
 				}
 				res.starts[a.Endpoint.ID] = append(res.starts[a.Endpoint.ID], now)
 				if rng.Float64() < p.unanswered {
-					after(30*ms, func() {
+					inRun(30*ms, func() {
 						s.Ended(now, a.Order, Unanswered, 30*ms)
 						carry()
 					})
@@ -169,7 +197,7 @@
 				if rng.Float64() < p.fails(index, now) {
 					reason = EndFailed
 				}
-				after(takes+2*ms, func() {
+				inRun(takes+2*ms, func() {
 					s.Ended(now, a.Order, reason, takes)
 					carry()
 				})
@@ -179,6 +207,7 @@
 				}
 			case FinishJob:
 				j := open[a.Job]
+				delete(open, a.Job)
 				took := now - j.arrived
 				window := int(j.arrived / (2 * time.Second))
 				switch {
@@ -201,6 +230,35 @@
 			}
 		}
 	}
+	var send func(j *openJob)
+	send = func(j *openJob) {
+		switch {
+		case now > j.deadline:
+			delete(open, j.sub.Job.ID)
+			res.lost++
+		case down:
+			after(simResend, func() { send(j) })
+		default:
+			s.Submit(now, j.sub)
+			carry()
+		}
+	}
+	if p.outage.until > 0 {
+		after(p.outage.from, func() {
+			incarnation++
+			down = true
+			for _, id := range slices.Sorted(maps.Keys(open)) {
+				if j := open[id]; j.arrived <= now {
+					after(simResend, func() { send(j) })
+				}
+			}
+		})
+		after(p.outage.until, func() {
+			down = false
+			s = NewScheduler("svc", NewTiming(0), &OrderNumbers{}, now)
+			report()
+		})
+	}
 	lognormal := func(sigma float64) float64 { return math.Exp(sigma*rng.NormFloat64() - sigma*sigma/2) }
 	jobs := 0
 	for _, c := range p.classes {
@@ -223,14 +281,15 @@
 				return
 			}
 			res.owed[int(now/(2*time.Second))] += c.worth
-			s.Submit(now, Submission{
-				Caller: caller, Route: c.route, Deadline: now + 1500*ms + 2*longest,
+			oj.deadline = now + 1500*ms + 3*(oj.objective-now)
+			oj.sub = Submission{
+				Caller: caller, Route: c.route, Deadline: oj.deadline,
 				Job: Job{ID: id, Steps: []Step{{
 					Count: width, Need: Resources{CPUMilli: int(float64(c.cpu) * lognormal(0.2)), MemoryMB: 64},
 					Estimate: Time(work * lognormal(0.4)),
 				}}},
-			})
-			carry()
+			}
+			send(oj)
 			if rate := c.perS * p.rate(now); rate > 0 {
 				after(Time(rng.ExpFloat64()/rate*float64(time.Second)), arrive)
 			}
@@ -239,8 +298,10 @@
 	}
 	var tick func()
 	tick = func() {
-		s.Tick(now)
-		carry()
+		if !down {
+			s.Tick(now)
+			carry()
+		}
 		after(25*ms, tick)
 	}
 	tick()
@@ -319,3 +380,25 @@
 		}
 	}
 }
+
+// All processes are lost for 1.4 s. What clients send again is of no use any
+// more to most of them, and comes together with the ordinary load.
+func TestNewJobsAreServedBesideThoseSentAgainAfterALossOfEverything(t *testing.T) {
+	var sum, plays float64
+	for seed := range uint64(5) {
+		for name, p := range map[string]loadPattern{
+			"bannerstroom": bannerstroomLoad(seed, burst(1, 1)),
+			"ysgol-hire":   orchardLoad(seed, burst(1, 1)),
+		} {
+			p.outage = outage{from: 8300 * ms, until: 9700 * ms}
+			res := playLoad(p)
+			t.Logf("%s, seed %d: two seconds from 8, 10, 12 s on: %.3f, %.3f, %.3f", name, seed,
+				res.window(8*time.Second), res.window(10*time.Second), res.window(12*time.Second))
+			sum += res.window(10 * time.Second)
+			plays++
+		}
+	}
+	if mean := sum / plays; mean < quietAim {
+		t.Errorf("jobs that come after the loss earn %.3f on average, want %.2f as on a quiet day", mean, quietAim)
+	}
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -23,7 +23,7 @@
 
 // admit decides on arrival whether a job is taken. It answers bursts: a job that
 // would wait too long behind the work ahead of it is refused at once.
-func (s *Scheduler) admit(now Time, sub *Submission) (Outcome, bool) {
+func (s *Scheduler) admit(now Time, j *job) (Outcome, bool) {
 	capacity := s.hasCapacity(now)
 	if !capacity && now < s.started+startGrace {
 		return Outcome{}, false
@@ -31,14 +31,13 @@
 	if !capacity {
 		return Outcome{Code: result.Overloaded, RetryAfter: minRetryAfter, Detail: "no endpoint takes tasks"}, true
 	}
-	for _, st := range sub.Job.Steps {
+	for _, st := range j.sub.Job.Steps {
 		if !s.everFits(st) {
 			return Outcome{Code: result.NeverFits, Detail: "a task is larger than any endpoint"}, true
 		}
 	}
-	j := newJob(now, *sub, s.estimateOf(sub.Route.Name))
 	wait := s.predictWait(now, j)
-	if float64(wait) > admitShare*float64(j.latestStart()-now) {
+	if wait > 0 && float64(wait) > admitShare*float64(j.spare(now)) {
 		return Outcome{Code: result.Overloaded, RetryAfter: max(wait, minRetryAfter), Detail: "last task would wait " + wait.String()}, true
 	}
 	return Outcome{}, false
@@ -58,10 +57,12 @@
 	})
 }
 
-// before orders jobs: by priority, begun ones first, so that a wide job
-// gathers its room, then by the latest start that meets the objective.
-func before(a, b *job) int {
+// before orders jobs: those that miss their objective anyway last, then by
+// priority, begun ones first, so that a wide job gathers its room, then by the
+// latest start that meets the objective.
+func before(now Time, a, b *job) int {
 	return cmp.Or(
+		cmp.Compare(boolRank(a.tooLate(now)), boolRank(b.tooLate(now))),
 		cmp.Compare(a.sub.Route.Priority, b.sub.Route.Priority),
 		cmp.Compare(boolRank(!a.ordered), boolRank(!b.ordered)),
 		cmp.Compare(a.latestStart(), b.latestStart()),
@@ -81,9 +82,7 @@
 	if len(s.queue) == 0 {
 		return
 	}
-	slices.SortFunc(s.queue, func(a, b *job) int {
-		return cmp.Or(cmp.Compare(boolRank(now > a.latestStart() && !a.ordered), boolRank(now > b.latestStart() && !b.ordered)), before(a, b))
-	})
+	s.sortQueue(now)
 	misses := 0
 	for _, j := range slices.Clone(s.queue) {
 		misses += s.placeJob(now, j)
@@ -97,6 +96,10 @@
 	})
 }
 
+func (s *Scheduler) sortQueue(now Time) {
+	slices.SortFunc(s.queue, func(a, b *job) int { return before(now, a, b) })
+}
+
 // placeJob places a job's waiting tasks and returns how many fitted nowhere; it
 // stops at the second.
 func (s *Scheduler) placeJob(now Time, j *job) (misses int) {
--- a/dispatch/predict.go
+++ b/dispatch/predict.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"slices"
 	"time"
 )
 
@@ -54,7 +53,7 @@
 			heap.Push(&frees, release{now + wait + d.expected, d.cpu})
 		}
 	}
-	for _, d := range s.demandBefore(j) {
+	for _, d := range s.demandBefore(now, j) {
 		place(d)
 	}
 	for _, st := range j.sub.Job.Steps {
@@ -90,11 +89,12 @@
 func overdueRest(elapsed Time) Time { return elapsed / 4 }
 
 // demandBefore returns what waits and goes before a job.
-func (s *Scheduler) demandBefore(j *job) []demand {
+func (s *Scheduler) demandBefore(now Time, j *job) []demand {
 	var demands []demand
-	for _, o := range s.sortedQueue() {
-		if before(o, j) > 0 {
-			continue
+	s.sortQueue(now)
+	for _, o := range s.queue {
+		if before(now, o, j) > 0 {
+			break
 		}
 		est := s.estimateOf(o.sub.Route.Name)
 		for _, t := range o.waiting {
@@ -104,9 +104,3 @@
 	}
 	return demands
 }
-
-func (s *Scheduler) sortedQueue() []*job {
-	queue := slices.Clone(s.queue)
-	slices.SortFunc(queue, before)
-	return queue
-}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -79,6 +79,8 @@
 	jobs      map[string]*job
 	queue     []*job // with waiting tasks
 	estimates map[string]*estimate
+	patience  map[string]*patience // by route
+	timing    Timing
 	runs      map[uint64]*run // by order
 	orders    *OrderNumbers
 	recent    map[string]recentRuns
@@ -96,13 +98,15 @@
 }
 
 // NewScheduler returns an empty scheduler of a service, started now.
-func NewScheduler(service string, orders *OrderNumbers, now Time) *Scheduler {
+func NewScheduler(service string, timing Timing, orders *OrderNumbers, now Time) *Scheduler {
 	return &Scheduler{
 		started:   now,
 		service:   service,
 		orders:    orders,
 		jobs:      map[string]*job{},
 		estimates: map[string]*estimate{},
+		patience:  map[string]*patience{},
+		timing:    timing,
 		runs:      map[uint64]*run{},
 		recent:    map[string]recentRuns{},
 	}
@@ -139,11 +143,12 @@
 		return
 	}
 	sub.MayHaveRun = sub.MayHaveRun || s.recent[sub.Job.ID].highest > 0
-	if out, refused := s.admit(now, &sub); refused {
+	j := newJob(now, sub, s.estimateOf(sub.Route.Name))
+	j.submittedBefore(s.patienceOf(sub.Route.Name).waitedBefore(sub.Deadline-now, j.lateBy-now, s.timing.ResendAfter))
+	if out, refused := s.admit(now, j); refused {
 		s.finishUnknown(sub, out)
 		return
 	}
-	j := newJob(now, sub, s.estimateOf(sub.Route.Name))
 	for _, t := range j.tasks {
 		t.nextRun = s.recent[sub.Job.ID].highest + 1
 	}
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -365,7 +365,7 @@
 
 func (e *simEntry) boot() {
 	e.incarnation++
-	e.sched = NewScheduler("svc", &OrderNumbers{}, e.s.now)
+	e.sched = NewScheduler("svc", NewTiming(0), &OrderNumbers{}, e.s.now)
 	for _, a := range e.s.agents {
 		e.linkAgent(a)
 	}
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -38,6 +38,7 @@
 	unlinked   map[string]time.Duration       // since when a member is not linked
 	schedulers map[string]*dispatch.Scheduler // by service
 	orders     *dispatch.OrderNumbers
+	timing     dispatch.Timing
 	endpoints  map[dispatch.EndpointID]endpointView
 	requests   map[string]*request
 	recent     map[string]recentEnd
@@ -73,7 +74,7 @@
 	return &state{
 		e: e, seeds: mesh.SeedAddrs(e.node), peers: map[string]*mesh.Peer{}, agents: map[string]*mesh.Peer{}, lost: map[string]lostEntry{},
 		members: map[string]mesh.MemberRow{}, unlinked: map[string]time.Duration{},
-		schedulers: map[string]*dispatch.Scheduler{}, orders: &dispatch.OrderNumbers{}, endpoints: map[dispatch.EndpointID]endpointView{},
+		schedulers: map[string]*dispatch.Scheduler{}, orders: &dispatch.OrderNumbers{}, timing: dispatch.NewTiming(e.node.ResendAfter), endpoints: map[dispatch.EndpointID]endpointView{},
 		requests: map[string]*request{}, recent: map[string]recentEnd{}, home: map[string]string{},
 	}
 }
@@ -127,7 +128,7 @@
 func (s *state) scheduler(service string) *dispatch.Scheduler {
 	sched := s.schedulers[service]
 	if sched == nil {
-		sched = dispatch.NewScheduler(service, s.orders, mesh.Now())
+		sched = dispatch.NewScheduler(service, s.timing, s.orders, mesh.Now())
 		s.schedulers[service] = sched
 		if op := s.e.operator.Load(); op != nil {
 			sched.SetEvacuated(mesh.Now(), op.Evacuated)
