--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -104,11 +104,11 @@
 	}
 }
 
-// limitsFor returns from when on an endpoint is ejected.
+// limitsFor returns from when on an endpoint is ejected, by the others that could take its tasks.
 func (s *Scheduler) limitsFor(e *endpoint) limits {
 	var others []health
 	for _, o := range s.endpoints {
-		if o != e && !o.lost {
+		if o != e && !o.lost && o.status.Available {
 			others = append(others, o.health)
 		}
 	}
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -13,7 +13,7 @@
 	unansweredWeight = 0.1                    // of one order in the share without an answer: about the last ten count
 	unansweredLimit  = 0.46                   // share of unanswered orders that ejects; six in a row reach it
 	othersFactor     = 2.5                    // times the median share of the other endpoints that a share has to be
-	ejectMaxShare    = 0.3                    // of a service's endpoints, but at least one; as the product's ejectMaxPct
+	ejectMaxShare    = 0.5                    // of a service's available endpoints, but at least one: the others have to carry the load
 	restoredShare    = 0.5                    // of failedLimit that a restored endpoint begins with: one more fault ejects it
 	halfLife         = 3 * time.Second        // of the shares while nothing is learned; a run a second still ejects
 	minSuccess       = 0.1                    // least share of good runs that placement reckons with
