One control actor for entries and agents, one home rank, one test set-up

Now hosted/control has the actor and the shared messages, mesh.Link says whose link it is, dispatch.HomeRank and harness.Main are the one copy. HomeRank takes the better mixed of the two ranks.

--- a/command/hosted.go
+++ b/command/hosted.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	hostedagent "bergamotwing.example/hosted/agent"
+	"bergamotwing.example/hosted/control"
 	hostedentry "bergamotwing.example/hosted/entry"
 	"bergamotwing.example/platform"
 )
@@ -48,7 +49,7 @@
 // Execute runs the entry until a signal.
 func (c *hostedEntryCommand) Execute([]string) error {
 	return c.run("entry", func(node platform.Node, p *hostedProcess) runner {
-		return hostedentry.New(node, hostedentry.Deps{Log: p.log, Metrics: p.metrics})
+		return hostedentry.New(node, control.Deps{Log: p.log, Metrics: p.metrics})
 	})
 }
 
@@ -57,7 +58,7 @@
 // Execute runs the agent until a signal.
 func (c *hostedAgentCommand) Execute([]string) error {
 	return c.run("agent", func(node platform.Node, p *hostedProcess) runner {
-		return hostedagent.New(node, hostedagent.Deps{Log: p.log, Metrics: p.metrics})
+		return hostedagent.New(node, control.Deps{Log: p.log, Metrics: p.metrics})
 	})
 }
 
--- a/dispatch/home.go
+++ b/dispatch/home.go
@@ -22,7 +22,7 @@
 	fit := fittest(candidates)
 	best, bestRank := "", uint64(0)
 	for _, c := range fit {
-		if rank := rendezvous(service, c.Name); best == "" || rank > bestRank || rank == bestRank && c.Name < best {
+		if rank := HomeRank(service, c.Name); best == "" || rank > bestRank || rank == bestRank && c.Name < best {
 			best, bestRank = c.Name, rank
 		}
 	}
@@ -52,10 +52,16 @@
 	return candidates
 }
 
-func rendezvous(service, name string) uint64 {
+// HomeRank orders the entries for a service by rendezvous hashing: the highest
+// comes first.
+func HomeRank(service, entry string) uint64 {
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(name))
-	_, _ = h.Write([]byte{0})
 	_, _ = h.Write([]byte(service))
-	return h.Sum64()
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(entry))
+	x := h.Sum64() // mixed, because close inputs give close sums
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return x
 }
--- a/entry/homes.go
+++ b/entry/homes.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"hash/fnv"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -11,6 +10,7 @@
 	"time"
 
 	"bergamotwing.example/client/api"
+	"bergamotwing.example/dispatch"
 	"bergamotwing.example/wire"
 )
 
@@ -30,7 +30,7 @@
 func (e *Entry) homes(service string) []string {
 	ids := e.homeCandidates()
 	slices.SortFunc(ids, func(a, b string) int {
-		ha, hb := homeRank(service, a), homeRank(service, b)
+		ha, hb := dispatch.HomeRank(service, a), dispatch.HomeRank(service, b)
 		switch {
 		case ha > hb:
 			return -1
@@ -84,19 +84,6 @@
 	return all
 }
 
-// homeRank orders the entries for a service (rendezvous hashing).
-func homeRank(service, entry string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(service))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(entry))
-	x := h.Sum64() // mixed, because close inputs give close sums
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return x
-}
-
 // ticketsFor returns n tickets of a home entry of the service, or of this one
 // if no home answers in time.
 func (e *Entry) ticketsFor(ctx context.Context, service string, n int) []string {
--- a/hosted/agent/agent.go
+++ b/hosted/agent/agent.go
@@ -5,19 +5,15 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
 
-	"github.com/asynkron/protoactor-go/actor"
 	"github.com/rotisserie/eris"
-	"github.com/rs/zerolog"
 
+	"bergamotwing.example/hosted/control"
 	"bergamotwing.example/hosted/mesh"
 	"bergamotwing.example/platform"
-	"bergamotwing.example/telemetry"
 	"bergamotwing.example/wire"
 )
 
@@ -28,38 +24,28 @@
 	rowsPause     = time.Second            // between two readings while no entry is linked
 )
 
-// Deps are what an agent works with.
-type Deps struct {
-	Log     zerolog.Logger
-	Metrics *telemetry.Metrics
-}
-
 // Agent is one run of the process.
 type Agent struct {
+	actor *control.Actor
+
 	node  platform.Node
-	deps  Deps
+	deps  control.Deps
 	mesh  *mesh.Mesh
 	store *platform.Store
 	ctx   context.Context //nolint:containedctx // of the process; ends its background work
 
-	system     *actor.ActorSystem
-	pid        *actor.PID
 	toRemember chan platform.Announcement // the newest that is not written yet
 	idle       chan struct{}              // closed once a stopping agent keeps no run
 	state      *state
 }
 
 // New returns an agent that does nothing yet.
-func New(node platform.Node, deps Deps) *Agent {
-	a := &Agent{node: node, deps: deps, store: platform.NewStore(node.StoreAddr), toRemember: make(chan platform.Announcement, 1), idle: make(chan struct{})}
+func New(node platform.Node, deps control.Deps) *Agent {
+	a := &Agent{actor: control.NewActor(), node: node, deps: deps, store: platform.NewStore(node.StoreAddr), toRemember: make(chan platform.Announcement, 1), idle: make(chan struct{})}
 	hello := wire.NodeHello{
-		Name: node.Name, Incarnation: wire.Incarnation(rand.Uint64()), Role: wire.RoleAgent, Zone: node.Zone, //nolint:gosec // tells runs apart, keeps no secret
+		Name: node.Name, Incarnation: control.NewIncarnation(), Role: wire.RoleAgent, Zone: node.Zone,
 	}
-	a.mesh = mesh.New(hello, a, wire.Count(deps.Metrics), deps.Log)
-	a.system = actor.NewActorSystem(
-		actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) }),
-		actor.WithDeadLetterThrottleInterval(time.Millisecond),
-	)
+	a.mesh = mesh.New(hello, a.actor, wire.Count(deps.Metrics), deps.Log)
 	a.state = newState(a)
 	return a
 }
@@ -69,8 +55,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	a.ctx = ctx
-	a.pid = a.system.Root.Spawn(actor.PropsFromFunc(a.receive))
-	defer a.system.Shutdown()
+	a.actor.Start(a.receive)
+	defer a.actor.Shutdown()
 	server, err := a.listen(ctx)
 	if err != nil {
 		return err
@@ -80,10 +66,10 @@
 	go a.findEntries(ctx)
 	go a.recall(ctx)
 	go a.remember(ctx)
-	a.send(tick{})
+	a.actor.Send(control.Tick{})
 	a.deps.Log.Info().Str("event", "start").Str("endpoint", a.node.EndpointAddr).Msg("agent started")
 	<-stopping.Done()
-	a.send(stop{})
+	a.actor.Send(control.Stop{})
 	select {
 	case <-a.idle:
 	case <-time.After(a.node.Grace - stopMargin):
@@ -137,12 +123,12 @@
 		a.deps.Log.Warn().Str("event", "store_failed").Err(err).Msg("entries not read from the store")
 		return
 	}
-	a.send(membersRead{members})
+	a.actor.Send(control.MembersRead{Members: members})
 }
 
 func (a *Agent) linked() bool {
 	reply := make(chan bool, 1)
-	a.send(askLinked{reply})
+	a.actor.Send(askLinked{reply})
 	select {
 	case linked := <-reply:
 		return linked
@@ -154,7 +140,7 @@
 // Announced implements platform.EndpointEvents.
 func (a *Agent) Announced(n platform.Announcement) bool {
 	taken := make(chan struct{}, 1)
-	a.send(announced{n, taken})
+	a.actor.Send(announced{n, taken})
 	select {
 	case <-taken:
 		return true
@@ -164,21 +150,7 @@
 }
 
 // Left implements platform.EndpointEvents.
-func (a *Agent) Left(id string) { a.send(left{id}) }
-
-// LinkUp implements mesh.Events.
-func (a *Agent) LinkUp(l *mesh.Link) { a.send(linkUp{l}) }
-
-// LinkDown implements mesh.Events.
-func (a *Agent) LinkDown(l *mesh.Link) { a.send(linkDown{l}) }
-
-// Received implements mesh.Events.
-func (a *Agent) Received(l *mesh.Link, m wire.Message) { a.send(received{l, m}) }
-
-// Refused implements mesh.Events.
-func (a *Agent) Refused(addr string) { a.send(refused{addr}) }
-
-func (a *Agent) send(m any) { a.system.Root.Send(a.pid, m) }
+func (a *Agent) Left(id string) { a.actor.Send(left{id}) }
 
 // Reload takes in settings that have changed: the hosts to ask for entries.
-func (a *Agent) Reload(node platform.Node) { a.send(reload{node}) }
+func (a *Agent) Reload(node platform.Node) { a.actor.Send(control.Reload{Node: node}) }
--- a/hosted/agent/control.go
+++ b/hosted/agent/control.go
@@ -4,9 +4,8 @@
 	"slices"
 	"time"
 
-	"github.com/asynkron/protoactor-go/actor"
-
 	"bergamotwing.example/dispatch"
+	"bergamotwing.example/hosted/control"
 	"bergamotwing.example/hosted/mesh"
 	"bergamotwing.example/wire"
 )
@@ -47,27 +46,26 @@
 	}
 }
 
-func (a *Agent) receive(ctx actor.Context) {
-	now := mesh.Now()
+func (a *Agent) receive(now time.Duration, message any) {
 	s := a.state
-	switch m := ctx.Message().(type) {
-	case tick:
+	switch m := message.(type) {
+	case control.Tick:
 		s.tick(now)
-	case stop:
+	case control.Stop:
 		s.stop(now)
-	case reload:
-		s.seeds = mesh.SeedAddrs(m.node)
+	case control.Reload:
+		s.seeds = mesh.SeedAddrs(m.Node)
 		s.retarget()
-	case linkUp:
-		s.linkUp(now, m.link)
-	case linkDown:
-		s.linkDown(m.link)
-	case refused:
-		s.refused(now, m.addr)
-	case received:
-		s.received(now, m.link, m.m)
-	case membersRead:
-		s.addMembers(m.members)
+	case control.LinkUp:
+		s.linkUp(now, m.Link)
+	case control.LinkDown:
+		s.linkDown(m.Link)
+	case control.Refused:
+		s.refused(now, m.Addr)
+	case control.Received:
+		s.received(now, m.Link, m.Message)
+	case control.MembersRead:
+		s.addMembers(m.Members)
 	case askLinked:
 		m.reply <- len(s.peers) > 0
 	case announced:
@@ -87,10 +85,6 @@
 	s.carryOut(now)
 }
 
-func ownerOf(l *mesh.Link) dispatch.Owner {
-	return dispatch.Owner{Entry: l.Hello.Name, Incarnation: uint64(l.Hello.Incarnation)}
-}
-
 func (s *state) tick(now time.Duration) {
 	busy := false
 	for _, e := range s.endpoints {
@@ -114,11 +108,11 @@
 	if s.stopping && s.runs() == 0 {
 		s.finishStop()
 	}
-	time.AfterFunc(pause, func() { s.a.send(tick{}) })
+	s.a.actor.TickAfter(pause)
 }
 
 func (s *state) beatPause(p *mesh.Peer) time.Duration {
-	if p.Beat.Home || s.busyFor(ownerOf(p.Link)) {
+	if p.Beat.Home || s.busyFor(p.Owner()) {
 		return homeBeat
 	}
 	return otherBeat
@@ -170,14 +164,14 @@
 	if old := s.peers[name]; old != nil {
 		old.Close()
 		if old.Hello.Incarnation != l.Hello.Incarnation {
-			s.ownerLost(now, ownerOf(old.Link), "replaced by a new process")
+			s.ownerLost(now, old.Owner(), "replaced by a new process")
 		}
 	}
 	p := mesh.NewPeer(l, now)
 	s.peers[name] = p
 	s.addEntry(name, l.Hello.Addr)
 	s.beat(now, p)
-	owner := ownerOf(l)
+	owner := l.Owner()
 	s.sendKeptEnds(p, owner)
 	kept := &wire.RunsKept{}
 	for _, e := range s.endpoints {
@@ -262,7 +256,7 @@
 	if p == nil || p.Link != l {
 		return // a link that was replaced
 	}
-	owner := ownerOf(l)
+	owner := l.Owner()
 	switch m := m.(type) {
 	case *wire.NodeBeat:
 		s.heard(now, p, m)
@@ -286,7 +280,7 @@
 	p.Heard(b)
 	if b.Echo > 0 {
 		for _, e := range s.endpoints {
-			e.guard.RenewOwner(ownerOf(p.Link), b.Echo+dispatch.OwnerLease)
+			e.guard.RenewOwner(p.Owner(), b.Echo+dispatch.OwnerLease)
 		}
 	}
 	if becameHome {
@@ -335,7 +329,7 @@
 // tellEnd reports an end to its owner and keeps it for a link made anew.
 func (s *state) tellEnd(now time.Duration, owner dispatch.Owner, end wire.EndedRun) {
 	s.ends = append(s.ends, keptEnd{owner, end, now})
-	if p := s.peers[owner.Entry]; p != nil && ownerOf(p.Link) == owner {
+	if p := s.peers[owner.Entry]; p != nil && p.Owner() == owner {
 		_ = p.Send(&wire.RunEnd{Ends: []wire.EndedRun{end}}) // told again on the next link
 	}
 	if end.Reason != dispatch.EndDone {
--- a/hosted/agent/endpoint.go
+++ b/hosted/agent/endpoint.go
@@ -109,7 +109,7 @@
 	e.guard.SetEvacuated(now, s.operator.ZoneEvacuated(n.Zone))
 	for _, p := range s.peers {
 		if p.Echoed > p.Up {
-			e.guard.RenewOwner(ownerOf(p.Link), p.Echoed+dispatch.OwnerLease)
+			e.guard.RenewOwner(p.Owner(), p.Echoed+dispatch.OwnerLease)
 		}
 	}
 	e.guard.Announced(now, n.Draining || s.stopping, n.Capacity)
@@ -140,7 +140,7 @@
 	reply := make(chan nextWatch, 1)
 	for ctx.Err() == nil {
 		snapshot, err := a.lookOnce(ctx, client, 0, next.acknowledge, next.wait)
-		a.send(looked{endpoint: id, received: mesh.Now(), snapshot: snapshot, err: err, next: reply})
+		a.actor.Send(looked{endpoint: id, received: mesh.Now(), snapshot: snapshot, err: err, next: reply})
 		select {
 		case next = <-reply:
 		case <-ctx.Done():
@@ -231,7 +231,7 @@
 		cursor := e.guard.Cursor()
 		go func() {
 			snapshot, err := a.lookOnce(a.ctx, e.client, action.Until, cursor, 0)
-			a.send(looked{endpoint: id, received: mesh.Now(), snapshot: snapshot, err: err})
+			a.actor.Send(looked{endpoint: id, received: mesh.Now(), snapshot: snapshot, err: err})
 		}()
 	case dispatch.ReportEnd:
 		s.tellEnd(now, action.Owner, wire.EndedRun{Run: action.Run, Order: action.Order, Reason: action.Reason, Age: action.Age})
@@ -244,14 +244,14 @@
 	ctx, cancel := context.WithTimeout(a.ctx, startTimeout)
 	defer cancel()
 	res, err := client.Start(ctx, action.Run, action.Payload, action.Until)
-	a.send(startAnswered{id, action.Run, res, err})
+	a.actor.Send(startAnswered{id, action.Run, res, err})
 }
 
 func (a *Agent) callStop(client *platform.EndpointClient, id dispatch.EndpointID, run dispatch.RunRef) {
 	ctx, cancel := context.WithTimeout(a.ctx, stopTimeout)
 	defer cancel()
 	res, err := client.Stop(ctx, run)
-	a.send(stopAnswered{id, run, res, err})
+	a.actor.Send(stopAnswered{id, run, res, err})
 }
 
 func (s *state) reportStatus(e *endpoint) {
@@ -264,7 +264,7 @@
 }
 
 func (s *state) report(p *mesh.Peer, e *endpoint) {
-	owner := ownerOf(p.Link)
+	owner := p.Owner()
 	status := e.guard.Status(owner)
 	e.othersFor[owner] = status.Others
 	_ = p.Send(&wire.EndpointReport{Status: status}) // sent again on the next link
@@ -273,7 +273,7 @@
 // reportOthers tells owners with runs here when the runs of others change the room.
 func (s *state) reportOthers(e *endpoint) {
 	for _, p := range s.peers {
-		owner := ownerOf(p.Link)
+		owner := p.Owner()
 		if !p.Beat.Home && !e.guard.Busy(owner) {
 			continue
 		}
--- a/hosted/agent/messages.go
+++ b/hosted/agent/messages.go
@@ -4,26 +4,13 @@
 	"time"
 
 	"bergamotwing.example/dispatch"
-	"bergamotwing.example/hosted/mesh"
 	"bergamotwing.example/platform"
-	"bergamotwing.example/wire"
 )
 
 // Messages of the control actor.
 type (
-	tick     struct{}
-	stop     struct{}
-	reload   struct{ node platform.Node }
-	linkUp   struct{ link *mesh.Link }
-	linkDown struct{ link *mesh.Link }
-	refused  struct{ addr string }
-	received struct {
-		link *mesh.Link
-		m    wire.Message
-	}
-	membersRead struct{ members []mesh.MemberRow }
-	askLinked   struct{ reply chan bool }
-	announced   struct {
+	askLinked struct{ reply chan bool }
+	announced struct {
 		n     platform.Announcement
 		taken chan struct{}
 	}
--- a/hosted/agent/remember.go
+++ b/hosted/agent/remember.go
@@ -67,7 +67,7 @@
 		n, found, err := a.tryReadEndpoint(ctx)
 		if err == nil {
 			if found {
-				a.send(recalled{n})
+				a.actor.Send(recalled{n})
 			}
 			return
 		}
--- /dev/null
+++ b/hosted/control/control.go
@@ -0,0 +1,95 @@
+// Package control runs the control actor of a hosted process: the one goroutine
+// that holds its state. Everything else sends it messages.
+package control
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/rs/zerolog"
+
+	"bergamotwing.example/hosted/mesh"
+	"bergamotwing.example/platform"
+	"bergamotwing.example/telemetry"
+	"bergamotwing.example/wire"
+)
+
+// Deps are what a hosted process works with.
+type Deps struct {
+	Log     zerolog.Logger
+	Metrics *telemetry.Metrics
+}
+
+// Messages that entries and agents have in common.
+type (
+	// Tick has what is due done.
+	Tick struct{}
+	// Stop says that the process is to end.
+	Stop struct{}
+	// Reload carries settings that have changed.
+	Reload struct{ Node platform.Node }
+	// LinkUp says that a link was made.
+	LinkUp struct{ Link *mesh.Link }
+	// LinkDown says that a link has ended.
+	LinkDown struct{ Link *mesh.Link }
+	// Received carries what came on a link.
+	Received struct {
+		Link    *mesh.Link
+		Message wire.Message
+	}
+	// Refused says that nothing listens at an address.
+	Refused struct{ Addr string }
+	// MembersRead carries the entries registered in the store.
+	MembersRead struct{ Members []mesh.MemberRow }
+)
+
+// Actor is the control actor. It implements mesh.Events by messages.
+type Actor struct {
+	system *actor.ActorSystem
+	pid    *actor.PID
+}
+
+// NewActor returns an actor that does not run yet.
+func NewActor() *Actor {
+	return &Actor{system: actor.NewActorSystem(
+		actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) }),
+		actor.WithDeadLetterThrottleInterval(time.Millisecond),
+	)}
+}
+
+// Start starts the actor; receive is called for one message at a time.
+func (a *Actor) Start(receive func(now time.Duration, message any)) {
+	a.pid = a.system.Root.Spawn(actor.PropsFromFunc(func(ctx actor.Context) {
+		receive(mesh.Now(), ctx.Message())
+	}))
+}
+
+// Shutdown ends the actor.
+func (a *Actor) Shutdown() { a.system.Shutdown() }
+
+// Send queues a message. It never blocks.
+func (a *Actor) Send(message any) { a.system.Root.Send(a.pid, message) }
+
+// TickAfter sends a Tick after a pause.
+func (a *Actor) TickAfter(pause time.Duration) {
+	time.AfterFunc(pause, func() { a.Send(Tick{}) })
+}
+
+// LinkUp implements mesh.Events.
+func (a *Actor) LinkUp(l *mesh.Link) { a.Send(LinkUp{l}) }
+
+// LinkDown implements mesh.Events.
+func (a *Actor) LinkDown(l *mesh.Link) { a.Send(LinkDown{l}) }
+
+// Received implements mesh.Events.
+func (a *Actor) Received(l *mesh.Link, m wire.Message) { a.Send(Received{l, m}) }
+
+// Refused implements mesh.Events.
+func (a *Actor) Refused(addr string) { a.Send(Refused{addr}) }
+
+// NewIncarnation returns a number that tells this run of a process from others.
+func NewIncarnation() wire.Incarnation {
+	return wire.Incarnation(rand.Uint64()) //nolint:gosec // keeps no secret
+}
--- a/hosted/entry/agents.go
+++ b/hosted/entry/agents.go
@@ -36,7 +36,7 @@
 // they may go on: its lease of this entry, counted from the last heartbeat that
 // it may have got.
 func (s *state) agentLost(now time.Duration, p *mesh.Peer) {
-	id := agentID(p.Link)
+	id := p.Agent()
 	goneBy := p.LastSent + dispatch.OwnerLease + runMargin
 	for key, v := range s.endpoints {
 		if v.agent == id.Name {
@@ -54,7 +54,7 @@
 	if p == nil || p.Link != l {
 		return // a link that was replaced
 	}
-	id := agentID(l)
+	id := l.Agent()
 	switch m := m.(type) {
 	case *wire.NodeBeat:
 		p.Heard(m)
--- a/hosted/entry/clients.go
+++ b/hosted/entry/clients.go
@@ -73,17 +73,17 @@
 	}
 	wait := waitOf(req)
 	reply := make(chan dispatch.Outcome, 1)
-	e.send(submit{job: job, route: route, wait: wait, deadline: arrived + wait, reply: reply})
+	e.actor.Send(submit{job: job, route: route, wait: wait, deadline: arrived + wait, reply: reply})
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case out := <-reply:
 		e.answer(w, job.ID, route, operator, out, arrived, wait)
 	case <-r.Context().Done():
-		e.send(clientGone{job.ID, reply})
+		e.actor.Send(clientGone{job.ID, reply})
 		e.deps.Log.Info().Str("event", "client_left").Str("job", job.ID).Dur("age_ms", mesh.Now()-arrived).Msg("client left; job cancelled")
 	case <-timer.C:
-		e.send(clientGone{job.ID, reply})
+		e.actor.Send(clientGone{job.ID, reply})
 		e.answer(w, job.ID, route, operator, dispatch.Outcome{Code: result.DeadlinePassed}, arrived, wait)
 	}
 }
@@ -142,7 +142,7 @@
 // ended are not kept.
 func (e *Entry) serveKnown(w http.ResponseWriter, r *http.Request, id string) {
 	known := make(chan bool, 1)
-	e.send(deleteJob{id, known})
+	e.actor.Send(deleteJob{id, known})
 	if r.Method == http.MethodGet {
 		platform.WriteError(w, http.StatusGone, "no such job", 0)
 		return
@@ -160,7 +160,7 @@
 
 func (e *Entry) serveWaiting(w http.ResponseWriter, r *http.Request, route dispatch.Route) {
 	reply := make(chan int, 1)
-	e.send(askWaiting{route, reply})
+	e.actor.Send(askWaiting{route, reply})
 	select {
 	case n := <-reply:
 		platform.WriteWaiting(w, n)
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -3,9 +3,8 @@
 import (
 	"time"
 
-	"github.com/asynkron/protoactor-go/actor"
-
 	"bergamotwing.example/dispatch"
+	"bergamotwing.example/hosted/control"
 	"bergamotwing.example/hosted/mesh"
 	"bergamotwing.example/result"
 	"bergamotwing.example/wire"
@@ -79,30 +78,29 @@
 	}
 }
 
-func (e *Entry) receive(ctx actor.Context) {
-	now := mesh.Now()
+func (e *Entry) receive(now time.Duration, message any) {
 	s := e.state
-	switch m := ctx.Message().(type) {
-	case tick:
+	switch m := message.(type) {
+	case control.Tick:
 		s.tick(now)
-	case stop:
+	case control.Stop:
 		s.stopping = true
 		s.beatAll(now)
 	case askJobs:
 		m.reply <- s.openJobs()
-	case reload:
-		s.seeds = mesh.SeedAddrs(m.node)
+	case control.Reload:
+		s.seeds = mesh.SeedAddrs(m.Node)
 		s.retarget()
-	case linkUp:
-		s.linkUp(now, m.link)
-	case linkDown:
-		s.linkDown(now, m.link)
-	case refused:
-		s.refused(now, m.addr)
-	case received:
-		s.received(now, m.link, m.m)
-	case membersRead:
-		s.setMembers(now, m.members)
+	case control.LinkUp:
+		s.linkUp(now, m.Link)
+	case control.LinkDown:
+		s.linkDown(now, m.Link)
+	case control.Refused:
+		s.refused(now, m.Addr)
+	case control.Received:
+		s.received(now, m.Link, m.Message)
+	case control.MembersRead:
+		s.setMembers(now, m.Members)
 	case operatorRead:
 		s.adopt(now, m.state, "store")
 	case submit:
@@ -149,7 +147,7 @@
 		}
 	}
 	s.e.ready.Store(s.isReady())
-	time.AfterFunc(tickEvery, func() { s.e.send(tick{}) })
+	s.e.actor.TickAfter(tickEvery)
 }
 
 // isReady reports whether clients are served: with a configuration and
@@ -179,7 +177,7 @@
 		return
 	}
 	p := s.peers[home]
-	r.home = ownerOf(p.Link)
+	r.home = p.Owner()
 	_ = p.Send(&wire.JobSubmit{Job: r.job, Route: r.route, Wait: r.deadline - now}) // sent again on the next link
 }
 
@@ -289,7 +287,7 @@
 		return
 	}
 	s.recent[a.Job] = recentEnd{a.Outcome, a.Caller, now}
-	if p := s.peers[a.Caller.Entry]; p != nil && ownerOf(p.Link) == a.Caller {
+	if p := s.peers[a.Caller.Entry]; p != nil && p.Owner() == a.Caller {
 		_ = p.Send(&wire.JobEnd{Job: a.Job, Outcome: a.Outcome}) // told again on the next link
 	}
 }
--- a/hosted/entry/entry.go
+++ b/hosted/entry/entry.go
@@ -6,22 +6,18 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
 	"time"
 
-	"github.com/asynkron/protoactor-go/actor"
 	"github.com/rotisserie/eris"
-	"github.com/rs/zerolog"
 
 	"bergamotwing.example/dispatch"
+	"bergamotwing.example/hosted/control"
 	"bergamotwing.example/hosted/mesh"
 	"bergamotwing.example/platform"
-	"bergamotwing.example/telemetry"
 	"bergamotwing.example/wire"
 )
 
@@ -33,23 +29,17 @@
 	stopMargin   = 400 * time.Millisecond // kept of the time between SIGTERM and SIGKILL
 )
 
-// Deps are what an entry works with.
-type Deps struct {
-	Log     zerolog.Logger
-	Metrics *telemetry.Metrics
-}
-
 // Entry is one run of the process.
 type Entry struct {
+	actor *control.Actor
+
 	node  platform.Node
-	deps  Deps
+	deps  control.Deps
 	self  wire.NodeHello
 	mesh  *mesh.Mesh
 	store *platform.Store
 	ctx   context.Context //nolint:containedctx // of the process; ends its background work
 
-	system   *actor.ActorSystem
-	pid      *actor.PID
 	state    *state
 	operator atomic.Pointer[dispatch.OperatorState] // newest, for traffic; nil: none yet
 	ready    atomic.Bool
@@ -57,18 +47,14 @@
 }
 
 // New returns an entry that does nothing yet.
-func New(node platform.Node, deps Deps) *Entry {
-	e := &Entry{node: node, deps: deps, store: platform.NewStore(node.StoreAddr)}
+func New(node platform.Node, deps control.Deps) *Entry {
+	e := &Entry{actor: control.NewActor(), node: node, deps: deps, store: platform.NewStore(node.StoreAddr)}
 	e.self = wire.NodeHello{
-		Name: node.Name, Incarnation: wire.Incarnation(rand.Uint64()), Role: wire.RoleEntry, Zone: node.Zone, //nolint:gosec // tells runs apart, keeps no secret
+		Name: node.Name, Incarnation: control.NewIncarnation(), Role: wire.RoleEntry, Zone: node.Zone,
 		Addr:  net.JoinHostPort(node.IP, strconv.Itoa(node.LinkPort)),
 		Cores: node.Cores, LinkMbps: node.LinkMbps,
 	}
-	e.mesh = mesh.New(e.self, e, wire.Count(deps.Metrics), deps.Log)
-	e.system = actor.NewActorSystem(
-		actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) }),
-		actor.WithDeadLetterThrottleInterval(time.Millisecond),
-	)
+	e.mesh = mesh.New(e.self, e.actor, wire.Count(deps.Metrics), deps.Log)
 	e.state = newState(e)
 	return e
 }
@@ -82,8 +68,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	e.ctx = ctx
-	e.pid = e.system.Root.Spawn(actor.PropsFromFunc(e.receive))
-	defer e.system.Shutdown()
+	e.actor.Start(e.receive)
+	defer e.actor.Shutdown()
 	clients, err := e.listenAll(ctx)
 	if err != nil {
 		return err
@@ -91,7 +77,7 @@
 	e.mesh.SetTargets(ctx, mesh.SeedAddrs(e.node))
 	go e.watchOperator(ctx)
 	go e.register(ctx)
-	e.send(tick{})
+	e.actor.Send(control.Tick{})
 	e.deps.Log.Info().Str("event", "start").Str("addr", e.self.Addr).Uint64("incarnation", uint64(e.self.Incarnation)).Msg("entry started")
 	<-stopping.Done()
 	e.drain(clients)
@@ -105,7 +91,7 @@
 	e.deps.Log.Info().Str("event", "stopping").Msg("entry leaves rotation")
 	e.stopping.Store(true)
 	e.ready.Store(false)
-	e.send(stop{})
+	e.actor.Send(control.Stop{})
 	limit := e.node.Grace - stopMargin
 	time.Sleep(min(rotationTime, limit/2))
 	ctx, cancel := context.WithTimeout(context.Background(), limit-min(rotationTime, limit/2))
@@ -120,7 +106,7 @@
 func (e *Entry) waitIdle(ctx context.Context) {
 	reply := make(chan int, 1)
 	for ctx.Err() == nil {
-		e.send(askJobs{reply})
+		e.actor.Send(askJobs{reply})
 		if <-reply == 0 {
 			return
 		}
@@ -167,19 +153,5 @@
 	return server
 }
 
-// LinkUp implements mesh.Events.
-func (e *Entry) LinkUp(l *mesh.Link) { e.send(linkUp{l}) }
-
-// LinkDown implements mesh.Events.
-func (e *Entry) LinkDown(l *mesh.Link) { e.send(linkDown{l}) }
-
-// Received implements mesh.Events.
-func (e *Entry) Received(l *mesh.Link, m wire.Message) { e.send(received{l, m}) }
-
-// Refused implements mesh.Events.
-func (e *Entry) Refused(addr string) { e.send(refused{addr}) }
-
-func (e *Entry) send(m any) { e.system.Root.Send(e.pid, m) }
-
 // Reload takes in settings that have changed: the hosts to ask for entries.
-func (e *Entry) Reload(node platform.Node) { e.send(reload{node}) }
+func (e *Entry) Reload(node platform.Node) { e.actor.Send(control.Reload{Node: node}) }
--- a/hosted/entry/messages.go
+++ b/hosted/entry/messages.go
@@ -4,25 +4,11 @@
 	"time"
 
 	"bergamotwing.example/dispatch"
-	"bergamotwing.example/hosted/mesh"
-	"bergamotwing.example/platform"
-	"bergamotwing.example/wire"
 )
 
 // Messages of the control actor.
 type (
-	tick     struct{}
-	stop     struct{}
-	reload   struct{ node platform.Node }
-	askJobs  struct{ reply chan int }
-	linkUp   struct{ link *mesh.Link }
-	linkDown struct{ link *mesh.Link }
-	refused  struct{ addr string }
-	received struct {
-		link *mesh.Link
-		m    wire.Message
-	}
-	membersRead  struct{ members []mesh.MemberRow }
+	askJobs      struct{ reply chan int }
 	operatorRead struct{ state dispatch.OperatorState }
 	submit       struct {
 		job      dispatch.Job
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -10,29 +10,21 @@
 	"bergamotwing.example/wire"
 )
 
-func ownerOf(l *mesh.Link) dispatch.Owner {
-	return dispatch.Owner{Entry: l.Hello.Name, Incarnation: uint64(l.Hello.Incarnation)}
-}
-
-func agentID(l *mesh.Link) dispatch.AgentID {
-	return dispatch.AgentID{Name: l.Hello.Name, Incarnation: uint64(l.Hello.Incarnation)}
-}
-
 func (s *state) linkUp(now time.Duration, l *mesh.Link) {
 	if l.Hello.Role == wire.RoleAgent {
 		s.agentUp(now, l)
 		return
 	}
 	name := l.Hello.Name
-	owner := ownerOf(l)
+	owner := l.Owner()
 	if old := s.peers[name]; old != nil {
-		if ownerOf(old.Link) == owner && now-old.Up < duplicateTime && s.preferred(old.Link) && !s.preferred(l) {
+		if old.Owner() == owner && now-old.Up < duplicateTime && s.preferred(old.Link) && !s.preferred(l) {
 			l.Close()
 			return
 		}
 		old.Close()
-		if ownerOf(old.Link) != owner {
-			s.entryLost(now, ownerOf(old.Link), "replaced by a new process")
+		if old.Owner() != owner {
+			s.entryLost(now, old.Owner(), "replaced by a new process")
 		}
 	}
 	if gone, ok := s.lost[name]; ok {
@@ -80,7 +72,7 @@
 		return
 	}
 	delete(s.peers, name)
-	s.lost[name] = lostEntry{ownerOf(l), p.Echoed + entryLease}
+	s.lost[name] = lostEntry{l.Owner(), p.Echoed + entryLease}
 	s.e.deps.Log.Warn().Str("event", "entry_link_lost").Str("entry", name).Msg("link to entry lost")
 }
 
@@ -100,7 +92,7 @@
 		if p.Silent(now, entryLease) {
 			delete(s.peers, name)
 			p.Close()
-			s.entryLost(now, ownerOf(p.Link), "silent")
+			s.entryLost(now, p.Owner(), "silent")
 			continue
 		}
 		if now-p.LastSent >= peerBeat {
@@ -222,7 +214,7 @@
 	if p == nil || p.Link != l {
 		return // a link that was replaced
 	}
-	owner := ownerOf(l)
+	owner := l.Owner()
 	switch m := m.(type) {
 	case *wire.NodeBeat:
 		p.Heard(m)
--- a/hosted/entry/store.go
+++ b/hosted/entry/store.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"bergamotwing.example/hosted/control"
 	"bergamotwing.example/hosted/mesh"
 	"bergamotwing.example/platform"
 	"bergamotwing.example/wire"
@@ -98,7 +99,7 @@
 		return rows.Version, nil
 	}
 	if ok {
-		e.send(operatorRead{state})
+		e.actor.Send(operatorRead{state})
 	}
 	return rows.Version, nil
 }
@@ -158,6 +159,6 @@
 	if err != nil {
 		return nil // the watch of the operator's state logs the store's loss
 	}
-	e.send(membersRead{members})
+	e.actor.Send(control.MembersRead{Members: members})
 	return members
 }
--- a/hosted/mesh/mesh.go
+++ b/hosted/mesh/mesh.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"bergamotwing.example/dispatch"
 	"bergamotwing.example/platform"
 	"bergamotwing.example/wire"
 )
@@ -35,6 +36,16 @@
 	Dialed string // address that was dialed; empty on the accepting side
 }
 
+// Owner returns the run of the entry on the other side, as an owner of runs.
+func (l *Link) Owner() dispatch.Owner {
+	return dispatch.Owner{Entry: l.Hello.Name, Incarnation: uint64(l.Hello.Incarnation)}
+}
+
+// Agent returns the run of the agent on the other side.
+func (l *Link) Agent() dispatch.AgentID {
+	return dispatch.AgentID{Name: l.Hello.Name, Incarnation: uint64(l.Hello.Incarnation)}
+}
+
 // Events takes what happens on links. It must not block.
 type Events interface {
 	LinkUp(l *Link)
--- a/integration/harness/process.go
+++ b/integration/harness/process.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -26,13 +27,28 @@
 // binaryFile is the path of the built binary; Build sets it.
 var binaryFile string
 
-// Build builds the binary into dir. TestMain calls it once.
+// Build builds the binary into dir.
 func Build(dir string) error {
 	binaryFile = filepath.Join(dir, "bergamotwing")
 	out, err := exec.Command("go", "build", "-o", binaryFile, "bergamotwing.example/cmd/bergamotwing").CombinedOutput() //nolint:gosec // fixed arguments
 	return eris.Wrapf(err, "build: %s", out)
 }
 
+// Main builds the binary, runs the tests and returns the exit code for TestMain.
+func Main(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "bergamotwing")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	if err := Build(dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
 // Process is one process of the binary. It can be started again with the same
 // arguments, and so on the same ports.
 type Process struct {
--- a/integration/hosted/hosted_test.go
+++ b/integration/hosted/hosted_test.go
@@ -14,21 +14,7 @@
 	"bergamotwing.example/platform/fake"
 )
 
-func TestMain(m *testing.M) { os.Exit(run(m)) }
-
-func run(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "bergamotwing")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	if err := harness.Build(dir); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	return m.Run()
-}
+func TestMain(m *testing.M) { os.Exit(harness.Main(m)) }
 
 // servedAgain waits until jobs end well at every running entry.
 func servedAgain(t *testing.T, c *Cluster, within time.Duration) {
--- a/integration/main_test.go
+++ b/integration/main_test.go
@@ -25,21 +25,7 @@
 // expectedAnswer returns the result that an endpoint stand-in gives to a payload.
 var expectedAnswer = standin.Answer
 
-func TestMain(m *testing.M) { os.Exit(run(m)) }
-
-func run(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "bergamotwing")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	if err := harness.Build(dir); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	return m.Run()
-}
+func TestMain(m *testing.M) { os.Exit(harness.Main(m)) }
 
 func deploy(t *testing.T, o harness.Options) *harness.Deployment {
 	t.Helper()
