Leases follow the platform's settings

Cause: the leases of entries and owners and the time of a stop were constants that fit ResendMs 1300 and StopTimeoutMs 50; a deployment with a shorter resend time would have run tasks twice after a loss, and nothing said so. Timing derives them from the settings, with today's figures as the longest.

--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -8,16 +8,9 @@
 
 // Times of a guard.
 const (
-	// OwnerLease is how long an agent keeps the runs of an entry after the
-	// moment at which that entry is known to have lived. With EntryLease it
-	// stays below the shortest time after which clients send a job again.
-	OwnerLease = 800 * time.Millisecond
 	// orderMaxAge bounds the age of the agent's clock reading that an order
 	// echoes, so that orders delivered late do nothing. Three heartbeats.
 	orderMaxAge = 450 * time.Millisecond
-	// stopLead is how long before the end of an owner's lease its runs are
-	// stopped: two tries to stop and the endpoint's time to do so.
-	stopLead = 150 * time.Millisecond
 	// renewEvery is the pause between two renewals of the endpoint's lease:
 	// three may be lost before runs lapse.
 	renewEvery = 150 * time.Millisecond
@@ -131,7 +124,7 @@
 	zone     string
 	capacity Resources
 	labels   []string
-	maxLease Time
+	timing   Timing
 
 	draining  bool
 	evacuated bool
@@ -158,14 +151,14 @@
 }
 
 // NewGuard returns the guard of an endpoint that was just announced.
-func NewGuard(id EndpointID, service, zone string, capacity Resources, labels []string, maxLease Time) *Guard {
+func NewGuard(id EndpointID, service, zone string, capacity Resources, labels []string, timing Timing) *Guard {
 	return &Guard{
 		endpoint: id, service: service, zone: zone, capacity: capacity, labels: labels,
-		maxLease: maxLease,
-		runs:     map[RunRef]*guardedRun{},
-		tasks:    map[TaskRef]RunRef{},
-		owners:   map[Owner]Time{},
-		foreign:  map[RunRef]Time{},
+		timing:  timing,
+		runs:    map[RunRef]*guardedRun{},
+		tasks:   map[TaskRef]RunRef{},
+		owners:  map[Owner]Time{},
+		foreign: map[RunRef]Time{},
 	}
 }
 
@@ -298,7 +291,7 @@
 	switch {
 	case !g.available:
 		return NotAvailable
-	case now-o.Echo > orderMaxAge, g.owners[o.Owner]-stopLead <= now:
+	case now-o.Echo > orderMaxAge, g.owners[o.Owner]-g.timing.StopLead() <= now:
 		return Expired
 	case !g.used.Add(o.Need).Fits(g.capacity):
 		return NoRoom
@@ -312,7 +305,7 @@
 // leaseEnd returns the end of the endpoint's lease on its own clock: no owner's
 // runs may outlive the owner's lease.
 func (g *Guard) leaseEnd(now Time) Time {
-	until := now + g.maxLease - lateMargin
+	until := now + g.timing.MaxLease - lateMargin
 	for _, r := range g.runs {
 		until = min(until, g.owners[r.owner])
 	}
@@ -507,7 +500,7 @@
 // again the stops that had no answer.
 func (g *Guard) stopUnowned(now Time) {
 	for _, r := range g.sorted() {
-		if r.stopWanted || g.owners[r.owner]-stopLead <= now {
+		if r.stopWanted || g.owners[r.owner]-g.timing.StopLead() <= now {
 			g.wantStop(now, r)
 		}
 	}
--- a/dispatch/guard_test.go
+++ b/dispatch/guard_test.go
@@ -24,12 +24,12 @@
 func newGuard(t *testing.T) (*Guard, Time) {
 	t.Helper()
 	now := 10 * time.Second
-	g := NewGuard(EndpointID{ID: "e", Born: 7}, "svc", "z1", Resources{CPUMilli: 4000, MemoryMB: 100}, nil, time.Second)
+	g := NewGuard(EndpointID{ID: "e", Born: 7}, "svc", "z1", Resources{CPUMilli: 4000, MemoryMB: 100}, nil, testTiming)
 	g.Tick(now)
 	for _, at := range []Time{now - settleTime, now} {
 		g.Looked(at, at, Snapshot{Clock: at - 5*time.Second, Born: 7})
 	}
-	g.RenewOwner(ownerA, now+OwnerLease)
+	g.RenewOwner(ownerA, now+testTiming.OwnerLease)
 	g.Take()
 	return g, now
 }
@@ -82,7 +82,7 @@
 	if len(calls) != 1 || calls[0].Kind != CallStart {
 		t.Fatalf("got %+v, want one start", calls)
 	}
-	if limit := now + OwnerLease - 5*time.Second; calls[0].Until != limit {
+	if limit := now + testTiming.OwnerLease - 5*time.Second; calls[0].Until != limit {
 		t.Errorf("start valid until %v of the endpoint's clock, want %v", calls[0].Until, limit)
 	}
 	g.StartAnswered(now+ms, run, CallResult{Clock: now - 5*time.Second})
@@ -118,7 +118,7 @@
 func TestGuardRefusesASecondRunOfATask(t *testing.T) {
 	g, now := newGuard(t)
 	g.Start(now, order(ownerA, ref("j", 0, 1), now))
-	g.RenewOwner(ownerB, now+OwnerLease)
+	g.RenewOwner(ownerB, now+testTiming.OwnerLease)
 	g.Start(now, order(ownerB, ref("j", 0, 2), now))
 	wantEnds(t, g, map[RunRef]EndReason{ref("j", 0, 2): TaskBusy})
 }
@@ -186,7 +186,7 @@
 	g.Start(now, order(ownerA, run, now))
 	g.StartAnswered(now+ms, run, CallResult{Clock: now - 5*time.Second + ms})
 	g.Take()
-	end := now + OwnerLease
+	end := now + testTiming.OwnerLease
 	for at := now; at < end+2*time.Second; at += 25 * ms {
 		g.Tick(at)
 		for _, a := range kinds(g) {
@@ -214,7 +214,7 @@
 func TestGuardStopsRunsOfAnEarlierAgentFirst(t *testing.T) {
 	now := 10 * time.Second
 	run := ref("old", 0, 1)
-	g := NewGuard(EndpointID{ID: "e"}, "svc", "z1", Resources{CPUMilli: 4000, MemoryMB: 100}, nil, time.Second)
+	g := NewGuard(EndpointID{ID: "e"}, "svc", "z1", Resources{CPUMilli: 4000, MemoryMB: 100}, nil, testTiming)
 	g.Looked(now, now, Snapshot{Clock: now, Running: []RunningRun{{Run: run}}})
 	if calls := kinds(g); !asked(calls, CallStop, run) {
 		t.Fatalf("got %+v, want a stop", calls)
@@ -264,7 +264,7 @@
 	g.Start(now, order(ownerA, run, now))
 	g.StartAnswered(now+ms, run, CallResult{Clock: now - 5*time.Second + ms})
 	g.Take()
-	certain := now + OwnerLease + OwnerLease*clockDriftPercent/100 + lateMargin
+	certain := now + testTiming.OwnerLease + testTiming.OwnerLease*clockDriftPercent/100 + lateMargin
 	var at Time
 	for at = now; at < now+5*time.Second; at += 5 * ms {
 		g.Tick(at)
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -130,7 +130,7 @@
 // playLoad replays a pattern.
 func playLoad(p loadPattern) *loadResult {
 	rng := rand.New(rand.NewPCG(p.seed, 7))
-	s := NewScheduler("svc", NewTiming(0), &OrderNumbers{}, -time.Minute)
+	s := NewScheduler("svc", testTiming, &OrderNumbers{}, -time.Minute)
 	res := &loadResult{owed: map[int]float64{}, earned: map[int]float64{}, starts: map[string][]Time{}}
 	if p.fails == nil {
 		p.fails = never
@@ -255,7 +255,7 @@
 		})
 		after(p.outage.until, func() {
 			down = false
-			s = NewScheduler("svc", NewTiming(0), &OrderNumbers{}, now)
+			s = NewScheduler("svc", testTiming, &OrderNumbers{}, now)
 			report()
 		})
 	}
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -14,6 +14,9 @@
 	callerB = Owner{Entry: "cb", Incarnation: 1}
 )
 
+// testTiming is that of a platform without settings.
+var testTiming = NewTiming(Limits{})
+
 // testBed is a scheduler with named endpoints that has been up for a minute.
 type testBed struct {
 	t   *testing.T
@@ -23,7 +26,7 @@
 
 func newBed(t *testing.T, endpoints ...string) *testBed {
 	t.Helper()
-	b := &testBed{t: t, s: NewScheduler("svc", NewTiming(0), &OrderNumbers{}, -time.Minute), now: 10 * time.Second}
+	b := &testBed{t: t, s: NewScheduler("svc", testTiming, &OrderNumbers{}, -time.Minute), now: 10 * time.Second}
 	for _, name := range endpoints {
 		b.report(name, EndpointStatus{Available: true, Capacity: Resources{CPUMilli: 4000, MemoryMB: 1000}})
 	}
@@ -249,14 +252,14 @@
 // After everything was restarted clients come before the agents do.
 func TestANewSchedulerTakesJobsBeforeItKnowsAnEndpoint(t *testing.T) {
 	b := newBed(t)
-	b.s = NewScheduler("svc", NewTiming(0), &OrderNumbers{}, b.now)
+	b.s = NewScheduler("svc", testTiming, &OrderNumbers{}, b.now)
 	b.submit("early", callerA, 0, step(1))
 	b.now += 100 * ms
 	b.report("e1", EndpointStatus{Available: true, Capacity: Resources{CPUMilli: 4000, MemoryMB: 1000}})
 	if orders, outcomes, _ := b.take(); len(orders) != 1 || len(outcomes) > 0 {
 		t.Errorf("%d orders, outcomes %v", len(orders), outcomes)
 	}
-	b.s = NewScheduler("svc", NewTiming(0), &OrderNumbers{}, b.now)
+	b.s = NewScheduler("svc", testTiming, &OrderNumbers{}, b.now)
 	b.now += startGrace
 	b.submit("late", callerA, 0, step(1))
 	if _, outcomes, _ := b.take(); outcomes["late"] != result.Overloaded {
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -189,7 +189,7 @@
 
 func (a *simAgent) boot() {
 	a.incarnation++
-	a.guard = NewGuard(EndpointID{ID: a.endpoint.name}, "svc", "z", Resources{CPUMilli: simEndRoom * 1000}, nil, time.Second)
+	a.guard = NewGuard(EndpointID{ID: a.endpoint.name}, "svc", "z", Resources{CPUMilli: simEndRoom * 1000}, nil, testTiming)
 	for _, e := range a.s.entries {
 		e.linkAgent(a)
 	}
@@ -365,7 +365,7 @@
 
 func (e *simEntry) boot() {
 	e.incarnation++
-	e.sched = NewScheduler("svc", NewTiming(0), &OrderNumbers{}, e.s.now)
+	e.sched = NewScheduler("svc", testTiming, &OrderNumbers{}, e.s.now)
 	for _, a := range e.s.agents {
 		e.linkAgent(a)
 	}
@@ -380,7 +380,7 @@
 		l.version = old.version + 1
 		l.cutTill = old.cutTill
 		if !old.lost {
-			e.sched.AgentLost(e.s.now, AgentID{a.name, old.incarnation}, old.lastSent+OwnerLease+100*ms)
+			e.sched.AgentLost(e.s.now, AgentID{a.name, old.incarnation}, old.lastSent+testTiming.OwnerLease+100*ms)
 		}
 	}
 	e.links[a.name] = l
@@ -416,9 +416,9 @@
 	e.run(incarnation, func() {
 		for _, a := range e.s.agents {
 			l := e.links[a.name]
-			if !l.lost && e.s.now-l.lastSeen > OwnerLease {
+			if !l.lost && e.s.now-l.lastSeen > testTiming.OwnerLease {
 				l.lost = true
-				e.sched.AgentLost(e.s.now, AgentID{l.agent.name, l.incarnation}, l.lastSent+OwnerLease+100*ms)
+				e.sched.AgentLost(e.s.now, AgentID{l.agent.name, l.incarnation}, l.lastSent+testTiming.OwnerLease+100*ms)
 			}
 		}
 		e.sched.Tick(e.s.now)
@@ -440,7 +440,7 @@
 	l.lastSent = e.s.now
 	owner := e.owner()
 	echo := l.clock
-	e.tell(l, func(a *simAgent) { a.guard.RenewOwner(owner, echo+OwnerLease) })
+	e.tell(l, func(a *simAgent) { a.guard.RenewOwner(owner, echo+testTiming.OwnerLease) })
 }
 
 // tell has an agent do something unless the link was made anew by then.
--- a/hosted/agent/control.go
+++ b/hosted/agent/control.go
@@ -24,6 +24,7 @@
 // state is the control actor's.
 type state struct {
 	a         *Agent
+	timing    dispatch.Timing
 	peers     map[string]*mesh.Peer // linked entries by name
 	addrs     map[string]string     // entries known, by name
 	endpoints map[dispatch.EndpointID]*endpoint
@@ -41,7 +42,7 @@
 
 func newState(a *Agent) *state {
 	return &state{
-		a: a, seeds: mesh.SeedAddrs(a.node), peers: map[string]*mesh.Peer{}, addrs: map[string]string{},
+		a: a, timing: control.TimingOf(a.node), seeds: mesh.SeedAddrs(a.node), peers: map[string]*mesh.Peer{}, addrs: map[string]string{},
 		endpoints: map[dispatch.EndpointID]*endpoint{},
 	}
 }
@@ -280,7 +281,7 @@
 	p.Heard(b)
 	if b.Echo > 0 {
 		for _, e := range s.endpoints {
-			e.guard.RenewOwner(p.Owner(), b.Echo+dispatch.OwnerLease)
+			e.guard.RenewOwner(p.Owner(), b.Echo+s.timing.OwnerLease)
 		}
 	}
 	if becameHome {
--- a/hosted/agent/endpoint.go
+++ b/hosted/agent/endpoint.go
@@ -14,7 +14,7 @@
 // by then counts as unanswered, and what became of it is looked up.
 const (
 	startTimeout = 20 * time.Millisecond // ten times a call on the same host
-	stopTimeout  = 60 * time.Millisecond // a stop may take the endpoint 50 ms
+	stopSlack    = 10 * time.Millisecond // of a stop, beside the time that it may take
 	lookTimeout  = 30 * time.Millisecond
 	watchSlack   = 50 * time.Millisecond // of a look that waits for an end
 	watchPause   = 20 * time.Millisecond // after a failed look
@@ -99,7 +99,7 @@
 	ctx, cancel := context.WithCancel(s.a.ctx)
 	e := &endpoint{
 		announced: n,
-		guard:     dispatch.NewGuard(n.Endpoint, n.Service, n.Zone, n.Capacity, n.Labels, s.a.node.MaxLease),
+		guard:     dispatch.NewGuard(n.Endpoint, n.Service, n.Zone, n.Capacity, n.Labels, s.timing),
 		client:    platform.NewEndpointClient(n.Addr, n.Endpoint.ID),
 		cancel:    cancel,
 		heard:     now,
@@ -109,7 +109,7 @@
 	e.guard.SetEvacuated(now, s.operator.ZoneEvacuated(n.Zone))
 	for _, p := range s.peers {
 		if p.Echoed > p.Up {
-			e.guard.RenewOwner(p.Owner(), p.Echoed+dispatch.OwnerLease)
+			e.guard.RenewOwner(p.Owner(), p.Echoed+s.timing.OwnerLease)
 		}
 	}
 	e.guard.Announced(now, n.Draining || s.stopping, n.Capacity)
@@ -248,7 +248,7 @@
 }
 
 func (a *Agent) callStop(client *platform.EndpointClient, id dispatch.EndpointID, run dispatch.RunRef) {
-	ctx, cancel := context.WithTimeout(a.ctx, stopTimeout)
+	ctx, cancel := context.WithTimeout(a.ctx, a.state.timing.StopTime+stopSlack)
 	defer cancel()
 	res, err := client.Stop(ctx, run)
 	a.actor.Send(stopAnswered{id, run, res, err})
--- a/hosted/control/control.go
+++ b/hosted/control/control.go
@@ -10,6 +10,7 @@
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/rs/zerolog"
 
+	"bergamotwing.example/dispatch"
 	"bergamotwing.example/hosted/mesh"
 	"bergamotwing.example/platform"
 	"bergamotwing.example/telemetry"
@@ -93,3 +94,8 @@
 func NewIncarnation() wire.Incarnation {
 	return wire.Incarnation(rand.Uint64()) //nolint:gosec // keeps no secret
 }
+
+// TimingOf returns the timing of a deployment by the platform's settings.
+func TimingOf(node platform.Node) dispatch.Timing {
+	return dispatch.NewTiming(dispatch.Limits{ResendAfter: node.ResendAfter, MaxLease: node.MaxLease, StopTime: node.StopTime})
+}
--- a/hosted/entry/agents.go
+++ b/hosted/entry/agents.go
@@ -37,7 +37,7 @@
 // it may have got.
 func (s *state) agentLost(now time.Duration, p *mesh.Peer) {
 	id := p.Agent()
-	goneBy := p.LastSent + dispatch.OwnerLease + runMargin
+	goneBy := s.timing.RunsOver(p.LastSent)
 	for key, v := range s.endpoints {
 		if v.agent == id.Name {
 			delete(s.endpoints, key)
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -13,16 +13,9 @@
 const (
 	tickEvery = 25 * time.Millisecond
 	peerBeat  = 50 * time.Millisecond // heartbeats between entries; six in an entry's lease
-	// entryLease is how long an entry counts as alive after the moment at which
-	// it is known to have lived. With dispatch.OwnerLease it stays within the
-	// shortest time after which clients send a job again.
-	entryLease = 300 * time.Millisecond
 	// agentSilence is the time without an echo after which an agent's link is
 	// made anew: beyond three of its rare heartbeats.
 	agentSilence = 1500 * time.Millisecond
-	// runMargin is added to the last moment at which a lost agent's runs end:
-	// the endpoint's clock may be 2% slow, and a run takes 50 ms to stop.
-	runMargin = 100 * time.Millisecond
 	// outcomeKept is how long the end of a job is kept for an entry that links anew.
 	outcomeKept = 2 * time.Second
 )
@@ -73,7 +66,7 @@
 	return &state{
 		e: e, seeds: mesh.SeedAddrs(e.node), peers: map[string]*mesh.Peer{}, agents: map[string]*mesh.Peer{}, lost: map[string]lostEntry{},
 		members: map[string]mesh.MemberRow{}, unlinked: map[string]time.Duration{},
-		schedulers: map[string]*dispatch.Scheduler{}, orders: &dispatch.OrderNumbers{}, timing: dispatch.NewTiming(e.node.ResendAfter), endpoints: map[dispatch.EndpointID]endpointView{},
+		schedulers: map[string]*dispatch.Scheduler{}, orders: &dispatch.OrderNumbers{}, timing: control.TimingOf(e.node), endpoints: map[dispatch.EndpointID]endpointView{},
 		requests: map[string]*request{}, recent: map[string]recentEnd{}, home: map[string]string{},
 	}
 }
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -72,7 +72,7 @@
 		return
 	}
 	delete(s.peers, name)
-	s.lost[name] = lostEntry{l.Owner(), p.Echoed + entryLease}
+	s.lost[name] = lostEntry{l.Owner(), p.Echoed + s.timing.EntryLease}
 	s.e.deps.Log.Warn().Str("event", "entry_link_lost").Str("entry", name).Msg("link to entry lost")
 }
 
@@ -89,7 +89,7 @@
 // checkPeers ends the leases that ran out and sends heartbeats.
 func (s *state) checkPeers(now time.Duration) {
 	for name, p := range s.peers {
-		if p.Silent(now, entryLease) {
+		if p.Silent(now, s.timing.EntryLease) {
 			delete(s.peers, name)
 			p.Close()
 			s.entryLost(now, p.Owner(), "silent")
