The soak injects faults of links through a loopback proxy

A hosted entry can accept links at another address than the one that others dial (--link-listen); on every second seed the proxy of the integration tests stands there and delays, resets, cuts or silences links, all or those of one process, one way or both. SIGHUP is a fault too; 12 faults a seed in place of 8. The traffic also checks that a job answered as completed has each task done by the endpoints' record.

--- a/command/hosted.go
+++ b/command/hosted.go
@@ -33,7 +33,7 @@
 
 func hostedCommands(out *output) []spec {
 	return []spec{
-		{name: "entry", short: "Run an entry on the hosting platform", long: hostedEntryHelp, run: &hostedEntryCommand{hostedOptions{out: out}}},
+		{name: "entry", short: "Run an entry on the hosting platform", long: hostedEntryHelp, run: &hostedEntryCommand{hostedOptions: hostedOptions{out: out}}},
 		{name: "agent", short: "Run an agent on the hosting platform", long: hostedAgentHelp, run: &hostedAgentCommand{hostedOptions{out: out}}},
 	}
 }
@@ -44,12 +44,16 @@
 	NodeFile    string `long:"node-file" value-name:"FILE" description:"settings file of the platform; otherwise as its environment variable says"`
 }
 
-type hostedEntryCommand struct{ hostedOptions }
+type hostedEntryCommand struct {
+	hostedOptions
+
+	LinkListen string `long:"link-listen" value-name:"IP:PORT" description:"accept links here, where a forwarder has the address that others dial"`
+}
 
 // Execute runs the entry until a signal.
 func (c *hostedEntryCommand) Execute([]string) error {
 	return c.run("entry", func(node platform.Node, p *hostedProcess) runner {
-		return hostedentry.New(node, control.Deps{Log: p.log, Metrics: p.metrics})
+		return hostedentry.New(node, hostedentry.Options{LinkListen: c.LinkListen}, control.Deps{Log: p.log, Metrics: p.metrics})
 	})
 }
 
--- a/hosted/entry/entry.go
+++ b/hosted/entry/entry.go
@@ -29,11 +29,19 @@
 	stopMargin   = 400 * time.Millisecond // kept of the time between SIGTERM and SIGKILL
 )
 
+// Options are an entry's own settings.
+type Options struct {
+	// LinkListen is the IP:port at which links are accepted, where a forwarder
+	// has the address that others dial. Empty: at that address.
+	LinkListen string
+}
+
 // Entry is one run of the process.
 type Entry struct {
 	actor *control.Actor
 
 	node  platform.Node
+	opts  Options
 	deps  control.Deps
 	self  wire.NodeHello
 	mesh  *mesh.Mesh
@@ -47,13 +55,16 @@
 }
 
 // New returns an entry that does nothing yet.
-func New(node platform.Node, deps control.Deps) *Entry {
-	e := &Entry{actor: control.NewActor(), node: node, deps: deps, store: platform.NewStore(node.StoreAddr)}
+func New(node platform.Node, opts Options, deps control.Deps) *Entry {
+	e := &Entry{actor: control.NewActor(), node: node, opts: opts, deps: deps, store: platform.NewStore(node.StoreAddr)}
 	e.self = wire.NodeHello{
 		Name: node.Name, Incarnation: control.NewIncarnation(), Role: wire.RoleEntry, Zone: node.Zone,
 		Addr:  net.JoinHostPort(node.IP, strconv.Itoa(node.LinkPort)),
 		Cores: node.Cores, LinkMbps: node.LinkMbps,
 	}
+	if e.opts.LinkListen == "" {
+		e.opts.LinkListen = e.self.Addr
+	}
 	e.mesh = mesh.New(e.self, e.actor, wire.Count(deps.Metrics), deps.Log)
 	e.state = newState(e)
 	return e
@@ -120,7 +131,7 @@
 const idlePoll = 50 * time.Millisecond
 
 func (e *Entry) listenAll(ctx context.Context) (*http.Server, error) {
-	links, err := mesh.Listen(ctx, e.self.Addr)
+	links, err := mesh.Listen(ctx, e.opts.LinkListen)
 	if err != nil {
 		return nil, err
 	}
--- a/integration/harness/hello.go
+++ b/integration/harness/hello.go
@@ -84,6 +84,8 @@
 		return m.Agent
 	case *wire.PeerHello:
 		return m.Self.ID
+	case *wire.NodeHello:
+		return m.Name
 	default:
 		return ""
 	}
--- a/integration/harness/process.go
+++ b/integration/harness/process.go
@@ -133,6 +133,9 @@
 // Terminate sends SIGTERM and does not wait.
 func (p *Process) Terminate() error { return p.signal(syscall.SIGTERM) }
 
+// Hangup sends SIGHUP: the settings may have changed.
+func (p *Process) Hangup() error { return p.signal(syscall.SIGHUP) }
+
 // Stop sends SIGTERM and waits for a clean end within limit.
 func (p *Process) Stop(limit time.Duration) error {
 	if err := p.Terminate(); err != nil {
--- a/integration/hosted/cluster.go
+++ b/integration/hosted/cluster.go
@@ -29,6 +29,8 @@
 	clientWaits   = 3 * time.Second
 	readyLimit    = 15 * time.Second
 
+	proxiedPort = fake.LinkPort + 1 // of an entry whose links pass a proxy
+
 	// Last bytes of the hosts' addresses.
 	firstEntry = 10
 	firstAgent = 100
@@ -45,8 +47,9 @@
 	Entries []*Host
 	Agents  []*Host
 
-	t   testing.TB
-	dir string
+	proxied bool
+	t       testing.TB
+	dir     string
 }
 
 // Host is an entry's or an agent's host.
@@ -55,18 +58,33 @@
 	IP       string
 	Zone     string
 	Endpoint *fake.Endpoint // agents' hosts only
+	Links    *harness.Proxy // of the links that others make to an entry; nil unless the deployment is proxied
+}
+
+// Options say how large a deployment is.
+type Options struct {
+	Entries, Agents int
+	// Proxied has the links to entries pass a proxy that injects faults. The
+	// proxy accepts connections also for a process that is gone.
+	Proxied bool
 }
 
 // New starts a deployment and waits until all entries are ready.
 func New(t testing.TB, entries, agents int) *Cluster {
 	t.Helper()
-	c := &Cluster{Store: fake.NewStore(), Record: fake.NewRecord(), t: t, dir: t.TempDir()}
+	return Start(t, Options{Entries: entries, Agents: agents})
+}
+
+// Start starts a deployment and waits until all entries are ready.
+func Start(t testing.TB, o Options) *Cluster {
+	t.Helper()
+	c := &Cluster{Store: fake.NewStore(), Record: fake.NewRecord(), proxied: o.Proxied, t: t, dir: t.TempDir()}
 	serve(t, c.storeAddr(), c.Store)
 	c.SetConfig(1, prefix)
-	for i := range entries {
+	for i := range o.Entries {
 		c.Entries = append(c.Entries, c.start("entry", i, firstEntry+i))
 	}
-	for i := range agents {
+	for i := range o.Agents {
 		h := c.start("agent", i, firstAgent+i)
 		c.Agents = append(c.Agents, h)
 		c.startEndpoint(h, i)
@@ -107,7 +125,15 @@
 	if err := os.WriteFile(file, text, 0o600); err != nil {
 		c.t.Fatal(err)
 	}
-	return &Host{Process: harness.StartProcess(c.t, name, "hosted", role, "--node-file", file), IP: ip, Zone: zone}
+	h := &Host{IP: ip, Zone: zone}
+	args := []string{"hosted", role, "--node-file", file}
+	if role == "entry" && c.proxied {
+		behind := fake.Addr(ip, proxiedPort)
+		h.Links = harness.StartProxy(c.t, fake.Addr(ip, fake.LinkPort), behind)
+		args = append(args, "--link-listen", behind)
+	}
+	h.Process = harness.StartProcess(c.t, name, args...)
+	return h
 }
 
 // startEndpoint starts an endpoint that sends heartbeats to its agent.
@@ -233,12 +259,16 @@
 }
 
 func (tr *Traffic) job(ctx context.Context, n int) {
-	id, body := NewJobID(), fake.Tasks(1+rand.IntN(4), 20+rand.IntN(200)) //nolint:gosec // sizes of a test
+	tasks := 1 + rand.IntN(4)                                    //nolint:gosec // sizes of a test
+	id, body := NewJobID(), fake.Tasks(tasks, 20+rand.IntN(200)) //nolint:gosec // as above
 	var statuses []int
 	for try := range 3 {
 		a := tr.c.Submit(tr.c.Entries[(n+try)%len(tr.c.Entries)], id, body)
 		statuses = append(statuses, a.Status)
 		tr.note(a)
+		if done := tr.c.Record.Done(id); a.Completed() && done < tasks {
+			tr.c.t.Errorf("job %s: answered as completed with %d of %d tasks done", id, done, tasks)
+		}
 		if !a.SendAgain() {
 			tr.noteEnd(id, a, statuses)
 			return
--- a/integration/hosted/soak_test.go
+++ b/integration/hosted/soak_test.go
@@ -8,18 +8,21 @@
 	"testing"
 	"time"
 
+	"bergamotwing.example/integration/harness"
 	"bergamotwing.example/platform/fake"
 )
 
 // The soak plays random faults, which overlap, against real processes under
-// traffic, and checks the promises from what clients and endpoints see.
+// traffic, and checks the promises from what clients and endpoints see. Every
+// second seed has the links pass a proxy that delays, resets, cuts and silences
+// them. Clocks are not stepped: the processes read none that can be.
 //
 //	BERGAMOTWING_SOAK_SEED=7 BERGAMOTWING_SOAK_RUNS=20 go test ./integration/hosted -run TestSoak -timeout 1h -v
 
 const (
 	soakEntries = 3
 	soakAgents  = 5
-	soakFaults  = 8
+	soakFaults  = 12
 	soakSpan    = 8 * time.Second // in which the faults begin
 	soakBack    = 8 * time.Second // after the last fault, until all is served again
 )
@@ -30,6 +33,7 @@
 	cause string
 }{
 	{1, "the first seed of the short run in CI; it has not failed"},
+	{2, "the first seed with faults of links; it has not failed"},
 }
 
 func soakNumber(name string, otherwise uint64) uint64 {
@@ -53,7 +57,7 @@
 func soak(t *testing.T, seed uint64) {
 	t.Helper()
 	rng := rand.New(rand.NewPCG(seed, 0)) //nolint:gosec // reproducible
-	c := New(t, soakEntries, soakAgents)
+	c := Start(t, Options{Entries: soakEntries, Agents: soakAgents, Proxied: seed%2 == 0})
 	tr := c.StartTraffic(8, 25*time.Millisecond)
 	var faults sync.WaitGroup
 	for range soakFaults {
@@ -127,6 +131,7 @@
 				host.Start(c.t)
 			})
 		}},
+		{"hang up " + host.Name, func(time.Duration) { alone(host, func() { _ = host.Hangup() }) }}, // it runs, as above
 		{"store", func(lasts time.Duration) {
 			c.Store.SetFault(func(string) fake.StoreFault { return storeFault })
 			time.Sleep(lasts)
@@ -157,5 +162,45 @@
 			c.Store.TakeBack(agent.Zone)
 		}},
 	}
+	if c.proxied {
+		all = append(all, linkFaults(c, entry, rng)...)
+	}
 	return all[rng.IntN(len(all))]
 }
+
+// linkFaults returns faults of the links that others have made to an entry.
+func linkFaults(c *Cluster, entry *Host, rng *rand.Rand) []soakFault {
+	source := c.Agents[rng.IntN(len(c.Agents))].Name
+	if other := c.Entries[rng.IntN(len(c.Entries))]; other != entry && rng.IntN(2) == 0 {
+		source = other.Name
+	}
+	delay := time.Duration(50+rng.IntN(400)) * time.Millisecond
+	direction := harness.Direction(rng.IntN(2))
+	during := func(lasts time.Duration, begin, end func()) {
+		begin()
+		time.Sleep(lasts)
+		end()
+	}
+	links := entry.Links
+	return []soakFault{
+		{"links of " + entry.Name + " reset", func(time.Duration) {
+			links.Cut()
+			links.Heal()
+		}},
+		{source + " cut off from " + entry.Name, func(lasts time.Duration) {
+			during(lasts, func() { links.Cut(source) }, func() { links.Heal(source) })
+		}},
+		{source + " and " + entry.Name + " silent one way", func(lasts time.Duration) {
+			during(lasts, func() { links.DropDirection(direction, source) }, func() { links.Heal(source) })
+		}},
+		{"links of " + entry.Name + " silent both ways", func(lasts time.Duration) {
+			during(lasts, func() {
+				links.DropDirection(harness.ToTarget)
+				links.DropDirection(harness.FromTarget)
+			}, func() { links.Heal() })
+		}},
+		{"links of " + entry.Name + " delayed", func(lasts time.Duration) {
+			during(lasts, func() { links.Delay(delay) }, func() { links.Delay(0) })
+		}},
+	}
+}
