--- /dev/null
+++ b/command/internal/hostedtrial/trial_test.go
@@ -0,0 +1,39 @@
+package hostedtrial
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"bergamotwing.example/platform/fake"
+)
+
+func TestTheTrialFindsNoFault(t *testing.T) {
+	var progress strings.Builder
+	report, err := Run(t.Context(), Config{Seed: 1, Log: io.Discard, Progress: &progress})
+	if err != nil {
+		t.Fatalf("%v after %s", err, progress.String())
+	}
+	for _, f := range report.Faults {
+		t.Error(f)
+	}
+}
+
+func TestBrokenPromisesAreReported(t *testing.T) {
+	record := fake.NewRecord()
+	for _, tc := range []struct {
+		name   string
+		answer fake.Answer
+	}{
+		{"completed without its tasks", fake.Answer{Status: 200, Body: `{"State":"completed"}`}},
+		{"failed", fake.Answer{Status: 200, Body: `{"State":"failed"}`}},
+		{"no answer", fake.Answer{}},
+	} {
+		tr := &trial{host: &deployment{record: record}}
+		tr.ended("5c0e7a21d94b36f8", 2, 0, tc.answer, time.Second)
+		if len(tr.report.Faults) != 1 {
+			t.Errorf("%s: faults %v", tc.name, tr.report.Faults)
+		}
+	}
+}
--- a/command/try.go
+++ b/command/try.go
@@ -1,10 +1,12 @@
 package command
 
 import (
+	"context"
 	"errors"
 	"io"
 	"os"
 
+	"bergamotwing.example/command/internal/hostedtrial"
 	"bergamotwing.example/command/internal/trial"
 )
 
@@ -14,9 +16,14 @@
 with response times against the ideal, and exits 0 only if every answer was
 right. Takes under 20 s.
 
+With --hosted it tries the processes of the hosting platform instead: three
+entries, four agents, and stand-ins of the store and the endpoints. A zone is
+evacuated and taken back, an endpoint fails all its tasks and an entry stops.
+
 Examples:
 $ bergamotwing try
-$ bergamotwing try --seed 7 --log try.log`
+$ bergamotwing try --seed 7 --log try.log
+$ bergamotwing try --hosted`
 
 // errTrial ends a trial in which something was wrong; the report says what.
 var errTrial = errors.New("the trial found faults")
@@ -25,6 +32,13 @@
 	out  *output
 	Seed uint64 `long:"seed" default:"1" description:"seed of arrivals and run times"`
 	Log  string `long:"log" value-name:"FILE" description:"write the processes' logs to this file"`
+
+	Hosted bool `long:"hosted" description:"try the processes of the hosting platform"`
+}
+
+// trialReport is what a trial found.
+type trialReport interface {
+	Write(w io.Writer) error
 }
 
 // Execute runs the trial and prints its report.
@@ -36,19 +50,35 @@
 	defer func() { _ = log.Close() }()
 	ctx, stop := untilSignal()
 	defer stop()
-	report, err := trial.Run(ctx, trial.Config{Seed: c.Seed, Log: log, Progress: c.out.stderr})
+	report, faults, err := c.run(ctx, log)
 	if err != nil {
 		return err
 	}
 	if err := report.Write(c.out.stdout); err != nil {
 		return err
 	}
-	if len(report.Faults) > 0 {
+	if faults > 0 {
 		return errTrial
 	}
 	return nil
 }
 
+// run runs the trial and returns how many faults it found.
+func (c *tryCommand) run(ctx context.Context, log io.Writer) (trialReport, int, error) {
+	if c.Hosted {
+		report, err := hostedtrial.Run(ctx, hostedtrial.Config{Seed: c.Seed, Log: log, Progress: c.out.stderr})
+		if err != nil {
+			return nil, 0, err
+		}
+		return report, len(report.Faults), nil
+	}
+	report, err := trial.Run(ctx, trial.Config{Seed: c.Seed, Log: log, Progress: c.out.stderr})
+	if err != nil {
+		return nil, 0, err
+	}
+	return report, len(report.Faults), nil
+}
+
 type discardCloser struct{ io.Writer }
 
 func (discardCloser) Close() error { return nil }
--- a/integration/hosted/cluster.go
+++ b/integration/hosted/cluster.go
@@ -145,17 +145,7 @@
 	serve(c.t, fake.Addr(h.IP, fake.EndpointPort), h.Endpoint)
 	ctx, cancel := context.WithCancel(context.Background())
 	c.t.Cleanup(cancel)
-	go func() {
-		ticker := time.NewTicker(fake.Heartbeat)
-		defer ticker.Stop()
-		for ctx.Err() == nil {
-			_ = h.Endpoint.Announce(fake.Addr(h.IP, fake.ControlPort)) // the agent may be down
-			select {
-			case <-ctx.Done():
-			case <-ticker.C:
-			}
-		}
-	}()
+	go h.Endpoint.KeepAnnouncing(ctx, fake.Addr(h.IP, fake.ControlPort))
 }
 
 func serve(t testing.TB, addr string, handler http.Handler) {
