Only a new scheduler guesses how long clients have waited; the simulation's clients wait once

Now a scheduler remembers for 5 s when a job was first submitted; it goes by the client's wait only for three resend times after its start, with a threshold that reckons with the error of the estimates. A job that is taken for one sent again may have run, so it is never refused as not run.

Cause 2: a predicted wait of 0 was returned for a job that may not wait at all.

Traced, both faults of the model, not of the code: a client whose job had been answered broke its connection all the same and so sent the job twice; an entry took reports on a link that it had given up, which closes the link in the processes, and ordered before it had the list of a new link. The model's clients now break a connection only while they wait, and a link given up carries heartbeats only.

--- a/dispatch/estimate.go
+++ b/dispatch/estimate.go
@@ -1,22 +1,27 @@
 package dispatch
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	estimateWeight = 0.05 // of one run in the moving average of a route
 	estimateMin    = 0.3
 	estimateMax    = 4.0
+	firstSpread    = 0.4 // of run times about what is expected, before any is seen
 )
 
 // estimate corrects a route's declared run times by the run times seen.
 type estimate struct {
 	factor float64
+	spread float64 // mean difference of a run time from what is expected, as a share
 }
 
 func (s *Scheduler) estimateOf(route string) *estimate {
 	e := s.estimates[route]
 	if e == nil {
-		e = &estimate{factor: 1}
+		e = &estimate{factor: 1, spread: firstSpread}
 		s.estimates[route] = e
 	}
 	return e
@@ -30,5 +35,6 @@
 		return
 	}
 	ratio := min(max(float64(actual)/float64(declared), estimateMin), estimateMax)
+	e.spread += estimateWeight * (math.Abs(ratio/e.factor-1) - e.spread)
 	e.factor += estimateWeight * (ratio - e.factor)
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -7,7 +7,7 @@
 // job is an open job.
 type job struct {
 	sub       Submission
-	sentAgain bool // the client waited for an earlier submission
+	submitted Time // first, as far as known
 	objective Time // latest end that meets the latency objective
 	lateBy    Time // latest end that is worth anything
 	chain     Time // expected work on the longest path through the steps
@@ -51,7 +51,7 @@
 const lateFactor = 3
 
 func newJob(now Time, sub Submission, est *estimate) *job {
-	j := &job{sub: sub}
+	j := &job{sub: sub, submitted: now}
 	steps := sub.Job.Steps
 	j.left = make([]int, len(steps))
 	j.released = make([]bool, len(steps))
@@ -69,9 +69,11 @@
 	return j
 }
 
-// submittedBefore moves the times that count from the job's first submission.
+// submittedBefore moves the times that count from the job's first submission,
+// which may have started tasks.
 func (j *job) submittedBefore(age Time) {
-	j.sentAgain = age > 0
+	j.sub.MayHaveRun = j.sub.MayHaveRun || age > 0
+	j.submitted -= age
 	j.objective -= age
 	j.lateBy -= age
 }
--- a/dispatch/patience.go
+++ b/dispatch/patience.go
@@ -2,9 +2,13 @@
 
 // Limits of patience.
 const (
-	spareRise   = 0.3  // weight of a longer spare time than usual
-	spareFall   = 0.01 // weight of a shorter one: those sent again are no measure
+	spareRise   = 0.1  // weight of a longer spare time than usual
+	spareFall   = 0.03 // weight of a shorter one: those sent again are no measure
 	resendShare = 0.7  // of the time after which clients send again, that a client's wait has to be shorter than usual
+	spreadShare = 2.5  // times the usual error of the time in which an answer is of use, likewise
+	// lossesResends is for how many resend times after its start a scheduler
+	// reckons with jobs that were submitted to processes that are lost.
+	lossesResends = 3
 )
 
 // patience tells how long ago a client first submitted a job that it sends
@@ -18,8 +22,9 @@
 }
 
 // waitedBefore returns how long a client is taken to have waited, by the wait
-// that it has left and the time in which an answer is of use; 0 for a new one.
-func (p *patience) waitedBefore(wait, useful, resendAfter Time) Time {
+// that it has left, the time in which an answer is of use and the usual error of
+// that time; 0 for a new one.
+func (p *patience) waitedBefore(wait, useful, usefulError, resendAfter Time) Time {
 	spare := wait - useful
 	if !p.known {
 		p.known = true
@@ -32,12 +37,29 @@
 	} else {
 		p.spare -= Time(spareRise * float64(shorter))
 	}
-	if float64(shorter) < resendShare*float64(resendAfter) {
+	if float64(shorter) < max(resendShare*float64(resendAfter), spreadShare*float64(usefulError)) {
 		return 0
 	}
 	return max(shorter, resendAfter)
 }
 
+// firstSubmitted returns when the client of a job that arrives now first
+// submitted it: as this scheduler remembers or, for a while after its start, as
+// the client's wait tells, since the processes that knew may be lost.
+func (s *Scheduler) firstSubmitted(now Time, j *job) Time {
+	if r, known := s.recent[j.sub.Job.ID]; known {
+		return r.submitted
+	}
+	route := j.sub.Route
+	work := route.Stretch * float64(j.chain)
+	usefulError := Time(lateFactor * work * s.estimateOf(route.Name).spread)
+	waited := s.patienceOf(route.Name).waitedBefore(j.sub.Deadline-now, j.lateBy-now, usefulError, s.timing.ResendAfter)
+	if now > s.started+lossesResends*s.timing.ResendAfter {
+		return now
+	}
+	return now - waited
+}
+
 func (s *Scheduler) patienceOf(route string) *patience {
 	p := s.patience[route]
 	if p == nil {
--- a/dispatch/patience_test.go
+++ b/dispatch/patience_test.go
@@ -24,7 +24,7 @@
 	wrong := 0
 	for range 1000 {
 		wait, useful := client(0)
-		if p.waitedBefore(wait, useful, 1300*ms) > 0 {
+		if p.waitedBefore(wait, useful, useful/4, 1300*ms) > 0 {
 			wrong++
 		}
 	}
@@ -40,20 +40,20 @@
 	// After a loss of everything, jobs sent again come before the first new ones.
 	for range 3 {
 		wait, useful := client(1300 * ms)
-		p.waitedBefore(wait, useful, 1300*ms)
+		p.waitedBefore(wait, useful, useful/4, 1300*ms)
 	}
 	for range 10 {
 		wait, useful := client(0)
-		p.waitedBefore(wait, useful, 1300*ms)
+		p.waitedBefore(wait, useful, useful/4, 1300*ms)
 	}
 	known := 0
 	for range 100 {
 		wait, useful := client(1300*ms + Time(rng.Int64N(int64(300*time.Millisecond))))
-		if age := p.waitedBefore(wait, useful, 1300*ms); age >= 1300*ms {
+		if age := p.waitedBefore(wait, useful, useful/4, 1300*ms); age >= 1300*ms {
 			known++
 		}
 		wait, useful = client(0)
-		p.waitedBefore(wait, useful, 1300*ms)
+		p.waitedBefore(wait, useful, useful/4, 1300*ms)
 	}
 	if known < 80 {
 		t.Errorf("%d of 100 clients that waited before are known", known)
--- a/dispatch/predict.go
+++ b/dispatch/predict.go
@@ -52,10 +52,11 @@
 	for _, d := range demands {
 		for range d.count {
 			for free < d.cpu {
-				if slot == slotCount || Time(slot)*slotLength > limit {
-					return Time(slot) * slotLength
-				}
 				slot++
+				wait := Time(slot) * slotLength
+				if slot > slotCount || wait > limit {
+					return wait
+				}
 				free += ends[slot]
 			}
 			free -= d.cpu
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -67,8 +67,9 @@
 // recentRuns is kept of a job that is over: endpoints refuse the numbers of
 // runs that they have seen.
 type recentRuns struct {
-	highest int
-	at      Time
+	highest   int
+	submitted Time // first
+	at        Time // of the job's end
 }
 
 // Scheduler holds one service's queue and decides what runs where.
@@ -147,9 +148,9 @@
 	}
 	sub.MayHaveRun = sub.MayHaveRun || s.recent[sub.Job.ID].highest > 0
 	j := newJob(now, sub, s.estimateOf(sub.Route.Name))
-	j.submittedBefore(s.patienceOf(sub.Route.Name).waitedBefore(sub.Deadline-now, j.lateBy-now, s.timing.ResendAfter))
+	j.submittedBefore(now - s.firstSubmitted(now, j))
 	if out, refused := s.admit(now, j); refused {
-		s.finishUnknown(sub, out)
+		s.finishUnknown(j.sub, out)
 		return
 	}
 	for _, t := range j.tasks {
@@ -242,7 +243,7 @@
 		}
 	}
 	delete(s.jobs, j.sub.Job.ID)
-	s.recent[j.sub.Job.ID] = recentRuns{highest: j.highestRun(), at: now}
+	s.recent[j.sub.Job.ID] = recentRuns{highest: j.highestRun(), submitted: j.submitted, at: now}
 	if j.next != nil {
 		s.Submit(now, *j.next)
 	}
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -395,3 +395,49 @@
 		t.Errorf("answered %v (%v), though a task had started", code, ok)
 	}
 }
+
+// A client that waits much less than others on its route has submitted its job
+// before, to processes that are lost: nobody knows whether it ran.
+func TestAJobThatWasSubmittedBeforeALossIsNotRefusedAsNotRun(t *testing.T) {
+	b := newBed(t)
+	b.s = NewScheduler("svc", testTiming, &OrderNumbers{}, b.now)
+	b.report("e", EndpointStatus{Available: true, Capacity: Resources{CPUMilli: 4000, MemoryMB: 1000}})
+	submit := func(id string, wait Time) {
+		b.s.Submit(b.now, Submission{
+			Caller: callerA, Job: Job{ID: id, Steps: []Step{step(4)}}, Deadline: b.now + wait,
+			Route: Route{Name: "r", MaxAttempts: 3, Stretch: 2, TargetLatency: 100 * ms},
+		})
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		submit(id, 2400*ms)
+	}
+	b.take()
+	submit("again", 1000*ms)
+	if _, outcomes, _ := b.take(); outcomes["again"] != result.OutcomeUnknown {
+		t.Errorf("outcome %v, want %v", outcomes["again"], result.OutcomeUnknown)
+	}
+	submit("new", 2300*ms)
+	if _, outcomes, _ := b.take(); outcomes["new"] != result.Overloaded {
+		t.Errorf("outcome %v, want a refusal as not run", outcomes["new"])
+	}
+}
+
+// A client whose connection broke sends its job again 1.3 s later, when it is
+// too late for it: new jobs go first.
+func TestAJobSentAgainCountsFromItsFirstSubmission(t *testing.T) {
+	b := newBed(t, "e")
+	b.submit("again", callerA, 0, step(1))
+	order := first(b.take())[0]
+	b.s.Cancel(b.now, "again", callerA)
+	b.end(order, EndStopped)
+	b.now += testTiming.ResendAfter
+	b.submit("running", callerA, 0, step(4))
+	running := first(b.take())
+	b.submit("new", callerA, 0, step(1))
+	b.submit("again", callerA, 0, step(1))
+	b.take()
+	b.end(running[0], EndDone)
+	if orders, _, _ := b.take(); len(orders) != 1 || orders[0].Job != "new" {
+		t.Errorf("orders %+v, want the new job's", orders)
+	}
+}
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -243,13 +243,23 @@
 	a.run(incarnation, func() {
 		for _, e := range a.s.entries {
 			reading := a.s.now
-			a.send(e, func() { e.heard(a, incarnation, reading) })
+			a.sendBeat(e, func() { e.heard(a, incarnation, reading) })
 		}
 		a.s.after(simBeat, func() { a.beat(incarnation) })
 	})
 }
 
+// send has an entry do something, unless it has closed the link by then.
 func (a *simAgent) send(e *simEntry, do func()) {
+	a.sendBeat(e, func() {
+		if !e.links[a.name].lost {
+			do()
+		}
+	})
+}
+
+// sendBeat is send for heartbeats, which have a closed link made anew.
+func (a *simAgent) sendBeat(e *simEntry, do func()) {
 	incarnation, version := e.incarnation, a.links[e.name]
 	a.s.message(e.links[a.name], toEntry, func() {
 		e.run(incarnation, func() {
@@ -517,8 +527,9 @@
 	e.run(e.incarnation, func() {
 		e.sched.Submit(s.now, Submission{Caller: caller, Job: job, Route: route, Deadline: s.now + 1500*ms})
 	})
-	if s.chance(0.2) { // the connection breaks
-		incarnation, attempt := e.incarnation, s.attempt[id]
+	attempt, waits := s.attempt[id]
+	if s.chance(0.2) && waits { // the connection breaks before an answer
+		incarnation := e.incarnation
 		s.after(Time(s.rng.IntN(200))*ms, func() {
 			if s.attempt[id] != attempt {
 				return
