A failed task does not run again where it failed while another endpoint is left

Such a task now waits for room at a healthy endpoint that has not failed it; if there is none left, any will do. Ruled out: hopeless jobs, the other tasks of the job ended well elsewhere. TestAFailedTaskWaitsForAnotherEndpoint failed before.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -145,7 +145,7 @@
 		if !st.Need.Fits(room) || !s.allowed(j, t, st, e) {
 			continue
 		}
-		cost := time.Duration(float64(expected) * s.penalty(st, t, e))
+		cost := time.Duration(float64(expected) * s.penalty(st, e))
 		if cost > expected && now+cost > j.objective && now < j.lateBy && s.anyHealthy(e) {
 			continue
 		}
@@ -182,21 +182,16 @@
 
 // penalty is how much longer a task takes at an endpoint than at a sound one
 // near its data.
-func (s *Scheduler) penalty(st *Step, t *task, e *endpoint) float64 {
+func (s *Scheduler) penalty(st *Step, e *endpoint) float64 {
 	p := e.slowness()
 	if st.DataRack != "" && !slices.Contains(e.status.Labels, st.DataRack) {
 		p *= farFactor
 	}
-	if slices.Contains(t.failedAt, e.id) {
-		p *= failedHereFactor
-	}
 	return p
 }
 
-const (
-	farFactor        = 1.5 // run time of a task away from its data
-	failedHereFactor = 1.4 // prefers other endpoints after a failure
-)
+// farFactor is by how much longer a task runs away from its data.
+const farFactor = 1.5
 
 // anyHealthy reports whether a task may get a better place than e by waiting.
 func (s *Scheduler) anyHealthy(e *endpoint) bool {
@@ -205,7 +200,11 @@
 	})
 }
 
+// allowed reports whether a task may run at an endpoint that has room for it.
 func (s *Scheduler) allowed(j *job, t *task, st *Step, e *endpoint) bool {
+	if slices.Contains(t.failedAt, e.id) && s.anyUntried(t, st) {
+		return false
+	}
 	if st.RequiredLabel != "" && !slices.Contains(e.status.Labels, st.RequiredLabel) {
 		return false
 	}
@@ -221,6 +220,16 @@
 	return here < st.MaxPerEndpoint
 }
 
+// anyUntried reports whether a task that failed may yet run at a healthy
+// endpoint where it has not. It waits for that one's room: an endpoint that
+// fails its tasks has free room soon, and would use up the task's attempts.
+func (s *Scheduler) anyUntried(t *task, st *Step) bool {
+	return slices.ContainsFunc(s.endpoints, func(e *endpoint) bool {
+		return e.healthy(s.evacuated) && !slices.Contains(t.failedAt, e.id) && st.Need.Fits(e.status.Capacity) &&
+			(st.RequiredLabel == "" || slices.Contains(e.status.Labels, st.RequiredLabel))
+	})
+}
+
 func (s *Scheduler) order(now Time, j *job, t *task, e *endpoint) {
 	st := j.sub.Job.Steps[t.step]
 	r := &run{
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -441,3 +441,28 @@
 		t.Errorf("orders %+v, want the new job's", orders)
 	}
 }
+
+// An endpoint that fails its tasks at once has room while the others are busy.
+func TestAFailedTaskWaitsForAnotherEndpoint(t *testing.T) {
+	b := newBed(t, "bad", "good")
+	b.submit("job", callerA, 0, step(8))
+	onGood := map[RunRef]SchedulerAction{}
+	var onBad []SchedulerAction
+	for _, o := range first(b.take()) {
+		if o.Endpoint.ID == "good" {
+			onGood[o.Run] = o
+		} else {
+			onBad = append(onBad, o)
+		}
+	}
+	b.end(onBad[0], EndFailed)
+	if orders, _, _ := b.take(); len(orders) > 0 {
+		t.Fatalf("orders %+v while the other endpoint is busy", orders)
+	}
+	for _, o := range onGood {
+		b.end(o, EndDone)
+	}
+	if orders, _, _ := b.take(); len(orders) != 1 || orders[0].Endpoint.ID != "good" {
+		t.Errorf("orders %+v, want one at the endpoint that did not fail the task", orders)
+	}
+}
