Links and heartbeats no longer grow with the product of entries and agents

Change: an agent keeps links to the 12 entries that come first when the home of its service is chosen, to seeds and to owners of its runs; entries beat each other every 50 ms only where one of them holds jobs of the other, else every 400 ms and when what they say changes; agents are told of members at most twice a second; the operator's state goes to a peer whose heartbeat is behind, once. Rows and lists of members have the size of the host, so that agents choose as entries do. Deployments of up to 12 entries keep all links. An entry without agents is ready if a peer has endpoints.

TestTheHomeIsAmongTheStandbys (rapid), TestAgentsLinkToAFewOfManyEntries (18 entries, 6 of them killed).

--- a/dispatch/home.go
+++ b/dispatch/home.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"hash/fnv"
+	"slices"
 )
 
 // Candidate is an entry that may hold a service's queue.
@@ -19,37 +21,51 @@
 // only the order between their jobs, since agents check each start. It returns
 // "" without candidates.
 func ChooseHome(service string, candidates []Candidate) string {
-	fit := fittest(candidates)
-	best, bestRank := "", uint64(0)
-	for _, c := range fit {
-		if rank := HomeRank(service, c.Name); best == "" || rank > bestRank || rank == bestRank && c.Name < best {
-			best, bestRank = c.Name, rank
-		}
+	candidates = atLeastHalf(candidates, func(c Candidate) float64 { return float64(c.Endpoints) })
+	ranked := rank(service, candidates)
+	if len(ranked) == 0 {
+		return ""
 	}
-	return best
+	return ranked[0].Name
 }
 
-// fittest leaves out the candidates with less than half of the best one's
-// endpoints, then of its bandwidth, then of its processor time.
-func fittest(candidates []Candidate) []Candidate {
-	for _, measure := range []func(Candidate) float64{
-		func(c Candidate) float64 { return float64(c.Endpoints) },
-		func(c Candidate) float64 { return c.LinkMbps },
-		func(c Candidate) float64 { return c.Cores },
-	} {
-		most := 0.0
-		for _, c := range candidates {
-			most = max(most, measure(c))
-		}
-		var kept []Candidate
-		for _, c := range candidates {
-			if 2*measure(c) >= most {
-				kept = append(kept, c)
-			}
+// ChooseStandbys returns the entries to which the agents of a service keep
+// links: those that come first when its home is chosen, so that the links of a
+// deployment do not grow with the product of entries and agents.
+func ChooseStandbys(service string, candidates []Candidate, most int) []Candidate {
+	ranked := rank(service, candidates)
+	return ranked[:min(most, len(ranked))]
+}
+
+// rank orders candidates for a service: those with large hosts first, then by
+// rendezvous hashing.
+func rank(service string, candidates []Candidate) []Candidate {
+	large := atLeastHalf(candidates, func(c Candidate) float64 { return c.LinkMbps })
+	large = atLeastHalf(large, func(c Candidate) float64 { return c.Cores })
+	ranked := slices.Clone(candidates)
+	slices.SortFunc(ranked, func(a, b Candidate) int {
+		return cmp.Or(
+			cmp.Compare(boolRank(!slices.Contains(large, a)), boolRank(!slices.Contains(large, b))),
+			cmp.Compare(HomeRank(service, b.Name), HomeRank(service, a.Name)),
+			cmp.Compare(a.Name, b.Name),
+		)
+	})
+	return ranked
+}
+
+// atLeastHalf returns the candidates with at least half of the best one's measure.
+func atLeastHalf(candidates []Candidate, measure func(Candidate) float64) []Candidate {
+	most := 0.0
+	for _, c := range candidates {
+		most = max(most, measure(c))
+	}
+	var kept []Candidate
+	for _, c := range candidates {
+		if 2*measure(c) >= most {
+			kept = append(kept, c)
 		}
-		candidates = kept
 	}
-	return candidates
+	return kept
 }
 
 // HomeRank orders the entries for a service by rendezvous hashing: the highest
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -1,11 +1,13 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
 
 	"bergamotwing.example/result"
 )
@@ -363,6 +365,34 @@
 	}
 }
 
+// The home is among the standbys, whichever of the entries has endpoints, as
+// long as the standbys have.
+func TestTheHomeIsAmongTheStandbys(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []Candidate
+		for i := range rapid.IntRange(1, 60).Draw(t, "entries") {
+			all = append(all, Candidate{
+				Name:     fmt.Sprintf("entry-%d", i),
+				Cores:    rapid.SampledFrom([]float64{0.2, 0.4, 0.8}).Draw(t, "cores"),
+				LinkMbps: rapid.SampledFrom([]float64{25, 100, 200}).Draw(t, "link"),
+			})
+		}
+		standbys := ChooseStandbys("svc", all, 12)
+		if len(standbys) != min(12, len(all)) {
+			t.Fatalf("%d standbys of %d entries", len(standbys), len(all))
+		}
+		for i := range all {
+			if slices.ContainsFunc(standbys, func(c Candidate) bool { return c.Name == all[i].Name }) {
+				all[i].Endpoints = 255
+			}
+		}
+		home := ChooseHome("svc", all)
+		if !slices.ContainsFunc(standbys, func(c Candidate) bool { return c.Name == home }) {
+			t.Errorf("home %s is not among %v", home, standbys)
+		}
+	})
+}
+
 func TestHomesAreChosenAmongWellConnectedEntries(t *testing.T) {
 	all := []Candidate{{"a", 10, 0.8, 200}, {"b", 10, 0.5, 150}, {"c", 4, 0.8, 200}, {"small", 10, 0.2, 200}, {"slow", 10, 0.8, 25}}
 	home := ChooseHome("svc", all)
--- a/hosted/agent/control.go
+++ b/hosted/agent/control.go
@@ -25,8 +25,10 @@
 type state struct {
 	a         *Agent
 	timing    dispatch.Timing
-	peers     map[string]*mesh.Peer // linked entries by name
-	addrs     map[string]string     // entries known, by name
+	peers     map[string]*mesh.Peer    // linked entries by name
+	lists     map[string][]wire.Member // entries that each linked one knows
+	rows      []wire.Member            // entries registered in the store, as last read
+	addrs     map[string]string        // of the entries known, by name
 	endpoints map[dispatch.EndpointID]*endpoint
 	operator  dispatch.OperatorState
 	ends      []keptEnd
@@ -42,7 +44,7 @@
 
 func newState(a *Agent) *state {
 	return &state{
-		a: a, timing: control.TimingOf(a.node), seeds: mesh.SeedAddrs(a.node), peers: map[string]*mesh.Peer{}, addrs: map[string]string{},
+		a: a, timing: control.TimingOf(a.node), seeds: mesh.SeedAddrs(a.node), peers: map[string]*mesh.Peer{}, lists: map[string][]wire.Member{}, addrs: map[string]string{},
 		endpoints: map[dispatch.EndpointID]*endpoint{},
 	}
 }
@@ -66,7 +68,7 @@
 	case control.Received:
 		s.received(now, m.Link, m.Message)
 	case control.MembersRead:
-		s.addMembers(m.Members)
+		s.setRows(m.Members)
 	case askLinked:
 		m.reply <- len(s.peers) > 0
 	case announced:
@@ -170,7 +172,7 @@
 	}
 	p := mesh.NewPeer(l, now)
 	s.peers[name] = p
-	s.addEntry(name, l.Hello.Addr)
+	s.addrs[name] = l.Hello.Addr
 	s.beat(now, p)
 	owner := l.Owner()
 	s.sendKeptEnds(p, owner)
@@ -200,6 +202,7 @@
 func (s *state) linkDown(l *mesh.Link) {
 	if p := s.peers[l.Hello.Name]; p != nil && p.Link == l {
 		delete(s.peers, l.Hello.Name)
+		s.retarget()
 		s.a.deps.Log.Warn().Str("event", "entry_lost").Str("entry", l.Hello.Name).Msg("link to entry lost")
 	}
 }
@@ -229,25 +232,73 @@
 	}
 }
 
-func (s *state) addMembers(members []mesh.MemberRow) {
-	for _, m := range members {
-		s.addEntry(m.Name, m.Addr)
+// setRows takes in the entries registered in the store.
+func (s *state) setRows(rows []mesh.MemberRow) {
+	s.rows = nil
+	for _, row := range rows {
+		s.rows = append(s.rows, row.Member)
 	}
+	s.retarget()
 }
 
-// addEntry learns an entry's address and dials it.
-func (s *state) addEntry(name, addr string) {
-	if addr == "" || s.addrs[name] == addr {
+// setList takes in the entries that a linked one knows. Lists of entries that
+// are not linked any more are of use only until there is one.
+func (s *state) setList(from string, entries []wire.Member) {
+	if slices.Equal(s.lists[from], entries) {
 		return
 	}
-	s.addrs[name] = addr
+	s.lists[from] = entries
+	for name := range s.lists {
+		if s.peers[name] == nil {
+			delete(s.lists, name)
+		}
+	}
 	s.retarget()
 }
 
+// known returns the entries that others tell of and, without a link, those that
+// were last read from the store.
+func (s *state) known() map[string]wire.Member {
+	known := map[string]wire.Member{}
+	for _, list := range s.lists {
+		for _, m := range list {
+			known[m.Name] = m
+		}
+	}
+	if len(s.peers) == 0 || len(known) == 0 {
+		for _, m := range s.rows {
+			known[m.Name] = m
+		}
+	}
+	return known
+}
+
+// maxStandbys is how many entries an agent is linked to, besides seeds and
+// owners of runs: enough for the loss of a zone and some more.
+const maxStandbys = 12
+
+// retarget dials the entries that may become the home of the endpoint's service.
+// Without a link all known ones are dialed.
 func (s *state) retarget() {
+	known := s.known()
+	s.addrs = map[string]string{}
+	var candidates []dispatch.Candidate
+	for name, m := range known {
+		s.addrs[name] = m.Addr
+		candidates = append(candidates, dispatch.Candidate{Name: name, Cores: m.Cores, LinkMbps: m.LinkMbps})
+	}
+	if len(s.peers) > 0 {
+		candidates = dispatch.ChooseStandbys(s.a.node.Service, candidates, maxStandbys)
+	}
 	targets := slices.Clone(s.seeds)
-	for _, addr := range s.addrs {
-		targets = append(targets, addr)
+	for _, c := range candidates {
+		targets = append(targets, s.addrs[c.Name])
+	}
+	for name, p := range s.peers {
+		s.addrs[name] = p.Hello.Addr
+		if s.busyFor(p.Owner()) {
+			targets = append(targets, p.Hello.Addr)
+		}
 	}
 	s.a.mesh.SetTargets(s.a.ctx, targets)
 }
@@ -264,7 +315,7 @@
 	case *wire.OperatorUpdate:
 		s.adopt(now, p, m.State)
 	case *wire.Members:
-		s.setMembers(m.Entries)
+		s.setList(l.Hello.Name, m.Entries)
 	case *wire.RunOrder:
 		s.order(now, owner, m)
 	case *wire.RunStop:
@@ -303,19 +354,6 @@
 	}
 }
 
-// setMembers forgets entries that are in nobody's list any more.
-func (s *state) setMembers(entries []wire.Member) {
-	next := map[string]string{}
-	for _, e := range entries {
-		next[e.Name] = e.Addr
-	}
-	for name, p := range s.peers {
-		next[name] = p.Hello.Addr
-	}
-	s.addrs = next
-	s.retarget()
-}
-
 func (s *state) order(now time.Duration, owner dispatch.Owner, m *wire.RunOrder) {
 	e := s.endpoints[m.Endpoint]
 	for _, r := range m.Runs {
--- a/hosted/entry/agents.go
+++ b/hosted/entry/agents.go
@@ -59,9 +59,7 @@
 	case *wire.NodeBeat:
 		p.Heard(m)
 		p.SendBeat(now, s.beat())
-		if op := s.e.operator.Load(); op != nil && m.StoreVersion < op.StoreVersion {
-			s.sendOperator(p)
-		}
+		s.tellIfBehind(p)
 	case *wire.RunsKept:
 		for _, sched := range s.schedulers {
 			sched.AgentBack(now, id, m.Orders)
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -12,7 +12,16 @@
 
 const (
 	tickEvery = 25 * time.Millisecond
-	peerBeat  = 50 * time.Millisecond // heartbeats between entries; six in an entry's lease
+	// urgentBeat is the pause between heartbeats of two entries of which one
+	// holds jobs of the other: six in an entry's lease.
+	urgentBeat = 50 * time.Millisecond
+	// idleBeat is the pause between heartbeats of other entries, and idleSilence
+	// the time without an echo after which such an entry counts as lost: three
+	// heartbeats and a half.
+	idleBeat    = 400 * time.Millisecond
+	idleSilence = 1400 * time.Millisecond
+	// membersPause bounds how often agents are told which entries there are.
+	membersPause = 500 * time.Millisecond
 	// agentSilence is the time without an echo after which an agent's link is
 	// made anew: beyond three of its rare heartbeats.
 	agentSilence = 1500 * time.Millisecond
@@ -36,6 +45,8 @@
 	recent     map[string]recentEnd
 	home       map[string]string // entry that holds the queue, by service
 	seeds      []string          // addresses where entries may listen
+	toldAgents wire.Members      // list of entries that agents were last told
+	nextTell   time.Duration     // of that list
 	stopping   bool
 }
 
@@ -131,6 +142,7 @@
 func (s *state) tick(now time.Duration) {
 	s.checkPeers(now)
 	s.chooseHomes()
+	s.tellAgents(now)
 	for _, sched := range s.schedulers {
 		sched.Tick(now)
 	}
@@ -146,7 +158,16 @@
 // isReady reports whether clients are served: with a configuration and
 // endpoints, here or through the entry that holds the queue.
 func (s *state) isReady() bool {
-	return !s.stopping && s.e.operator.Load() != nil && len(s.endpoints) > 0
+	return !s.stopping && s.e.operator.Load() != nil && (len(s.endpoints) > 0 || s.peersHaveEndpoints())
+}
+
+func (s *state) peersHaveEndpoints() bool {
+	for _, p := range s.peers {
+		if p.Beat.Endpoints > 0 && !p.Beat.Draining {
+			return true
+		}
+	}
+	return false
 }
 
 // submit takes a client's job. The same job again joins the one that is open.
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -35,7 +35,7 @@
 	}
 	p := mesh.NewPeer(l, now)
 	s.peers[name] = p
-	s.learnMember(name, l.Hello.Addr)
+	s.learnMember(l.Hello.Member())
 	p.SendBeat(now, s.beat())
 	s.sendOperator(p)
 	_ = p.Send(s.memberList()) // a closed link is reported as down
@@ -72,7 +72,7 @@
 		return
 	}
 	delete(s.peers, name)
-	s.lost[name] = lostEntry{l.Owner(), p.Echoed + s.timing.EntryLease}
+	s.lost[name] = lostEntry{l.Owner(), max(p.Echoed, p.Urgent) + s.timing.EntryLease}
 	s.e.deps.Log.Warn().Str("event", "entry_link_lost").Str("entry", name).Msg("link to entry lost")
 }
 
@@ -88,15 +88,20 @@
 
 // checkPeers ends the leases that ran out and sends heartbeats.
 func (s *state) checkPeers(now time.Duration) {
+	beat := s.beat()
 	for name, p := range s.peers {
-		if p.Silent(now, s.timing.EntryLease) {
+		pause, silence := s.pace(now, name, p)
+		if beat != p.Sent {
+			pause = urgentBeat // others choose homes by it
+		}
+		if p.Silent(now, silence) && now-p.Urgent > silence {
 			delete(s.peers, name)
 			p.Close()
 			s.entryLost(now, p.Owner(), "silent")
 			continue
 		}
-		if now-p.LastSent >= peerBeat {
-			p.SendBeat(now, s.beat())
+		if now-p.LastSent >= pause {
+			p.SendBeat(now, beat)
 		}
 	}
 	for name, gone := range s.lost {
@@ -112,6 +117,31 @@
 	}
 }
 
+// pace returns the pause between heartbeats to an entry, and the time without
+// an echo after which it is lost. Both are short only where one of the two holds
+// jobs of the other, so that heartbeats do not grow with the square of the
+// entries. An entry has the whole of a lease that becomes short.
+func (s *state) pace(now time.Duration, name string, p *mesh.Peer) (pause, silence time.Duration) {
+	if !p.Beat.Home && !s.isHome() && !s.isHomeOf(name) {
+		p.Urgent = 0
+		return idleBeat, idleSilence
+	}
+	if p.Urgent == 0 {
+		p.Urgent = now
+	}
+	return urgentBeat, s.timing.EntryLease
+}
+
+// isHomeOf reports whether jobs are passed to an entry.
+func (s *state) isHomeOf(name string) bool {
+	for _, home := range s.home {
+		if home == name {
+			return true
+		}
+	}
+	return false
+}
+
 // entryLost cancels the jobs of a lost entry's clients, and answers the
 // requests whose jobs it held.
 func (s *state) entryLost(now time.Duration, owner dispatch.Owner, why string) {
@@ -218,14 +248,12 @@
 	switch m := m.(type) {
 	case *wire.NodeBeat:
 		p.Heard(m)
-		if op := s.e.operator.Load(); op != nil && m.StoreVersion < op.StoreVersion {
-			s.sendOperator(p)
-		}
+		s.tellIfBehind(p)
 	case *wire.OperatorUpdate:
 		s.adopt(now, m.State, l.Hello.Name)
 	case *wire.Members:
 		for _, e := range m.Entries {
-			s.learnMember(e.Name, e.Addr)
+			s.learnMember(e)
 		}
 	case *wire.JobSubmit:
 		s.submitted(now, p, owner, m)
@@ -263,16 +291,20 @@
 	}
 	s.e.deps.Log.Info().Str("event", "operator_state").Uint64("store_version", next.StoreVersion).Int64("config", next.Config.Version).
 		Strs("evacuated", next.Evacuated).Int("routes", len(next.Config.Routes)).Str("from", from).Msg("operator's state in force")
-	for _, p := range s.peers {
-		if p.Beat.StoreVersion < next.StoreVersion {
-			s.sendOperator(p)
-		}
-	}
 	for _, p := range s.agents {
 		s.sendOperator(p)
 	}
 }
 
+// tellIfBehind sends the operator's state to a process whose heartbeat tells an
+// older version. Most entries have it from the store by then.
+func (s *state) tellIfBehind(p *mesh.Peer) {
+	op := s.e.operator.Load()
+	if op != nil && p.Beat.StoreVersion < op.StoreVersion && p.Told < op.StoreVersion {
+		s.sendOperator(p)
+	}
+}
+
 // sendOperator sends the operator's state. Agents need the zones only.
 func (s *state) sendOperator(p *mesh.Peer) {
 	op := s.e.operator.Load()
@@ -283,15 +315,19 @@
 	if p.Hello.Role == wire.RoleAgent {
 		m.State.Config = dispatch.Config{Version: op.Config.Version}
 	}
+	p.Told = op.StoreVersion
 	_ = p.Send(m) // sent again on the next link
 }
 
-func (s *state) learnMember(name, addr string) {
-	if addr == "" || name == s.e.self.Name || s.members[name].Addr == addr {
+func (s *state) learnMember(m wire.Member) {
+	if m.Addr == "" || m.Name == s.e.self.Name || s.members[m.Name].Member == m {
 		return
 	}
-	s.members[name] = mesh.MemberRow{Member: wire.Member{Name: name, Addr: addr}}
-	s.retarget()
+	moved := s.members[m.Name].Addr != m.Addr
+	s.members[m.Name] = mesh.MemberRow{Member: m}
+	if moved {
+		s.retarget()
+	}
 }
 
 // setMembers takes in the entries registered in the store.
@@ -305,7 +341,7 @@
 	}
 	for name, p := range s.peers {
 		if _, ok := next[name]; !ok {
-			next[name] = mesh.MemberRow{Member: wire.Member{Name: name, Addr: p.Hello.Addr}}
+			next[name] = mesh.MemberRow{Member: p.Hello.Member()}
 		}
 	}
 	s.members = next
@@ -333,14 +369,26 @@
 		targets = append(targets, m.Addr)
 	}
 	s.e.mesh.SetTargets(s.e.ctx, targets)
+}
+
+// tellAgents tells agents which entries there are, if that has changed.
+func (s *state) tellAgents(now time.Duration) {
+	if now < s.nextTell {
+		return
+	}
+	s.nextTell = now + membersPause
 	list := s.memberList()
+	if slices.Equal(list.Entries, s.toldAgents.Entries) {
+		return
+	}
+	s.toldAgents = *list
 	for _, p := range s.agents {
 		_ = p.Send(list) // sent again on the next link
 	}
 }
 
 func (s *state) memberList() *wire.Members {
-	list := &wire.Members{Entries: []wire.Member{{Name: s.e.self.Name, Addr: s.e.self.Addr}}}
+	list := &wire.Members{Entries: []wire.Member{s.e.self.Member()}}
 	for _, m := range s.members {
 		list.Entries = append(list.Entries, m.Member)
 	}
--- a/hosted/entry/store.go
+++ b/hosted/entry/store.go
@@ -8,7 +8,6 @@
 	"bergamotwing.example/hosted/control"
 	"bergamotwing.example/hosted/mesh"
 	"bergamotwing.example/platform"
-	"bergamotwing.example/wire"
 )
 
 const (
@@ -138,7 +137,7 @@
 func (e *Entry) writeMember(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	err := mesh.WriteMember(ctx, e.store, wire.Member{Name: e.self.Name, Addr: e.self.Addr})
+	err := mesh.WriteMember(ctx, e.store, e.self.Member())
 	if err != nil {
 		e.deps.Log.Warn().Str("event", "register_failed").Err(err).Msg("entry not registered; trying again")
 	}
--- a/hosted/mesh/peer.go
+++ b/hosted/mesh/peer.go
@@ -14,6 +14,9 @@
 	Echoed   time.Duration // newest own clock reading that the peer has confirmed
 	LastSent time.Duration // when the newest heartbeat was sent
 	Beat     wire.NodeBeat // newest heartbeat of the peer
+	Sent     wire.NodeBeat // newest heartbeat to it, without clock and echo
+	Urgent   time.Duration // since when either side holds jobs of the other; 0: neither does
+	Told     uint64        // newest version of the operator's state that was sent
 }
 
 // NewPeer returns the record of a new link.
@@ -33,6 +36,7 @@
 
 // SendBeat sends a heartbeat; b needs no clock or echo.
 func (p *Peer) SendBeat(now time.Duration, b wire.NodeBeat) {
+	p.Sent = b
 	b.Clock = now
 	b.Echo = p.Clock
 	p.LastSent = now
--- a/integration/hosted/hosted_test.go
+++ b/integration/hosted/hosted_test.go
@@ -319,3 +319,23 @@
 		t.Errorf("the other entry: %+v", a)
 	}
 }
+
+// Agents keep links to the entries that may become their home, not to all.
+func TestAgentsLinkToAFewOfManyEntries(t *testing.T) {
+	const most = 12 + 2 // standbys, and the seeds that are none
+	c := New(t, 18, 2)
+	harness.Eventually(t, 5*time.Second, "agents have given up the other links", func() bool {
+		for _, a := range c.Agents {
+			linked := strings.Count(a.Log(), `"event":"entry_linked"`) - strings.Count(a.Log(), `"event":"entry_lost"`)
+			if linked > most {
+				return false
+			}
+		}
+		return true
+	})
+	servedAgain(t, c, 5*time.Second)
+	for _, e := range c.Entries[:6] {
+		e.Kill()
+	}
+	servedAgain(t, c, 5*time.Second)
+}
--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -35,15 +35,22 @@
 	Home         bool          `cbor:"6,keyasint,omitempty"` // the sender places tasks; entries only
 }
 
+// Member returns the sender as a member.
+func (h *NodeHello) Member() Member {
+	return Member{Name: h.Name, Addr: h.Addr, Cores: h.Cores, LinkMbps: h.LinkMbps}
+}
+
 // OperatorUpdate carries the operator's state to a process that is behind.
 type OperatorUpdate struct {
 	State dispatch.OperatorState `cbor:"1,keyasint"`
 }
 
-// Member is an entry as others know it.
+// Member is an entry as others know it. Its row in the store has the same names.
 type Member struct {
-	Name string `cbor:"1,keyasint"`
-	Addr string `cbor:"2,keyasint"`
+	Name     string  `cbor:"1,keyasint"`
+	Addr     string  `cbor:"2,keyasint"`
+	Cores    float64 `cbor:"3,keyasint,omitempty"` // processor time of its host
+	LinkMbps float64 `cbor:"4,keyasint,omitempty"` // bandwidth of its host
 }
 
 // Members lists the entries known to the sender.
