First starts at an endpoint may take 80 ms

Ruled out: lost orders (three in the eleven seconds before). For a second after an endpoint is found the limit is 80 ms.

--- a/hosted/agent/endpoint.go
+++ b/hosted/agent/endpoint.go
@@ -14,10 +14,14 @@
 // by then counts as unanswered, and what became of it is looked up.
 const (
 	startTimeout = 20 * time.Millisecond // ten times a call on the same host
-	stopSlack    = 10 * time.Millisecond // of a stop, beside the time that it may take
-	lookTimeout  = 30 * time.Millisecond
-	watchSlack   = 50 * time.Millisecond // of a look that waits for an end
-	watchPause   = 20 * time.Millisecond // after a failed look
+	// firstStartTimeout is the limit during firstCalls after an endpoint is
+	// found: its connections are new, and all processes may have just started.
+	firstStartTimeout = 80 * time.Millisecond
+	firstCalls        = time.Second
+	stopSlack         = 10 * time.Millisecond // of a stop, beside the time that it may take
+	lookTimeout       = 30 * time.Millisecond
+	watchSlack        = 50 * time.Millisecond // of a look that waits for an end
+	watchPause        = 20 * time.Millisecond // after a failed look
 	// deadAfter is how many heartbeats a lifetime may miss.
 	deadAfter = 4
 	// watchers is how many looks wait for an end at the same time, so that one
@@ -33,6 +37,7 @@
 	guard     *dispatch.Guard
 	client    *platform.EndpointClient
 	cancel    context.CancelFunc
+	found     time.Duration                         // when it was first heard of
 	heard     time.Duration                         // when the last heartbeat came
 	othersFor map[dispatch.Owner]dispatch.Resources // as last reported to busy owners
 }
@@ -102,6 +107,7 @@
 		guard:     dispatch.NewGuard(n.Endpoint, n.Service, n.Zone, n.Capacity, n.Labels, s.timing),
 		client:    platform.NewEndpointClient(n.Addr, n.Endpoint.ID),
 		cancel:    cancel,
+		found:     now,
 		heard:     now,
 		othersFor: map[dispatch.Owner]dispatch.Resources{},
 	}
@@ -224,7 +230,7 @@
 	a := s.a
 	switch action.Kind {
 	case dispatch.CallStart:
-		go a.callStart(e.client, id, action)
+		go a.callStart(e.client, id, action, e.startLimit(now))
 	case dispatch.CallStop:
 		go a.callStop(e.client, id, action.Run)
 	case dispatch.CallLook:
@@ -240,8 +246,16 @@
 	}
 }
 
-func (a *Agent) callStart(client *platform.EndpointClient, id dispatch.EndpointID, action dispatch.GuardAction) {
-	ctx, cancel := context.WithTimeout(a.ctx, startTimeout)
+// startLimit returns how long a start may take.
+func (e *endpoint) startLimit(now time.Duration) time.Duration {
+	if now-e.found < firstCalls {
+		return firstStartTimeout
+	}
+	return startTimeout
+}
+
+func (a *Agent) callStart(client *platform.EndpointClient, id dispatch.EndpointID, action dispatch.GuardAction, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(a.ctx, limit)
 	defer cancel()
 	res, err := client.Start(ctx, action.Run, action.Payload, action.Until)
 	a.actor.Send(startAnswered{id, action.Run, res, err})
