A home gives no tasks to agents that miss heartbeats, and gives them up with their lease

Now an agent that the home has not heard for 350 ms gets nothing, and its link is closed after the owner's lease, when it has stopped the home's runs itself.

--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -27,6 +27,7 @@
 	status      EndpointStatus
 	used        Resources
 	runs        []*run // that are not known to be over, by order
+	silent      bool   // the agent has missed heartbeats
 	lost        bool   // the agent is not heard
 	goneBy      Time   // runs are over then
 	pausedUntil Time   // takes no task before
@@ -43,7 +44,7 @@
 
 // usable reports whether the endpoint takes a new task now.
 func (e *endpoint) usable(now Time, evacuated []string) bool {
-	if e.lost || !e.status.Available || now < e.pausedUntil || slices.Contains(evacuated, e.status.Zone) {
+	if e.lost || e.silent || !e.status.Available || now < e.pausedUntil || slices.Contains(evacuated, e.status.Zone) {
 		return false
 	}
 	return !e.health.ejected() || len(e.runs) < e.health.runsAllowed(now)
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -314,6 +314,17 @@
 	s.endpoints = slices.DeleteFunc(s.endpoints, func(o *endpoint) bool { return o == e })
 }
 
+// AgentSilent says whether an agent has missed heartbeats. It gets no tasks
+// then: it may be gone, and refuses orders that echo an old reading of its clock.
+func (s *Scheduler) AgentSilent(agent AgentID, silent bool) {
+	for _, e := range s.endpoints {
+		if e.agent == agent {
+			e.silent = silent
+			s.roomGrew(e)
+		}
+	}
+}
+
 // AgentLost says that an agent is not heard any more. Its runs for this entry
 // are over by goneBy.
 func (s *Scheduler) AgentLost(now Time, agent AgentID, goneBy Time) {
@@ -341,7 +352,7 @@
 		if e.agent != agent {
 			continue
 		}
-		e.lost = false
+		e.lost, e.silent = false, false
 		s.roomGrew(nil)
 		for _, r := range slices.Clone(e.runs) {
 			if !slices.Contains(kept, r.order) {
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -496,3 +496,29 @@
 		t.Errorf("orders %+v, want one at the endpoint that did not fail the task", orders)
 	}
 }
+
+func TestAnAgentThatMissesHeartbeatsGetsNoTasks(t *testing.T) {
+	b := newBed(t, "silent", "heard")
+	b.s.AgentSilent(agentOf("silent"), true)
+	b.submit("job", callerA, 0, step(5))
+	orders := first(b.take())
+	if len(orders) != 4 || slices.ContainsFunc(orders, func(o SchedulerAction) bool { return o.Endpoint.ID == "silent" }) {
+		t.Fatalf("orders %+v, want four at the other endpoint", orders)
+	}
+	b.s.AgentSilent(agentOf("silent"), false)
+	b.s.Tick(b.now)
+	if orders := first(b.take()); len(orders) != 1 || orders[0].Endpoint.ID != "silent" {
+		t.Errorf("orders %+v once it is heard again, want one there", orders)
+	}
+}
+
+func TestAnAgentThatLinksAnewIsNotSilentAnyMore(t *testing.T) {
+	b := newBed(t, "e")
+	b.s.AgentSilent(agentOf("e"), true)
+	b.s.AgentLost(b.now, agentOf("e"), b.now+time.Second)
+	b.s.AgentBack(b.now, agentOf("e"), nil)
+	b.submit("job", callerA, 0, step(1))
+	if orders := first(b.take()); len(orders) != 1 {
+		t.Errorf("orders %+v, want one", orders)
+	}
+}
--- a/hosted/agent/control.go
+++ b/hosted/agent/control.go
@@ -329,7 +329,7 @@
 
 func (s *state) heard(now time.Duration, p *mesh.Peer, b *wire.NodeBeat) {
 	becameHome := b.Home && !p.Beat.Home
-	p.Heard(b)
+	p.Heard(now, b)
 	if b.Echo > 0 {
 		for _, e := range s.endpoints {
 			e.guard.RenewOwner(p.Owner(), b.Echo+s.timing.OwnerLease)
--- a/hosted/entry/agents.go
+++ b/hosted/entry/agents.go
@@ -49,6 +49,36 @@
 	s.e.deps.Log.Warn().Str("event", "agent_lost").Str("agent", id.Name).Dur("runs_over_in_ms", goneBy-now).Msg("agent lost")
 }
 
+// checkAgents gives no tasks to agents that miss heartbeats, and closes the links
+// of those that are lost. Agents beat the home more often than others.
+func (s *state) checkAgents(now time.Duration) {
+	limit := agentSilence
+	home := s.isHome()
+	if home {
+		limit = s.timing.OwnerLease
+	}
+	for _, p := range s.agents {
+		quiet := now - p.HeardAt
+		if home && quiet > agentSuspect {
+			s.setSilent(p, true)
+		}
+		if quiet > limit {
+			p.Close()
+		}
+	}
+}
+
+func (s *state) setSilent(p *mesh.Peer, silent bool) {
+	if p.Quiet == silent {
+		return
+	}
+	p.Quiet = silent
+	for _, sched := range s.schedulers {
+		sched.AgentSilent(p.Agent(), silent)
+	}
+	s.e.deps.Log.Info().Str("event", "agent_silent").Str("agent", p.Hello.Name).Bool("silent", silent).Msg("agent gets no tasks while it misses heartbeats")
+}
+
 func (s *state) fromAgent(now time.Duration, l *mesh.Link, m wire.Message) {
 	p := s.agents[l.Hello.Name]
 	if p == nil || p.Link != l {
@@ -57,7 +87,8 @@
 	id := l.Agent()
 	switch m := m.(type) {
 	case *wire.NodeBeat:
-		p.Heard(m)
+		p.Heard(now, m)
+		s.setSilent(p, false)
 		p.SendBeat(now, s.beat())
 		s.tellIfBehind(p)
 	case *wire.RunsKept:
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -22,9 +22,13 @@
 	idleSilence = 1400 * time.Millisecond
 	// membersPause bounds how often agents are told which entries there are.
 	membersPause = 500 * time.Millisecond
-	// agentSilence is the time without an echo after which an agent's link is
-	// made anew: beyond three of its rare heartbeats.
+	// agentSilence is the time without a heartbeat after which an agent's link
+	// is made anew: beyond three of its rare heartbeats. At a home it is the
+	// owner's lease, since the agent has stopped the home's runs by then.
 	agentSilence = 1500 * time.Millisecond
+	// agentSuspect is the time without a heartbeat after which an agent gets no
+	// tasks of a home: two heartbeats and their delay.
+	agentSuspect = 350 * time.Millisecond
 	// outcomeKept is how long the end of a job is kept for an entry that links anew.
 	outcomeKept = 2 * time.Second
 )
@@ -141,6 +145,7 @@
 
 func (s *state) tick(now time.Duration) {
 	s.checkPeers(now)
+	s.checkAgents(now)
 	s.chooseHomes()
 	s.tellAgents(now)
 	for _, sched := range s.schedulers {
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -110,11 +110,6 @@
 			s.entryLost(now, gone.owner, "link not made anew in time")
 		}
 	}
-	for _, p := range s.agents {
-		if p.Silent(now, agentSilence) {
-			p.Close()
-		}
-	}
 }
 
 // pace returns the pause between heartbeats to an entry, and the time without
@@ -247,7 +242,7 @@
 	owner := l.Owner()
 	switch m := m.(type) {
 	case *wire.NodeBeat:
-		p.Heard(m)
+		p.Heard(now, m)
 		s.tellIfBehind(p)
 	case *wire.OperatorUpdate:
 		s.adopt(now, m.State, l.Hello.Name)
--- a/integration/hosted/hosted_test.go
+++ b/integration/hosted/hosted_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -208,11 +209,38 @@
 	}
 	tr.Stop()
 	tr.Check()
-	// Clients here do not know which entries are ready: some connect to one
-	// that is gone, which is refused before any byte of the request.
+	tr.checkNoneCutOff()
+}
+
+// A stop of all processes at the same time cuts off no answer either.
+func TestAStopOfAllAtOnceCutsOffNoAnswer(t *testing.T) {
+	c := New(t, 3, 3)
+	tr := c.StartTraffic(6, 20*time.Millisecond)
+	harness.Eventually(t, 5*time.Second, "jobs are answered", func() bool {
+		_, completed, _ := tr.Counts()
+		return completed > 20
+	})
+	var stops sync.WaitGroup
+	for _, h := range append(append([]*Host{}, c.Entries...), c.Agents...) {
+		stops.Go(func() {
+			if err := h.Stop(6 * time.Second); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	stops.Wait()
+	tr.Stop()
+	tr.Check()
+	tr.checkNoneCutOff()
+}
+
+// checkNoneCutOff fails the test if a request was read and not answered. Clients
+// here do not know which entries are ready: some connect to one that is gone,
+// which is refused before any byte of the request.
+func (tr *Traffic) checkNoneCutOff() {
 	for _, a := range tr.answers {
 		if a.Err != nil && !strings.Contains(a.Err.Error(), "connection refused") {
-			t.Errorf("answer cut off: %v", a.Err)
+			tr.c.t.Errorf("answer cut off: %v", a.Err)
 		}
 	}
 }
