--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -1,11 +1,13 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
 
 	"bergamotwing.example/result"
 )
@@ -363,6 +365,34 @@
 	}
 }
 
+// The home is among the standbys, whichever of the entries has endpoints, as
+// long as the standbys have.
+func TestTheHomeIsAmongTheStandbys(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []Candidate
+		for i := range rapid.IntRange(1, 60).Draw(t, "entries") {
+			all = append(all, Candidate{
+				Name:     fmt.Sprintf("entry-%d", i),
+				Cores:    rapid.SampledFrom([]float64{0.2, 0.4, 0.8}).Draw(t, "cores"),
+				LinkMbps: rapid.SampledFrom([]float64{25, 100, 200}).Draw(t, "link"),
+			})
+		}
+		standbys := ChooseStandbys("svc", all, 12)
+		if len(standbys) != min(12, len(all)) {
+			t.Fatalf("%d standbys of %d entries", len(standbys), len(all))
+		}
+		for i := range all {
+			if slices.ContainsFunc(standbys, func(c Candidate) bool { return c.Name == all[i].Name }) {
+				all[i].Endpoints = 255
+			}
+		}
+		home := ChooseHome("svc", all)
+		if !slices.ContainsFunc(standbys, func(c Candidate) bool { return c.Name == home }) {
+			t.Errorf("home %s is not among %v", home, standbys)
+		}
+	})
+}
+
 func TestHomesAreChosenAmongWellConnectedEntries(t *testing.T) {
 	all := []Candidate{{"a", 10, 0.8, 200}, {"b", 10, 0.5, 150}, {"c", 4, 0.8, 200}, {"small", 10, 0.2, 200}, {"slow", 10, 0.8, 25}}
 	home := ChooseHome("svc", all)
@@ -441,3 +471,54 @@
 		t.Errorf("orders %+v, want the new job's", orders)
 	}
 }
+
+// An endpoint that fails its tasks at once has room while the others are busy.
+func TestAFailedTaskWaitsForAnotherEndpoint(t *testing.T) {
+	b := newBed(t, "bad", "good")
+	b.submit("job", callerA, 0, step(8))
+	onGood := map[RunRef]SchedulerAction{}
+	var onBad []SchedulerAction
+	for _, o := range first(b.take()) {
+		if o.Endpoint.ID == "good" {
+			onGood[o.Run] = o
+		} else {
+			onBad = append(onBad, o)
+		}
+	}
+	b.end(onBad[0], EndFailed)
+	if orders, _, _ := b.take(); len(orders) > 0 {
+		t.Fatalf("orders %+v while the other endpoint is busy", orders)
+	}
+	for _, o := range onGood {
+		b.end(o, EndDone)
+	}
+	if orders, _, _ := b.take(); len(orders) != 1 || orders[0].Endpoint.ID != "good" {
+		t.Errorf("orders %+v, want one at the endpoint that did not fail the task", orders)
+	}
+}
+
+func TestAnAgentThatMissesHeartbeatsGetsNoTasks(t *testing.T) {
+	b := newBed(t, "silent", "heard")
+	b.s.AgentSilent(agentOf("silent"), true)
+	b.submit("job", callerA, 0, step(5))
+	orders := first(b.take())
+	if len(orders) != 4 || slices.ContainsFunc(orders, func(o SchedulerAction) bool { return o.Endpoint.ID == "silent" }) {
+		t.Fatalf("orders %+v, want four at the other endpoint", orders)
+	}
+	b.s.AgentSilent(agentOf("silent"), false)
+	b.s.Tick(b.now)
+	if orders := first(b.take()); len(orders) != 1 || orders[0].Endpoint.ID != "silent" {
+		t.Errorf("orders %+v once it is heard again, want one there", orders)
+	}
+}
+
+func TestAnAgentThatLinksAnewIsNotSilentAnyMore(t *testing.T) {
+	b := newBed(t, "e")
+	b.s.AgentSilent(agentOf("e"), true)
+	b.s.AgentLost(b.now, agentOf("e"), b.now+time.Second)
+	b.s.AgentBack(b.now, agentOf("e"), nil)
+	b.submit("job", callerA, 0, step(1))
+	if orders := first(b.take()); len(orders) != 1 {
+		t.Errorf("orders %+v, want one", orders)
+	}
+}
