--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -55,7 +55,8 @@
 // what goes wrong everywhere is not one endpoint's fault, and most endpoints of
 // a service are never ejected.
 func ejectionLimits(others []health) limits {
-	var failed, unanswered []float64
+	failed := make([]float64, 0, len(others))
+	unanswered := make([]float64, 0, len(others))
 	ejected := 0
 	for _, h := range others {
 		failed = append(failed, h.failed)
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -369,8 +369,9 @@
 // long as the standbys have.
 func TestTheHomeIsAmongTheStandbys(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var all []Candidate
-		for i := range rapid.IntRange(1, 60).Draw(t, "entries") {
+		entries := rapid.IntRange(1, 60).Draw(t, "entries")
+		all := make([]Candidate, 0, entries)
+		for i := range entries {
 			all = append(all, Candidate{
 				Name:     fmt.Sprintf("entry-%d", i),
 				Cores:    rapid.SampledFrom([]float64{0.2, 0.4, 0.8}).Draw(t, "cores"),
