--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -14,7 +14,7 @@
 	unansweredLimit  = 0.46                   // share of unanswered orders that ejects; six in a row reach it
 	othersFactor     = 2.5                    // times the median share of the other endpoints that a share has to be
 	ejectMaxShare    = 0.5                    // of a service's available endpoints, but at least one: the others have to carry the load
-	restoredShare    = 0.5                    // of failedLimit that a restored endpoint begins with: one more fault ejects it
+	restoredShare    = 0.5                    // of failedLimit that a restored endpoint begins with: two more failures in a row eject it
 	halfLife         = 3 * time.Second        // of the shares while nothing is learned; a run a second still ejects
 	minSuccess       = 0.1                    // least share of good runs that placement reckons with
 	restoreAfter     = 8                      // good probes in a row
@@ -148,11 +148,12 @@
 	if h.goodProbes < restoreAfter {
 		return false
 	}
-	h.failed = failedLimit
+	h.failed = failedLimit // the probes were few, so it begins as one that is suspect
 	h.restore()
 	return true
 }
 
+// restore ends an ejection; the share of failures is lowered if it is still high.
 func (h *health) restore() {
 	h.failed = min(h.failed, restoredShare*failedLimit)
 	h.ejectedAt, h.ejectedUntil = 0, 0
