--- a/wire/pair_test.go
+++ b/wire/pair_test.go
@@ -9,7 +9,9 @@
 	"time"
 )
 
-const testTimeout = 10 * time.Second
+// testTimeout tells a hang from a slow machine: a frame of the largest size takes
+// 6 s of processor time with the race detector.
+const testTimeout = 60 * time.Second
 
 type discard struct{}
 
