Two waits of hosted tests are for observed states; one way to end an ejection

Cause: a reading of the whole change. lostProcess slept a second before a fault and the configuration test two before its check; they now wait until 50 jobs are served, and until every entry serves the new route only, within the same 2 s, and check it once more after. goodRun set a share of failures only for restore to lower it; restore takes the share now, with the same values. Ruled out here: the durations of faults (freezes, outages, pauses of the soak) stay fixed, they are what is played. Tests of dispatch pass, as do those of killed and frozen processes and of the configuration with real processes.

--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -148,14 +148,13 @@
 	if h.goodProbes < restoreAfter {
 		return false
 	}
-	h.failed = failedLimit // the probes were few, so it begins as one that is suspect
-	h.restore()
+	h.restore(restoredShare * failedLimit)
 	return true
 }
 
-// restore ends an ejection; the share of failures is lowered if it is still high.
-func (h *health) restore() {
-	h.failed = min(h.failed, restoredShare*failedLimit)
+// restore ends an ejection; the endpoint begins with a share of failures.
+func (h *health) restore(failed float64) {
+	h.failed = failed
 	h.ejectedAt, h.ejectedUntil = 0, 0
 }
 
@@ -166,6 +165,6 @@
 	if !h.ejected() || !othersBad || h.failed >= l.failed || h.unanswered >= l.unanswered {
 		return false
 	}
-	h.restore()
+	h.restore(min(h.failed, restoredShare*failedLimit))
 	return true
 }
--- a/integration/hosted/hosted_test.go
+++ b/integration/hosted/hosted_test.go
@@ -128,7 +128,10 @@
 	t.Helper()
 	c := New(t, 3, 4)
 	tr := c.StartTraffic(9, 20*time.Millisecond)
-	time.Sleep(time.Second)
+	harness.Eventually(t, 5*time.Second, "jobs are served", func() bool {
+		_, completed, _ := tr.Counts()
+		return completed >= 50
+	})
 	hurt(c)
 	servedAgain(t, c, 6*time.Second)
 	time.Sleep(2 * time.Second) // the same jobs come again
@@ -303,7 +306,16 @@
 		})
 		next := fmt.Sprintf("/new%d/", fault)
 		c.SetConfig(10+int(fault), next)
-		time.Sleep(2 * time.Second)
+		// In force everywhere within 2 s, and from then on.
+		harness.Eventually(t, 2*time.Second, "every entry serves the new route only", func() bool {
+			for _, e := range c.Entries {
+				served := c.SubmitWithin(t.Context(), e, next, NewJobID(), fake.Tasks(1, 10)).Completed()
+				if !served || c.SubmitWithin(t.Context(), e, prefix, NewJobID(), fake.Tasks(1, 10)).Status != http.StatusNotFound {
+					return false
+				}
+			}
+			return true
+		})
 		for _, e := range c.Entries {
 			if a := c.SubmitWithin(t.Context(), e, next, NewJobID(), fake.Tasks(1, 10)); !a.Completed() {
 				t.Errorf("%s on the new route: %+v", e.Name, a)
