--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -67,7 +67,36 @@
 	problem string
 	ended   map[result.Code]int // answers to clients
 	attempt map[string]simAttempt
+	tries   map[string]int  // submissions, by job
+	started map[string]bool // jobs of which a task has started
 	starts  int
+	fates   func() callFate // of the next call to an endpoint; nil: at random
+	work    Time            // of each task; 0: at random
+}
+
+func (s *sim) nextWork() Time {
+	if s.work > 0 {
+		return s.work
+	}
+	return Time(20+s.rng.IntN(300)) * ms
+}
+
+// callFate is what becomes of a call to an endpoint.
+type callFate struct {
+	delay Time // until it is carried out
+	lost  bool // its answer
+}
+
+const simCallTime = 80 * ms // after which a call without an answer is given up
+
+func (s *sim) nextCall() callFate {
+	if s.fates != nil {
+		return s.fates()
+	}
+	if s.chance(0.05) {
+		return callFate{delay: Time(2000+s.rng.IntN(3000)) * ms, lost: true}
+	}
+	return callFate{delay: Time(1+s.rng.IntN(3)) * ms, lost: s.chance(0.05)}
 }
 
 func (s *sim) after(d Time, do func()) {
@@ -109,8 +138,9 @@
 	}
 	e.s.running[run.Task] = e.name
 	e.s.starts++
+	e.s.started[run.Task.Job] = true
 	e.runs[run] = true
-	e.s.after(Time(20+e.s.rng.IntN(300))*ms, func() { e.end(run, EndDone) })
+	e.s.after(e.s.nextWork(), func() { e.end(run, EndDone) })
 	return CallResult{Clock: e.clock()}
 }
 
@@ -311,31 +341,27 @@
 // answer or be carried out only seconds later.
 func (a *simAgent) call(do func() CallResult, answer func(CallResult, bool)) {
 	incarnation := a.incarnation
-	delay := Time(1+a.s.rng.IntN(3)) * ms
-	if a.s.chance(0.05) {
-		a.s.after(Time(2000+a.s.rng.IntN(3000))*ms, func() { do() })
-		a.s.after(80*ms, func() { a.run(incarnation, func() { answer(CallResult{}, true) }) })
-		return
-	}
-	lost := a.s.chance(0.05)
-	a.s.after(delay, func() {
+	fate := a.s.nextCall()
+	a.s.after(fate.delay, func() {
 		res := do()
-		if lost {
-			a.s.after(80*ms, func() { a.run(incarnation, func() { answer(CallResult{}, true) }) })
-			return
+		if !fate.lost {
+			a.s.after(ms, func() { a.run(incarnation, func() { answer(res, false) }) })
 		}
-		a.s.after(ms, func() { a.run(incarnation, func() { answer(res, false) }) })
 	})
+	if fate.lost {
+		a.s.after(simCallTime, func() { a.run(incarnation, func() { answer(CallResult{}, true) }) })
+	}
 }
 
 func (a *simAgent) look(until Time) {
 	incarnation := a.incarnation
 	cursor := a.guard.Cursor()
-	if a.s.chance(0.05) {
-		return
-	}
-	a.s.after(ms, func() {
+	fate := a.s.nextCall()
+	a.s.after(fate.delay, func() {
 		snap := a.endpoint.look(until, cursor)
+		if fate.lost {
+			return
+		}
 		a.s.after(Time(1+a.s.rng.IntN(4))*ms, func() {
 			a.run(incarnation, func() { a.guard.Looked(a.s.now, a.s.now, snap) })
 		})
@@ -506,6 +532,9 @@
 	}
 	delete(s.attempt, id)
 	s.ended[out.Code]++
+	if result.Lookup(out.Code).Ran == result.RanNo && s.started[id] && s.tries[id] == 1 {
+		s.problem = fmt.Sprintf("%v: job %s is answered with %v, though a task has started", s.now, id, out.Code)
+	}
 	if out.Code == result.OK {
 		return
 	}
@@ -514,18 +543,23 @@
 	}
 }
 
+var simClient = Owner{Entry: "client", Incarnation: 1}
+
 func (s *sim) submit(id string) {
-	e := s.entries[s.rng.IntN(len(s.entries))]
+	s.submitAt(s.entries[s.rng.IntN(len(s.entries))], id)
+}
+
+func (s *sim) submitAt(e *simEntry, id string) {
 	if e.sched == nil || s.now < e.frozenTill {
 		s.after(simResend, func() { s.submit(id) })
 		return
 	}
 	job := Job{ID: id, Steps: []Step{{Count: 1 + s.rng.IntN(3), Need: Resources{CPUMilli: 1000}, Estimate: 150 * ms}}}
 	route := Route{Name: "r", MaxAttempts: 3, Stretch: 1.6, TargetLatency: 60 * ms}
-	caller := Owner{Entry: "client", Incarnation: 1}
 	s.attempt[id] = simAttempt{e, e.owner()}
+	s.tries[id]++
 	e.run(e.incarnation, func() {
-		e.sched.Submit(s.now, Submission{Caller: caller, Job: job, Route: route, Deadline: s.now + 1500*ms})
+		e.sched.Submit(s.now, Submission{Caller: simClient, Job: job, Route: route, Deadline: s.now + 1500*ms})
 	})
 	attempt, waits := s.attempt[id]
 	if s.chance(0.2) && waits { // the connection breaks before an answer
@@ -535,7 +569,7 @@
 				return
 			}
 			delete(s.attempt, id)
-			e.run(incarnation, func() { e.sched.Cancel(s.now, id, caller) })
+			e.run(incarnation, func() { e.sched.Cancel(s.now, id, simClient) })
 			s.after(simResend, func() { s.submit(id) })
 		})
 	}
@@ -559,9 +593,13 @@
 	}
 }
 
-func runSim(seed uint64, faulty bool) *sim {
-	s := &sim{rng: rand.New(rand.NewPCG(seed, 1)), running: map[TaskRef]string{}, ended: map[result.Code]int{}, attempt: map[string]simAttempt{}, faulty: faulty, now: 10 * time.Second}
-	for i := range 3 {
+// newSim returns a simulation of started processes.
+func newSim(seed uint64, agents int) *sim {
+	s := &sim{
+		rng: rand.New(rand.NewPCG(seed, 1)), running: map[TaskRef]string{}, ended: map[result.Code]int{}, attempt: map[string]simAttempt{},
+		tries: map[string]int{}, started: map[string]bool{}, now: 10 * time.Second,
+	}
+	for i := range agents {
 		ep := &simEndpoint{s: s, name: fmt.Sprintf("e%d", i), rate: 1 - 0.02*s.rng.Float64(), runs: map[RunRef]bool{}, highest: map[TaskRef]int{}}
 		s.agents = append(s.agents, &simAgent{s: s, name: fmt.Sprintf("a%d", i), endpoint: ep, links: map[string]int{}})
 	}
@@ -574,6 +612,21 @@
 	for _, a := range s.agents {
 		a.boot()
 	}
+	return s
+}
+
+// play lets time pass up to a moment, or until a promise is broken.
+func (s *sim) play(until Time) {
+	for s.events.Len() > 0 && s.events[0].at < until && s.problem == "" {
+		ev := heap.Pop(&s.events).(simEvent)
+		s.now = ev.at
+		ev.do()
+	}
+}
+
+func runSim(seed uint64, faulty bool) *sim {
+	s := newSim(seed, 3)
+	s.faulty = faulty
 	for i := range simJobs {
 		s.after(Time(500+s.rng.IntN(8000))*ms, func() { s.submit(fmt.Sprintf("j%d", i)) })
 	}
@@ -582,11 +635,7 @@
 			s.after(Time(500+s.rng.IntN(8000))*ms, s.fault)
 		}
 	}
-	for s.events.Len() > 0 && s.now < 25*time.Second && s.problem == "" {
-		ev := heap.Pop(&s.events).(simEvent)
-		s.now = ev.at
-		ev.do()
-	}
+	s.play(25 * time.Second)
 	return s
 }
 
