A service with more endpoints than one entry can serve is split into shards

A service is split into as few shards as hold 128 endpoints each. Endpoints and jobs belong to shards by rendezvous hashing of their ids; each shard has a queue and a home of its own, chosen among the large entries that agents link to. The home of the first shard counts the endpoints and tells the others the number of shards, with slack so that restarts of endpoints join none. A job whose tasks fit no endpoint of its shard, by their label or size, goes on to the next; it has not run. Homes are kept until a heartbeat or a link changes what decides them, no longer chosen anew for each job.

The same job sent again at the same entry goes to the home that has it, also if the service is split anew meanwhile (it went to the new home before, which does not know its runs).

Ruled out: a number of shards that each entry counts for itself (entries differ while endpoints start, so that the same id would have two homes); sharding by zone (zones are lost as a whole).

--- a/command/hosted.go
+++ b/command/hosted.go
@@ -47,13 +47,17 @@
 type hostedEntryCommand struct {
 	hostedOptions
 
-	LinkListen string `long:"link-listen" value-name:"IP:PORT" description:"accept links here, where a forwarder has the address that others dial"`
+	LinkListen     string `long:"link-listen" value-name:"IP:PORT" description:"accept links here, where a forwarder has the address that others dial"`
+	ShardEndpoints int    `long:"shard-endpoints" value-name:"N" default:"0" description:"endpoints of a service on which one entry places tasks; 0 takes the built-in number"`
 }
 
 // Execute runs the entry until a signal.
 func (c *hostedEntryCommand) Execute([]string) error {
+	if c.ShardEndpoints < 0 {
+		return usagef("--shard-endpoints %d is negative", c.ShardEndpoints)
+	}
 	return c.run("entry", func(node platform.Node, p *hostedProcess) runner {
-		return hostedentry.New(node, hostedentry.Options{LinkListen: c.LinkListen}, control.Deps{Log: p.log, Metrics: p.metrics})
+		return hostedentry.New(node, hostedentry.Options{LinkListen: c.LinkListen, ShardEndpoints: c.ShardEndpoints}, control.Deps{Log: p.log, Metrics: p.metrics})
 	})
 }
 
--- a/dispatch/explore_test.go
+++ b/dispatch/explore_test.go
@@ -36,11 +36,12 @@
 }
 
 func homeChanges() []homeChange {
-	changes := []homeChange{
-		{"home unhurt", func(*sim, *simEntry) {}},
-		{"home killed", func(_ *sim, home *simEntry) { home.boot() }},
-	}
-	for _, lasts := range []Time{300 * ms, 1200 * ms, 3000 * ms} {
+	outages := []Time{300 * ms, 1200 * ms, 3000 * ms}
+	changes := make([]homeChange, 0, 2+2*len(outages))
+	changes = append(changes,
+		homeChange{"home unhurt", func(*sim, *simEntry) {}},
+		homeChange{"home killed", func(_ *sim, home *simEntry) { home.boot() }})
+	for _, lasts := range outages {
 		changes = append(changes,
 			homeChange{fmt.Sprintf("home frozen for %v", lasts), func(_ *sim, home *simEntry) { home.freeze(lasts) }},
 			homeChange{fmt.Sprintf("home cut from an agent for %v", lasts), func(s *sim, home *simEntry) {
--- a/dispatch/home.go
+++ b/dispatch/home.go
@@ -29,6 +29,10 @@
 	return ranked[0].Name
 }
 
+// MaxStandbys is how many entries an agent is linked to, besides seeds and owners
+// of runs: enough for the loss of a zone and some more.
+const MaxStandbys = 12
+
 // ChooseStandbys returns the entries to which the agents of a service keep
 // links: those that come first when its home is chosen, so that the links of a
 // deployment do not grow with the product of entries and agents.
@@ -40,12 +44,11 @@
 // rank orders candidates for a service: those with large hosts first, then by
 // rendezvous hashing.
 func rank(service string, candidates []Candidate) []Candidate {
-	large := atLeastHalf(candidates, func(c Candidate) float64 { return c.LinkMbps })
-	large = atLeastHalf(large, func(c Candidate) float64 { return c.Cores })
+	first := large(candidates)
 	ranked := slices.Clone(candidates)
 	slices.SortFunc(ranked, func(a, b Candidate) int {
 		return cmp.Or(
-			cmp.Compare(boolRank(!slices.Contains(large, a)), boolRank(!slices.Contains(large, b))),
+			cmp.Compare(boolRank(!slices.Contains(first, a)), boolRank(!slices.Contains(first, b))),
 			cmp.Compare(HomeRank(service, b.Name), HomeRank(service, a.Name)),
 			cmp.Compare(a.Name, b.Name),
 		)
@@ -53,6 +56,12 @@
 	return ranked
 }
 
+// large returns the candidates with a large link and processor.
+func large(candidates []Candidate) []Candidate {
+	wide := atLeastHalf(candidates, func(c Candidate) float64 { return c.LinkMbps })
+	return atLeastHalf(wide, func(c Candidate) float64 { return c.Cores })
+}
+
 // atLeastHalf returns the candidates with at least half of the best one's measure.
 func atLeastHalf(candidates []Candidate, measure func(Candidate) float64) []Candidate {
 	most := 0.0
--- /dev/null
+++ b/dispatch/shard.go
@@ -0,0 +1,87 @@
+package dispatch
+
+import "strconv"
+
+// A service whose endpoints are more than one entry can keep busy is split into
+// shards. Each has some of the endpoints and of the jobs, and a home of its own.
+
+const (
+	// ShardEndpoints is how many endpoints a shard has at most: at 50 starts a
+	// second each, their home does a third of the 20,000 starts a second that one
+	// entry has been measured at.
+	ShardEndpoints = 128
+	// shardSlack is the share of a shard's endpoints by which they have to be
+	// too few before shards are joined, so that a restart joins none.
+	shardSlack = 0.25
+)
+
+// Shard names a part of a service. Services with few endpoints have only part 0.
+type Shard struct {
+	Service string
+	Index   int
+}
+
+// key names the shard when its home is chosen. A service in one part is named by
+// itself, as agents name it when they choose the entries to link to.
+func (s Shard) key() string {
+	if s.Index == 0 {
+		return s.Service
+	}
+	return s.Service + "#" + strconv.Itoa(s.Index)
+}
+
+// ShardCount returns into how many shards a service is split that had count
+// before: as few as hold its endpoints.
+func ShardCount(count, endpoints, perShard int) int {
+	needed := max((endpoints+perShard-1)/perShard, 1)
+	if needed > count {
+		return needed
+	}
+	tooFew := float64((count-1)*perShard) * (1 - shardSlack)
+	if float64(endpoints) < tooFew {
+		return needed
+	}
+	return count
+}
+
+// ShardIndex returns the shard of a job or an endpoint by rendezvous hashing: a
+// change of the count moves as few as possible.
+func ShardIndex(id string, count int) int {
+	best, highest := 0, uint64(0)
+	for i := range count {
+		if r := HomeRank(strconv.Itoa(i), id); r > highest {
+			best, highest = i, r
+		}
+	}
+	return best
+}
+
+// ChooseHomes returns the entry that holds the queue of each of a service's
+// shards: the first as ChooseHome says, the others by rendezvous hashing among
+// the large entries that agents link to, another one each while there are enough.
+func ChooseHomes(service string, count int, candidates []Candidate) []string {
+	first := ChooseHome(service, candidates)
+	homes := []string{first}
+	if first == "" || count <= 1 {
+		return homes
+	}
+	linked := atLeastHalf(candidates, func(c Candidate) float64 { return float64(c.Endpoints) })
+	eligible := large(ChooseStandbys(service, linked, MaxStandbys))
+	taken := map[string]bool{first: true}
+	for i := 1; i < count; i++ {
+		home := firstFree(rank(Shard{service, i}.key(), eligible), taken)
+		taken[home] = true
+		homes = append(homes, home)
+	}
+	return homes
+}
+
+// firstFree returns the first candidate that is not taken, or else the first.
+func firstFree(ranked []Candidate, taken map[string]bool) string {
+	for _, c := range ranked {
+		if !taken[c.Name] {
+			return c.Name
+		}
+	}
+	return ranked[0].Name
+}
--- /dev/null
+++ b/dispatch/shard_test.go
@@ -0,0 +1,82 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+func TestAServiceIsSplitOnlyBeyondOneShardsEndpoints(t *testing.T) {
+	for _, c := range []struct{ count, endpoints, want int }{
+		{1, 0, 1},
+		{1, 128, 1},
+		{1, 129, 2},
+		{2, 128, 2}, // some endpoints restart
+		{2, 97, 2},
+		{2, 95, 1},
+		{2, 400, 4},
+		{9, 1100, 9},
+		{9, 30, 1},
+	} {
+		if got := ShardCount(c.count, c.endpoints, 128); got != c.want {
+			t.Errorf("%d endpoints in %d shards: %d, want %d", c.endpoints, c.count, got, c.want)
+		}
+	}
+}
+
+func TestAnotherShardTakesOnlyItsPart(t *testing.T) {
+	const ids = 3000
+	for count := 1; count < 9; count++ {
+		sizes := make([]int, count+1)
+		for i := range ids {
+			id := fmt.Sprintf("i-%d", i)
+			before, after := ShardIndex(id, count), ShardIndex(id, count+1)
+			sizes[after]++
+			if after != before && after != count {
+				t.Fatalf("%s moves from shard %d to %d of %d", id, before, after, count+1)
+			}
+		}
+		mean := ids / (count + 1)
+		if slices.Min(sizes) < mean*3/4 || slices.Max(sizes) > mean*5/4 {
+			t.Errorf("uneven shards: %v", sizes)
+		}
+	}
+}
+
+func TestShardsHaveHomesOfTheirOwnAmongTheStandbys(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entries := rapid.IntRange(1, 60).Draw(t, "entries")
+		all := make([]Candidate, 0, entries)
+		for i := range entries {
+			all = append(all, Candidate{
+				Name:     fmt.Sprintf("entry-%d", i),
+				Cores:    rapid.SampledFrom([]float64{0.2, 0.4, 0.8}).Draw(t, "cores"),
+				LinkMbps: rapid.SampledFrom([]float64{25, 100, 200}).Draw(t, "link"),
+			})
+		}
+		count := rapid.IntRange(1, 9).Draw(t, "shards")
+		homes := ChooseHomes("svc", count, all)
+		if len(homes) != count || homes[0] != ChooseHome("svc", all) {
+			t.Fatalf("homes %v of %d shards, the first should be %s", homes, count, ChooseHome("svc", all))
+		}
+		standbys := ChooseStandbys("svc", all, MaxStandbys)
+		enough := len(large(standbys)) >= count
+		seen := map[string]bool{}
+		for _, home := range homes {
+			if !slices.ContainsFunc(standbys, func(c Candidate) bool { return c.Name == home }) {
+				t.Errorf("home %s is not among the standbys", home)
+			}
+			if seen[home] && enough {
+				t.Errorf("%s has two of %d shards, though %d entries are large", home, count, len(large(standbys)))
+			}
+			seen[home] = true
+		}
+		slices.Reverse(all)
+		if diff := cmp.Diff(homes, ChooseHomes("svc", count, all)); diff != "" {
+			t.Errorf("the order of the candidates matters: %s", diff)
+		}
+	})
+}
--- a/hosted/agent/control.go
+++ b/hosted/agent/control.go
@@ -273,10 +273,6 @@
 	return known
 }
 
-// maxStandbys is how many entries an agent is linked to, besides seeds and
-// owners of runs: enough for the loss of a zone and some more.
-const maxStandbys = 12
-
 // retarget dials the entries that may become the home of the endpoint's service.
 // Without a link all known ones are dialed.
 func (s *state) retarget() {
@@ -288,7 +284,7 @@
 		candidates = append(candidates, dispatch.Candidate{Name: name, Cores: m.Cores, LinkMbps: m.LinkMbps})
 	}
 	if len(s.peers) > 0 {
-		candidates = dispatch.ChooseStandbys(s.a.node.Service, candidates, maxStandbys)
+		candidates = dispatch.ChooseStandbys(s.a.node.Service, candidates, dispatch.MaxStandbys)
 	}
 	targets := slices.Clone(s.seeds)
 	for _, c := range candidates {
--- a/hosted/entry/agents.go
+++ b/hosted/entry/agents.go
@@ -39,7 +39,7 @@
 	id := p.Agent()
 	goneBy := s.timing.RunsOver(p.LastSent)
 	for key, v := range s.endpoints {
-		if v.agent == id.Name {
+		if v.agent.Name == id.Name {
 			delete(s.endpoints, key)
 		}
 	}
@@ -110,8 +110,9 @@
 }
 
 func (s *state) report(now time.Duration, id dispatch.AgentID, status dispatch.EndpointStatus) {
-	s.endpoints[status.Endpoint] = endpointView{agent: id.Name, service: status.Service, available: status.Available}
-	s.scheduler(status.Service).Report(now, id, status)
+	shard := s.shardOfEndpoint(status.Service, status.Endpoint)
+	s.endpoints[status.Endpoint] = endpointView{agent: id, status: status, shard: shard}
+	s.scheduler(shard).Report(now, id, status)
 }
 
 func (s *state) runEnded(now time.Duration, end wire.EndedRun) {
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -40,14 +40,16 @@
 	agents     map[string]*mesh.Peer // linked agents by name
 	lost       map[string]lostEntry  // entries whose link is down, within their lease
 	members    map[string]mesh.MemberRow
-	unlinked   map[string]time.Duration       // since when a member is not linked
-	schedulers map[string]*dispatch.Scheduler // by service
+	unlinked   map[string]time.Duration // since when a member is not linked
+	schedulers map[dispatch.Shard]*dispatch.Scheduler
 	orders     *dispatch.OrderNumbers
 	timing     dispatch.Timing
 	endpoints  map[dispatch.EndpointID]endpointView
 	requests   map[string]*request
 	recent     map[string]recentEnd
-	home       map[string]string // entry that holds the queue, by service
+	home       map[dispatch.Shard]string // entry that holds the queue
+	splits     splits
+	told       map[string]splits // what other entries say of it, by name
 	seeds      []string          // addresses where entries may listen
 	toldAgents wire.Members      // list of entries that agents were last told
 	nextTell   time.Duration     // of that list
@@ -60,15 +62,17 @@
 }
 
 type endpointView struct {
-	agent     string
-	service   string
-	available bool
+	agent  dispatch.AgentID
+	status dispatch.EndpointStatus
+	shard  dispatch.Shard
 }
 
 // request is a client's submission that waits here.
 type request struct {
 	submit
-	home dispatch.Owner // entry that has the job
+	shard  dispatch.Shard
+	home   dispatch.Owner // entry that has the job
+	passed int            // shards at which the job's tasks fit no endpoint
 }
 
 type recentEnd struct {
@@ -81,8 +85,9 @@
 	return &state{
 		e: e, seeds: mesh.SeedAddrs(e.node), peers: map[string]*mesh.Peer{}, agents: map[string]*mesh.Peer{}, lost: map[string]lostEntry{},
 		members: map[string]mesh.MemberRow{}, unlinked: map[string]time.Duration{},
-		schedulers: map[string]*dispatch.Scheduler{}, orders: &dispatch.OrderNumbers{}, timing: control.TimingOf(e.node), endpoints: map[dispatch.EndpointID]endpointView{},
-		requests: map[string]*request{}, recent: map[string]recentEnd{}, home: map[string]string{},
+		schedulers: map[dispatch.Shard]*dispatch.Scheduler{}, orders: &dispatch.OrderNumbers{}, timing: control.TimingOf(e.node), endpoints: map[dispatch.EndpointID]endpointView{},
+		requests: map[string]*request{}, recent: map[string]recentEnd{}, home: map[dispatch.Shard]string{},
+		splits: splits{}, told: map[string]splits{},
 	}
 }
 
@@ -118,7 +123,7 @@
 	case deleteJob:
 		s.deleteJob(now, m)
 	case askWaiting:
-		m.reply <- s.scheduler(m.route.Service).Waiting(m.route.Name)
+		m.reply <- s.waiting(m.route.Name)
 	}
 	s.carryOut(now)
 }
@@ -131,22 +136,10 @@
 	return n
 }
 
-func (s *state) scheduler(service string) *dispatch.Scheduler {
-	sched := s.schedulers[service]
-	if sched == nil {
-		sched = dispatch.NewScheduler(service, s.timing, s.orders, mesh.Now())
-		s.schedulers[service] = sched
-		if op := s.e.operator.Load(); op != nil {
-			sched.SetEvacuated(mesh.Now(), op.Evacuated)
-		}
-	}
-	return sched
-}
-
 func (s *state) tick(now time.Duration) {
 	s.checkPeers(now)
 	s.checkAgents(now)
-	s.chooseHomes()
+	s.chooseHomes(now)
 	s.tellAgents(now)
 	for _, sched := range s.schedulers {
 		sched.Tick(now)
@@ -177,27 +170,68 @@
 
 // submit takes a client's job. The same job again joins the one that is open.
 func (s *state) submit(now time.Duration, m submit) {
+	r := &request{submit: m, shard: s.shardOfJob(m.route.Service, m.job.ID)}
 	if old := s.requests[m.job.ID]; old != nil {
+		r.shard, r.home = old.shard, old.home // where its runs are known
 		s.answer(m.job.ID, dispatch.Outcome{Code: result.OutcomeUnknown, Detail: "sent again on another connection"})
 	}
-	r := &request{submit: m}
 	s.requests[m.job.ID] = r
+	if s.linked(r.home) {
+		s.passTo(now, r, r.home.Entry)
+		return
+	}
 	s.pass(now, r)
 }
 
-// pass hands a request to the entry that holds its service's queue.
+// linked reports whether an entry is this one or has a link.
+func (s *state) linked(owner dispatch.Owner) bool {
+	p := s.peers[owner.Entry]
+	return owner == s.e.owner() || p != nil && p.Owner() == owner
+}
+
+// pass hands a request to the entry that holds its shard's queue.
 func (s *state) pass(now time.Duration, r *request) {
-	home := s.homeOf(r.route.Service)
-	if home == "" || home == s.e.self.Name {
-		r.home = s.e.owner()
-		s.scheduler(r.route.Service).Submit(now, dispatch.Submission{
-			Caller: r.home, Job: r.job, Route: r.route, Deadline: r.deadline,
-		})
+	if home := s.homeOf(now, r.shard); s.passTo(now, r, home) {
 		return
 	}
+	s.passTo(now, r, s.e.self.Name)
+}
+
+// passTo hands a request to an entry, and reports whether that one is linked.
+func (s *state) passTo(now time.Duration, r *request, home string) bool {
+	if home == s.e.self.Name {
+		r.home = s.e.owner()
+		s.scheduler(r.shard).Submit(now, dispatch.Submission{Caller: r.home, Job: r.job, Route: r.route, Deadline: r.deadline})
+		return true
+	}
 	p := s.peers[home]
+	if p == nil {
+		return false
+	}
 	r.home = p.Owner()
-	_ = p.Send(&wire.JobSubmit{Job: r.job, Route: r.route, Wait: r.deadline - now}) // sent again on the next link
+	_ = p.Send(&wire.JobSubmit{Job: r.job, Route: r.route, Shard: r.shard.Index, Wait: r.deadline - now}) // sent again on the next link
+	return true
+}
+
+// ended takes a job's outcome at its home. One whose tasks fit no endpoint of
+// its shard has not run, and goes to the next shard.
+func (s *state) ended(now time.Duration, r *request, out dispatch.Outcome) {
+	count := s.splits.of(r.shard.Service)
+	if r.passed++; out.Code != result.NeverFits || r.passed >= count {
+		s.answer(r.job.ID, out)
+		return
+	}
+	r.shard.Index = (r.shard.Index + 1) % count
+	s.pass(now, r)
+}
+
+// waiting counts the jobs of a route that wait in the queues held here.
+func (s *state) waiting(route string) int {
+	n := 0
+	for _, sched := range s.schedulers {
+		n += sched.Waiting(route)
+	}
+	return n
 }
 
 // answer ends a request.
@@ -221,7 +255,7 @@
 
 func (s *state) cancelAtHome(now time.Duration, r *request) {
 	if r.home == s.e.owner() {
-		s.scheduler(r.route.Service).Cancel(now, r.job.ID, r.home)
+		s.scheduler(r.shard).Cancel(now, r.job.ID, r.home)
 		return
 	}
 	if p := s.peers[r.home.Entry]; p != nil {
@@ -302,7 +336,9 @@
 // finish passes a job's outcome to the entry whose client waits.
 func (s *state) finish(now time.Duration, a dispatch.SchedulerAction) {
 	if a.Caller == s.e.owner() {
-		s.answer(a.Job, a.Outcome)
+		if r := s.requests[a.Job]; r != nil {
+			s.ended(now, r, a.Outcome)
+		}
 		return
 	}
 	s.recent[a.Job] = recentEnd{a.Outcome, a.Caller, now}
--- a/hosted/entry/entry.go
+++ b/hosted/entry/entry.go
@@ -34,6 +34,9 @@
 	// LinkListen is the IP:port at which links are accepted, where a forwarder
 	// has the address that others dial. Empty: at that address.
 	LinkListen string
+	// ShardEndpoints is how many endpoints of a service one entry places tasks
+	// on at most. 0: dispatch.ShardEndpoints.
+	ShardEndpoints int
 }
 
 // Entry is one run of the process.
@@ -62,6 +65,9 @@
 		Addr:  net.JoinHostPort(node.IP, strconv.Itoa(node.LinkPort)),
 		Cores: node.Cores, LinkMbps: node.LinkMbps,
 	}
+	if e.opts.ShardEndpoints == 0 {
+		e.opts.ShardEndpoints = dispatch.ShardEndpoints
+	}
 	if e.opts.LinkListen == "" {
 		e.opts.LinkListen = e.self.Addr
 	}
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -39,6 +39,7 @@
 	p.SendBeat(now, s.beat())
 	s.sendOperator(p)
 	_ = p.Send(s.memberList()) // a closed link is reported as down
+	_ = p.Send(s.shardCounts())
 	s.resume(now, p, owner)
 	s.e.deps.Log.Info().Str("event", "entry_linked").Str("entry", name).Msg("entry linked")
 }
@@ -56,7 +57,7 @@
 func (s *state) resume(now time.Duration, p *mesh.Peer, owner dispatch.Owner) {
 	for _, r := range s.requests {
 		if r.home == owner {
-			_ = p.Send(&wire.JobSubmit{Job: r.job, Route: r.route, Wait: r.deadline - now, MayHaveRun: true}) // as above
+			_ = p.Send(&wire.JobSubmit{Job: r.job, Route: r.route, Shard: r.shard.Index, Wait: r.deadline - now, MayHaveRun: true}) // as above
 		}
 	}
 }
@@ -71,11 +72,16 @@
 	if p == nil || p.Link != l {
 		return
 	}
-	delete(s.peers, name)
+	s.dropPeer(name)
 	s.lost[name] = lostEntry{l.Owner(), max(p.Echoed, p.Urgent) + s.timing.EntryLease}
 	s.e.deps.Log.Warn().Str("event", "entry_link_lost").Str("entry", name).Msg("link to entry lost")
 }
 
+func (s *state) dropPeer(name string) {
+	delete(s.peers, name)
+	delete(s.told, name)
+}
+
 // refused notes that no process listens at an address.
 func (s *state) refused(now time.Duration, addr string) {
 	for name, gone := range s.lost {
@@ -95,7 +101,7 @@
 			pause = urgentBeat // others choose homes by it
 		}
 		if p.Silent(now, silence) && now-p.Urgent > silence {
-			delete(s.peers, name)
+			s.dropPeer(name)
 			p.Close()
 			s.entryLost(now, p.Owner(), "silent")
 			continue
@@ -127,16 +133,6 @@
 	return urgentBeat, s.timing.EntryLease
 }
 
-// isHomeOf reports whether jobs are passed to an entry.
-func (s *state) isHomeOf(name string) bool {
-	for _, home := range s.home {
-		if home == name {
-			return true
-		}
-	}
-	return false
-}
-
 // entryLost cancels the jobs of a lost entry's clients, and answers the
 // requests whose jobs it held.
 func (s *state) entryLost(now time.Duration, owner dispatch.Owner, why string) {
@@ -157,27 +153,13 @@
 		b.StoreVersion = op.StoreVersion
 	}
 	for _, v := range s.endpoints {
-		if v.available {
+		if v.status.Available {
 			b.Endpoints++
 		}
 	}
 	return b
 }
 
-func (s *state) isHome() bool {
-	for _, name := range s.home {
-		if name == s.e.self.Name {
-			return true
-		}
-	}
-	for _, sched := range s.schedulers {
-		if sched.Jobs() > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 func (s *state) beatAll(now time.Duration) {
 	b := s.beat()
 	for _, p := range s.peers {
@@ -188,48 +170,6 @@
 	}
 }
 
-// homeOf returns the entry that holds a service's queue.
-func (s *state) homeOf(service string) string {
-	self := s.beat()
-	var candidates []dispatch.Candidate
-	if !s.stopping {
-		candidates = append(candidates, candidate(s.e.self, self))
-	}
-	for _, p := range s.peers {
-		if p.Clock > 0 && !p.Beat.Draining && p.Beat.StoreVersion > 0 {
-			candidates = append(candidates, candidate(p.Hello, p.Beat))
-		}
-	}
-	return dispatch.ChooseHome(service, candidates)
-}
-
-func candidate(hello wire.NodeHello, beat wire.NodeBeat) dispatch.Candidate {
-	return dispatch.Candidate{Name: hello.Name, Endpoints: beat.Endpoints, Cores: hello.Cores, LinkMbps: hello.LinkMbps}
-}
-
-// chooseHomes notes which services' queues this entry holds, and tells agents
-// at once when that changes.
-func (s *state) chooseHomes() {
-	op := s.e.operator.Load()
-	if op == nil {
-		return
-	}
-	changed := false
-	for _, service := range op.Config.Services {
-		home := s.homeOf(service.Name)
-		if home == s.home[service.Name] {
-			continue
-		}
-		s.e.deps.Log.Info().Str("event", "home_changed").Str("service", service.Name).Str("from", s.home[service.Name]).
-			Str("to", home).Msg("another entry holds the service's queue")
-		s.home[service.Name] = home
-		changed = true
-	}
-	if changed {
-		s.beatAll(mesh.Now())
-	}
-}
-
 func (s *state) received(now time.Duration, l *mesh.Link, m wire.Message) {
 	if l.Hello.Role == wire.RoleAgent {
 		s.fromAgent(now, l, m)
@@ -242,10 +182,11 @@
 	owner := l.Owner()
 	switch m := m.(type) {
 	case *wire.NodeBeat:
-		p.Heard(now, m)
-		s.tellIfBehind(p)
+		s.peerHeard(now, p, m)
 	case *wire.OperatorUpdate:
 		s.adopt(now, m.State, l.Hello.Name)
+	case *wire.ShardCounts:
+		s.told[l.Hello.Name] = m.Counts
 	case *wire.Members:
 		for _, e := range m.Entries {
 			s.learnMember(e)
@@ -258,18 +199,29 @@
 		}
 	case *wire.JobEnd:
 		if r := s.requests[m.Job]; r != nil && r.home == owner {
-			s.answer(m.Job, m.Outcome)
+			s.ended(now, r, m.Outcome)
 		}
 	}
 }
 
+// peerHeard takes in an entry's heartbeat. Homes depend on what it says.
+func (s *state) peerHeard(now time.Duration, p *mesh.Peer, m *wire.NodeBeat) {
+	old := p.Beat
+	first := p.Clock == 0
+	p.Heard(now, m)
+	s.tellIfBehind(p)
+	if first || old.Draining != m.Draining || old.Endpoints != m.Endpoints || old.StoreVersion != m.StoreVersion {
+		s.chooseHomes(now)
+	}
+}
+
 // submitted takes a job from another entry.
 func (s *state) submitted(now time.Duration, p *mesh.Peer, owner dispatch.Owner, m *wire.JobSubmit) {
 	if r, ok := s.recent[m.Job.ID]; ok && r.caller == owner {
 		_ = p.Send(&wire.JobEnd{Job: m.Job.ID, Outcome: r.outcome}) // told again on the next link
 		return
 	}
-	s.scheduler(m.Route.Service).Submit(now, dispatch.Submission{
+	s.scheduler(dispatch.Shard{Service: m.Route.Service, Index: m.Shard}).Submit(now, dispatch.Submission{
 		Caller: owner, Job: m.Job, Route: m.Route, Deadline: now + m.Wait, MayHaveRun: m.MayHaveRun,
 	})
 }
--- a/integration/hosted/cluster.go
+++ b/integration/hosted/cluster.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -47,7 +48,7 @@
 	Entries []*Host
 	Agents  []*Host
 
-	proxied bool
+	options Options
 	t       testing.TB
 	dir     string
 }
@@ -67,6 +68,9 @@
 	// Proxied has the links to entries pass a proxy that injects faults. The
 	// proxy accepts connections also for a process that is gone.
 	Proxied bool
+	// ShardEndpoints is how many endpoints one entry places tasks on at most;
+	// 0 takes the built-in number.
+	ShardEndpoints int
 }
 
 // New starts a deployment and waits until all entries are ready.
@@ -78,7 +82,7 @@
 // Start starts a deployment and waits until all entries are ready.
 func Start(t testing.TB, o Options) *Cluster {
 	t.Helper()
-	c := &Cluster{Store: fake.NewStore(), Record: fake.NewRecord(), proxied: o.Proxied, t: t, dir: t.TempDir()}
+	c := &Cluster{Store: fake.NewStore(), Record: fake.NewRecord(), options: o, t: t, dir: t.TempDir()}
 	serve(t, c.storeAddr(), c.Store)
 	c.SetConfig(1, prefix)
 	for i := range o.Entries {
@@ -127,7 +131,10 @@
 	}
 	h := &Host{IP: ip, Zone: zone}
 	args := []string{"hosted", role, "--node-file", file}
-	if role == "entry" && c.proxied {
+	if role == "entry" {
+		args = append(args, "--shard-endpoints", strconv.Itoa(c.options.ShardEndpoints))
+	}
+	if role == "entry" && c.options.Proxied {
 		behind := fake.Addr(ip, proxiedPort)
 		h.Links = harness.StartProxy(c.t, fake.Addr(ip, fake.LinkPort), behind)
 		args = append(args, "--link-listen", behind)
@@ -140,7 +147,7 @@
 func (c *Cluster) startEndpoint(h *Host, index int) {
 	h.Endpoint = fake.NewEndpoint(fake.EndpointConfig{
 		ID: fmt.Sprintf("i-%d", index), Service: service, Zone: h.Zone, Addr: fake.Addr(h.IP, fake.EndpointPort),
-		CPUMilli: endpointCores, Record: c.Record,
+		CPUMilli: endpointCores, Record: c.Record, Labels: labels(index),
 	})
 	serve(c.t, fake.Addr(h.IP, fake.EndpointPort), h.Endpoint)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -148,6 +155,16 @@
 	go h.Endpoint.KeepAnnouncing(ctx, fake.Addr(h.IP, fake.ControlPort))
 }
 
+// labelOfFirst is a label that only the first endpoint has.
+const labelOfFirst = "first"
+
+func labels(index int) []string {
+	if index == 0 {
+		return []string{labelOfFirst}
+	}
+	return nil
+}
+
 func serve(t testing.TB, addr string, handler http.Handler) {
 	t.Helper()
 	listener, err := net.Listen("tcp", addr)
--- a/integration/hosted/soak_test.go
+++ b/integration/hosted/soak_test.go
@@ -184,7 +184,7 @@
 			c.Store.TakeBack(agent.Zone)
 		}},
 	}
-	if c.proxied {
+	if c.options.Proxied {
 		all = append(all, linkFaults(c, entry, rng)...)
 	}
 	return all[rng.IntN(len(all))]
--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -64,6 +64,13 @@
 	Route      dispatch.Route `cbor:"2,keyasint"`
 	Wait       time.Duration  `cbor:"3,keyasint"` // left until the client stops waiting
 	MayHaveRun bool           `cbor:"4,keyasint,omitempty"`
+	Shard      int            `cbor:"5,keyasint,omitempty"` // of the service, from 0
+}
+
+// ShardCounts tells into how many shards the sender takes services to be split,
+// by service. Others are in one part.
+type ShardCounts struct {
+	Counts map[string]int `cbor:"1,keyasint"`
 }
 
 // JobCancel says that the client has gone.
--- a/wire/kinds.go
+++ b/wire/kinds.go
@@ -44,6 +44,7 @@
 	KindRunOrder       Kind = 40
 	KindRunStop        Kind = 41
 	KindRunEnd         Kind = 42
+	KindShardCounts    Kind = 43
 )
 
 func (*AgentHello) kind() Kind    { return KindAgentHello }
@@ -75,6 +76,7 @@
 func (*NodeHello) kind() Kind      { return KindNodeHello }
 func (*NodeBeat) kind() Kind       { return KindNodeBeat }
 func (*OperatorUpdate) kind() Kind { return KindOperatorUpdate }
+func (*ShardCounts) kind() Kind    { return KindShardCounts }
 func (*Members) kind() Kind        { return KindMembers }
 func (*JobSubmit) kind() Kind      { return KindJobSubmit }
 func (*JobCancel) kind() Kind      { return KindJobCancel }
@@ -165,6 +167,8 @@
 		return &RunStop{}
 	case KindRunEnd:
 		return &RunEnd{}
+	case KindShardCounts:
+		return &ShardCounts{}
 	default:
 		return nil
 	}
@@ -252,6 +256,8 @@
 		return "run_stop"
 	case KindRunEnd:
 		return "run_end"
+	case KindShardCounts:
+		return "shard_counts"
 	default:
 		return "unknown"
 	}
