A stop closes idle connections, so that no request is taken too late to be answered

Ruled out: new connections (the listener is closed 2.5 s after the signal); the home or the agents (the job was running when it was cut).

Change: when the listener is closed, 2.5 s after the signal, idle connections are closed too, and others as soon as they are idle. At least 3 s are left for each request that was taken; the clients of the idle ones did not use them for 2.5 s.

--- a/hosted/entry/drain.go
+++ b/hosted/entry/drain.go
@@ -27,6 +27,7 @@
 	accepted chan struct{} // closed once no more connections are accepted
 	mu       sync.Mutex
 	conns    map[net.Conn]connUse
+	stopping bool // idle connections are closed
 }
 
 type connUse struct {
@@ -47,6 +48,9 @@
 		delete(c.conns, conn)
 		return
 	}
+	if c.stopping && state == http.StateIdle {
+		_ = conn.Close() // noted as closed later
+	}
 	c.conns[conn] = connUse{state, time.Now()}
 }
 
@@ -72,13 +76,14 @@
 	return eris.Wrap(err, "serve clients")
 }
 
-// stop takes no new connections, waits until the requests of the others are
-// answered, and closes those. Idle ones go last, since clients may use them.
+// stop takes no new connections and closes idle ones, since the time left may not
+// suffice for another request. It waits until the open requests are answered.
 func (c *clientServer) stop(ctx context.Context) error {
 	if err := c.listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		return eris.Wrap(err, "close listener of clients")
 	}
 	<-c.accepted
+	c.closeIdle()
 	for c.busy(time.Now()) > 0 {
 		select {
 		case <-ctx.Done():
@@ -89,3 +94,16 @@
 	}
 	return eris.Wrap(c.server.Close(), "close connections of clients")
 }
+
+// closeIdle closes the connections without a request, and from now on those that
+// become so.
+func (c *clientServer) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopping = true
+	for conn, use := range c.conns {
+		if use.state == http.StateIdle {
+			_ = conn.Close()
+		}
+	}
+}
