Homes change at once only as entries come and leave; the soak's size can be set

Cause: since homes are kept, each heartbeat that told another number of endpoints had homes chosen anew. They are chosen on the tick again, at most every 25 ms, and at once when an entry's first heartbeat comes or one says that it leaves.

The soak takes the numbers of entries and agents from the environment, for runs at a few hundred processes; hosts' addresses leave room for 219 agents.

--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -204,13 +204,13 @@
 	}
 }
 
-// peerHeard takes in an entry's heartbeat. Homes depend on what it says.
+// peerHeard takes in an entry's heartbeat. Homes change at once with an entry that
+// comes or leaves, and with the next tick otherwise.
 func (s *state) peerHeard(now time.Duration, p *mesh.Peer, m *wire.NodeBeat) {
-	old := p.Beat
-	first := p.Clock == 0
+	comes, leaves := p.Clock == 0, m.Draining && !p.Beat.Draining
 	p.Heard(now, m)
 	s.tellIfBehind(p)
-	if first || old.Draining != m.Draining || old.Endpoints != m.Endpoints || old.StoreVersion != m.StoreVersion {
+	if comes || leaves {
 		s.chooseHomes(now)
 	}
 }
--- a/integration/hosted/cluster.go
+++ b/integration/hosted/cluster.go
@@ -34,7 +34,7 @@
 
 	// Last bytes of the hosts' addresses.
 	firstEntry = 10
-	firstAgent = 100
+	firstAgent = 30
 	storeHost  = 250
 )
 
--- a/integration/hosted/soak_test.go
+++ b/integration/hosted/soak_test.go
@@ -21,8 +21,8 @@
 //	BERGAMOTWING_SOAK_SEED=7 BERGAMOTWING_SOAK_RUNS=20 go test ./integration/hosted -run TestSoak -timeout 1h -v
 
 const (
-	soakEntries = 3
-	soakAgents  = 5
+	soakEntries = 3 // unless BERGAMOTWING_SOAK_ENTRIES says otherwise, at most 20
+	soakAgents  = 5 // unless BERGAMOTWING_SOAK_AGENTS says otherwise, at most 219
 	soakFaults  = 12
 	soakSpan    = 8 * time.Second // in which the faults begin
 	soakBack    = 8 * time.Second // after the last fault, until all is served again
@@ -62,7 +62,11 @@
 func soak(t *testing.T, seed uint64) {
 	t.Helper()
 	rng := rand.New(rand.NewPCG(seed, 0)) //nolint:gosec // reproducible
-	c := Start(t, Options{Entries: soakEntries, Agents: soakAgents, Proxied: seed%2 == 0})
+	c := Start(t, Options{
+		Entries: int(soakNumber("BERGAMOTWING_SOAK_ENTRIES", soakEntries)),
+		Agents:  int(soakNumber("BERGAMOTWING_SOAK_AGENTS", soakAgents)),
+		Proxied: seed%2 == 0,
+	})
 	tr := c.StartTraffic(8, 25*time.Millisecond)
 	var faults sync.WaitGroup
 	for range soakFaults {
