A job that needs a label is passed to its shard, also past a shard left by that endpoint

Cause: two faults of the split, found by a test in which each endpoint has a label of its own (the first test had one label and passed by luck of the hashes). (1) An endpoint that moved to another shard stayed in the old scheduler, not available. A job that fits only it was kept there until there was no time left, 503 after the wait, instead of going on to the next shard at once. (2) An entry that holds two shards kept the outcome never_fits for the first one, and repeated it when the same job came for the second.

Change: a scheduler releases an endpoint that another has; it is forgotten once its runs are over, and fits no job. Never_fits is not kept. An entry that stops chooses homes at once, not with the next tick, as it did before the split. The detail of never_fits names the label.

With one shard nothing changes but the first tick of a stop.

--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -29,6 +29,7 @@
 	runs        []*run // that are not known to be over, by order
 	silent      bool   // the agent has missed heartbeats
 	lost        bool   // the agent is not heard
+	released    bool   // another scheduler has the endpoint
 	goneBy      Time   // runs are over then
 	pausedUntil Time   // takes no task before
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -34,7 +34,7 @@
 	}
 	for _, st := range j.sub.Job.Steps {
 		if !s.everFits(st) {
-			return Outcome{Code: result.NeverFits, Detail: "a task is larger than any endpoint"}, true
+			return Outcome{Code: result.NeverFits, Detail: "no endpoint has the size or the label that a task needs"}, true
 		}
 	}
 	limit := Time(admitShare * float64(j.spare(now)))
@@ -54,7 +54,7 @@
 // everFits reports whether a step's tasks fit an empty endpoint.
 func (s *Scheduler) everFits(st Step) bool {
 	return slices.ContainsFunc(s.endpoints, func(e *endpoint) bool {
-		return !e.lost && st.Need.Fits(e.status.Capacity) && (st.RequiredLabel == "" || slices.Contains(e.status.Labels, st.RequiredLabel))
+		return !e.lost && !e.released && st.Need.Fits(e.status.Capacity) && (st.RequiredLabel == "" || slices.Contains(e.status.Labels, st.RequiredLabel))
 	})
 }
 
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -289,7 +289,7 @@
 		})
 	}
 	e.status = status
-	e.lost = false
+	e.lost, e.released = false, false
 	s.roomGrew(nil)
 	if status.Available {
 		s.replaced(now, e)
@@ -314,6 +314,24 @@
 	s.endpoints = slices.DeleteFunc(s.endpoints, func(o *endpoint) bool { return o == e })
 }
 
+// Release says that another scheduler has an endpoint now. Its runs go on here.
+func (s *Scheduler) Release(agent AgentID, id EndpointID) {
+	e := s.find(agent, id)
+	if e == nil {
+		return
+	}
+	e.released = true
+	e.status.Available = false
+	s.dropIfReleased(e)
+}
+
+// dropIfReleased forgets a released endpoint once none of its runs is left.
+func (s *Scheduler) dropIfReleased(e *endpoint) {
+	if e.released && len(e.runs) == 0 {
+		s.endpoints = slices.DeleteFunc(s.endpoints, func(o *endpoint) bool { return o == e })
+	}
+}
+
 // AgentSilent says whether an agent has missed heartbeats. It gets no tasks
 // then: it may be gone, and refuses orders that echo an old reading of its clock.
 func (s *Scheduler) AgentSilent(agent AgentID, silent bool) {
@@ -385,6 +403,7 @@
 	e, j, t := r.endpoint, r.job, r.task
 	e.used = e.used.Sub(r.need)
 	e.runs = slices.DeleteFunc(e.runs, func(o *run) bool { return o == r })
+	s.dropIfReleased(e)
 	s.roomGrew(e)
 	t.run = nil
 	t.nextRun = r.ref.Run + 1
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -575,6 +575,31 @@
 	}
 }
 
+// An endpoint that belongs to another shard fits no more jobs here, while its runs
+// go on.
+func TestAReleasedEndpointEndsItsRunsAndFitsNoJob(t *testing.T) {
+	b := newBed(t, "e1")
+	b.report("moved", EndpointStatus{Available: true, Labels: []string{"rare"}, Capacity: Resources{CPUMilli: 4000, MemoryMB: 1000}})
+	rare := step(1)
+	rare.RequiredLabel = "rare"
+	b.submit("j", callerA, 0, rare)
+	orders, _, _ := b.take()
+	b.s.Release(agentOf("moved"), EndpointID{ID: "moved"})
+	b.submit("later", callerA, 0, rare)
+	if _, outcomes, _ := b.take(); outcomes["later"] != result.NeverFits {
+		t.Errorf("outcome %v of a job that fits only the released endpoint", outcomes["later"])
+	}
+	b.end(orders[0], EndDone)
+	if _, outcomes, _ := b.take(); outcomes["j"] != result.OK {
+		t.Errorf("outcome %v of the job that ran there", outcomes["j"])
+	}
+	b.report("moved", EndpointStatus{Available: true, Labels: []string{"rare"}, Capacity: Resources{CPUMilli: 4000, MemoryMB: 1000}})
+	b.submit("again", callerA, 0, rare)
+	if orders, outcomes, _ := b.take(); len(orders) != 1 {
+		t.Errorf("%d orders, outcomes %v once it is back", len(orders), outcomes)
+	}
+}
+
 // outcomeOf lets time pass up to a moment and returns how and when a job ended,
 // or 0.
 func (b *testBed) outcomeOf(job string, until Time) (result.Code, Time) {
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -98,6 +98,7 @@
 		s.tick(now)
 	case control.Stop:
 		s.stopping = true
+		s.chooseHomes(now)
 		s.beatAll(now)
 	case askJobs:
 		m.reply <- s.openJobs()
@@ -341,7 +342,9 @@
 		}
 		return
 	}
-	s.recent[a.Job] = recentEnd{a.Outcome, a.Caller, now}
+	if a.Outcome.Code != result.NeverFits { // the job may come again for another shard held here
+		s.recent[a.Job] = recentEnd{a.Outcome, a.Caller, now}
+	}
 	if p := s.peers[a.Caller.Entry]; p != nil && p.Owner() == a.Caller {
 		_ = p.Send(&wire.JobEnd{Job: a.Job, Outcome: a.Outcome}) // told again on the next link
 	}
--- a/hosted/entry/shards.go
+++ b/hosted/entry/shards.go
@@ -94,9 +94,7 @@
 		if v.status.Service != service || v.shard == shard {
 			continue
 		}
-		gone := v.status
-		gone.Available = false
-		s.scheduler(v.shard).Report(now, v.agent, gone)
+		s.scheduler(v.shard).Release(v.agent, id)
 		s.scheduler(shard).Report(now, v.agent, v.status)
 		v.shard = shard
 		s.endpoints[id] = v
--- a/integration/hosted/cluster.go
+++ b/integration/hosted/cluster.go
@@ -147,7 +147,7 @@
 func (c *Cluster) startEndpoint(h *Host, index int) {
 	h.Endpoint = fake.NewEndpoint(fake.EndpointConfig{
 		ID: fmt.Sprintf("i-%d", index), Service: service, Zone: h.Zone, Addr: fake.Addr(h.IP, fake.EndpointPort),
-		CPUMilli: endpointCores, Record: c.Record, Labels: labels(index),
+		CPUMilli: endpointCores, Record: c.Record, Labels: []string{label(index)},
 	})
 	serve(c.t, fake.Addr(h.IP, fake.EndpointPort), h.Endpoint)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -155,15 +155,8 @@
 	go h.Endpoint.KeepAnnouncing(ctx, fake.Addr(h.IP, fake.ControlPort))
 }
 
-// labelOfFirst is a label that only the first endpoint has.
-const labelOfFirst = "first"
-
-func labels(index int) []string {
-	if index == 0 {
-		return []string{labelOfFirst}
-	}
-	return nil
-}
+// label returns the label that only one endpoint has.
+func label(index int) string { return fmt.Sprintf("only-%d", index) }
 
 func serve(t testing.TB, addr string, handler http.Handler) {
 	t.Helper()
--- a/integration/hosted/shards_test.go
+++ b/integration/hosted/shards_test.go
@@ -10,9 +10,9 @@
 )
 
 // startSplit starts a deployment whose service is split into three shards.
-func startSplit(t *testing.T) *Cluster {
+func startSplit(t *testing.T, entries int) *Cluster {
 	t.Helper()
-	c := Start(t, Options{Entries: 4, Agents: 6, ShardEndpoints: 2})
+	c := Start(t, Options{Entries: entries, Agents: 6, ShardEndpoints: 2})
 	harness.Eventually(t, 5*time.Second, "every entry has the service in three shards", func() bool {
 		for _, e := range c.Entries {
 			if !strings.Contains(e.Log(), `"event":"service_split"`) || !strings.Contains(e.Log(), `"to":3`) {
@@ -25,7 +25,7 @@
 }
 
 func TestTheShardsOfAServiceUseAllEndpoints(t *testing.T) {
-	c := startSplit(t)
+	c := startSplit(t, 4)
 	tr := c.StartTraffic(8, 10*time.Millisecond)
 	harness.Eventually(t, 5*time.Second, "tasks run at every endpoint", func() bool {
 		for _, h := range c.Agents {
@@ -44,25 +44,34 @@
 	}
 }
 
-// Only one shard has the endpoint that these tasks need.
+// Only one endpoint, and so one shard, fits each of these jobs. With two entries, one is
+// the home of two shards.
 func TestAJobIsPassedOnToTheShardThatItFits(t *testing.T) {
-	c := startSplit(t)
-	body := fmt.Sprintf(`{"Spec":"10","BestEffort":true,"Steps":[{"Count":2,"Cpu":1000,"MemMb":64,"EstimateMs":10,"Requires":%q}]}`, labelOfFirst)
-	for range 8 {
-		for _, e := range c.Entries {
-			if a := c.Submit(e, NewJobID(), body); !a.Completed() {
-				t.Errorf("%s: %+v", e.Name, a)
+	for _, entries := range []int{2, 4} {
+		t.Run(fmt.Sprintf("%d entries", entries), func(t *testing.T) { passOn(t, startSplit(t, entries)) })
+	}
+}
+
+func passOn(t *testing.T, c *Cluster) {
+	t.Helper()
+	body := func(label string) string {
+		return fmt.Sprintf(`{"Spec":"10","BestEffort":true,"Steps":[{"Count":2,"Cpu":1000,"MemMb":64,"EstimateMs":10,"Requires":%q}]}`, label)
+	}
+	for i := range c.Agents {
+		for n := range 3 * len(c.Entries) {
+			e := c.Entries[n%len(c.Entries)]
+			if a := c.Submit(e, NewJobID(), body(label(i))); !a.Completed() {
+				t.Errorf("%s, only at endpoint %d: %+v", e.Name, i, a)
 			}
 		}
 	}
-	never := strings.Replace(body, labelOfFirst, "no endpoint has it", 1)
-	if a := c.Submit(c.Entries[0], NewJobID(), never); a.Status != 503 || !strings.Contains(a.Body, "never_fits") {
+	if a := c.Submit(c.Entries[0], NewJobID(), body("no endpoint has it")); a.Status != 503 || !strings.Contains(a.Body, "never_fits") {
 		t.Errorf("%+v", a)
 	}
 }
 
 func TestTheLossOfAShardsHomeLosesNoOtherShard(t *testing.T) {
-	c := startSplit(t)
+	c := startSplit(t, 4)
 	tr := c.StartTraffic(8, 20*time.Millisecond)
 	for _, e := range c.Entries {
 		e.Kill()
