--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -365,19 +365,25 @@
 	}
 }
 
+// drawEntries draws entries on hosts of several sizes.
+func drawEntries(t *rapid.T) []Candidate {
+	entries := rapid.IntRange(1, 60).Draw(t, "entries")
+	all := make([]Candidate, 0, entries)
+	for i := range entries {
+		all = append(all, Candidate{
+			Name:     fmt.Sprintf("entry-%d", i),
+			Cores:    rapid.SampledFrom([]float64{0.2, 0.4, 0.8}).Draw(t, "cores"),
+			LinkMbps: rapid.SampledFrom([]float64{25, 100, 200}).Draw(t, "link"),
+		})
+	}
+	return all
+}
+
 // The home is among the standbys, whichever of the entries has endpoints, as
 // long as the standbys have.
 func TestTheHomeIsAmongTheStandbys(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		entries := rapid.IntRange(1, 60).Draw(t, "entries")
-		all := make([]Candidate, 0, entries)
-		for i := range entries {
-			all = append(all, Candidate{
-				Name:     fmt.Sprintf("entry-%d", i),
-				Cores:    rapid.SampledFrom([]float64{0.2, 0.4, 0.8}).Draw(t, "cores"),
-				LinkMbps: rapid.SampledFrom([]float64{25, 100, 200}).Draw(t, "link"),
-			})
-		}
+		all := drawEntries(t)
 		standbys := ChooseStandbys("svc", all, 12)
 		if len(standbys) != min(12, len(all)) {
 			t.Fatalf("%d standbys of %d entries", len(standbys), len(all))
--- a/dispatch/shard_test.go
+++ b/dispatch/shard_test.go
@@ -48,15 +48,7 @@
 
 func TestShardsHaveHomesOfTheirOwnAmongTheStandbys(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		entries := rapid.IntRange(1, 60).Draw(t, "entries")
-		all := make([]Candidate, 0, entries)
-		for i := range entries {
-			all = append(all, Candidate{
-				Name:     fmt.Sprintf("entry-%d", i),
-				Cores:    rapid.SampledFrom([]float64{0.2, 0.4, 0.8}).Draw(t, "cores"),
-				LinkMbps: rapid.SampledFrom([]float64{25, 100, 200}).Draw(t, "link"),
-			})
-		}
+		all := drawEntries(t)
 		count := rapid.IntRange(1, 9).Draw(t, "shards")
 		homes := ChooseHomes("svc", count, all)
 		if len(homes) != count || homes[0] != ChooseHome("svc", all) {
