The simulation's agents look at idle endpoints, as agents do

The simulation's agents looked at an endpoint only while runs were kept, so after 1.75 s without a job they took it for silent, for good.

Change: the simulated agents look every WatchTime. No product code changes.

--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -225,6 +225,15 @@
 	}
 	a.tick(a.incarnation)
 	a.beat(a.incarnation)
+	a.watch(a.incarnation)
+}
+
+// watch looks at the endpoint also while nothing runs, as agents do.
+func (a *simAgent) watch(incarnation uint64) {
+	a.run(incarnation, func() {
+		a.look(0)
+		a.s.after(WatchTime, func() { a.watch(incarnation) })
+	})
 }
 
 // run does something in the process, after a thaw if it is frozen.
@@ -648,6 +657,17 @@
 	})
 }
 
+// A job that comes after a pause longer than a look waits is served as well.
+func TestAJobIsServedAfterAPause(t *testing.T) {
+	s := newSim(1, 1)
+	s.play(s.now + 4*WatchTime)
+	s.submitAt(s.entries[0], "j")
+	s.play(s.now + 2*time.Second)
+	if s.ended[result.OK] != 1 {
+		t.Errorf("jobs ended as %v", s.ended)
+	}
+}
+
 func TestEachJobEndsWellOrIsRefusedWithoutFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
