Logs tell how far a stop has come; the harness tells how a process ended

Now: 'signal' for SIGHUP, 'draining' and 'drained' with busy and unused connections and open jobs, 'cut_off' at the end of the grace period, 'stop' with its duration; an agent's 'stopping' with the runs it keeps. The test harness reports the signal that ended a process, not only its exit code. No decision is changed.

--- a/command/hostedprocess.go
+++ b/command/hostedprocess.go
@@ -74,7 +74,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangup:
+		case sig := <-hangup:
+			p.log.Info().Str("event", "signal").Str("signal", sig.String()).Msg("settings are to be read again")
 		case <-ticker.C:
 			if modTime(file).Equal(modified) {
 				continue
--- a/hosted/agent/agent.go
+++ b/hosted/agent/agent.go
@@ -69,12 +69,14 @@
 	a.actor.Send(control.Tick{})
 	a.deps.Log.Info().Str("event", "start").Str("endpoint", a.node.EndpointAddr).Msg("agent started")
 	<-stopping.Done()
+	began := mesh.Now()
 	a.actor.Send(control.Stop{})
 	select {
 	case <-a.idle:
 	case <-time.After(a.node.Grace - stopMargin):
+		a.deps.Log.Warn().Str("event", "cut_off").Msg("runs were kept at the end of the grace period")
 	}
-	a.deps.Log.Info().Str("event", "stop").Msg("agent stopped")
+	a.deps.Log.Info().Str("event", "stop").Dur("took_ms", mesh.Now()-began).Msg("agent stopped")
 	return nil
 }
 
--- a/hosted/agent/control.go
+++ b/hosted/agent/control.go
@@ -139,7 +139,7 @@
 	for _, e := range s.endpoints {
 		e.guard.Announced(now, true, e.announced.Capacity)
 	}
-	s.a.deps.Log.Info().Str("event", "stopping").Msg("agent takes no new tasks")
+	s.a.deps.Log.Info().Str("event", "stopping").Int("runs", s.runs()).Msg("agent takes no new tasks")
 }
 
 func (s *state) runs() int {
--- a/hosted/entry/drain.go
+++ b/hosted/entry/drain.go
@@ -54,17 +54,22 @@
 	c.conns[conn] = connUse{state, time.Now()}
 }
 
-// busy returns how many connections have a request or are about to.
-func (c *clientServer) busy(now time.Time) int {
+// count returns how many connections have a request or are about to, and how
+// many others there are.
+func (c *clientServer) count(now time.Time) (busy, unused int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n := 0
 	for _, use := range c.conns {
 		if use.state == http.StateActive || use.state == http.StateNew && now.Sub(use.since) < firstBytesTime {
-			n++
+			busy++
 		}
 	}
-	return n
+	return busy, len(c.conns) - busy
+}
+
+func (c *clientServer) busy(now time.Time) int {
+	busy, _ := c.count(now)
+	return busy
 }
 
 func (c *clientServer) serve() error {
--- a/hosted/entry/entry.go
+++ b/hosted/entry/entry.go
@@ -97,15 +97,16 @@
 	e.actor.Send(control.Tick{})
 	e.deps.Log.Info().Str("event", "start").Str("addr", e.self.Addr).Uint64("incarnation", uint64(e.self.Incarnation)).Msg("entry started")
 	<-stopping.Done()
+	began := mesh.Now()
 	e.drain(clients)
-	e.deps.Log.Info().Str("event", "stop").Msg("entry stopped")
+	e.deps.Log.Info().Str("event", "stop").Dur("took_ms", mesh.Now()-began).Msg("entry stopped")
 	return nil
 }
 
 // drain stops being ready, serves on while clients may still come, and then
 // answers what is open.
 func (e *Entry) drain(clients *clientServer) {
-	e.deps.Log.Info().Str("event", "stopping").Msg("entry leaves rotation")
+	e.logDrain(clients, "stopping", "entry leaves rotation")
 	e.stopping.Store(true)
 	e.ready.Store(false)
 	e.actor.Send(control.Stop{})
@@ -113,18 +114,31 @@
 	time.Sleep(min(rotationTime, limit/2))
 	ctx, cancel := context.WithTimeout(context.Background(), limit-min(rotationTime, limit/2))
 	defer cancel()
+	e.logDrain(clients, "draining", "entry takes no new connections")
 	if err := clients.stop(ctx); err != nil {
-		e.deps.Log.Warn().Err(err).Msg("requests were open at the end of the grace period")
+		e.deps.Log.Warn().Str("event", "cut_off").Err(err).Msg("requests were open at the end of the grace period")
 	}
+	e.logDrain(clients, "drained", "clients are answered")
 	e.waitIdle(ctx)
 }
 
+// logDrain logs a step of a stop and what it still waits for.
+func (e *Entry) logDrain(clients *clientServer, event, what string) {
+	busy, unused := clients.count(time.Now())
+	e.deps.Log.Info().Str("event", event).Int("busy_connections", busy).Int("unused_connections", unused).Int("jobs", e.openJobs()).Msg(what)
+}
+
+// openJobs returns how many jobs of clients here or of other entries are open.
+func (e *Entry) openJobs() int {
+	reply := make(chan int, 1)
+	e.actor.Send(askJobs{reply})
+	return <-reply
+}
+
 // waitIdle returns when this entry holds no job for others either.
 func (e *Entry) waitIdle(ctx context.Context) {
-	reply := make(chan int, 1)
 	for ctx.Err() == nil {
-		e.actor.Send(askJobs{reply})
-		if <-reply == 0 {
+		if e.openJobs() == 0 {
 			return
 		}
 		select {
--- a/integration/harness/process.go
+++ b/integration/harness/process.go
@@ -125,16 +125,16 @@
 }
 
 // Freeze stops the process's execution with SIGSTOP.
-func (p *Process) Freeze() error { return p.signal(syscall.SIGSTOP) }
+func (p *Process) Freeze() error { return p.Signal(syscall.SIGSTOP) }
 
 // Thaw continues a frozen process.
-func (p *Process) Thaw() error { return p.signal(syscall.SIGCONT) }
+func (p *Process) Thaw() error { return p.Signal(syscall.SIGCONT) }
 
 // Terminate sends SIGTERM and does not wait.
-func (p *Process) Terminate() error { return p.signal(syscall.SIGTERM) }
+func (p *Process) Terminate() error { return p.Signal(syscall.SIGTERM) }
 
 // Hangup sends SIGHUP: the settings may have changed.
-func (p *Process) Hangup() error { return p.signal(syscall.SIGHUP) }
+func (p *Process) Hangup() error { return p.Signal(syscall.SIGHUP) }
 
 // Stop sends SIGTERM and waits for a clean end within limit.
 func (p *Process) Stop(limit time.Duration) error {
@@ -152,8 +152,8 @@
 	case <-time.After(limit):
 		return ErrStopTimeout
 	}
-	if code := cmd.ProcessState.ExitCode(); code != 0 {
-		return eris.Errorf("%s ended with status %d", p.Name, code)
+	if !cmd.ProcessState.Success() {
+		return eris.Errorf("%s: %s", p.Name, cmd.ProcessState)
 	}
 	return nil
 }
@@ -174,7 +174,8 @@
 	return p.cmd, p.done
 }
 
-func (p *Process) signal(s os.Signal) error {
+// Signal sends a signal and does not wait for its effect.
+func (p *Process) Signal(s os.Signal) error {
 	cmd, _ := p.current()
 	if !p.Running() {
 		return eris.Wrapf(ErrNotRunning, "%s: %s", p.Name, cmd.ProcessState)
