Signals are handled until a process has ended, and from its first instructions

Cause: handling of signals ended with the context that SIGTERM ends. signal.Stop on the reload's channel, and the stop function of NotifyContext, gave SIGHUP and SIGTERM back their default effect for the whole drain. Before the settings were read SIGHUP had it too. Class: what a process promises until its end was tied to a lifetime that is shorter. The same in 'bergamotwing entry' and 'agent' (a second SIGTERM, any SIGHUP), which use the same code now. Fix: one package takes the signals when it is initialised, before the packages that take long, and never gives them up. What a signal does is one pure function of signal and state. Only a second SIGINT ends a process that stops. Commands that serve nobody give signals their default effects back. TestAReloadWhileStartingEndsNoProcess waited for 4 ms after a start, which on a busy machine is before the Go runtime has begun; it holds the process at its settings (a named pipe) now, so that its verdict depends on no clock. Left: SIGHUP between exec and the start of the Go runtime, about a millisecond, still has its default effect.

--- a/command/agent.go
+++ b/command/agent.go
@@ -4,6 +4,7 @@
 	"github.com/rotisserie/eris"
 
 	"bergamotwing.example/agent"
+	"bergamotwing.example/command/internal/signals"
 	"bergamotwing.example/settings"
 	"bergamotwing.example/telemetry"
 )
@@ -44,7 +45,6 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := untilSignal()
-	defer stop()
-	return eris.Wrap(a.Run(ctx), "agent")
+	stopping, _ := signals.Watch(false, noteSignal(log, metrics))
+	return eris.Wrap(a.Run(stopping), "agent")
 }
--- a/command/entry.go
+++ b/command/entry.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rotisserie/eris"
 
+	"bergamotwing.example/command/internal/signals"
 	"bergamotwing.example/entry"
 	"bergamotwing.example/settings"
 	"bergamotwing.example/telemetry"
@@ -44,7 +45,6 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := untilSignal()
-	defer stop()
-	return eris.Wrap(e.Run(ctx), "entry")
+	stopping, _ := signals.Watch(false, noteSignal(log, metrics))
+	return eris.Wrap(e.Run(stopping), "entry")
 }
--- a/command/hosted.go
+++ b/command/hosted.go
@@ -6,6 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"bergamotwing.example/command/internal/signals"
 	hostedagent "bergamotwing.example/hosted/agent"
 	"bergamotwing.example/hosted/control"
 	hostedentry "bergamotwing.example/hosted/entry"
@@ -16,7 +17,7 @@
 	hostedEntryHelp = `Runs an entry on the hosting platform. It learns its addresses from the
 settings file that the platform writes. Logs go to standard output as JSON
 lines. SIGTERM stops it after the open jobs are answered, SIGHUP has it read
-its settings again.
+its settings again. While it stops, only a second SIGINT ends it at once.
 
 Example:
 $ bergamotwing hosted entry --metrics-port 9464`
@@ -95,8 +96,7 @@
 		return err
 	}
 	r := build(node, p)
-	ctx, stop := untilSignal()
-	defer stop()
-	go p.reloadOnChange(ctx, file, node, r)
-	return eris.Wrap(r.Run(ctx), role)
+	stopping, reload := signals.Watch(true, noteSignal(p.log, p.metrics))
+	go p.reloadOnChange(stopping, reload, file, node, r)
+	return eris.Wrap(r.Run(stopping), role)
 }
--- a/command/hostedprocess.go
+++ b/command/hostedprocess.go
@@ -6,10 +6,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"reflect"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -62,11 +60,9 @@
 	return nil
 }
 
-// reloadOnChange reads the settings file again on SIGHUP and when it has changed.
-func (p *hostedProcess) reloadOnChange(ctx context.Context, file string, node platform.Node, r runner) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+// reloadOnChange reads the settings file again when asked to and when it has
+// changed.
+func (p *hostedProcess) reloadOnChange(ctx context.Context, reload <-chan struct{}, file string, node platform.Node, r runner) {
 	ticker := time.NewTicker(settingsEvery)
 	defer ticker.Stop()
 	modified := modTime(file)
@@ -74,8 +70,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case sig := <-hangup:
-			p.log.Info().Str("event", "signal").Str("signal", sig.String()).Msg("settings are to be read again")
+		case <-reload:
 		case <-ticker.C:
 			if modTime(file).Equal(modified) {
 				continue
--- /dev/null
+++ b/command/internal/signals/signals.go
@@ -0,0 +1,93 @@
+// Package signals takes the signals of a process from its start to its end. It
+// imports little, so that it is initialised before the packages that take long.
+package signals
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// Effect is what a signal does to a process that serves.
+type Effect string
+
+// Effects.
+const (
+	Stop   Effect = "stop"   // the process finishes what is open, then ends
+	Reload Effect = "reload" // settings are read again
+	Ignore Effect = "ignore" // nothing
+	End    Effect = "end"    // the process ends at once
+)
+
+// maxQueued is how many signals may wait until they are handled.
+const maxQueued = 16
+
+var received = make(chan os.Signal, maxQueued)
+
+func init() { signal.Notify(received, syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM) }
+
+// Default gives signals their default effects, also those received so far. It
+// is for commands that serve nobody.
+func Default() {
+	signal.Reset()
+	for {
+		select {
+		case s := <-received:
+			raise(s)
+		default:
+			return
+		}
+	}
+}
+
+// Watch handles signals until the process ends, since the default effect of one
+// that comes while a process stops would cut off what is open. It returns a
+// context that ends at the first signal to stop, and a channel that gets a value
+// when settings are to be read again. note is told of each signal.
+func Watch(reloads bool, note func(os.Signal, Effect)) (stopping context.Context, reload <-chan struct{}) {
+	ctx, stop := context.WithCancel(context.Background())
+	due := make(chan struct{}, 1)
+	go func() {
+		for s := range received {
+			effect := effectOf(s, ctx.Err() != nil, reloads)
+			note(s, effect)
+			switch effect {
+			case Stop:
+				stop()
+			case Reload:
+				select {
+				case due <- struct{}{}:
+				default: // one is due already
+				}
+			case End:
+				signal.Reset(s)
+				raise(s)
+			case Ignore:
+			}
+		}
+	}()
+	return ctx, due
+}
+
+// effectOf decides what a signal does. Only a second Ctrl-C at a terminal ends a
+// process that stops; the platform kills one that takes too long.
+func effectOf(s os.Signal, stopping, reloads bool) Effect {
+	switch {
+	case stopping && s == syscall.SIGINT:
+		return End
+	case stopping:
+		return Ignore
+	case s != syscall.SIGHUP:
+		return Stop
+	case reloads:
+		return Reload
+	}
+	return Ignore
+}
+
+func raise(s os.Signal) {
+	if number, ok := s.(syscall.Signal); ok {
+		_ = syscall.Kill(os.Getpid(), number) // a process may signal itself
+	}
+}
--- a/command/run.go
+++ b/command/run.go
@@ -11,6 +11,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"bergamotwing.example/client"
+	"bergamotwing.example/command/internal/signals"
 )
 
 const (
@@ -29,6 +30,7 @@
 	out := &output{stdout: stdout, stderr: stderr}
 	parser := flags.NewNamedParser("bergamotwing", flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = longHelp()
+	parser.CommandHandler = execute
 	if err := addCommands(parser.Command, commands(out)); err != nil {
 		return out.report(err)
 	}
@@ -39,6 +41,22 @@
 	return out.report(err)
 }
 
+// server is a command that serves others until a signal, which it handles itself.
+type server interface {
+	flags.Commander
+	handlesSignals()
+}
+
+func execute(command flags.Commander, args []string) error {
+	if _, ok := command.(server); !ok {
+		signals.Default()
+	}
+	if command == nil {
+		return nil
+	}
+	return command.Execute(args)
+}
+
 func longHelp() string {
 	var text strings.Builder
 	text.WriteString(helpHead)
--- a/integration/hosted/cluster.go
+++ b/integration/hosted/cluster.go
@@ -110,6 +110,9 @@
 	c.Store.SetConfig(version, routeHost, pathPrefix, service)
 }
 
+// settingsFile returns the path of a host's settings.
+func (c *Cluster) settingsFile(name string) string { return filepath.Join(c.dir, name+".json") }
+
 func (c *Cluster) start(role string, index, n int) *Host {
 	c.t.Helper()
 	ip := address(n)
@@ -125,7 +128,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	file := filepath.Join(c.dir, name+".json")
+	file := c.settingsFile(name)
 	if err := os.WriteFile(file, text, 0o600); err != nil {
 		c.t.Fatal(err)
 	}
--- a/integration/hosted/signals_test.go
+++ b/integration/hosted/signals_test.go
@@ -1,6 +1,8 @@
 package hosted
 
 import (
+	"errors"
+	"os"
 	"slices"
 	"syscall"
 	"testing"
@@ -70,23 +72,31 @@
 // A reload may be asked for before a process has read its settings.
 func TestAReloadWhileStartingEndsNoProcess(t *testing.T) {
 	c := New(t, 1, 1)
-	e := c.Entries[0]
-	for pause := firstInstant; pause < lastInstant; pause += instantStep {
-		e.Kill()
-		e.Start(t)
-		time.Sleep(pause)
-		if err := e.Hangup(); err != nil {
-			t.Errorf("%v after its start: %v", pause, err)
-			continue
+	for _, h := range []*Host{c.Entries[0], c.Agents[0]} {
+		file := c.settingsFile(h.Name)
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		h.Kill()
+		if err := errors.Join(os.Remove(file), syscall.Mkfifo(file, 0o600)); err != nil {
+			t.Fatal(err)
+		}
+		h.Start(t)
+		settings, err := os.OpenFile(file, os.O_WRONLY, 0) // waits until the process opens it
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := h.Hangup(); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(signalPause)
+		if _, err := settings.Write(text); err != nil {
+			t.Error(err)
+		}
+		if err := errors.Join(settings.Close(), os.Remove(file), os.WriteFile(file, text, 0o600)); err != nil {
+			t.Fatal(err)
 		}
-		harness.Eventually(t, readyLimit, "the entry is ready", e.Ready)
 	}
+	c.WaitReady()
 }
-
-// Moments at which a starting process gets a signal. The first is after the
-// Go runtime has begun to run the program's own code.
-const (
-	firstInstant = 4 * time.Millisecond
-	lastInstant  = 20 * time.Millisecond
-	instantStep  = 2 * time.Millisecond
-)
