No signal is lost before it is handled, and a stuck log keeps none waiting

Cause: signal.Reset drops a signal that is being delivered. All signals shared a queue of 16. The note of a signal was written before its effect. Fix: signal.Stop, which waits for such a signal; a channel of one place for each signal; the effect comes first, and the note may block. SIGINT during a stop exits with status 130, also where it was ignored at the start.

--- a/command/hosted.go
+++ b/command/hosted.go
@@ -17,7 +17,7 @@
 	hostedEntryHelp = `Runs an entry on the hosting platform. It learns its addresses from the
 settings file that the platform writes. Logs go to standard output as JSON
 lines. SIGTERM stops it after the open jobs are answered, SIGHUP has it read
-its settings again. While it stops, only a second SIGINT ends it at once.
+its settings again. While it stops, only SIGINT ends it at once.
 
 Example:
 $ bergamotwing hosted entry --metrics-port 9464`
--- a/command/internal/signals/signals.go
+++ b/command/internal/signals/signals.go
@@ -20,23 +20,31 @@
 	End    Effect = "end"    // the process ends at once
 )
 
-// maxQueued is how many signals may wait until they are handled.
-const maxQueued = 16
+const exitInterrupted = 128 + int(syscall.SIGINT) // as shells report it
 
-var received = make(chan os.Signal, maxQueued)
+// Each signal has a channel of its own, so that many of one kind cannot displace
+// another.
+var (
+	hangup    = make(chan os.Signal, 1)
+	interrupt = make(chan os.Signal, 1)
+	terminate = make(chan os.Signal, 1)
+)
 
-func init() { signal.Notify(received, syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM) }
+func init() {
+	signal.Notify(hangup, syscall.SIGHUP)
+	signal.Notify(interrupt, syscall.SIGINT)
+	signal.Notify(terminate, syscall.SIGTERM)
+}
 
 // Default gives signals their default effects, also those received so far. It
 // is for commands that serve nobody.
 func Default() {
-	signal.Reset()
-	for {
+	for _, c := range []chan os.Signal{hangup, interrupt, terminate} {
+		signal.Stop(c) // waits for a signal that is being delivered
 		select {
-		case s := <-received:
+		case s := <-c:
 			raise(s)
 		default:
-			return
 		}
 	}
 }
@@ -44,14 +52,14 @@
 // Watch handles signals until the process ends, since the default effect of one
 // that comes while a process stops would cut off what is open. It returns a
 // context that ends at the first signal to stop, and a channel that gets a value
-// when settings are to be read again. note is told of each signal.
+// when settings are to be read again. note is told of each signal; it may block.
 func Watch(reloads bool, note func(os.Signal, Effect)) (stopping context.Context, reload <-chan struct{}) {
 	ctx, stop := context.WithCancel(context.Background())
 	due := make(chan struct{}, 1)
 	go func() {
-		for s := range received {
+		for {
+			s := next()
 			effect := effectOf(s, ctx.Err() != nil, reloads)
-			note(s, effect)
 			switch effect {
 			case Stop:
 				stop()
@@ -61,16 +69,27 @@
 				default: // one is due already
 				}
 			case End:
-				signal.Reset(s)
-				raise(s)
+				os.Exit(exitInterrupted)
 			case Ignore:
 			}
+			go note(s, effect)
 		}
 	}()
 	return ctx, due
 }
 
-// effectOf decides what a signal does. Only a second Ctrl-C at a terminal ends a
+func next() os.Signal {
+	select {
+	case s := <-hangup:
+		return s
+	case s := <-interrupt:
+		return s
+	case s := <-terminate:
+		return s
+	}
+}
+
+// effectOf decides what a signal does. Only SIGINT, Ctrl-C at a terminal, ends a
 // process that stops; the platform kills one that takes too long.
 func effectOf(s os.Signal, stopping, reloads bool) Effect {
 	switch {
