Settings that change before a process runs are taken in

Cause: reloads began before the control actor and before the first seeds were used, and a change was known by the file's time, first taken after the file had been read. Fix: Reload waits until Run has used the first settings.

--- /dev/null
+++ b/command/hosted_test.go
@@ -0,0 +1,105 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	hostedagent "bergamotwing.example/hosted/agent"
+	"bergamotwing.example/hosted/control"
+	hostedentry "bergamotwing.example/hosted/entry"
+	"bergamotwing.example/platform"
+	"bergamotwing.example/platform/fake"
+	"bergamotwing.example/telemetry"
+)
+
+const (
+	testHost  = "127.78.1.%d" // that runs a process; a new one each time, since listeners end with their process
+	testPeer  = "127.78.0.2"  // a seed that only the new settings name
+	testStore = "127.78.0.3:8169"
+	testLimit = 5 * time.Second
+)
+
+var testHosts atomic.Int64
+
+// writeSettings writes a settings file and returns what it says.
+func writeSettings(t *testing.T, file string, n fake.Node) platform.Node {
+	t.Helper()
+	text, err := n.SettingsFile()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	node, err := platform.LoadNode(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return node
+}
+
+// The settings may change at any moment from the first reading on.
+func TestSettingsThatChangeBeforeAProcessRunsAreTakenIn(t *testing.T) {
+	for _, role := range []string{"entry", "agent"} {
+		t.Run(role, func(t *testing.T) {
+			peer, err := net.Listen("tcp", fake.Addr(testPeer, fake.LinkPort))
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = peer.Close() })
+			dialed := make(chan struct{})
+			go func() {
+				if conn, err := peer.Accept(); err == nil {
+					_ = conn.Close()
+					close(dialed)
+				}
+			}()
+			file := filepath.Join(t.TempDir(), role)
+			host := fake.Node{Name: "host", IP: fmt.Sprintf(testHost, testHosts.Add(1)), Zone: "z", StoreAddr: testStore}
+			if role == "agent" {
+				host.Service = "svc"
+			}
+			host.Seeds = []string{host.IP}
+			node := writeSettings(t, file, host)
+			host.Seeds = []string{host.IP, testPeer}
+			writeSettings(t, file, host)
+			metrics, err := telemetry.NewMetrics()
+			if err != nil {
+				t.Fatal(err)
+			}
+			p := &hostedProcess{log: zerolog.New(io.Discard), metrics: metrics}
+			deps := control.Deps{Log: p.log, Metrics: p.metrics}
+			var r runner = hostedagent.New(node, deps)
+			if role == "entry" {
+				r = hostedentry.New(node, hostedentry.Options{}, deps)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			reload := make(chan struct{}, 1)
+			reload <- struct{}{}
+			go p.reloadOnChange(ctx, reload, file, node, r)
+			for len(reload) > 0 {
+				time.Sleep(time.Millisecond)
+			}
+			ended := make(chan error, 1)
+			go func() { ended <- r.Run(ctx) }()
+			select {
+			case <-dialed:
+			case <-time.After(testLimit):
+				t.Error("the new seed is not dialed")
+			}
+			cancel()
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
--- a/command/hostedprocess.go
+++ b/command/hostedprocess.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"os"
 	"reflect"
 	"strconv"
 	"time"
@@ -60,45 +59,36 @@
 	return nil
 }
 
-// reloadOnChange reads the settings file again when asked to and when it has
-// changed.
+// reloadOnChange reads the settings file again when asked to and at intervals.
 func (p *hostedProcess) reloadOnChange(ctx context.Context, reload <-chan struct{}, file string, node platform.Node, r runner) {
 	ticker := time.NewTicker(settingsEvery)
 	defer ticker.Stop()
-	modified := modTime(file)
+	failure := ""
 	for {
+		asked := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-reload:
+			asked = true
 		case <-ticker.C:
-			if modTime(file).Equal(modified) {
-				continue
+		}
+		next, err := platform.LoadNode(file)
+		if err != nil {
+			if asked || err.Error() != failure {
+				p.log.Error().Str("event", "reload_failed").Err(err).Msg("settings not read; the old ones stay in force")
 			}
+			failure = err.Error()
+			continue
+		}
+		failure = ""
+		changed := !reflect.DeepEqual(node, next)
+		if asked || changed {
+			p.log.Info().Str("event", "reload").Bool("changed", changed).Strs("seeds", next.SeedHosts).Msg("settings read again")
+		}
+		if changed {
+			node = next
+			r.Reload(next)
 		}
-		modified = modTime(file)
-		node = p.reload(file, node, r)
-	}
-}
-
-func (p *hostedProcess) reload(file string, node platform.Node, r runner) platform.Node {
-	next, err := platform.LoadNode(file)
-	if err != nil {
-		p.log.Error().Str("event", "reload_failed").Err(err).Msg("settings not read; the old ones stay in force")
-		return node
-	}
-	changed := !reflect.DeepEqual(node, next)
-	p.log.Info().Str("event", "reload").Bool("changed", changed).Strs("seeds", next.SeedHosts).Msg("settings read again")
-	if changed {
-		r.Reload(next)
-	}
-	return next
-}
-
-func modTime(file string) time.Time {
-	info, err := os.Stat(file)
-	if err != nil {
-		return time.Time{} // being replaced; read once it is back
 	}
-	return info.ModTime()
 }
--- a/hosted/agent/agent.go
+++ b/hosted/agent/agent.go
@@ -36,12 +36,13 @@
 
 	toRemember chan platform.Announcement // the newest that is not written yet
 	idle       chan struct{}              // closed once a stopping agent keeps no run
+	running    chan struct{}              // closed once Run has used the settings
 	state      *state
 }
 
 // New returns an agent that does nothing yet.
 func New(node platform.Node, deps control.Deps) *Agent {
-	a := &Agent{actor: control.NewActor(), node: node, deps: deps, store: platform.NewStore(node.StoreAddr), toRemember: make(chan platform.Announcement, 1), idle: make(chan struct{})}
+	a := &Agent{actor: control.NewActor(), node: node, deps: deps, store: platform.NewStore(node.StoreAddr), toRemember: make(chan platform.Announcement, 1), idle: make(chan struct{}), running: make(chan struct{})}
 	hello := wire.NodeHello{
 		Name: node.Name, Incarnation: control.NewIncarnation(), Role: wire.RoleAgent, Zone: node.Zone,
 	}
@@ -63,6 +64,7 @@
 	}
 	defer func() { _ = server.Close() }()
 	a.mesh.SetTargets(ctx, mesh.SeedAddrs(a.node))
+	close(a.running)
 	go a.findEntries(ctx)
 	go a.recall(ctx)
 	go a.remember(ctx)
@@ -155,4 +157,7 @@
 func (a *Agent) Left(id string) { a.actor.Send(left{id}) }
 
 // Reload takes in settings that have changed: the hosts to ask for entries.
-func (a *Agent) Reload(node platform.Node) { a.actor.Send(control.Reload{Node: node}) }
+func (a *Agent) Reload(node platform.Node) {
+	<-a.running // before that there is no actor, and the first settings would replace these
+	a.actor.Send(control.Reload{Node: node})
+}
--- a/hosted/entry/entry.go
+++ b/hosted/entry/entry.go
@@ -51,6 +51,7 @@
 	store *platform.Store
 	ctx   context.Context //nolint:containedctx // of the process; ends its background work
 
+	running  chan struct{} // closed once Run has used the settings
 	state    *state
 	operator atomic.Pointer[dispatch.OperatorState] // newest, for traffic; nil: none yet
 	ready    atomic.Bool
@@ -59,7 +60,7 @@
 
 // New returns an entry that does nothing yet.
 func New(node platform.Node, opts Options, deps control.Deps) *Entry {
-	e := &Entry{actor: control.NewActor(), node: node, opts: opts, deps: deps, store: platform.NewStore(node.StoreAddr)}
+	e := &Entry{actor: control.NewActor(), node: node, opts: opts, deps: deps, store: platform.NewStore(node.StoreAddr), running: make(chan struct{})}
 	e.self = wire.NodeHello{
 		Name: node.Name, Incarnation: control.NewIncarnation(), Role: wire.RoleEntry, Zone: node.Zone,
 		Addr:  net.JoinHostPort(node.IP, strconv.Itoa(node.LinkPort)),
@@ -92,6 +93,7 @@
 		return err
 	}
 	e.mesh.SetTargets(ctx, mesh.SeedAddrs(e.node))
+	close(e.running)
 	go e.watchOperator(ctx)
 	go e.register(ctx)
 	e.actor.Send(control.Tick{})
@@ -188,4 +190,7 @@
 }
 
 // Reload takes in settings that have changed: the hosts to ask for entries.
-func (e *Entry) Reload(node platform.Node) { e.actor.Send(control.Reload{Node: node}) }
+func (e *Entry) Reload(node platform.Node) {
+	<-e.running // before that there is no actor, and the first settings would replace these
+	e.actor.Send(control.Reload{Node: node})
+}
