A stop closes no connection of which a request has been begun

Cause: a stop closed connections by the state that net/http reports. That changes to active only once a whole header has been read, so a kept connection counted as idle, and a new one as unused after 500 ms, while its request was being read. It also changes to idle after the server has read one byte ahead, as it does while a handler runs, of a request that the client sent as soon as it had the answer. Fix: a connection of a client counts what has been read of it, and ends itself: it returns EOF to a read between two requests, and ends one that waits by a deadline in the past, with which a read returns without a byte. The server's own deadlines apply otherwise. Nothing closes it from outside. Evidence: four tests, with half a header on a kept and on a new connection, a byte read ahead, and 50 clients that send all the time. Left: of a client that pipelines, a request that came in one piece with an earlier one and has only been read in part is not answered.

--- /dev/null
+++ b/hosted/entry/clientconn.go
@@ -0,0 +1,115 @@
+package entry
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// clientConn is a client's connection. Once it is to end it takes no further
+// request, but goes on with one of which any byte has been read.
+type clientConn struct {
+	net.Conn
+
+	mu       sync.Mutex
+	begun    bool // a byte of a request that is not answered has been read
+	ahead    bool // and one of the request after it
+	ending   bool
+	deadline time.Time // of reads, as the server has set it
+}
+
+// longAgo, as a read's deadline, ends the read without taking a byte.
+var longAgo = time.Unix(1, 0)
+
+// Read reads, or returns EOF between two requests of a connection that is to end.
+func (c *clientConn) Read(p []byte) (int, error) {
+	if c.isOver() {
+		return 0, io.EOF
+	}
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case n > 0 && !c.begun:
+		c.begun = true
+		if c.ending { // after this read had begun
+			_ = c.Conn.SetReadDeadline(c.deadline)
+		}
+	case n > 0:
+		c.ahead = len(p) == 1 // as net/http reads while a handler runs, and only then
+	case c.ending && !c.begun:
+		return 0, io.EOF
+	}
+	return n, err
+}
+
+// isOver reports whether no further request is read.
+func (c *clientConn) isOver() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ending && !c.begun
+}
+
+func (c *clientConn) hasBegun() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.begun
+}
+
+// end has the connection take no further request. Its server closes it then.
+func (c *clientConn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = true
+	if !c.begun {
+		_ = c.Conn.SetReadDeadline(longAgo)
+	}
+}
+
+// answered notes that a request is over. No read is under way.
+func (c *clientConn) answered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.begun, c.ahead = c.ahead, false
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *clientConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.ending && !c.begun {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *clientConn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(t)
+}
+
+// CloseWrite has the client get an answer whose request was not read to its end:
+// net/http calls it where a connection has it.
+func (c *clientConn) CloseWrite() error {
+	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
+// clientListener accepts clients' connections.
+type clientListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l clientListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &clientConn{Conn: conn}, nil
+}
--- a/hosted/entry/drain.go
+++ b/hosted/entry/drain.go
@@ -18,40 +18,45 @@
 	idlePoll       = 50 * time.Millisecond // between two looks at what is open
 )
 
-// clientServer serves clients and can stop without dropping a request that has
-// arrived. http.Server.Shutdown reads requests of open connections and closes
-// them without an answer.
+// clientServer serves clients and can stop without dropping a request of which a
+// byte has been read. http.Server.Shutdown reads requests of open connections and
+// closes them without an answer, and the state that it reports of a connection
+// changes only once a header has been read.
 type clientServer struct {
 	server   *http.Server
 	listener net.Listener
 	accepted chan struct{} // closed once no more connections are accepted
 	mu       sync.Mutex
-	conns    map[net.Conn]connUse
-	stopping bool // idle connections are closed
-}
-
-type connUse struct {
-	state http.ConnState
-	since time.Time
+	conns    map[*clientConn]time.Time // until when a first request is expected; zero: no more
+	stopping bool                      // connections take no further request
 }
 
 func newClientServer(l net.Listener, h http.Handler) *clientServer {
-	c := &clientServer{listener: l, accepted: make(chan struct{}), conns: map[net.Conn]connUse{}}
+	c := &clientServer{listener: clientListener{l}, accepted: make(chan struct{}), conns: map[*clientConn]time.Time{}}
 	c.server = &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ConnState: c.note}
 	return c
 }
 
 func (c *clientServer) note(conn net.Conn, state http.ConnState) {
+	client, ok := conn.(*clientConn)
+	if !ok {
+		return // none: all are accepted by a clientListener
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if state == http.StateClosed || state == http.StateHijacked {
-		delete(c.conns, conn)
-		return
-	}
-	if c.stopping && state == http.StateIdle {
-		_ = conn.Close() // noted as closed later
+	switch state {
+	case http.StateNew:
+		c.conns[client] = time.Now().Add(firstBytesTime)
+	case http.StateActive:
+		c.conns[client] = time.Time{}
+	case http.StateIdle:
+		client.answered()
+		if c.stopping {
+			client.end()
+		}
+	case http.StateClosed, http.StateHijacked:
+		delete(c.conns, client)
 	}
-	c.conns[conn] = connUse{state, time.Now()}
 }
 
 // count returns how many connections have a request or are about to, and how
@@ -59,19 +64,14 @@
 func (c *clientServer) count(now time.Time) (busy, unused int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, use := range c.conns {
-		if use.state == http.StateActive || use.state == http.StateNew && now.Sub(use.since) < firstBytesTime {
+	for conn, expected := range c.conns {
+		if now.Before(expected) || conn.hasBegun() {
 			busy++
 		}
 	}
 	return busy, len(c.conns) - busy
 }
 
-func (c *clientServer) busy(now time.Time) int {
-	busy, _ := c.count(now)
-	return busy
-}
-
 func (c *clientServer) serve() error {
 	defer close(c.accepted)
 	err := c.server.Serve(c.listener)
@@ -88,8 +88,7 @@
 		return eris.Wrap(err, "close listener of clients")
 	}
 	<-c.accepted
-	c.closeIdle()
-	for c.busy(time.Now()) > 0 {
+	for c.endUnused(time.Now()) > 0 {
 		select {
 		case <-ctx.Done():
 			_ = c.server.Close() // the grace period is over
@@ -100,15 +99,16 @@
 	return eris.Wrap(c.server.Close(), "close connections of clients")
 }
 
-// closeIdle closes the connections without a request, and from now on those that
-// become so.
-func (c *clientServer) closeIdle() {
+// endUnused has connections take no further request, but for new ones whose
+// first is still expected, and returns how many are open.
+func (c *clientServer) endUnused(now time.Time) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stopping = true
-	for conn, use := range c.conns {
-		if use.state == http.StateIdle {
-			_ = conn.Close()
+	for conn, expected := range c.conns {
+		if !now.Before(expected) || conn.hasBegun() {
+			conn.end()
 		}
 	}
+	return len(c.conns)
 }
--- a/hosted/entry/drain_test.go
+++ b/hosted/entry/drain_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -14,21 +16,71 @@
 
 const stopTime = 3 * time.Second // longer than any wait of these tests
 
+var answerNoContent = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+
 // startClientServer returns a server of clients that answers 204.
 func startClientServer(t *testing.T) *clientServer {
+	t.Helper()
+	c, _ := startCountedServer(t, answerNoContent)
+	return c
+}
+
+// startCountedServer returns a server of clients, and its count of bytes read.
+func startCountedServer(t *testing.T, h http.Handler) (*clientServer, *countingListener) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := newClientServer(l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }))
+	counting := &countingListener{Listener: l}
+	c := newClientServer(counting, h)
 	go func() {
 		if err := c.serve(); err != nil {
 			t.Error(err)
 		}
 	}()
 	t.Cleanup(func() { _ = c.server.Close() })
-	return c
+	return c, counting
+}
+
+// countingListener counts the bytes that the server has read, by client.
+type countingListener struct {
+	net.Listener
+	read sync.Map // *atomic.Int64 by the client's address
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: conn, read: l.of(conn.RemoteAddr())}, nil
+}
+
+func (l *countingListener) of(client net.Addr) *atomic.Int64 {
+	n, _ := l.read.LoadOrStore(client.String(), new(atomic.Int64))
+	return n.(*atomic.Int64) //nolint:forcetypeassert // as stored
+}
+
+// waitRead returns once the server has read n bytes from a client.
+func (l *countingListener) waitRead(t *testing.T, conn net.Conn, n int) {
+	t.Helper()
+	for began := time.Now(); l.of(conn.LocalAddr()).Load() < int64(n); time.Sleep(time.Millisecond) {
+		if time.Since(began) > stopTime {
+			t.Fatalf("the server has read %d bytes, want %d", l.of(conn.LocalAddr()).Load(), n)
+		}
+	}
+}
+
+type countingConn struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
 }
 
 func dial(t *testing.T, c *clientServer) net.Conn {
@@ -128,3 +180,98 @@
 		t.Error(err)
 	}
 }
+
+const (
+	getRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	cutAt      = 20 // cuts a request within its header
+)
+
+// The server does not say that a connection is in use before it has read a whole header.
+func TestARequestBegunOnAKeptConnectionIsAnswered(t *testing.T) {
+	c, counting := startCountedServer(t, answerNoContent)
+	conn := dial(t, c)
+	write(t, conn, getRequest)
+	wantNoContent(t, conn)
+	write(t, conn, getRequest[:cutAt])
+	counting.waitRead(t, conn, len(getRequest)+cutAt)
+	stopped := stopInBackground(t, c)
+	time.Sleep(2 * idlePoll)
+	write(t, conn, getRequest[cutAt:])
+	wantNoContent(t, conn)
+	wantClosed(t, conn)
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
+
+func TestARequestBegunOnANewConnectionIsAnsweredHoweverSlowItComes(t *testing.T) {
+	c, counting := startCountedServer(t, answerNoContent)
+	conn := dial(t, c)
+	write(t, conn, getRequest[:cutAt])
+	counting.waitRead(t, conn, cutAt)
+	stopped := stopInBackground(t, c)
+	time.Sleep(firstBytesTime + 2*idlePoll)
+	write(t, conn, getRequest[cutAt:])
+	wantNoContent(t, conn)
+	wantClosed(t, conn)
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
+
+// While a handler runs the server reads one byte ahead. It may be the first of a
+// request that the client sent as soon as it had the answer.
+func TestARequestReadAheadIsAnswered(t *testing.T) {
+	release := make(chan struct{}, 2)
+	c, counting := startCountedServer(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	conn := dial(t, c)
+	write(t, conn, getRequest)
+	counting.waitRead(t, conn, len(getRequest))
+	write(t, conn, getRequest[:1])
+	counting.waitRead(t, conn, len(getRequest)+1)
+	stopped := stopInBackground(t, c)
+	release <- struct{}{}
+	wantNoContent(t, conn)
+	time.Sleep(2 * idlePoll)
+	write(t, conn, getRequest[1:])
+	release <- struct{}{}
+	wantNoContent(t, conn)
+	wantClosed(t, conn)
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
+
+// Whenever a stop comes, what has been read is answered.
+func TestAStopUnderTrafficAnswersAllThatWasRead(t *testing.T) {
+	const clients = 50
+	c, counting := startCountedServer(t, answerNoContent)
+	var wait sync.WaitGroup
+	for range clients {
+		conn := dial(t, c)
+		wait.Go(func() {
+			answered := 0
+			for r := bufio.NewReader(conn); ; answered++ {
+				if _, err := io.WriteString(conn, getRequest); err != nil {
+					break
+				}
+				resp, err := http.ReadResponse(r, nil)
+				if err != nil {
+					break
+				}
+				_ = resp.Body.Close()
+			}
+			if n := counting.of(conn.LocalAddr()).Load(); n != int64(answered*len(getRequest)) {
+				t.Errorf("%d bytes of a request were read and not answered", n-int64(answered*len(getRequest)))
+			}
+		})
+	}
+	time.Sleep(idlePoll)
+	if err := <-stopInBackground(t, c); err != nil {
+		t.Error(err)
+	}
+	wait.Wait()
+}
