A stop accepts the connections that the kernel has taken before it closes the listener

What callers saw: "connection reset by peer" for a request on a connection made shortly before an entry stopped listening. Cause: the kernel completes connections before the process accepts them, and resets those that it holds when the listener is closed. A busy process accepts late. Fix: a stop waits, 200 ms at most, until the kernel holds none (poll of the listening socket), and closes the listener at once then. Left: a connection completed between the last look and the close, some microseconds, is reset as before. Nothing of it has been read.

--- a/hosted/entry/clientconn.go
+++ b/hosted/entry/clientconn.go
@@ -4,7 +4,10 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // clientConn is a client's connection. Once it is to end it takes no further
@@ -113,3 +116,21 @@
 	}
 	return &clientConn{Conn: conn}, nil
 }
+
+// hasWaiting reports whether the kernel holds connections to be accepted. It
+// resets them when the listener is closed.
+func (l clientListener) hasWaiting() bool {
+	socket, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false // closed
+	}
+	waiting := 0
+	err = raw.Control(func(fd uintptr) {
+		waiting, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0) //nolint:gosec // descriptors are small
+	})
+	return err == nil && waiting > 0
+}
--- a/hosted/entry/drain.go
+++ b/hosted/entry/drain.go
@@ -16,6 +16,10 @@
 	// before it counts as unused: clients write theirs as soon as they connect.
 	firstBytesTime = 500 * time.Millisecond
 	idlePoll       = 50 * time.Millisecond // between two looks at what is open
+	// acceptTime is how long a stop lets connections be accepted that the kernel
+	// has taken: much longer than a busy process is kept from its processor.
+	acceptTime = 200 * time.Millisecond
+	acceptPoll = time.Millisecond
 )
 
 // clientServer serves clients and can stop without dropping a request of which a
@@ -24,7 +28,7 @@
 // changes only once a header has been read.
 type clientServer struct {
 	server   *http.Server
-	listener net.Listener
+	listener clientListener
 	accepted chan struct{} // closed once no more connections are accepted
 	mu       sync.Mutex
 	conns    map[*clientConn]time.Time // until when a first request is expected; zero: no more
@@ -84,6 +88,9 @@
 // stop takes no new connections and closes idle ones, since the time left may not
 // suffice for another request. It waits until the open requests are answered.
 func (c *clientServer) stop(ctx context.Context) error {
+	for began := time.Now(); c.listener.hasWaiting() && time.Since(began) < acceptTime; {
+		time.Sleep(acceptPoll)
+	}
 	if err := c.listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		return eris.Wrap(err, "close listener of clients")
 	}
--- a/hosted/entry/drain_test.go
+++ b/hosted/entry/drain_test.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	counting := &countingListener{Listener: l}
+	counting := &countingListener{TCPListener: l.(*net.TCPListener)} //nolint:forcetypeassert // as listened for
 	c := newClientServer(counting, h)
 	go func() {
 		if err := c.serve(); err != nil {
@@ -45,12 +45,13 @@
 
 // countingListener counts the bytes that the server has read, by client.
 type countingListener struct {
-	net.Listener
+	*net.TCPListener
+
 	read sync.Map // *atomic.Int64 by the client's address
 }
 
 func (l *countingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+	conn, err := l.TCPListener.Accept()
 	if err != nil {
 		return nil, err
 	}
@@ -275,3 +276,28 @@
 	}
 	wait.Wait()
 }
+
+// The kernel completes connections before the process accepts them, and resets
+// those that it holds when the listener is closed.
+func TestAConnectionMadeBeforeAStopIsServed(t *testing.T) {
+	const (
+		stops   = 40
+		clients = 5
+	)
+	for range stops {
+		c := startClientServer(t)
+		conns := make([]net.Conn, clients)
+		for i := range conns {
+			conns[i] = dial(t, c)
+		}
+		stopped := make(chan error, 1)
+		go func() { stopped <- c.stop(t.Context()) }()
+		for _, conn := range conns {
+			write(t, conn, getRequest)
+			wantNoContent(t, conn)
+		}
+		if err := <-stopped; err != nil {
+			t.Error(err)
+		}
+	}
+}
