An entry whose time to stop is over answers what is open

What callers saw: at the end of the grace period every open request ended without an answer, of clients that wait for longer than a stop may take (30 s for one that names no deadline). Cause: a stop ended with http.Server.Close, which cuts off all connections. Deadlines are not tied to GraceS. Fix: 0.4 s before the end of GraceS (stopMargin) each open request is answered. A job whose queue is here is ended by its scheduler: 503 stopping with Retry-After if nothing of it may have run, else 502 outcome_unknown. One whose queue is elsewhere is cancelled there and answered 502, since only its home knows what ran; so is a request whose body has not arrived whole, since the job may have been submitted elsewhere before. Runs are stopped, as for a client that leaves. The process ends 0.2 s later at most (answerTime), which leaves 0.2 s before SIGKILL. Reads of requests are interrupted, but not the one byte that net/http reads ahead, whose failure would count as the client's leaving.

--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -201,6 +201,21 @@
 	s.place(now)
 }
 
+// EndEarly answers a job that its caller cannot wait for, and stops its runs.
+// What waits for their room is placed by the next Tick: a caller that ends ends
+// many jobs.
+func (s *Scheduler) EndEarly(now Time, id string, caller Owner, out Outcome) {
+	j := s.jobs[id]
+	switch {
+	case j == nil:
+	case !j.over && j.sub.Caller == caller:
+		s.end(now, j, out)
+	case j.next != nil && j.next.Caller == caller:
+		s.finishUnknown(*j.next, out)
+		j.next = nil
+	}
+}
+
 // CallerLost cancels the jobs of an entry that is gone.
 func (s *Scheduler) CallerLost(now Time, caller Owner) {
 	for _, id := range s.jobIDs() {
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -202,6 +202,40 @@
 	}
 }
 
+// An entry whose time to stop is over cannot wait for the ends of jobs.
+func TestAJobEndedEarlyIsRefusedAsNotRunOnlyIfNothingMayHaveRun(t *testing.T) {
+	b := newBed(t, "e")
+	b.submit("runs", callerA, 0, step(4))
+	b.submit("waits", callerA, 0, step(1))
+	b.submit("other", callerB, 0, step(1))
+	b.take()
+	b.s.Cancel(b.now, "runs", callerA)
+	b.submit("runs", callerA, 0, step(4)) // waits for its runs to be gone
+	if _, _, cancels := b.take(); len(cancels) != 4 {
+		t.Fatalf("%d runs cancelled, want 4", len(cancels))
+	}
+	refusal := Outcome{Code: result.Stopping}
+	for _, id := range []string{"runs", "waits", "other", "unknown"} {
+		b.s.EndEarly(b.now, id, callerA, refusal)
+	}
+	_, outcomes, _ := b.take()
+	want := map[string]result.Code{"runs": result.OutcomeUnknown, "waits": result.Stopping}
+	if diff := cmp.Diff(want, outcomes); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestAJobEndedEarlyHasItsRunsStopped(t *testing.T) {
+	b := newBed(t, "e")
+	b.submit("j", callerA, 0, step(4))
+	b.take()
+	b.s.EndEarly(b.now, "j", callerA, Outcome{Code: result.Stopping})
+	_, outcomes, cancels := b.take()
+	if outcomes["j"] != result.OutcomeUnknown || len(cancels) != 4 {
+		t.Errorf("outcome %v, %d runs cancelled, want %v and 4", outcomes["j"], len(cancels), result.OutcomeUnknown)
+	}
+}
+
 func TestTheSameJobAgainJoinsTheOneThatIsOpen(t *testing.T) {
 	b := newBed(t, "e1")
 	b.submit("j", callerA, 0, step(1))
--- a/hosted/entry/clientconn.go
+++ b/hosted/entry/clientconn.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -19,39 +20,62 @@
 	begun    bool // a byte of a request that is not answered has been read
 	ahead    bool // and one of the request after it
 	ending   bool
+	cut      bool      // nothing more is read of a request
+	reading  int       // length of the buffer of a read under way; 0: none
 	deadline time.Time // of reads, as the server has set it
 }
 
 // longAgo, as a read's deadline, ends the read without taking a byte.
 var longAgo = time.Unix(1, 0)
 
+// readAhead is the length of net/http's reads while a handler runs, which see a
+// client leave. No other read is so short.
+const readAhead = 1
+
 // Read reads, or returns EOF between two requests of a connection that is to end.
 func (c *clientConn) Read(p []byte) (int, error) {
-	if c.isOver() {
-		return 0, io.EOF
+	if err := c.beginRead(len(p)); err != nil {
+		return 0, err
 	}
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reading = 0
 	switch {
 	case n > 0 && !c.begun:
 		c.begun = true
-		if c.ending { // after this read had begun
+		if c.ending && !c.cut { // after this read had begun
 			_ = c.Conn.SetReadDeadline(c.deadline)
 		}
 	case n > 0:
-		c.ahead = len(p) == 1 // as net/http reads while a handler runs, and only then
+		c.ahead = len(p) == readAhead
 	case c.ending && !c.begun:
 		return 0, io.EOF
 	}
 	return n, err
 }
 
-// isOver reports whether no further request is read.
-func (c *clientConn) isOver() bool {
+func (c *clientConn) beginRead(length int) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.ending && !c.begun:
+		return io.EOF
+	case c.cut && length != readAhead:
+		return os.ErrDeadlineExceeded
+	}
+	c.reading = length
+	return nil
+}
+
+// interrupt ends the reading of a request, which its handler can answer then.
+func (c *clientConn) interrupt() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.ending && !c.begun
+	c.cut = true
+	if c.reading > readAhead {
+		_ = c.Conn.SetReadDeadline(longAgo)
+	}
 }
 
 func (c *clientConn) hasBegun() bool {
--- a/hosted/entry/clients.go
+++ b/hosted/entry/clients.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"bergamotwing.example/dispatch"
@@ -63,6 +65,10 @@
 func (e *Entry) serveJob(w http.ResponseWriter, r *http.Request, req platform.JobRequest, route dispatch.Route, operator *dispatch.OperatorState) {
 	arrived := mesh.Now()
 	body, err := platform.ReadBody(w, r, operator.Config.MaxBodyBytes)
+	if errors.Is(err, os.ErrDeadlineExceeded) { // set by interrupt only; the job may have run elsewhere before
+		e.refuse(w, req.ID, result.OutcomeUnknown, 0, stopOver+", the request was not read to its end in "+(mesh.Now()-arrived).String())
+		return
+	}
 	if err != nil {
 		e.refuse(w, req.ID, result.BadRequest, 0, err.Error())
 		return
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -54,6 +54,7 @@
 	toldAgents wire.Members      // list of entries that agents were last told
 	nextTell   time.Duration     // of that list
 	stopping   bool
+	ending     bool // the time to stop is over
 }
 
 type lostEntry struct {
@@ -102,6 +103,8 @@
 		s.beatAll(now)
 	case askJobs:
 		m.reply <- s.openJobs()
+	case endRequests:
+		s.endRequests(now)
 	case control.Reload:
 		s.seeds = mesh.SeedAddrs(m.Node)
 		s.retarget()
@@ -171,6 +174,10 @@
 
 // submit takes a client's job. The same job again joins the one that is open.
 func (s *state) submit(now time.Duration, m submit) {
+	if s.ending {
+		m.reply <- tooLate("") // it may have run elsewhere before
+		return
+	}
 	r := &request{submit: m, shard: s.shardOfJob(m.route.Service, m.job.ID)}
 	if old := s.requests[m.job.ID]; old != nil {
 		r.shard, r.home = old.shard, old.home // where its runs are known
@@ -264,6 +271,32 @@
 	}
 }
 
+// endRequests answers all requests before the process ends, and stops their
+// runs, since clients send jobs again that may have run.
+func (s *state) endRequests(now time.Duration) {
+	s.ending = true
+	for id, r := range s.requests {
+		if r.home == s.e.owner() {
+			s.scheduler(r.shard).EndEarly(now, id, r.home, dispatch.Outcome{Code: result.Stopping, RetryAfter: notReadyRetry, Detail: stopOver})
+			continue
+		}
+		s.cancelAtHome(now, r)
+		s.answer(id, tooLate(", the job is held by "+r.home.Entry))
+	}
+	s.carryOut(now)
+	for id := range s.requests {
+		s.answer(id, tooLate(", the job is not known"))
+	}
+}
+
+// stopOver is the detail of answers that are given without the end of a job.
+const stopOver = "the entry's time to stop is over"
+
+// tooLate is the outcome of a job of which nobody here knows what ran.
+func tooLate(more string) dispatch.Outcome {
+	return dispatch.Outcome{Code: result.OutcomeUnknown, Detail: stopOver + more}
+}
+
 // deleteJob cancels a job on its client's request.
 func (s *state) deleteJob(now time.Duration, m deleteJob) {
 	r := s.requests[m.job]
--- a/hosted/entry/drain.go
+++ b/hosted/entry/drain.go
@@ -95,15 +95,28 @@
 		return eris.Wrap(err, "close listener of clients")
 	}
 	<-c.accepted
+	return c.wait(ctx)
+}
+
+// wait returns once all connections are closed.
+func (c *clientServer) wait(ctx context.Context) error {
 	for c.endUnused(time.Now()) > 0 {
 		select {
 		case <-ctx.Done():
-			_ = c.server.Close() // the grace period is over
 			return eris.Wrap(ctx.Err(), "requests were open")
 		case <-time.After(idlePoll):
 		}
 	}
-	return eris.Wrap(c.server.Close(), "close connections of clients")
+	return nil
+}
+
+// interrupt ends the reading of requests that have not arrived whole.
+func (c *clientServer) interrupt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.conns {
+		conn.interrupt()
+	}
 }
 
 // endUnused has connections take no further request, but for new ones whose
--- a/hosted/entry/entry.go
+++ b/hosted/entry/entry.go
@@ -27,6 +27,8 @@
 	// get new connections: two probes a second apart, and their time.
 	rotationTime = 2500 * time.Millisecond
 	stopMargin   = 400 * time.Millisecond // kept of the time between SIGTERM and SIGKILL
+	// answerTime is kept of stopMargin for answers to what is still open then.
+	answerTime = 200 * time.Millisecond
 )
 
 // Options are an entry's own settings.
@@ -116,12 +118,25 @@
 	defer cancel()
 	e.logDrain(clients, "draining", "entry takes no new connections")
 	if err := clients.stop(ctx); err != nil {
-		e.deps.Log.Warn().Str("event", "cut_off").Err(err).Msg("requests were open at the end of the grace period")
+		e.endOpen(clients)
 	}
 	e.logDrain(clients, "drained", "clients are answered")
 	e.waitIdle(ctx)
 }
 
+// endOpen answers what is still open at the end of the time to stop.
+func (e *Entry) endOpen(clients *clientServer) {
+	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
+	defer cancel()
+	e.logDrain(clients, "ending_open", "open requests are answered without the ends of their jobs")
+	e.actor.Send(endRequests{})
+	clients.interrupt()
+	if err := clients.wait(ctx); err != nil {
+		e.deps.Log.Warn().Str("event", "cut_off").Err(err).Msg("connections were open at the end of the grace period")
+	}
+	e.waitIdle(ctx) // runs are stopped
+}
+
 // logDrain logs a step of a stop and what it still waits for.
 func (e *Entry) logDrain(clients *clientServer, event, what string) {
 	busy, unused := clients.count(time.Now())
--- /dev/null
+++ b/hosted/entry/grace_test.go
@@ -0,0 +1,102 @@
+package entry
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"bergamotwing.example/dispatch"
+	"bergamotwing.example/hosted/control"
+	"bergamotwing.example/platform"
+	"bergamotwing.example/telemetry"
+)
+
+const (
+	shortGrace = time.Second
+	testJob    = `{"Spec":"1","BestEffort":true,"Steps":[{"Count":1,"Cpu":1000,"EstimateMs":60000}]}`
+)
+
+// startEntry returns an entry without links and endpoints, which serves clients.
+func startEntry(t *testing.T) (*Entry, *clientServer, *countingListener) {
+	t.Helper()
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := New(platform.Node{Name: "e", IP: "127.0.0.1", Grace: shortGrace}, Options{}, control.Deps{Log: zerolog.Nop(), Metrics: metrics})
+	e.ctx = t.Context()
+	e.actor.Start(e.receive)
+	t.Cleanup(e.actor.Shutdown)
+	e.operator.Store(&dispatch.OperatorState{Config: dispatch.Config{
+		Routes:       []dispatch.Route{{Name: "r", Host: "h", Prefix: "/q/", Service: "svc", MaxAttempts: 3, Stretch: 3, TargetLatency: time.Minute}},
+		MaxBodyBytes: 1 << 18,
+	}})
+	clients, counting := startCountedServer(t, http.HandlerFunc(e.serveClient))
+	return e, clients, counting
+}
+
+// post returns the text of a submission by a client that waits for 30 s.
+func post(body string) string {
+	return fmt.Sprintf("POST /q/5c0e7a21d94b36f8 HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// drained drains an entry and fails if that takes longer than its grace period.
+func drained(t *testing.T, e *Entry, clients *clientServer) {
+	t.Helper()
+	began := time.Now()
+	e.drain(clients)
+	if took := time.Since(began); took > shortGrace {
+		t.Errorf("the stop took %v of %v", took, shortGrace)
+	}
+}
+
+func wantAnswer(t *testing.T, conn net.Conn, status int, code string) http.Header {
+	t.Helper()
+	if err := conn.SetReadDeadline(time.Now().Add(stopTime)); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Errorf("no whole answer: %v", err)
+	}
+	if resp.StatusCode != status || !strings.Contains(string(body), code) {
+		t.Errorf("answer %d %s, want %d %s", resp.StatusCode, body, status, code)
+	}
+	return resp.Header
+}
+
+// Clients may wait longer than an entry has to stop.
+func TestAJobThatHasNotRunIsRefusedAtTheEndOfTheGracePeriod(t *testing.T) {
+	e, clients, _ := startEntry(t)
+	conn := dial(t, clients)
+	write(t, conn, post(testJob))
+	for e.openJobs() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	drained(t, e, clients)
+	if h := wantAnswer(t, conn, http.StatusServiceUnavailable, "stopping"); h.Get("Retry-After") == "" {
+		t.Error("no Retry-After")
+	}
+}
+
+// Whether the job ran before, submitted elsewhere, is not known here.
+func TestARequestWithoutItsWholeBodyIsAnsweredAtTheEndOfTheGracePeriod(t *testing.T) {
+	e, clients, counting := startEntry(t)
+	conn := dial(t, clients)
+	text := post(testJob)
+	write(t, conn, text[:len(text)-1])
+	counting.waitRead(t, conn, len(text)-1)
+	drained(t, e, clients)
+	wantAnswer(t, conn, http.StatusBadGateway, "outcome_unknown")
+}
