A stop begins before it is logged

The log's figures come from the control actor; a busy one delayed the moment at which the entry stops being ready (seen by reading, in review).

--- a/hosted/entry/entry.go
+++ b/hosted/entry/entry.go
@@ -110,10 +110,10 @@
 // drain stops being ready, serves on while clients may still come, and then
 // answers what is open.
 func (e *Entry) drain(clients *clientServer) {
-	e.logDrain(clients, "stopping", "entry leaves rotation")
 	e.stopping.Store(true)
 	e.ready.Store(false)
 	e.actor.Send(control.Stop{})
+	e.logDrain(clients, "stopping", "entry leaves rotation")
 	limit := e.node.Grace - stopMargin
 	time.Sleep(min(rotationTime, limit/2))
 	ctx, cancel := context.WithTimeout(context.Background(), limit-min(rotationTime, limit/2))
