A log reader that goes away ends no process that serves

What callers saw: requests ended without an answer (EOF) when the reader of a process's standard output or error was gone. Cause: a Go program that has not asked for SIGPIPE is ended by its first write to a closed standard output or error. The next log line of 'hosted entry', 'hosted agent', 'entry' or 'agent' ended it with requests open. Fix: signals.Watch ignores SIGPIPE. The harness holds the reading side of a process's output itself, so that a test can close it.

--- a/command/internal/signals/signals.go
+++ b/command/internal/signals/signals.go
@@ -46,6 +46,7 @@
 // context that ends at the first signal to stop, and a channel that gets a value
 // when settings are to be read again. note is told of each signal.
 func Watch(reloads bool, note func(os.Signal, Effect)) (stopping context.Context, reload <-chan struct{}) {
+	signal.Ignore(syscall.SIGPIPE) // the reader of standard output or error may go away before the process ends
 	ctx, stop := context.WithCancel(context.Background())
 	due := make(chan struct{}, 1)
 	go func() {
--- a/integration/harness/process.go
+++ b/integration/harness/process.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -56,9 +57,10 @@
 	args []string
 	log  logBuffer
 
-	mu   sync.Mutex
-	cmd  *exec.Cmd
-	done chan struct{} // closed when cmd has ended
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	output *os.File      // reading side of what cmd writes
+	done   chan struct{} // closed when cmd has ended
 }
 
 // StartProcess starts the binary with args. The process is ended, and its log
@@ -82,19 +84,25 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cmd := exec.Command(binaryFile, p.args...) //nolint:gosec // the binary that Build made
-	cmd.Stdout, cmd.Stderr = &p.log, &p.log
+	output, written, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd.Stdout, cmd.Stderr = written, written
 	// In a process group of its own a frozen process gets no SIGHUP when the
 	// shell that started the tests ends.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
-	if err := cmd.Start(); err != nil {
+	if err := errors.Join(cmd.Start(), written.Close()); err != nil {
 		t.Fatalf("start %s: %v", p.Name, err)
 	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
+		_, _ = io.Copy(&p.log, output) // ends with the process, or at CloseLog
 		_ = cmd.Wait()
+		_ = output.Close()
 	}()
-	p.cmd, p.done = cmd, done
+	p.cmd, p.output, p.done = cmd, output, done
 }
 
 // Running reports whether the process has not ended.
@@ -168,6 +176,14 @@
 // Log returns what the process has written so far, over all its runs.
 func (p *Process) Log() string { return p.log.tail(-1) }
 
+// CloseLog closes the reading side of what the process writes: the reader of
+// its log is gone. Nothing is added to Log until the next start.
+func (p *Process) CloseLog() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return eris.Wrapf(p.output.Close(), "close log of %s", p.Name)
+}
+
 func (p *Process) current() (*exec.Cmd, chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/integration/hosted/signals_test.go
+++ b/integration/hosted/signals_test.go
@@ -100,3 +100,31 @@
 	}
 	c.WaitReady()
 }
+
+// The process that reads the logs may go away: that ends nobody's request.
+func TestALostLogReaderCutsOffNoAnswer(t *testing.T) {
+	const jobs = 6
+	c := New(t, 2, 2)
+	answers := jobsInBackground(t, c, c.Entries[0], jobs)
+	hosts := slices.Concat(c.Entries, c.Agents)
+	for _, h := range hosts {
+		if err := errors.Join(h.CloseLog(), h.Hangup()); err != nil { // a reload is logged
+			t.Error(err)
+		}
+	}
+	for range jobs {
+		if a := <-answers; !a.Completed() {
+			t.Errorf("job not completed: %+v", a)
+		}
+	}
+	for _, h := range hosts {
+		if err := h.Terminate(); err != nil {
+			t.Error(err)
+		}
+	}
+	for _, h := range hosts {
+		if err := h.Wait(graceTime); err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/integration/stop_test.go
+++ b/integration/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -297,3 +298,37 @@
 		}
 	}
 }
+
+// The process that reads the logs may go away: that ends nobody's request.
+func TestALostLogReaderLosesNoJob(t *testing.T) {
+	d := deploy(t, harness.Options{})
+	open := openRequests(t, d, 0, 0, 2, 2*time.Second)
+	waitStarted(t, d, 2)
+	processes := processesOf(d)
+	for _, p := range processes {
+		if err := errors.Join(p.CloseLog(), p.Hangup()); err != nil { // a signal is logged
+			t.Error(err)
+		}
+	}
+	for _, r := range open {
+		wantCode(t, await(t, d, r.ticket, r.job, r.reply), result.OK)
+	}
+	for _, p := range processes {
+		if !p.Running() {
+			t.Errorf("%s: %v", p.Name, p.Wait(stopLimit))
+		}
+	}
+	d.Oracle.Check(t)
+}
+
+// processesOf returns the entries' and agents' processes of a deployment.
+func processesOf(d *harness.Deployment) []*harness.Process {
+	processes := make([]*harness.Process, 0, len(d.Entries)+len(d.Agents))
+	for _, e := range d.Entries {
+		processes = append(processes, e.Process)
+	}
+	for _, a := range d.Agents {
+		processes = append(processes, a.Process)
+	}
+	return processes
+}
