--- a/command/hostedprocess.go
+++ b/command/hostedprocess.go
@@ -38,7 +38,7 @@
 		return nil, err
 	}
 	log, flush := logs.New(out.stdout, role, node.Name, node.Zone, func(n int) {
-		metrics.Count("bergamotwing_log_lines_dropped_total", "Log lines dropped because the reader was too slow.", int64(n))
+		metrics.Count("bergamotwing_log_lines_dropped_total", "Log lines dropped because the reader was too slow or gone.", int64(n))
 	})
 	return &hostedProcess{log: log, metrics: metrics, close: flush}, nil
 }
