A stopping agent writes the draining endpoint that it acknowledged

What could happen: an agent answers 'draining' and ends (or is killed) before the store has the row. Cause: the writing of rows ended with Run, which ended as soon as no run was kept; the acknowledgement holds for longer. Fix: Run waits, within its grace period, until the store has what was acknowledged, takes heartbeats meanwhile, then ends its control server by Shutdown (a heartbeat that it reads and does not answer is not acknowledged; the endpoint sends another) and looks once more. While it stops it tries the store every 0.5 s. The answer to 'draining' waits up to 0.3 s for the store; without a store it is given all the same, since an endpoint that gets none leaves anyway. Left: an acknowledged DELETE is not written. While the store is out, a killed agent's acknowledgement is not either.

--- a/hosted/agent/agent.go
+++ b/hosted/agent/agent.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -20,8 +21,10 @@
 const (
 	headerTimeout = time.Second            // for a request's header
 	stopMargin    = 500 * time.Millisecond // kept of the time between SIGTERM and SIGKILL
-	rowsTimeout   = time.Second            // of one reading of the entries
-	rowsPause     = time.Second            // between two readings while no entry is linked
+	// controlStopTime is how long heartbeats that were read may take at the end.
+	controlStopTime = 150 * time.Millisecond
+	rowsTimeout     = time.Second // of one reading of the entries
+	rowsPause       = time.Second // between two readings while no entry is linked
 )
 
 // Agent is one run of the process.
@@ -35,7 +38,9 @@
 	ctx   context.Context //nolint:containedctx // of the process; ends its background work
 
 	toRemember chan platform.Announcement // the newest that is not written yet
-	idle       chan struct{}              // closed once a stopping agent keeps no run
+	unwritten  atomic.Int32               // announcements that the store has not taken yet
+	stopping   atomic.Bool
+	idle       chan struct{} // closed once a stopping agent keeps no run
 	state      *state
 }
 
@@ -70,16 +75,33 @@
 	a.deps.Log.Info().Str("event", "start").Str("endpoint", a.node.EndpointAddr).Msg("agent started")
 	<-stopping.Done()
 	began := mesh.Now()
+	a.stopping.Store(true)
 	a.actor.Send(control.Stop{})
+	end := time.Now().Add(a.node.Grace - stopMargin)
 	select {
 	case <-a.idle:
-	case <-time.After(a.node.Grace - stopMargin):
+	case <-time.After(time.Until(end)):
 		a.deps.Log.Warn().Str("event", "cut_off").Msg("runs were kept at the end of the grace period")
 	}
+	a.endControl(server, end)
 	a.deps.Log.Info().Str("event", "stop").Dur("took_ms", mesh.Now()-began).Msg("agent stopped")
 	return nil
 }
 
+// endControl takes no more heartbeats once what was announced is written: the
+// agent's successor must know of a draining endpoint that was acknowledged.
+func (a *Agent) endControl(server *http.Server, end time.Time) {
+	a.waitRemembered(time.Until(end))
+	// A heartbeat that Shutdown reads and does not answer counts as not
+	// acknowledged; the endpoint sends another.
+	ctx, cancel := context.WithTimeout(context.Background(), controlStopTime)
+	defer cancel()
+	_ = server.Shutdown(ctx) // the deferred Close ends what is open
+	if !a.waitRemembered(time.Until(end)) {
+		a.deps.Log.Error().Str("event", "not_remembered").Msg("the store has not taken what the endpoint announced")
+	}
+}
+
 func (a *Agent) listen(ctx context.Context) (*http.Server, error) {
 	var lc net.ListenConfig
 	listener, err := lc.Listen(ctx, "tcp", a.node.ControlAddr)
@@ -145,6 +167,9 @@
 	a.actor.Send(announced{n, taken})
 	select {
 	case <-taken:
+		if n.Draining {
+			a.waitRemembered(drainAckLimit) // if the store is out, this agent alone knows
+		}
 		return true
 	case <-a.ctx.Done():
 		return false
--- a/hosted/agent/endpoint.go
+++ b/hosted/agent/endpoint.go
@@ -68,6 +68,7 @@
 	select {
 	case <-s.a.toRemember:
 	default:
+		s.a.unwritten.Add(1)
 	}
 	s.a.toRemember <- n
 }
--- a/hosted/agent/remember.go
+++ b/hosted/agent/remember.go
@@ -20,6 +20,10 @@
 	rememberPause    = 500 * time.Millisecond // after a failed write
 	rememberPauseMax = 4 * time.Second
 	recallTries      = 5 // readings at the start; heartbeats come meanwhile
+	// drainAckLimit is how long the answer to a heartbeat that says that the
+	// endpoint drains waits for the store. The endpoint waits for a second.
+	drainAckLimit  = 300 * time.Millisecond
+	rememberedPoll = 5 * time.Millisecond // between two looks whether all is written
 )
 
 // remember writes what endpoints announce until ctx ends. Only the newest
@@ -35,17 +39,33 @@
 	}
 }
 
+// waitRemembered waits until all that endpoints announced is written, and
+// reports whether it is.
+func (a *Agent) waitRemembered(limit time.Duration) bool {
+	for until := time.Now().Add(limit); a.unwritten.Load() > 0; time.Sleep(rememberedPoll) {
+		if time.Now().After(until) {
+			return false
+		}
+	}
+	return true
+}
+
 func (a *Agent) writeEndpoint(ctx context.Context, n platform.Announcement) {
 	for pause := rememberPause; ctx.Err() == nil; pause = min(2*pause, rememberPauseMax) {
 		err := a.tryWriteEndpoint(ctx, n)
 		if err == nil {
+			a.unwritten.Add(-1)
 			return
 		}
 		a.deps.Log.Warn().Str("event", "store_failed").Str("endpoint", n.Endpoint.ID).Err(err).Msg("endpoint not remembered; trying again")
+		if a.stopping.Load() {
+			pause = rememberPause // little time is left
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause):
 		case n = <-a.toRemember:
+			a.unwritten.Add(-1)
 		}
 	}
 }
