--- a/integration/stop_test.go
+++ b/integration/stop_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -20,6 +21,9 @@
 // stopLimit bounds a graceful stop; it is over the settings' stop timeout.
 const stopLimit = 35 * time.Second
 
+// signalPause is the time between two signals in series.
+const signalPause = 100 * time.Millisecond
+
 func TestEntryStopCutsOffNoRequest(t *testing.T) {
 	d := deploy(t, harness.Options{})
 	stopped, other := d.Entries[0], d.Entries[1]
@@ -332,3 +336,30 @@
 	}
 	return processes
 }
+
+// A process that stops may get further signals: none of them may cut off an answer.
+func TestSignalsWhileStoppingLoseNoJob(t *testing.T) {
+	d := deploy(t, harness.Options{Agents: 4})
+	open := openRequests(t, d, 0, 0, 4, 2*time.Second)
+	waitStarted(t, d, 4)
+	traffic := d.StartTraffic(t, harness.Seed(t))
+	stopped := []*harness.Process{d.Entries[0].Process, d.Agents[0].Process, d.Agents[1].Process}
+	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+		for _, p := range stopped {
+			if err := p.Signal(s); err != nil {
+				t.Error(err)
+			}
+		}
+		time.Sleep(signalPause)
+	}
+	for _, r := range open {
+		wantCode(t, await(t, d, r.ticket, r.job, r.reply), result.OK)
+	}
+	for _, p := range stopped {
+		if err := p.Wait(stopLimit); err != nil {
+			t.Errorf("stop: %v", err)
+		}
+	}
+	traffic.Stop()
+	d.Oracle.Check(t)
+}
