A stopping agent ends only once the owners know how their runs ended

What callers saw: a job whose task had ended 'done' was run again, and its answer came too late, when the link between the stopping agent and the entry was down at the run's end. Besides, an end that was queued at a link in the last moment was dropped with the link. Fix: a stop waits until each owner has echoed a heartbeat that was sent after the end, for 2 s at most and within the grace period; not for an owner that has been replaced.

--- a/hosted/agent/control.go
+++ b/hosted/agent/control.go
@@ -40,6 +40,7 @@
 	owner dispatch.Owner
 	end   wire.EndedRun
 	at    time.Duration
+	sent  time.Duration // when it was last told
 }
 
 func newState(a *Agent) *state {
@@ -86,6 +87,7 @@
 		s.looked(now, m)
 	}
 	s.carryOut(now)
+	s.finishStop(now)
 }
 
 func (s *state) tick(now time.Duration) {
@@ -108,9 +110,6 @@
 	if busy {
 		pause = busyTick
 	}
-	if s.stopping && s.runs() == 0 {
-		s.finishStop()
-	}
 	s.a.actor.TickAfter(pause)
 }
 
@@ -150,7 +149,13 @@
 	return n
 }
 
-func (s *state) finishStop() {
+// finishStop ends a stop once no run is kept and the owners know how theirs ended:
+// an end that is acknowledged to the endpoint and told to nobody would have the
+// task run again.
+func (s *state) finishStop(now time.Duration) {
+	if !s.stopping || s.runs() > 0 || s.untold(now) {
+		return
+	}
 	select {
 	case <-s.a.idle:
 	default:
@@ -158,6 +163,23 @@
 	}
 }
 
+// untold reports whether an owner may not have heard of an end. It asks linked
+// ones for an echo: what was sent before a heartbeat that is echoed has arrived.
+func (s *state) untold(now time.Duration) bool {
+	untold := false
+	for _, k := range s.ends {
+		p := s.peers[k.owner.Entry]
+		switch {
+		case now-k.at > endsKept, p != nil && (p.Owner() != k.owner || p.Echoed > k.sent):
+			continue
+		case p != nil && p.LastSent <= k.sent:
+			s.beat(now, p)
+		}
+		untold = true
+	}
+	return untold
+}
+
 func (s *state) linkUp(now time.Duration, l *mesh.Link) {
 	name := l.Hello.Name
 	if l.Hello.Role != wire.RoleEntry {
@@ -175,7 +197,7 @@
 	s.addrs[name] = l.Hello.Addr
 	s.beat(now, p)
 	owner := l.Owner()
-	s.sendKeptEnds(p, owner)
+	s.sendKeptEnds(now, p, owner)
 	kept := &wire.RunsKept{}
 	for _, e := range s.endpoints {
 		kept.Orders = append(kept.Orders, e.guard.OrdersOf(owner)...)
@@ -187,11 +209,12 @@
 	s.a.deps.Log.Info().Str("event", "entry_linked").Str("entry", name).Int("runs", len(kept.Orders)).Msg("entry linked")
 }
 
-func (s *state) sendKeptEnds(p *mesh.Peer, owner dispatch.Owner) {
+func (s *state) sendKeptEnds(now time.Duration, p *mesh.Peer, owner dispatch.Owner) {
 	m := &wire.RunEnd{}
-	for _, k := range s.ends {
+	for i, k := range s.ends {
 		if k.owner == owner {
 			m.Ends = append(m.Ends, k.end)
+			s.ends[i].sent = now
 		}
 	}
 	if len(m.Ends) > 0 {
@@ -363,7 +386,7 @@
 
 // tellEnd reports an end to its owner and keeps it for a link made anew.
 func (s *state) tellEnd(now time.Duration, owner dispatch.Owner, end wire.EndedRun) {
-	s.ends = append(s.ends, keptEnd{owner, end, now})
+	s.ends = append(s.ends, keptEnd{owner: owner, end: end, at: now, sent: now})
 	if p := s.peers[owner.Entry]; p != nil && p.Owner() == owner {
 		_ = p.Send(&wire.RunEnd{Ends: []wire.EndedRun{end}}) // told again on the next link
 	}
--- a/integration/hosted/signals_test.go
+++ b/integration/hosted/signals_test.go
@@ -128,3 +128,39 @@
 		}
 	}
 }
+
+// The end of a run may come while the link to its owner is lost. The agent has
+// acknowledged it to the endpoint, so that only the agent knows of it.
+func TestAStoppingAgentTellsAnEndThatALostLinkDelayed(t *testing.T) {
+	const (
+		cutAt  = longTask - signalPause // the run ends while the link is cut
+		healAt = cutAt + 250*time.Millisecond
+	)
+	c := Start(t, Options{Entries: 1, Agents: 2, Proxied: true})
+	before := c.Record.StartsAt(c.Agents[0].Endpoint.ID())
+	id := NewJobID()
+	answer := make(chan fake.Answer, 1)
+	go func() { answer <- c.Submit(c.Entries[0], id, fake.Tasks(1, int(longTask.Milliseconds()))) }()
+	harness.Eventually(t, longTask, "the job runs", func() bool { return c.Record.Starts(id) > 0 })
+	began := time.Now()
+	agent := c.Agents[0]
+	if c.Record.StartsAt(agent.Endpoint.ID()) == before {
+		agent = c.Agents[1]
+	}
+	if err := agent.Terminate(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(cutAt - time.Since(began))
+	c.Entries[0].Links.Cut()
+	time.Sleep(healAt - time.Since(began))
+	c.Entries[0].Links.Heal()
+	if a := <-answer; !a.Completed() {
+		t.Errorf("job not completed: %+v", a)
+	}
+	if n := c.Record.Starts(id); n != 1 {
+		t.Errorf("%d runs of one task", n)
+	}
+	if err := agent.Wait(graceTime); err != nil {
+		t.Error(err)
+	}
+}
