A stopping entry ends only once other entries know how their jobs ended

What callers could see: 502 and a second run of a job that had ended, when the link between the entry that held it and the one whose client waited was lost in the last moment of a stop. Cause: the same as at the agent: an end is kept for a link made anew, but the process ended as soon as no job was open. Fix: a stop also waits until the callers have echoed a heartbeat that was sent after the end, while their lease of this entry lasts. Evidence: TestAStopWaitsForTheEntryThatHasNotHeardAnEnd, before: the stop waited for 0.8 ms; passes now, five of five with the race detector. It plays the lost link in the entry's state; no test of real processes hits that moment. TestStopsInTurn..., TestAStopOfAll..., TestSignalsWhileStopping... and TestALostLogReader... of integration/hosted pass, one run.

--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -79,6 +79,7 @@
 	outcome dispatch.Outcome
 	caller  dispatch.Owner
 	at      time.Duration
+	sent    time.Duration // when the caller was last told
 }
 
 func newState(e *Entry) *state {
@@ -102,6 +103,8 @@
 		s.beatAll(now)
 	case askJobs:
 		m.reply <- s.openJobs()
+	case askUntold:
+		m.reply <- s.untold(now)
 	case control.Reload:
 		s.seeds = mesh.SeedAddrs(m.Node)
 		s.retarget()
@@ -137,6 +140,26 @@
 	return n
 }
 
+// untold returns how many ends of jobs other entries may not have heard of. It
+// asks linked ones for an echo: what was sent before a heartbeat that is echoed
+// has arrived.
+func (s *state) untold(now time.Duration) int {
+	n := 0
+	for _, r := range s.recent {
+		p := s.peers[r.caller.Entry]
+		switch {
+		case now-r.at > outcomeKept, p == nil && s.lost[r.caller.Entry].owner != r.caller:
+			continue // told too late: the caller has given up
+		case p != nil && (p.Owner() != r.caller || p.Echoed > r.sent):
+			continue
+		case p != nil && p.LastSent <= r.sent:
+			p.SendBeat(now, s.beat())
+		}
+		n++
+	}
+	return n
+}
+
 func (s *state) tick(now time.Duration) {
 	s.checkPeers(now)
 	s.checkAgents(now)
@@ -343,7 +366,7 @@
 		return
 	}
 	if a.Outcome.Code != result.NeverFits { // the job may come again for another shard held here
-		s.recent[a.Job] = recentEnd{a.Outcome, a.Caller, now}
+		s.recent[a.Job] = recentEnd{outcome: a.Outcome, caller: a.Caller, at: now, sent: now}
 	}
 	if p := s.peers[a.Caller.Entry]; p != nil && p.Owner() == a.Caller {
 		_ = p.Send(&wire.JobEnd{Job: a.Job, Outcome: a.Outcome}) // told again on the next link
--- a/hosted/entry/entry.go
+++ b/hosted/entry/entry.go
@@ -135,10 +135,18 @@
 	return <-reply
 }
 
-// waitIdle returns when this entry holds no job for others either.
+// untold returns how many ends of jobs other entries may not have heard of.
+func (e *Entry) untold() int {
+	reply := make(chan int, 1)
+	e.actor.Send(askUntold{reply})
+	return <-reply
+}
+
+// waitIdle returns when this entry holds no job for others either, and they know
+// how theirs ended: a client who is not told sends its job again.
 func (e *Entry) waitIdle(ctx context.Context) {
 	for ctx.Err() == nil {
-		if e.openJobs() == 0 {
+		if e.openJobs() == 0 && e.untold() == 0 {
 			return
 		}
 		select {
--- a/hosted/entry/messages.go
+++ b/hosted/entry/messages.go
@@ -9,6 +9,7 @@
 // Messages of the control actor.
 type (
 	askJobs      struct{ reply chan int }
+	askUntold    struct{ reply chan int }
 	operatorRead struct{ state dispatch.OperatorState }
 	submit       struct {
 		job      dispatch.Job
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -218,6 +218,8 @@
 // submitted takes a job from another entry.
 func (s *state) submitted(now time.Duration, p *mesh.Peer, owner dispatch.Owner, m *wire.JobSubmit) {
 	if r, ok := s.recent[m.Job.ID]; ok && r.caller == owner {
+		r.sent = now
+		s.recent[m.Job.ID] = r
 		_ = p.Send(&wire.JobEnd{Job: m.Job.ID, Outcome: r.outcome}) // told again on the next link
 		return
 	}
