Failing: a stopping 'entry' reads a request to its end and does not answer it

What callers saw: no answer ('unexpected EOF') to a request whose last bytes come after the listener has closed and before the entry has ended. Cause: http.Server.Shutdown waits 5 s for a connection without a whole request, reads the request and closes the connection. hosted/entry has drain.go for that; 'bergamotwing entry' has not. It passes if the entry closes the connection before the request is whole.

--- a/integration/harness/nodes.go
+++ b/integration/harness/nodes.go
@@ -217,3 +217,6 @@
 	err := s.http.call(ctx, http.MethodGet, s.URL+pathStarts, nil, &starts)
 	return starts, eris.Wrapf(err, "starts of %s", s.Name)
 }
+
+// CallersAddr is the address at which the entry itself takes callers' connections.
+func (e *Entry) CallersAddr() string { return e.settings.Listen }
--- a/integration/stop_test.go
+++ b/integration/stop_test.go
@@ -1,12 +1,16 @@
 package integration
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -363,3 +367,56 @@
 	traffic.Stop()
 	d.Oracle.Check(t)
 }
+
+// A request that an entry reads to its end has to be answered, also where its
+// last bytes come after the entry has closed its listener.
+func TestEntryStopAnswersARequestThatIsReadInItsLastMoment(t *testing.T) {
+	d := deploy(t, harness.Options{})
+	e := d.Entries[0]
+	addr := e.CallersAddr()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := io.WriteString(conn, "GET /healthz HTTP/1.1\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if err := e.Terminate(); err != nil {
+		t.Fatal(err)
+	}
+	harness.Eventually(t, stopLimit, "the listener is closed", func() bool {
+		c, err := net.Dial("tcp", addr)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err != nil && strings.Contains(err.Error(), "refused")
+	})
+	if !e.Running() {
+		t.Fatal("the entry has ended, with a connection that it had accepted")
+	}
+	if closedWithin(t, conn, signalPause) {
+		return // it has not read the request to its end
+	}
+	if _, err := io.WriteString(conn, "Host: entry\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(stopLimit)); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	_ = resp.Body.Close()
+}
+
+// closedWithin reports whether the other side closes a connection within a time.
+func closedWithin(t *testing.T, conn net.Conn, limit time.Duration) bool {
+	t.Helper()
+	if err := conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
+		t.Fatal(err)
+	}
+	_, err := conn.Read(make([]byte, 1))
+	return !errors.Is(err, os.ErrDeadlineExceeded)
+}
