--- a/hosted/entry/messages.go
+++ b/hosted/entry/messages.go
@@ -10,6 +10,7 @@
 type (
 	askJobs      struct{ reply chan int }
 	endRequests  struct{} // the time to stop is over
+	askUntold    struct{ reply chan int }
 	operatorRead struct{ state dispatch.OperatorState }
 	submit       struct {
 		job      dispatch.Job
--- a/integration/stop_test.go
+++ b/integration/stop_test.go
@@ -1,11 +1,17 @@
 package integration
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"os"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -19,6 +25,9 @@
 // stopLimit bounds a graceful stop; it is over the settings' stop timeout.
 const stopLimit = 35 * time.Second
 
+// signalPause is the time between two signals in series.
+const signalPause = 100 * time.Millisecond
+
 func TestEntryStopCutsOffNoRequest(t *testing.T) {
 	d := deploy(t, harness.Options{})
 	stopped, other := d.Entries[0], d.Entries[1]
@@ -297,3 +306,117 @@
 		}
 	}
 }
+
+// The process that reads the logs may go away: that ends nobody's request.
+func TestALostLogReaderLosesNoJob(t *testing.T) {
+	d := deploy(t, harness.Options{})
+	open := openRequests(t, d, 0, 0, 2, 2*time.Second)
+	waitStarted(t, d, 2)
+	processes := processesOf(d)
+	for _, p := range processes {
+		if err := errors.Join(p.CloseLog(), p.Hangup()); err != nil { // a signal is logged
+			t.Error(err)
+		}
+	}
+	for _, r := range open {
+		wantCode(t, await(t, d, r.ticket, r.job, r.reply), result.OK)
+	}
+	for _, p := range processes {
+		if !p.Running() {
+			t.Errorf("%s: %v", p.Name, p.Wait(stopLimit))
+		}
+	}
+	d.Oracle.Check(t)
+}
+
+// processesOf returns the entries' and agents' processes of a deployment.
+func processesOf(d *harness.Deployment) []*harness.Process {
+	processes := make([]*harness.Process, 0, len(d.Entries)+len(d.Agents))
+	for _, e := range d.Entries {
+		processes = append(processes, e.Process)
+	}
+	for _, a := range d.Agents {
+		processes = append(processes, a.Process)
+	}
+	return processes
+}
+
+// A process that stops may get further signals: none of them may cut off an answer.
+func TestSignalsWhileStoppingLoseNoJob(t *testing.T) {
+	d := deploy(t, harness.Options{Agents: 4})
+	open := openRequests(t, d, 0, 0, 4, 2*time.Second)
+	waitStarted(t, d, 4)
+	traffic := d.StartTraffic(t, harness.Seed(t))
+	stopped := []*harness.Process{d.Entries[0].Process, d.Agents[0].Process, d.Agents[1].Process}
+	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+		for _, p := range stopped {
+			if err := p.Signal(s); err != nil {
+				t.Error(err)
+			}
+		}
+		time.Sleep(signalPause)
+	}
+	for _, r := range open {
+		wantCode(t, await(t, d, r.ticket, r.job, r.reply), result.OK)
+	}
+	for _, p := range stopped {
+		if err := p.Wait(stopLimit); err != nil {
+			t.Errorf("stop: %v", err)
+		}
+	}
+	traffic.Stop()
+	d.Oracle.Check(t)
+}
+
+// A request that an entry reads to its end has to be answered, also where its
+// last bytes come after the entry has closed its listener.
+func TestEntryStopAnswersARequestThatIsReadInItsLastMoment(t *testing.T) {
+	d := deploy(t, harness.Options{})
+	e := d.Entries[0]
+	addr := e.CallersAddr()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := io.WriteString(conn, "GET /healthz HTTP/1.1\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if err := e.Terminate(); err != nil {
+		t.Fatal(err)
+	}
+	harness.Eventually(t, stopLimit, "the listener is closed", func() bool {
+		c, err := net.Dial("tcp", addr)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err != nil && strings.Contains(err.Error(), "refused")
+	})
+	if !e.Running() {
+		t.Fatal("the entry has ended, with a connection that it had accepted")
+	}
+	if closedWithin(t, conn, signalPause) {
+		return // it has not read the request to its end
+	}
+	if _, err := io.WriteString(conn, "Host: entry\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(stopLimit)); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	_ = resp.Body.Close()
+}
+
+// closedWithin reports whether the other side closes a connection within a time.
+func closedWithin(t *testing.T, conn net.Conn, limit time.Duration) bool {
+	t.Helper()
+	if err := conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
+		t.Fatal(err)
+	}
+	_, err := conn.Read(make([]byte, 1))
+	return !errors.Is(err, os.ErrDeadlineExceeded)
+}
