The time to stop counts from the signal, also if the control actor is stuck

Cause: the drain asked the actor for figures without a limit and took its time limit only after that, so an actor that does not answer would have held the stop until SIGKILL, which cuts off all (found by reading, in review). Fix: one deadline from the beginning of the stop bounds every question. One question for jobs and for ends that are not told yet. Evidence: tests of hosted/entry pass twice with the race detector; the fault itself was not played.

--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -102,12 +102,10 @@
 		s.stopping = true
 		s.chooseHomes(now)
 		s.beatAll(now)
-	case askJobs:
-		m.reply <- s.openJobs()
 	case endRequests:
 		s.endRequests(now)
-	case askUntold:
-		m.reply <- s.untold(now)
+	case askUnfinished:
+		m.reply <- unfinished{s.openJobs(), s.untold(now)}
 	case control.Reload:
 		s.seeds = mesh.SeedAddrs(m.Node)
 		s.retarget()
--- a/hosted/entry/entry.go
+++ b/hosted/entry/entry.go
@@ -110,19 +110,20 @@
 // drain stops being ready, serves on while clients may still come, and then
 // answers what is open.
 func (e *Entry) drain(clients *clientServer) {
+	limit := e.node.Grace - stopMargin
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	outOfRotation := time.After(min(rotationTime, limit/2))
 	e.stopping.Store(true)
 	e.ready.Store(false)
 	e.actor.Send(control.Stop{})
-	e.logDrain(clients, "stopping", "entry leaves rotation")
-	limit := e.node.Grace - stopMargin
-	time.Sleep(min(rotationTime, limit/2))
-	ctx, cancel := context.WithTimeout(context.Background(), limit-min(rotationTime, limit/2))
-	defer cancel()
-	e.logDrain(clients, "draining", "entry takes no new connections")
+	e.logDrain(ctx, clients, "stopping", "entry leaves rotation")
+	<-outOfRotation
+	e.logDrain(ctx, clients, "draining", "entry takes no new connections")
 	if err := clients.stop(ctx); err != nil {
 		e.endOpen(clients)
 	}
-	e.logDrain(clients, "drained", "clients are answered")
+	e.logDrain(ctx, clients, "drained", "clients are answered")
 	e.waitIdle(ctx)
 }
 
@@ -130,7 +131,7 @@
 func (e *Entry) endOpen(clients *clientServer) {
 	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
 	defer cancel()
-	e.logDrain(clients, "ending_open", "open requests are answered without the ends of their jobs")
+	e.logDrain(ctx, clients, "ending_open", "open requests are answered without the ends of their jobs")
 	e.actor.Send(endRequests{})
 	clients.interrupt()
 	if err := clients.wait(ctx); err != nil {
@@ -140,32 +141,30 @@
 }
 
 // logDrain logs a step of a stop and what it still waits for.
-func (e *Entry) logDrain(clients *clientServer, event, what string) {
+func (e *Entry) logDrain(ctx context.Context, clients *clientServer, event, what string) {
 	busy, unused := clients.count(time.Now())
-	e.deps.Log.Info().Str("event", event).Int("busy_connections", busy).Int("unused_connections", unused).Int("jobs", e.openJobs()).Msg(what)
+	work := e.unfinished(ctx)
+	e.deps.Log.Info().Str("event", event).Int("busy_connections", busy).Int("unused_connections", unused).
+		Int("jobs", work.jobs).Int("untold", work.untold).Msg(what)
 }
 
-// openJobs returns how many jobs of clients here or of other entries are open.
-func (e *Entry) openJobs() int {
-	reply := make(chan int, 1)
-	e.actor.Send(askJobs{reply})
-	return <-reply
-}
-
-// untold returns how many ends of jobs other entries may not have heard of.
-func (e *Entry) untold() int {
-	reply := make(chan int, 1)
-	e.actor.Send(askUntold{reply})
-	return <-reply
+// unfinished returns what this entry must not end with. It is zero if the control
+// actor does not say so before ctx ends.
+func (e *Entry) unfinished(ctx context.Context) unfinished {
+	reply := make(chan unfinished, 1)
+	e.actor.Send(askUnfinished{reply})
+	select {
+	case work := <-reply:
+		return work
+	case <-ctx.Done():
+		return unfinished{}
+	}
 }
 
 // waitIdle returns when this entry holds no job for others either, and they know
 // how theirs ended: a client who is not told sends its job again.
 func (e *Entry) waitIdle(ctx context.Context) {
-	for ctx.Err() == nil {
-		if e.openJobs() == 0 && e.untold() == 0 {
-			return
-		}
+	for ctx.Err() == nil && e.unfinished(ctx) != (unfinished{}) {
 		select {
 		case <-ctx.Done():
 		case <-time.After(idlePoll):
--- a/hosted/entry/grace_test.go
+++ b/hosted/entry/grace_test.go
@@ -81,7 +81,7 @@
 	e, clients, _ := startEntry(t)
 	conn := dial(t, clients)
 	write(t, conn, post(testJob))
-	for e.openJobs() == 0 {
+	for e.unfinished(t.Context()).jobs == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	drained(t, e, clients)
--- a/hosted/entry/messages.go
+++ b/hosted/entry/messages.go
@@ -8,11 +8,10 @@
 
 // Messages of the control actor.
 type (
-	askJobs      struct{ reply chan int }
-	endRequests  struct{} // the time to stop is over
-	askUntold    struct{ reply chan int }
-	operatorRead struct{ state dispatch.OperatorState }
-	submit       struct {
+	endRequests   struct{} // the time to stop is over
+	askUnfinished struct{ reply chan unfinished }
+	operatorRead  struct{ state dispatch.OperatorState }
+	submit        struct {
 		job      dispatch.Job
 		route    dispatch.Route
 		wait     time.Duration
@@ -32,3 +31,9 @@
 		reply chan int
 	}
 )
+
+// unfinished is what an entry must not end with.
+type unfinished struct {
+	jobs   int // open, of clients here or of other entries
+	untold int // ends of jobs that other entries may not have heard of
+}
