--- a/integration/hosted/cluster.go
+++ b/integration/hosted/cluster.go
@@ -27,7 +27,10 @@
 	prefix    = "/q/"
 
 	endpointCores = 8000
-	clientWaits   = 3 * time.Second
+	clientWaits   = 3 * time.Second // as clients tell entries
+	clientMargin  = time.Second     // longer that they listen for the answer
+	shortTaskMs   = 220             // longest task of most clients
+	pinnedTaskMs  = 1200            // of clients that keep to one entry
 	readyLimit    = 15 * time.Second
 
 	proxiedPort = fake.LinkPort + 1 // of an entry whose links pass a proxy
@@ -60,6 +63,8 @@
 	Zone     string
 	Endpoint *fake.Endpoint // agents' hosts only
 	Links    *harness.Proxy // of the links that others make to an entry; nil unless the deployment is proxied
+
+	node fake.Node // what its settings say
 }
 
 // Options say how large a deployment is.
@@ -132,7 +137,7 @@
 	if err := os.WriteFile(file, text, 0o600); err != nil {
 		c.t.Fatal(err)
 	}
-	h := &Host{IP: ip, Zone: zone}
+	h := &Host{IP: ip, Zone: zone, node: node}
 	args := []string{"hosted", role, "--node-file", file}
 	if role == "entry" {
 		args = append(args, "--shard-endpoints", strconv.Itoa(c.options.ShardEndpoints))
@@ -203,9 +208,16 @@
 
 // Submit submits a job once and waits for the answer.
 func (c *Cluster) Submit(e *Host, id, body string) fake.Answer {
-	ctx, cancel := context.WithTimeout(context.Background(), clientWaits)
+	return submit(fake.Call, e, id, body)
+}
+
+// callFunc is a way to make one request.
+type callFunc func(ctx context.Context, method, ip, host, path, body string, wait time.Duration) fake.Answer
+
+func submit(call callFunc, e *Host, id, body string) fake.Answer {
+	ctx, cancel := context.WithTimeout(context.Background(), clientWaits+clientMargin)
 	defer cancel()
-	return c.SubmitWithin(ctx, e, prefix, id, body)
+	return call(ctx, http.MethodPost, e.IP, routeHost, prefix+id, body, clientWaits)
 }
 
 // SubmitWithin submits a job once under a path prefix until ctx ends.
@@ -224,26 +236,49 @@
 	stop    context.CancelFunc
 	wait    sync.WaitGroup
 	mu      sync.Mutex
-	answers []fake.Answer
+	ctx     context.Context //nolint:containedctx // of the clients
+	answers []noted
 	cutOff  int      // connections that ended without a whole answer
 	refused []string // jobs whose every submission was refused as not run
 }
 
+// noted is an answer with what asked for it.
+type noted struct {
+	fake.Answer
+
+	entry, job string
+	at         time.Time
+}
+
 // StartTraffic starts clients that each submit a job every pause.
 func (c *Cluster) StartTraffic(clients int, pause time.Duration) *Traffic {
 	ctx, cancel := context.WithCancel(context.Background())
-	tr := &Traffic{c: c, stop: cancel}
+	tr := &Traffic{c: c, ctx: ctx, stop: cancel}
 	c.t.Cleanup(tr.Stop)
 	for i := range clients {
-		tr.wait.Add(1)
-		go func() {
-			defer tr.wait.Done()
-			tr.client(ctx, i, pause)
-		}()
+		tr.wait.Go(func() { tr.client(ctx, i, pause) })
 	}
 	return tr
 }
 
+// StartPinned starts clients that each keep to one entry, whether it is ready or
+// not, and to one connection until the entry closes it.
+func (tr *Traffic) StartPinned(perEntry int, pause time.Duration) {
+	for _, e := range tr.c.Entries {
+		for range perEntry {
+			client := fake.NewClient(1)
+			tr.wait.Go(func() {
+				for tr.ctx.Err() == nil {
+					id, tasks, body := newJob(pinnedTaskMs)
+					a := tr.submit(client.Call, e, id, body, tasks)
+					tr.noteEnd(id, a, []int{a.Status})
+					time.Sleep(pause)
+				}
+			})
+		}
+	}
+}
+
 // Stop ends the traffic and waits for the open jobs.
 func (tr *Traffic) Stop() {
 	tr.stop()
@@ -262,16 +297,11 @@
 }
 
 func (tr *Traffic) job(ctx context.Context, n int) {
-	tasks := 1 + rand.IntN(4)                                    //nolint:gosec // sizes of a test
-	id, body := NewJobID(), fake.Tasks(tasks, 20+rand.IntN(200)) //nolint:gosec // as above
+	id, tasks, body := newJob(shortTaskMs)
 	var statuses []int
 	for try := range 3 {
-		a := tr.c.Submit(tr.c.Entries[(n+try)%len(tr.c.Entries)], id, body)
+		a := tr.submit(fake.Call, tr.c.Entries[(n+try)%len(tr.c.Entries)], id, body, tasks)
 		statuses = append(statuses, a.Status)
-		tr.note(a)
-		if done := tr.c.Record.Done(id); a.Completed() && done < tasks {
-			tr.c.t.Errorf("job %s: answered as completed with %d of %d tasks done", id, done, tasks)
-		}
 		if !a.SendAgain() {
 			tr.noteEnd(id, a, statuses)
 			return
@@ -284,14 +314,25 @@
 	}
 }
 
-// note keeps an answer.
-func (tr *Traffic) note(a fake.Answer) {
+// newJob returns a job whose tasks take up to longestMs.
+func newJob(longestMs int) (id string, tasks int, body string) {
+	tasks = 1 + rand.IntN(4)                                                //nolint:gosec // sizes of a test
+	return NewJobID(), tasks, fake.Tasks(tasks, 20+rand.IntN(longestMs-20)) //nolint:gosec // as above
+}
+
+// submit submits a job once and keeps the answer.
+func (tr *Traffic) submit(call callFunc, e *Host, id, body string, tasks int) fake.Answer {
+	a := submit(call, e, id, body)
+	if done := tr.c.Record.Done(id); a.Completed() && done < tasks {
+		tr.c.t.Errorf("job %s: answered as completed with %d of %d tasks done", id, done, tasks)
+	}
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	tr.answers = append(tr.answers, a)
+	tr.answers = append(tr.answers, noted{a, e.Name, id, time.Now()})
 	if a.Err != nil {
 		tr.cutOff++
 	}
+	return a
 }
 
 // noteEnd keeps a job that was refused as not run each time. One that was
--- a/integration/hosted/hosted_test.go
+++ b/integration/hosted/hosted_test.go
@@ -243,7 +243,7 @@
 // here do not know which entries are ready: some connect to one that is gone.
 func (tr *Traffic) checkNoneCutOff() {
 	for _, a := range tr.answers {
-		if a.Err != nil && !neverAccepted(a) {
+		if a.Err != nil && !neverAccepted(a.Answer) {
 			tr.c.t.Errorf("answer cut off: %v", a.Err)
 		}
 	}
