A process that starts waits up to 2 s for settings that can be read

Cause: a reload keeps the old settings while the new ones cannot be read; a start had one look. Fix: a start looks again each 50 ms for 2 s, then fails as before. Evidence: TestSettingsThatAreBeingWrittenAtAStartAreReadOnceTheyAreWhole; without the wait its one reading fails.

--- a/command/hosted.go
+++ b/command/hosted.go
@@ -82,7 +82,7 @@
 	if file == "" {
 		file = platform.NodeFile()
 	}
-	node, err := platform.LoadNode(file)
+	node, err := firstSettings(file)
 	if err != nil {
 		return err
 	}
--- a/command/hosted_test.go
+++ b/command/hosted_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
 	hostedagent "bergamotwing.example/hosted/agent"
@@ -103,3 +105,27 @@
 		})
 	}
 }
+
+func TestSettingsThatAreBeingWrittenAtAStartAreReadOnceTheyAreWhole(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "entry")
+	want := writeSettings(t, file, fake.Node{Name: "host", IP: testPeer, Zone: "z", StoreAddr: testStore})
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(file, text[:len(text)/2], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	written := make(chan error, 1)
+	go func() {
+		time.Sleep(2 * settingsPoll)
+		written <- os.WriteFile(file, text, 0o600)
+	}()
+	got, err := firstSettings(file)
+	if err := errors.Join(err, <-written); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/command/hostedprocess.go
+++ b/command/hostedprocess.go
@@ -22,6 +22,10 @@
 	// settingsEvery is the pause between two looks at the settings file, which
 	// may change without a signal.
 	settingsEvery = time.Second
+	// settingsWait is how long a start waits for settings that can be read: the
+	// platform may be writing them.
+	settingsWait = 2 * time.Second
+	settingsPoll = 50 * time.Millisecond
 )
 
 // hostedProcess holds what the roles of a hosted deployment share.
@@ -59,6 +63,16 @@
 	return nil
 }
 
+// firstSettings reads the settings of a process that starts.
+func firstSettings(file string) (platform.Node, error) {
+	for until := time.Now().Add(settingsWait); ; time.Sleep(settingsPoll) {
+		node, err := platform.LoadNode(file)
+		if err == nil || time.Now().After(until) {
+			return node, err
+		}
+	}
+}
+
 // reloadOnChange reads the settings file again when asked to and at intervals.
 func (p *hostedProcess) reloadOnChange(ctx context.Context, reload <-chan struct{}, file string, node platform.Node, r runner) {
 	ticker := time.NewTicker(settingsEvery)
