--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -84,6 +84,7 @@
 	CallPoll      // Until 0: without extending the lease
 	ReportEnd     // to the owner
 	StatusChanged // to report to all owners
+	FoundUnknown  // the endpoint lists a run that was not ordered here
 )
 
 // GuardAction is an action for the caller of a Guard.
@@ -451,7 +452,11 @@
 	r := g.runs[ref]
 	if r == nil {
 		// A run of an earlier agent incarnation, or an order carried out late.
-		if now >= g.earlierRuns[ref] {
+		retryAt, known := g.earlierRuns[ref]
+		if !known {
+			g.emit(GuardAction{Kind: FoundUnknown, Run: ref})
+		}
+		if now >= retryAt {
 			g.earlierRuns[ref] = now + retryStopEvery
 			g.emit(GuardAction{Kind: CallStop, Run: ref})
 		}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -32,6 +32,7 @@
 	Code       result.Code   `cbor:"1,keyasint"` // OK, TaskFailed or why the job was refused or abandoned
 	RetryAfter time.Duration `cbor:"2,keyasint,omitempty"`
 	Detail     string        `cbor:"3,keyasint,omitempty"` // inputs of the decision, for the log
+	Home       string        `cbor:"-"`                    // entry that held the job; set by the entry that answers the client
 }
 
 // SchedulerActionKind is what the caller of a Scheduler has to do.
@@ -323,18 +324,27 @@
 func (s *Scheduler) dropReplaced(now Time, e *endpoint) {
 	for _, old := range slices.Clone(s.endpoints) {
 		if old != e && old.id == e.id && old.agent.Name == e.agent.Name && old.agent.Incarnation != e.agent.Incarnation {
-			s.dropEndpoint(now, old)
+			s.dropEndpoint(now, old, "agent replaced")
 		}
 	}
 }
 
-func (s *Scheduler) dropEndpoint(now Time, e *endpoint) {
+func (s *Scheduler) dropEndpoint(now Time, e *endpoint, why string) {
 	for _, r := range slices.Clone(e.runs) {
-		s.Ended(now, r.order, EndLapsed, 0)
+		s.presumeEnded(now, r, why)
 	}
 	s.endpoints = slices.DeleteFunc(s.endpoints, func(o *endpoint) bool { return o == e })
 }
 
+// presumeEnded ends a run whose end no agent has reported.
+func (s *Scheduler) presumeEnded(now Time, r *run, why string) {
+	s.emit(SchedulerAction{
+		Kind: LogDecision, Agent: r.endpoint.agent, Endpoint: r.endpoint.id, Order: r.order, Job: r.ref.Task.Job, Run: r.ref,
+		Event: "run_presumed_ended", Reason: fmt.Sprintf("%s, %v after the order", why, now-r.ordered),
+	})
+	s.Ended(now, r.order, EndLapsed, 0)
+}
+
 // ReleaseEndpoint gives up an endpoint that another scheduler now has. The runs
 // ordered here stay with this scheduler until they end.
 func (s *Scheduler) ReleaseEndpoint(agent AgentID, id EndpointID) {
@@ -382,7 +392,7 @@
 // runs.
 func (s *Scheduler) EndpointGone(now Time, agent AgentID, id EndpointID) {
 	if e := s.find(agent, id); e != nil {
-		s.dropEndpoint(now, e)
+		s.dropEndpoint(now, e, "endpoint gone")
 	}
 	s.place(now)
 }
@@ -398,7 +408,7 @@
 		s.raiseMaxFreeCPU(nil)
 		for _, r := range slices.Clone(e.runs) {
 			if !slices.Contains(kept, r.order) {
-				s.Ended(now, r.order, EndLapsed, 0)
+				s.presumeEnded(now, r, "not kept by the agent")
 			} else if r.stopping {
 				s.emit(SchedulerAction{Kind: CancelRun, Agent: agent, Endpoint: e.id, Run: r.ref})
 			}
@@ -539,7 +549,7 @@
 func (s *Scheduler) expireLost(now Time) {
 	for _, e := range slices.Clone(s.endpoints) {
 		if e.lost && now >= e.runsEndBy {
-			s.dropEndpoint(now, e)
+			s.dropEndpoint(now, e, "agent lost")
 		}
 	}
 }
--- a/hosted/agent/endpoint.go
+++ b/hosted/agent/endpoint.go
@@ -249,6 +249,10 @@
 		s.reportEnd(now, action.Owner, wire.EndedRun{Run: action.Run, Order: action.Order, Reason: action.Reason, Age: action.Age})
 	case dispatch.StatusChanged:
 		s.reportStatus(e)
+	case dispatch.FoundUnknown:
+		a.deps.Metrics.Count("bergamotwing_unknown_runs_total", "Runs that the endpoint listed and nobody had ordered here.", 1)
+		a.deps.Log.Warn().Str("event", "unknown_run").Str("endpoint", id.ID).Str("job", action.Run.Task.Job).Int("step", action.Run.Task.Step).
+			Int("task", action.Run.Task.Index).Int("run", action.Run.Run).Dur("endpoint_age_ms", now-e.foundAt).Msg("run not ordered here; stopping it")
 	}
 }
 
--- a/hosted/entry/clients.go
+++ b/hosted/entry/clients.go
@@ -116,7 +116,7 @@
 	e.closeIfStopping(w)
 	age := mesh.Now() - arrived
 	e.deps.Log.Info().Str("event", "job_answered").Str("job", id).Str("route", route.Name).Str("code", out.Code.String()).
-		Str("detail", out.Detail).Int64("config", operator.Config.Version).Dur("age_ms", age).Dur("wait_ms", wait).Msg("job answered")
+		Str("home", out.Home).Str("detail", out.Detail).Int64("config", operator.Config.Version).Dur("age_ms", age).Dur("wait_ms", wait).Msg("job answered")
 	e.deps.Metrics.Observe("bergamotwing_job_seconds", "Time from a job's arrival to its answer.", age.Seconds())
 	switch out.Code {
 	case result.OK:
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -273,6 +273,7 @@
 		return
 	}
 	delete(s.requests, id)
+	out.Home = r.home.Entry
 	r.reply <- out
 }
 
@@ -282,6 +283,7 @@
 		return
 	}
 	delete(s.requests, m.job)
+	s.e.deps.Log.Info().Str("event", "job_abandoned").Str("job", m.job).Str("home", r.home.Entry).Msg("client no longer waits; job cancelled at its home")
 	s.cancelAtHome(now, r)
 }
 
@@ -290,11 +292,13 @@
 		s.scheduler(r.shard).Cancel(now, r.job.ID, r.home)
 		return
 	}
-	if p := s.peers[r.home.Entry]; p != nil {
-		// A home that does not receive this cancels the job if this entry's lease
-		// expires. If the link is restored before that, the job runs on: JobCancel is
-		// not resent.
-		_ = p.Send(&wire.JobCancel{Job: r.job.ID})
+	p := s.peers[r.home.Entry]
+	// A home that does not receive this cancels the job if this entry's lease
+	// expires. If the link is restored before that, the job runs on: JobCancel is
+	// not resent.
+	if p == nil || p.Send(&wire.JobCancel{Job: r.job.ID}) != nil {
+		s.e.deps.Metrics.Count("bergamotwing_cancels_undelivered_total", "Cancels of jobs that no link to their home took.", 1)
+		s.e.deps.Log.Warn().Str("event", "cancel_undelivered").Str("job", r.job.ID).Str("home", r.home.Entry).Msg("job not cancelled at its home: no link")
 	}
 }
 
@@ -361,7 +365,8 @@
 	case dispatch.LogDecision:
 		s.e.deps.Metrics.Count("bergamotwing_"+first.Event+"_total", "Decisions of the scheduler.", 1)
 		s.e.deps.Log.Info().Str("event", first.Event).Str("agent", first.Agent.Name).Str("endpoint", first.Endpoint.ID).
-			Str("job", first.Job).Str("reason", first.Reason).Msg("scheduler decision")
+			Str("job", first.Job).Int("step", first.Run.Task.Step).Int("task", first.Run.Task.Index).Int("run", first.Run.Run).
+			Str("reason", first.Reason).Msg("scheduler decision")
 	}
 	return 1
 }
