--- a/hosted/mesh/mesh.go
+++ b/hosted/mesh/mesh.go
@@ -29,9 +29,15 @@
 	linkedPoll     = 50 * time.Millisecond  // between two checks whether the link that the other side dialed is still open
 )
 
+// Conn carries messages to the other side of a link.
+type Conn interface {
+	Send(m wire.Message) error
+	Close()
+}
+
 // Link is an open link and the hello of the other side.
 type Link struct {
-	*wire.Link
+	Conn
 	Hello  wire.NodeHello
 	Dialed string // address that was dialed; empty on the accepting side
 }
@@ -177,7 +183,7 @@
 			return
 		}
 		timeout.Stop()
-		link = &Link{Link: l, Hello: *hello, Dialed: dialed}
+		link = &Link{Conn: l, Hello: *hello, Dialed: dialed}
 		m.addLinked(hello.Addr, 1)
 		m.events.LinkUp(link)
 	})
