guard: a run whose stop is not carried out lapses

What callers can see: a client leaves, its job's runs are stopped, and 1.3 s later the same job, sent again to another home, runs beside a run that was never stopped (TWICE). Cause: the guard went on extending the endpoint's lease for a run whose stop had no answer, as long as the run's owner was alive. Where orders are left unanswered or carried out seconds late while polls are answered, nothing ended the run; the table of times counts 800 ms for it. TestARunWhoseStopIsNotCarriedOutLapses failed before: "lease renewed to 5.95s, 50ms after the stop", and so at each renewal as long as the owner lives. Now no lease is granted beyond an owner's lease after the request; the sum stays EntryLease + OwnerLease, which TestRunsAreOverBeforeClientsSendTheirJobsAgain holds below the time after which clients send again.

--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -117,6 +117,7 @@
 	until         Time // endpoint's clock: the start is refused after it
 	seenRunning   Time // endpoint's clock: last listed or acknowledged as running
 	stopRequested bool
+	stopBy        Time // host clock: no lease outlasts it once a stop is requested
 	nextStop      Time
 	stopAnswered  Time // endpoint's clock, 0: no answer yet
 }
@@ -312,11 +313,15 @@
 }
 
 // leaseEnd returns the end of the endpoint's lease on the endpoint's clock: no
-// owner's runs may outlive the owner's lease.
+// owner's runs may outlive the owner's lease, and no run its stop by more than
+// such a lease.
 func (g *Guard) leaseEnd(now Time) Time {
 	until := now + g.timing.MaxLease - lateMargin
 	for _, r := range g.runs {
 		until = min(until, g.owners[r.owner])
+		if r.stopRequested {
+			until = min(until, r.stopBy)
+		}
 	}
 	return until + g.offset
 }
@@ -357,7 +362,10 @@
 }
 
 func (g *Guard) requestStop(now Time, r *guardedRun) {
-	r.stopRequested = true
+	if !r.stopRequested {
+		r.stopRequested = true
+		r.stopBy = now + g.timing.OwnerLease
+	}
 	if r.stopAnswered != 0 || now < r.nextStop {
 		return
 	}
--- a/dispatch/guard_test.go
+++ b/dispatch/guard_test.go
@@ -200,6 +200,31 @@
 	}
 }
 
+// A stop that the endpoint does not carry out ends the run with the lease, while
+// the owner goes on renewing its own.
+func TestARunWhoseStopIsNotCarriedOutLapses(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("j", 0, 1)
+	g.Start(now, order(ownerA, run, now))
+	clock := func(at Time) Time { return at - 5*time.Second }
+	g.StartAnswered(now+ms, run, CallResult{Clock: clock(now + ms)})
+	stopped := now + 100*ms
+	end := stopped + testTiming.OwnerLease
+	for at := now; at < now+4*time.Second; at += 25 * ms {
+		g.RenewOwner(ownerA, at+testTiming.OwnerLease)
+		if at == stopped {
+			g.Stop(at, ownerA, run)
+		}
+		g.Polled(at, at, Snapshot{Clock: clock(at), Running: []RunningRun{{Run: run}}})
+		g.Tick(at)
+		for _, a := range takeCalls(g) {
+			if a.Kind == CallPoll && a.Until > clock(end) {
+				t.Fatalf("lease renewed to %v, %v after the stop", a.Until, at-stopped)
+			}
+		}
+	}
+}
+
 func TestGuardStopsTheRunsOfALostOwner(t *testing.T) {
 	g, now := newGuard(t)
 	run := ref("j", 0, 1)
