TWICE: red tests of a lifetime that begins anew under the same id

An endpoint may start again under the id that it had, with a clock that starts anew. Calls name a lifetime by its id only, so a start sent to the earlier lifetime may be carried out by the new one, where its UntilMs is still far off. The stand-in's Restart begins a new lifetime under the same id.

--- a/dispatch/guard_test.go
+++ b/dispatch/guard_test.go
@@ -259,6 +259,48 @@
 	}
 }
 
+// A start that is on its way when a lifetime begins anew under the same id may be
+// carried out in the new one, so reporting its run as ended at once lets the task run twice.
+func TestGuardEndsAnUnansweredRunOnlyOnceTheNextLifetimeRefusesIt(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("j", 0, 1)
+	g.Start(now, order(ownerA, run, now))
+	g.TakeActions()
+	born := now + 50*ms
+	snapshot := func(at Time, running ...RunningRun) Snapshot {
+		return Snapshot{Clock: at - born, Born: 8, Running: running}
+	}
+	g.Polled(now+60*ms, now+60*ms, snapshot(now+60*ms))
+	calls := takeCalls(g)
+	if got := ends(calls); len(got) > 0 {
+		t.Fatalf("reported %v before the new lifetime refuses the run", got)
+	}
+	if !hasCall(calls, CallStop, run) {
+		t.Fatalf("got %+v, want a stop", calls)
+	}
+	if g.Status(ownerA).Available || g.Ended() {
+		t.Errorf("available %v, ended %v; want neither", g.Status(ownerA).Available, g.Ended())
+	}
+	// The stop has no answer; the lease of the earlier lifetime does not matter any more.
+	for at := now + 60*ms; at < now+3*time.Second; at += 25 * ms {
+		g.Tick(at)
+		if calls := takeCalls(g); len(ends(calls)) > 0 {
+			t.Fatalf("reported %v after %v without an answer to a stop", ends(calls), at-now)
+		}
+	}
+	now += 3 * time.Second
+	g.StopAnswered(now, run, CallResult{Clock: now - born})
+	g.Polled(now+5*ms, now+5*ms, snapshot(now))
+	if got := ends(g.TakeActions()); len(got) > 0 {
+		t.Fatalf("reported %v from a snapshot that is no later than the stop", got)
+	}
+	g.Polled(now+10*ms, now+10*ms, snapshot(now+8*ms))
+	wantEnds(t, g, map[RunRef]EndReason{run: EndLapsed})
+	if !g.Ended() {
+		t.Error("the lifetime is not over")
+	}
+}
+
 // The lease of an endpoint that does not answer has ended once the endpoint's
 // clock, 2% slow at worst, is past the end of the last lease granted.
 func TestGuardReportsLapsedRunsOfAnUnreachableEndpoint(t *testing.T) {
--- /dev/null
+++ b/hosted/agent/lifetime_test.go
@@ -0,0 +1,148 @@
+package agent
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"bergamotwing.example/dispatch"
+	"bergamotwing.example/hosted/control"
+	"bergamotwing.example/hosted/mesh"
+	"bergamotwing.example/platform"
+	"bergamotwing.example/platform/fake"
+	"bergamotwing.example/wire"
+)
+
+const (
+	lateTime = 2 * time.Second // after which an endpoint with the fault EndpointLate carries out an order
+	pumpTime = 5 * time.Second // limit for what a test waits for
+)
+
+// pumpedAgent is an agent that receives its messages in the test's goroutine. It is
+// linked to no entry.
+type pumpedAgent struct {
+	*Agent
+	t        *testing.T
+	messages chan any
+	endpoint *fake.Endpoint
+	record   *fake.Record
+	control  string // address for the endpoint's heartbeats
+	owner    dispatch.Owner
+}
+
+// newPumpedAgent returns an agent whose endpoint has sent a heartbeat.
+func newPumpedAgent(t *testing.T) *pumpedAgent {
+	t.Helper()
+	_, store := startStore(t)
+	a := &pumpedAgent{
+		Agent: newTestAgent(t, testNode(t, store)), t: t, messages: make(chan any, 10000),
+		record: fake.NewRecord(), owner: dispatch.Owner{Entry: "n", Incarnation: 1},
+	}
+	a.ctx = t.Context()
+	a.actor.Start(func(_ time.Duration, message any) { a.messages <- message })
+	t.Cleanup(a.actor.Shutdown)
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.endpoint = fake.NewEndpoint(fake.EndpointConfig{
+		ID: "i-0", Service: "svc", Zone: "z1", Addr: listener.Addr().String(), CPUMilli: 4000, Record: a.record,
+	})
+	server := &http.Server{Handler: a.endpoint, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	heartbeats := httptest.NewServer(platform.ControlHandler(a, func(err error) { t.Error(err) }))
+	t.Cleanup(heartbeats.Close)
+	a.control = heartbeats.Listener.Addr().String()
+	a.messages <- control.Tick{}
+	a.announce()
+	return a
+}
+
+// Announced implements platform.EndpointEvents.
+func (a *pumpedAgent) Announced(n platform.Announcement) bool {
+	a.messages <- announced{n, make(chan struct{}, 1)}
+	return true
+}
+
+// Ended implements platform.EndpointEvents.
+func (a *pumpedAgent) Ended(string) {}
+
+// announce has the endpoint send a heartbeat, and the agent receive it.
+func (a *pumpedAgent) announce() {
+	a.t.Helper()
+	if err := a.endpoint.Announce(a.control); err != nil {
+		a.t.Fatal(err)
+	}
+}
+
+// pump receives messages until done returns true.
+func (a *pumpedAgent) pump(waitsFor string, done func() bool) {
+	a.t.Helper()
+	for timeout := time.After(pumpTime); !done(); {
+		select {
+		case message := <-a.messages:
+			a.receive(mesh.Now(), message)
+		case <-timeout:
+			a.t.Fatalf("waited in vain for %s", waitsFor)
+		}
+	}
+}
+
+func (a *pumpedAgent) pumpFor(d time.Duration) {
+	a.t.Helper()
+	end := mesh.Now() + d
+	a.pump("time to pass", func() bool { return mesh.Now() > end })
+}
+
+// pumpUntilAvailable waits for an available lifetime that is later than earlier.
+func (a *pumpedAgent) pumpUntilAvailable(earlier dispatch.EndpointID) (id dispatch.EndpointID) {
+	a.t.Helper()
+	a.pump("an available endpoint", func() bool {
+		for _, e := range a.state.endpoints {
+			if id = e.announced.Endpoint; id.Born > earlier.Born && e.guard.Status(a.owner).Available {
+				return true
+			}
+		}
+		return false
+	})
+	return id
+}
+
+func (a *pumpedAgent) order(id dispatch.EndpointID, run dispatch.RunRef) {
+	now := mesh.Now()
+	a.state.endpoints[id].guard.RenewOwner(a.owner, now+a.state.timing.OwnerLease)
+	a.state.order(now, a.owner, &wire.RunOrder{Endpoint: id, Echo: now, Payload: "100", Runs: []wire.OrderedRun{
+		{Run: run, Need: dispatch.Resources{CPUMilli: 1000}, Order: 1},
+	}})
+	a.state.applyActions(now)
+}
+
+// The call is late beyond the end of its lifetime. If the end of its run were reported
+// with that lifetime, the task would be placed elsewhere and then run here too.
+func TestAStartForAnEarlierLifetimeIsRefusedBeforeItsRunIsReportedAsEnded(t *testing.T) {
+	a := newPumpedAgent(t)
+	run := dispatch.RunRef{Task: dispatch.TaskRef{Job: "5c0e7a21d94b36f8"}, Run: 1}
+	earlier := a.pumpUntilAvailable(dispatch.EndpointID{})
+	a.pumpFor(lateTime) // so that the start is valid until then by the new lifetime's clock
+	a.endpoint.SetFault(fake.EndpointLate)
+	a.order(earlier, run)
+	a.pumpFor(10 * time.Millisecond)
+	a.endpoint.Restart()
+	a.announce()
+	a.pumpUntilAvailable(earlier) // while stops have no answer
+	if len(a.state.ends) > 0 || len(a.state.endpoints) != 2 {
+		t.Fatalf("ends %+v, %d lifetimes kept; want no end and the earlier lifetime, too", a.state.ends, len(a.state.endpoints))
+	}
+	a.endpoint.SetFault(fake.EndpointHealthy)
+	a.pump("the end of the run", func() bool { return len(a.state.ends) > 0 })
+	if len(a.state.endpoints) != 1 {
+		t.Errorf("%d lifetimes kept, want the new one", len(a.state.endpoints))
+	}
+	a.pumpFor(lateTime)
+	if n := a.record.Starts(run.Task.Job); n != 0 {
+		t.Errorf("%d runs started after the end was reported", n)
+	}
+}
