--- a/dispatch/guard_test.go
+++ b/dispatch/guard_test.go
@@ -367,6 +367,35 @@
 	}
 }
 
+// The endpoint has one lease for all runs, which never becomes shorter. If the agent is
+// lost, an owner places its tasks again at RunsEndBy.
+func TestGuardStartsNothingUnderALeaseThatOutlastsItsOwner(t *testing.T) {
+	g, now := newGuard(t)
+	g.Start(now, order(ownerA, ref("a", 0, 1), now)) // grants a lease up to the end of ownerA's
+	echo := now - 400*ms
+	g.RenewOwner(ownerB, echo+testTiming.OwnerLease)
+	run := ref("b", 0, 1)
+	o := order(ownerB, run, now)
+	o.Echo = echo
+	g.Start(now, o)
+	var lease Time // end of the endpoint's lease by the host's clock
+	started := false
+	for _, a := range takeCalls(g) {
+		lease = max(lease, a.Until+5*time.Second)
+		started = started || a.Kind == CallStart && a.Run == run
+	}
+	lease += (lease - now) * clockDriftPercent / 100
+	if by := testTiming.RunsEndBy(echo); started && lease > by {
+		t.Errorf("ownerB counts on the end of its run after %v, the endpoint's lease ends after %v", by-now, lease-now)
+	}
+	// The owner's next heartbeat ends the refusals.
+	g.RenewOwner(ownerB, now+ms+testTiming.OwnerLease)
+	g.Start(now+2*ms, order(ownerB, ref("b", 1, 1), now+ms))
+	if calls := takeCalls(g); !hasCall(calls, CallStart, ref("b", 1, 1)) {
+		t.Errorf("got %+v, want a start", calls)
+	}
+}
+
 // The lease of an endpoint that does not answer has ended once the endpoint's
 // clock, 2% slow at worst, is past the end of the last lease granted.
 func TestGuardReportsLapsedRunsOfAnUnreachableEndpoint(t *testing.T) {
