The guard starts no run under a lease that outlasts its owner's

Callers could see a task run twice at the same time just after the home had moved: once at an endpoint whose agent was lost, and again where the new home placed it at RunsEndBy. Cause: the endpoint's lease is one for all runs and never becomes shorter. Each grant is bounded by the leases of the owners that have runs then, not by the lease of an owner whose first run starts afterwards. Why the fix works: the guard refuses a start (Expired, which the home tries again) while the owner's lease ends before the latest lease granted. Both are readings of the host's clock, so the margin of RunsEndBy, for 2% of drift and the stop, stays what it is for a single owner. Grants of an earlier incarnation of the agent need nothing: they end OwnerLease after an echo that is earlier than the new incarnation's start, and every lease here ends OwnerLease after a later one.

--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -155,6 +155,7 @@
 	offset      Time // endpoint's clock less the host's
 	sampled     Time // host clock of the offset; 0: none yet
 	maxUntil    Time // latest lease end sent, endpoint's clock
+	granted     Time // latest lease end sent, host clock
 
 	lastAnswer Time // host clock of the newest answer to a poll
 	nextPoll   Time
@@ -338,8 +339,7 @@
 	g.runs[o.Run] = r
 	g.tasks[o.Run.Task] = o.Run
 	g.used = g.used.Add(o.Need)
-	r.until = g.leaseEnd(now)
-	g.maxUntil = max(g.maxUntil, r.until)
+	r.until = g.grantLease(now)
 	g.emit(GuardAction{Kind: CallStart, Owner: o.Owner, Run: o.Run, Payload: o.Payload, Until: r.until})
 }
 
@@ -350,6 +350,8 @@
 		return NotAvailable
 	case now-o.Echo > orderMaxAge, g.owners[o.Owner]-g.timing.StopLead() <= now:
 		return Expired
+	case g.owners[o.Owner] < g.granted:
+		return Expired // the endpoint's lease would keep the run beyond the owner's
 	case !g.used.Add(o.Need).Fits(g.capacity):
 		return NoRoom
 	}
@@ -359,13 +361,15 @@
 	return 0
 }
 
-// leaseEnd returns the end of the endpoint's lease on the endpoint's clock: no
-// owner's runs may outlive the owner's lease.
-func (g *Guard) leaseEnd(now Time) Time {
+// grantLease returns the end of the endpoint's lease, on the endpoint's clock, that
+// is sent next: no owner's runs may outlive the owner's lease.
+func (g *Guard) grantLease(now Time) Time {
 	until := now + g.timing.MaxLease - lateMargin
 	for _, r := range g.runs {
 		until = min(until, g.owners[r.owner])
 	}
+	g.granted = max(g.granted, until)
+	g.maxUntil = max(g.maxUntil, until+g.offset)
 	return until + g.offset
 }
 
@@ -589,9 +593,7 @@
 	}
 	if len(g.runs) > 0 && now >= g.nextRenew && !g.replaced() {
 		g.nextRenew = now + renewEvery
-		until := g.leaseEnd(now)
-		g.maxUntil = max(g.maxUntil, until)
-		g.emit(GuardAction{Kind: CallPoll, Until: until})
+		g.emit(GuardAction{Kind: CallPoll, Until: g.grantLease(now)})
 	}
 	if !g.recovered && now >= g.nextPoll {
 		g.poll(now)
--- a/dispatch/guard_test.go
+++ b/dispatch/guard_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
 )
 
 const ms = time.Millisecond
@@ -396,6 +397,81 @@
 	}
 }
 
+// An owner's lease never becomes shorter either, whatever the endpoint's clock does.
+func TestGuardNeverRefusesASingleOwnerForTheLeaseGrantedToIt(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		g, now := newGuard(t)
+		rate := 1 - 0.02*rapid.Float64Range(0, 1).Draw(rt, "drift")
+		clock := func(at Time) Time { return Time(float64(at) * rate) }
+		lease := now + testTiming.OwnerLease
+		for i := range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			now += Time(rapid.IntRange(0, 300).Draw(rt, "pause")) * ms
+			echo := now - Time(rapid.IntRange(0, 450).Draw(rt, "age"))*ms
+			switch rapid.IntRange(0, 3).Draw(rt, "step") {
+			case 0:
+				lease = max(lease, echo+testTiming.OwnerLease)
+				g.RenewOwner(ownerA, echo+testTiming.OwnerLease)
+			case 1:
+				g.Polled(now, now, Snapshot{Clock: clock(now - Time(rapid.IntRange(0, 30).Draw(rt, "delay"))*ms), Born: 7})
+			case 2:
+				g.Tick(now)
+			case 3:
+				run := ref("j", i, 1)
+				o := order(ownerA, run, now)
+				o.Echo = echo
+				g.TakeActions()
+				g.Start(now, o)
+				if ends(g.TakeActions())[run] == Expired && lease-testTiming.StopLead() > now {
+					rt.Fatalf("refused %v before the end of the owner's lease", lease-now)
+				}
+			}
+		}
+	})
+}
+
+// While the endpoint's lease follows the heartbeats of the old home, which still has a
+// run there, a new home's orders may be refused until its own next heartbeat.
+func TestGuardRefusesANewHomeForAtMostOneHeartbeat(t *testing.T) {
+	const every = 150 * ms // hosted/agent homeHeartbeatEvery
+	longest := Time(0)
+	for phase := Time(0); phase < every; phase += 5 * ms {
+		for wait := Time(0); wait < every; wait += 5 * ms {
+			g, now := newGuard(t)
+			g.Start(now, order(ownerA, ref("a", 0, 1), now))
+			begin, echo := now+phase, now+phase // the new home's first heartbeat
+			for at := now; ; at += ms {
+				if (at-now)%every == 0 {
+					g.RenewOwner(ownerA, at+testTiming.OwnerLease)
+				}
+				if at >= begin && (at-begin)%every == 0 {
+					echo = at
+					g.RenewOwner(ownerB, echo+testTiming.OwnerLease)
+				}
+				g.Tick(at)
+				run := ref("b", int(at/ms), 1)
+				if at < begin+wait {
+					continue
+				}
+				o := order(ownerB, run, at)
+				o.Echo = echo
+				g.TakeActions()
+				g.Start(at, o)
+				if hasCall(g.TakeActions(), CallStart, run) {
+					longest = max(longest, at-begin-wait)
+					break
+				}
+				if at > begin+time.Second {
+					t.Fatal("refused for a second")
+				}
+			}
+		}
+	}
+	if longest >= every {
+		t.Errorf("refused for %v", longest)
+	}
+	t.Logf("refused for at most %v", longest)
+}
+
 // The lease of an endpoint that does not answer has ended once the endpoint's
 // clock, 2% slow at worst, is past the end of the last lease granted.
 func TestGuardReportsLapsedRunsOfAnUnreachableEndpoint(t *testing.T) {
