--- a/dispatch/guard_test.go
+++ b/dispatch/guard_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
 )
 
 const ms = time.Millisecond
@@ -273,10 +274,21 @@
 	}
 }
 
-func TestGuardEndsAllRunsWithTheLifetime(t *testing.T) {
+// newGuardWithRun returns a guard with a run that the endpoint lists as running.
+func newGuardWithRun(t *testing.T, run RunRef) (*Guard, Time) {
+	t.Helper()
 	g, now := newGuard(t)
-	run := ref("j", 0, 1)
 	g.Start(now, order(ownerA, run, now))
+	clock := now - 5*time.Second
+	g.StartAnswered(now+ms, run, CallResult{Clock: clock + ms})
+	g.Polled(now+10*ms, now+10*ms, Snapshot{Clock: clock + 10*ms, Born: 7, Running: []RunningRun{{Run: run}}})
+	g.TakeActions()
+	return g, now
+}
+
+func TestGuardEndsListedRunsWithTheLifetime(t *testing.T) {
+	run := ref("j", 0, 1)
+	g, now := newGuardWithRun(t, run)
 	g.Polled(now+20*ms, now+20*ms, Snapshot{Clock: 3 * ms, Born: 8})
 	wantEnds(t, g, map[RunRef]EndReason{run: EndLapsed})
 	if !g.Ended() {
@@ -284,6 +296,207 @@
 	}
 }
 
+// The answer to a start does not say which lifetime it is from.
+func TestGuardStopsARunThatWasAnsweredButNotListedBeforeTheNextLifetime(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("j", 0, 1)
+	g.Start(now, order(ownerA, run, now))
+	g.StartAnswered(now+ms, run, CallResult{Clock: now - 5*time.Second})
+	g.TakeActions()
+	g.Replaced(now+20*ms, 8)
+	if calls := takeCalls(g); !hasCall(calls, CallStop, run) || len(ends(calls)) > 0 {
+		t.Errorf("got %+v, want a stop and no end", calls)
+	}
+	// An answer of the earlier lifetime's snapshot that was overtaken ends nothing.
+	g.Polled(now+25*ms, now+25*ms, Snapshot{Clock: now - 5*time.Second + 10*ms, Born: 7})
+	if got := ends(g.TakeActions()); len(got) > 0 {
+		t.Errorf("reported %v from a snapshot of the earlier lifetime", got)
+	}
+}
+
+// A lifetime knows nothing of the stops that the one before it answered.
+func TestGuardStopsARunAgainInEachFurtherLifetime(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("j", 0, 1)
+	g.Start(now, order(ownerA, run, now))
+	g.Replaced(now+20*ms, 8)
+	g.StopAnswered(now+22*ms, run, CallResult{Clock: 2 * ms})
+	g.TakeActions()
+	g.Polled(now+30*ms, now+30*ms, Snapshot{Clock: 5 * ms, Born: 9})
+	if calls := takeCalls(g); !hasCall(calls, CallStop, run) || len(ends(calls)) > 0 {
+		t.Errorf("got %+v, want a stop and no end", calls)
+	}
+}
+
+// The runs and the lease of the next lifetime are its own guard's.
+func TestGuardLeavesTheRunsOfTheNextLifetimeAlone(t *testing.T) {
+	g, now := newGuard(t)
+	run, other := ref("j", 0, 1), ref("k", 0, 1)
+	g.Start(now, order(ownerA, run, now))
+	g.Replaced(now+20*ms, 8)
+	for at := now + 20*ms; at < now+time.Second; at += 10 * ms {
+		g.RenewOwner(ownerA, at+testTiming.OwnerLease)
+		g.Tick(at)
+		g.Polled(at, at, Snapshot{Clock: at - now, Born: 8, Running: []RunningRun{{Run: other}}, Ended: []EndedRun{{Seq: 1, Run: ref("k", 1, 1), Reason: EndDone}}})
+		for _, a := range g.TakeActions() {
+			if a.Kind == CallStop && a.Run == other || a.Kind == CallPoll && a.Until != 0 {
+				t.Fatalf("got %+v", a)
+			}
+		}
+	}
+	if g.Cursor() != 0 {
+		t.Errorf("acknowledges ends up to %d, which are the other guard's", g.Cursor())
+	}
+	g.Start(now+time.Second, order(ownerA, ref("j", 1, 1), now+time.Second))
+	wantEnds(t, g, map[RunRef]EndReason{ref("j", 1, 1): NotAvailable})
+}
+
+// A start that is on its way when a lifetime begins anew under the same id may be
+// carried out in the new one, so reporting its run as ended at once lets the task run twice.
+func TestGuardEndsAnUnansweredRunOnlyOnceTheNextLifetimeRefusesIt(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("j", 0, 1)
+	g.Start(now, order(ownerA, run, now))
+	g.TakeActions()
+	born := now + 50*ms
+	snapshot := func(at Time, running ...RunningRun) Snapshot {
+		return Snapshot{Clock: at - born, Born: 8, Running: running}
+	}
+	g.Polled(now+60*ms, now+60*ms, snapshot(now+60*ms))
+	calls := takeCalls(g)
+	if got := ends(calls); len(got) > 0 {
+		t.Fatalf("reported %v before the new lifetime refuses the run", got)
+	}
+	if !hasCall(calls, CallStop, run) {
+		t.Fatalf("got %+v, want a stop", calls)
+	}
+	if g.Status(ownerA).Available || g.Ended() {
+		t.Errorf("available %v, ended %v; want neither", g.Status(ownerA).Available, g.Ended())
+	}
+	// The stop has no answer; the lease of the earlier lifetime does not matter any more.
+	for at := now + 60*ms; at < now+3*time.Second; at += 25 * ms {
+		g.Tick(at)
+		if calls := takeCalls(g); len(ends(calls)) > 0 {
+			t.Fatalf("reported %v after %v without an answer to a stop", ends(calls), at-now)
+		}
+	}
+	now += 3 * time.Second
+	g.StopAnswered(now, run, CallResult{Clock: now - born})
+	g.Polled(now+5*ms, now+5*ms, snapshot(now))
+	if got := ends(g.TakeActions()); len(got) > 0 {
+		t.Fatalf("reported %v from a snapshot that is no later than the stop", got)
+	}
+	g.Polled(now+10*ms, now+10*ms, snapshot(now+8*ms))
+	wantEnds(t, g, map[RunRef]EndReason{run: EndLapsed})
+	if !g.Ended() {
+		t.Error("the lifetime is not over")
+	}
+}
+
+// The endpoint has one lease for all runs, which never becomes shorter. If the agent is
+// lost, an owner places its tasks again at RunsEndBy.
+func TestGuardStartsNothingUnderALeaseThatOutlastsItsOwner(t *testing.T) {
+	g, now := newGuard(t)
+	g.Start(now, order(ownerA, ref("a", 0, 1), now)) // grants a lease up to the end of ownerA's
+	echo := now - 400*ms
+	g.RenewOwner(ownerB, echo+testTiming.OwnerLease)
+	run := ref("b", 0, 1)
+	o := order(ownerB, run, now)
+	o.Echo = echo
+	g.Start(now, o)
+	var lease Time // end of the endpoint's lease by the host's clock
+	started := false
+	for _, a := range takeCalls(g) {
+		lease = max(lease, a.Until+5*time.Second)
+		started = started || a.Kind == CallStart && a.Run == run
+	}
+	lease += (lease - now) * clockDriftPercent / 100
+	if by := testTiming.RunsEndBy(echo); started && lease > by {
+		t.Errorf("ownerB counts on the end of its run after %v, the endpoint's lease ends after %v", by-now, lease-now)
+	}
+	// The owner's next heartbeat ends the refusals.
+	g.RenewOwner(ownerB, now+ms+testTiming.OwnerLease)
+	g.Start(now+2*ms, order(ownerB, ref("b", 1, 1), now+ms))
+	if calls := takeCalls(g); !hasCall(calls, CallStart, ref("b", 1, 1)) {
+		t.Errorf("got %+v, want a start", calls)
+	}
+}
+
+// An owner's lease never becomes shorter either, whatever the endpoint's clock does.
+func TestGuardNeverRefusesASingleOwnerForTheLeaseGrantedToIt(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		g, now := newGuard(t)
+		rate := 1 - 0.02*rapid.Float64Range(0, 1).Draw(rt, "drift")
+		clock := func(at Time) Time { return Time(float64(at) * rate) }
+		lease := now + testTiming.OwnerLease
+		for i := range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			now += Time(rapid.IntRange(0, 300).Draw(rt, "pause")) * ms
+			echo := now - Time(rapid.IntRange(0, 450).Draw(rt, "age"))*ms
+			switch rapid.IntRange(0, 3).Draw(rt, "step") {
+			case 0:
+				lease = max(lease, echo+testTiming.OwnerLease)
+				g.RenewOwner(ownerA, echo+testTiming.OwnerLease)
+			case 1:
+				g.Polled(now, now, Snapshot{Clock: clock(now - Time(rapid.IntRange(0, 30).Draw(rt, "delay"))*ms), Born: 7})
+			case 2:
+				g.Tick(now)
+			case 3:
+				run := ref("j", i, 1)
+				o := order(ownerA, run, now)
+				o.Echo = echo
+				g.TakeActions()
+				g.Start(now, o)
+				if ends(g.TakeActions())[run] == Expired && lease-testTiming.StopLead() > now {
+					rt.Fatalf("refused %v before the end of the owner's lease", lease-now)
+				}
+			}
+		}
+	})
+}
+
+// While the endpoint's lease follows the heartbeats of the old home, which still has a
+// run there, a new home's orders may be refused until its own next heartbeat.
+func TestGuardRefusesANewHomeForAtMostOneHeartbeat(t *testing.T) {
+	const every = 150 * ms // hosted/agent homeHeartbeatEvery
+	longest := Time(0)
+	for phase := Time(0); phase < every; phase += 5 * ms {
+		for wait := Time(0); wait < every; wait += 5 * ms {
+			g, now := newGuard(t)
+			g.Start(now, order(ownerA, ref("a", 0, 1), now))
+			begin, echo := now+phase, now+phase // the new home's first heartbeat
+			for at := now; ; at += ms {
+				if (at-now)%every == 0 {
+					g.RenewOwner(ownerA, at+testTiming.OwnerLease)
+				}
+				if at >= begin && (at-begin)%every == 0 {
+					echo = at
+					g.RenewOwner(ownerB, echo+testTiming.OwnerLease)
+				}
+				g.Tick(at)
+				run := ref("b", int(at/ms), 1)
+				if at < begin+wait {
+					continue
+				}
+				o := order(ownerB, run, at)
+				o.Echo = echo
+				g.TakeActions()
+				g.Start(at, o)
+				if hasCall(g.TakeActions(), CallStart, run) {
+					longest = max(longest, at-begin-wait)
+					break
+				}
+				if at > begin+time.Second {
+					t.Fatal("refused for a second")
+				}
+			}
+		}
+	}
+	if longest >= every {
+		t.Errorf("refused for %v", longest)
+	}
+	t.Logf("refused for at most %v", longest)
+}
+
 // The lease of an endpoint that does not answer has ended once the endpoint's
 // clock, 2% slow at worst, is past the end of the last lease granted.
 func TestGuardReportsLapsedRunsOfAnUnreachableEndpoint(t *testing.T) {
