A row of the store that cannot be read hides no other row

Operators of systems like ours saw processes that no longer followed a list once another writer had left one odd row in it. It can happen here: platform.Store decoded a page as a whole, so that a row with a key of another type, a value that is not base64, or a version that is negative, a fraction or too large made the whole table unreadable, for Get, GetRow and Watch. An entry that started then had no configuration for as long as the row was there, and a running one followed neither configurations nor evacuations. A configuration that could not be read also kept the zones out of service from being followed.

Each row, and each field of a row, is now decoded by itself. A row without a readable key is left out; of others, Row.Err says why the rest is missing, and the reader of the table decides: an evacuation names its zone by its key, and without a readable configuration the one in force stays.

--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -121,7 +121,7 @@
 	case control.MembersRead:
 		s.setMembers(now, m.Members)
 	case operatorRead:
-		s.adopt(now, m.state, "store")
+		s.operatorRead(now, m)
 	case submit:
 		s.submit(now, m)
 	case abandonRequest:
--- a/hosted/entry/entry.go
+++ b/hosted/entry/entry.go
@@ -52,6 +52,7 @@
 	self  wire.NodeHello
 	mesh  *mesh.Mesh
 	store *platform.Store
+	odd   *control.OddRows
 	ctx   context.Context //nolint:containedctx // of the process; ends its background work
 
 	running  chan struct{} // closed once Run has used the settings
@@ -63,7 +64,7 @@
 
 // New returns an entry that Run starts.
 func New(node platform.Node, opts Options, deps control.Deps) *Entry {
-	e := &Entry{actor: control.NewActor(), node: node, opts: opts, deps: deps, store: platform.NewStore(node.StoreAddr), running: make(chan struct{})}
+	e := &Entry{actor: control.NewActor(), node: node, opts: opts, deps: deps, store: platform.NewStore(node.StoreAddr), odd: control.NewOddRows(deps), running: make(chan struct{})}
 	e.self = wire.NodeHello{
 		Name: node.Name, Incarnation: control.NewIncarnation(), Role: wire.RoleEntry, Zone: node.Zone,
 		Addr:  net.JoinHostPort(node.IP, strconv.Itoa(node.LinkPort)),
--- a/hosted/entry/messages.go
+++ b/hosted/entry/messages.go
@@ -10,8 +10,11 @@
 type (
 	endRequests   struct{} // the time to stop is over
 	askUnfinished struct{ reply chan unfinished }
-	operatorRead  struct{ state dispatch.OperatorState }
-	submit        struct {
+	operatorRead  struct {
+		state     dispatch.OperatorState
+		hasConfig bool // state has a configuration
+	}
+	submit struct {
 		job      dispatch.Job
 		route    dispatch.Route
 		wait     time.Duration
--- /dev/null
+++ b/hosted/entry/odd_test.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"bergamotwing.example/dispatch"
+	"bergamotwing.example/hosted/control"
+	"bergamotwing.example/platform"
+	"bergamotwing.example/telemetry"
+)
+
+// newTestState returns the state of an entry that does not run.
+func newTestState(t *testing.T) *state {
+	t.Helper()
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := New(platform.Node{Name: "e", IP: "127.0.0.1"}, Options{}, control.Deps{Log: zerolog.Nop(), Metrics: metrics})
+	e.ctx = t.Context()
+	return e.state
+}
+
+// A configuration that could not be read kept the zones out of service from being
+// followed.
+func TestWithoutAReadableConfigurationTheOneInForceStays(t *testing.T) {
+	s := newTestState(t)
+	s.operatorRead(0, operatorRead{state: dispatch.OperatorState{StoreVersion: 1, Evacuated: []string{"z1"}}})
+	if s.e.operator.Load() != nil {
+		t.Error("a state without a configuration is in force")
+	}
+	s.operatorRead(0, operatorRead{state: dispatch.OperatorState{StoreVersion: 2, Config: dispatch.Config{Version: 7}}, hasConfig: true})
+	s.operatorRead(0, operatorRead{state: dispatch.OperatorState{StoreVersion: 3, Evacuated: []string{"z1"}}})
+	if got := s.e.operator.Load(); got.Config.Version != 7 || got.StoreVersion != 3 || !slices.Equal(got.Evacuated, []string{"z1"}) {
+		t.Errorf("in force: %+v", got)
+	}
+}
--- a/hosted/entry/store.go
+++ b/hosted/entry/store.go
@@ -73,7 +73,7 @@
 		if err != nil {
 			return err
 		}
-		if len(changes.Rows) > 0 {
+		if len(changes.Rows)+len(changes.Odd) > 0 {
 			return nil
 		}
 		version = max(version, changes.Version)
@@ -94,17 +94,29 @@
 	if err != nil {
 		return 0, err
 	}
+	e.odd.Report(rows.Odd...)
 	state, ok, err := platform.DecodeOperatorRows(rows.Rows, rows.Version)
-	if err != nil {
-		e.deps.Log.Error().Str("event", "bad_configuration").Err(err).Msg("operator's state not adopted")
-		return rows.Version, nil
-	}
-	if ok {
-		e.actor.Send(operatorRead{state})
+	var odd platform.OddRow
+	if errors.As(err, &odd) {
+		e.odd.Report(odd)
 	}
+	e.actor.Send(operatorRead{state, ok})
 	return rows.Version, nil
 }
 
+// operatorRead puts the operator's state into force. If its configuration could not be
+// read, the one in force stays so.
+func (s *state) operatorRead(now time.Duration, m operatorRead) {
+	if !m.hasConfig {
+		old := s.e.operator.Load()
+		if old == nil {
+			return
+		}
+		m.state.Config = old.Config
+	}
+	s.adopt(now, m.state, "store")
+}
+
 // register keeps this entry's row in the store and reads the rows of the others.
 func (e *Entry) register(ctx context.Context) {
 	written := false
