Rows of the entries' table that name no entry are neither dialed nor passed on

Of the table of entries only the JSON form and the name were checked. A row with port 99999 or 0, a host name, 0.0.0.0, a multicast address or no address at all was dialed by every entry and agent, and sent on to all agents. A row whose bandwidth is 1e300 made every other entry count as small where agents choose the entries that they link to. A row under an entry's own name with another address stayed, since an entry only looked for a row of that name; without any readable row it did not look at all.

CheckMember accepts a row only if its name is a printable text of at most 200 bytes, its address an IP address and port that can be dialed, and its host's size within what hosts can have (platform/check.go says where the limits come from). It applies to rows of the store, and to lists of other entries, which may run an older version. An entry writes its row again unless the row is exactly its own. Rows that are left out are not removed: a later version may have written them.

--- a/hosted/agent/agent.go
+++ b/hosted/agent/agent.go
@@ -36,6 +36,7 @@
 	deps  control.Deps
 	mesh  *mesh.Mesh
 	store *platform.Store
+	odd   *control.OddRows
 	ctx   context.Context //nolint:containedctx // of the process; ends its background work
 
 	toWrite   chan platform.Announcement // newest announcement that is waiting to be written to the store
@@ -48,7 +49,7 @@
 
 // New returns an agent that Run starts.
 func New(node platform.Node, deps control.Deps) *Agent {
-	a := &Agent{actor: control.NewActor(), node: node, deps: deps, store: platform.NewStore(node.StoreAddr), toWrite: make(chan platform.Announcement, 1), idle: make(chan struct{}), running: make(chan struct{})}
+	a := &Agent{actor: control.NewActor(), node: node, deps: deps, store: platform.NewStore(node.StoreAddr), odd: control.NewOddRows(deps), toWrite: make(chan platform.Announcement, 1), idle: make(chan struct{}), running: make(chan struct{})}
 	hello := wire.NodeHello{
 		Name: node.Name, Incarnation: control.NewIncarnation(), Role: wire.RoleAgent, Zone: node.Zone,
 	}
@@ -146,11 +147,12 @@
 func (a *Agent) readEntries(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	members, err := mesh.ReadMembers(ctx, a.store)
+	members, odd, err := mesh.ReadMembers(ctx, a.store)
 	if err != nil {
 		a.deps.Log.Warn().Str("event", "store_failed").Err(err).Msg("entries not read from the store")
 		return
 	}
+	a.odd.Report(odd...)
 	a.actor.Send(control.MembersRead{Members: members})
 }
 
--- a/hosted/agent/control.go
+++ b/hosted/agent/control.go
@@ -271,6 +271,7 @@
 // of entries that are no longer linked: they are of use only until a linked entry has
 // sent its own.
 func (s *state) setList(from string, entries []wire.Member) {
+	entries = slices.DeleteFunc(entries, func(m wire.Member) bool { return mesh.CheckMember(m) != nil })
 	if slices.Equal(s.lists[from], entries) {
 		return
 	}
--- a/hosted/entry/odd_test.go
+++ b/hosted/entry/odd_test.go
@@ -8,8 +8,10 @@
 
 	"bergamotwing.example/dispatch"
 	"bergamotwing.example/hosted/control"
+	"bergamotwing.example/hosted/mesh"
 	"bergamotwing.example/platform"
 	"bergamotwing.example/telemetry"
+	"bergamotwing.example/wire"
 )
 
 // newTestState returns the state of an entry that does not run.
@@ -38,3 +40,35 @@
 		t.Errorf("in force: %+v", got)
 	}
 }
+
+// A list from an entry that does not check its rows.
+func TestOddMembersAreNotPassedOn(t *testing.T) {
+	s := newTestState(t)
+	good := wire.Member{Name: "good", Addr: "127.0.0.2:7720"}
+	for _, m := range []wire.Member{
+		good,
+		{Name: "odd", Addr: "127.0.0.2:99999"},
+		{Name: "odd", Addr: "127.0.0.2:0"},
+		{Name: "odd"},
+		{Addr: "127.0.0.2:7720"},
+		{Name: "odd", Addr: "127.0.0.2:7720", LinkMbps: 1e300},
+	} {
+		s.addMember(m)
+	}
+	if got := s.memberList().Entries; !slices.Equal(got, []wire.Member{s.e.self.Member(), good}) {
+		t.Errorf("passed on: %v", got)
+	}
+}
+
+func TestARowOfThisEntryFromAnotherWriterIsReplaced(t *testing.T) {
+	s := newTestState(t)
+	own := s.e.self.Member()
+	other := own
+	other.Addr = "127.0.0.9:7720"
+	if containsMember([]mesh.MemberRow{{Member: other}}, own) {
+		t.Error("a row with another address counts as this entry's")
+	}
+	if !containsMember([]mesh.MemberRow{{Member: other}, {Member: own}}, own) {
+		t.Error("this entry's row is not found")
+	}
+}
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -274,7 +274,7 @@
 }
 
 func (s *state) addMember(m wire.Member) {
-	if m.Addr == "" || m.Name == s.e.self.Name || s.members[m.Name].Member == m {
+	if m.Name == s.e.self.Name || s.members[m.Name].Member == m || mesh.CheckMember(m) != nil {
 		return
 	}
 	moved := s.members[m.Name].Addr != m.Addr
--- a/hosted/entry/store.go
+++ b/hosted/entry/store.go
@@ -8,6 +8,7 @@
 	"bergamotwing.example/hosted/control"
 	"bergamotwing.example/hosted/mesh"
 	"bergamotwing.example/platform"
+	"bergamotwing.example/wire"
 )
 
 const (
@@ -124,9 +125,9 @@
 		if !written {
 			written = e.writeMember(ctx)
 		}
-		found := e.readMembers(ctx)
-		if written && found != nil && !containsMember(found, e.self.Name) {
-			written = false // removed by an entry that could not reach this one
+		found, ok := e.readMembers(ctx)
+		if written && ok && !containsMember(found, e.self.Member()) {
+			written = false // removed by an entry that could not reach this one, or written by another writer
 		}
 		pause := membersEvery
 		if !written {
@@ -139,9 +140,9 @@
 	}
 }
 
-func containsMember(members []mesh.MemberRow, name string) bool {
+func containsMember(members []mesh.MemberRow, member wire.Member) bool {
 	for _, m := range members {
-		if m.Name == name {
+		if m.Member == member {
 			return true
 		}
 	}
@@ -165,13 +166,14 @@
 	e.deps.Log.Info().Str("event", "member_removed").Str("entry", row.Name).AnErr("error", err).Msg("row of a lost entry removed")
 }
 
-func (e *Entry) readMembers(ctx context.Context) []mesh.MemberRow {
+func (e *Entry) readMembers(ctx context.Context) (members []mesh.MemberRow, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	members, err := mesh.ReadMembers(ctx, e.store)
+	members, odd, err := mesh.ReadMembers(ctx, e.store)
 	if err != nil {
-		return nil // the watch of the operator's state logs that the store fails
+		return nil, false // the watch of the operator's state logs that the store fails
 	}
+	e.odd.Report(odd...)
 	e.actor.Send(control.MembersRead{Members: members})
-	return members
+	return members, true
 }
--- a/hosted/mesh/members.go
+++ b/hosted/mesh/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 
 	"github.com/rotisserie/eris"
 
@@ -19,21 +20,46 @@
 	Version uint64 `json:"-"` // of the row
 }
 
-// ReadMembers returns the entries registered in the store. Rows that cannot be
-// decoded, or whose name differs from their key, are left out.
-func ReadMembers(ctx context.Context, store *platform.Store) ([]MemberRow, error) {
+// ReadMembers returns the entries registered in the store, and the rows that are
+// left out since they name no entry.
+func ReadMembers(ctx context.Context, store *platform.Store) ([]MemberRow, []platform.OddRow, error) {
 	rows, err := store.Get(ctx, membersTable)
 	if err != nil {
-		return nil, eris.Wrap(err, "read entries")
+		return nil, nil, eris.Wrap(err, "read entries")
 	}
 	var members []MemberRow
 	for _, row := range rows.Rows {
-		m := MemberRow{Version: row.Version}
-		if json.Unmarshal(row.Value, &m.Member) == nil && m.Name == row.Key {
-			members = append(members, m)
+		m, err := decodeMember(row)
+		if err != nil {
+			rows.Odd = append(rows.Odd, row.Odd(err))
+			continue
 		}
+		members = append(members, m)
 	}
-	return members, nil
+	return members, rows.Odd, nil
+}
+
+func decodeMember(row platform.Row) (MemberRow, error) {
+	m := MemberRow{Version: row.Version}
+	if row.Err != nil {
+		return m, row.Err
+	}
+	if err := json.Unmarshal(row.Value, &m.Member); err != nil {
+		return m, eris.Wrap(err, "decode entry")
+	}
+	if m.Name != row.Key {
+		return m, eris.New("the name differs from the key")
+	}
+	return m, CheckMember(m.Member)
+}
+
+// CheckMember returns an error unless m names an entry that can be dialed. Its host's
+// size must be in range, since homes are chosen among the largest hosts.
+func CheckMember(m wire.Member) error {
+	return errors.Join(
+		platform.CheckName(m.Name), platform.CheckAddr(m.Addr),
+		platform.CheckNumber(m.Cores, platform.MaxCores), platform.CheckNumber(m.LinkMbps, platform.MaxLinkMbps),
+	)
 }
 
 // WriteMember registers an entry.
