A link that ends at once is made anew with a growing pause

A process dials an address again without a pause when a link there has ended. An entry keeps one link to another process and closes the older one. So two addresses of one process in the list of entries, of which another writer left one, made links that replaced each other as fast as they could be made.

A link that lasted less than the longest pause between dials counts as a failed dial. One that lasted longer is made anew at once, as before.

--- a/hosted/mesh/mesh.go
+++ b/hosted/mesh/mesh.go
@@ -143,7 +143,9 @@
 	}
 }
 
-// dialOnce reports whether a link was made and has ended.
+// dialOnce reports whether a link was made, has lasted for redialPauseMax and has ended.
+// Links that end sooner are made anew with a growing pause: an address that reaches an
+// entry linked under another address would otherwise be dialed without end.
 func (m *Mesh) dialOnce(ctx context.Context, addr string) bool {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -154,7 +156,8 @@
 	if err != nil {
 		return false
 	}
-	return m.serve(ctx, l, addr)
+	began := Now()
+	return m.serve(ctx, l, addr) && Now()-began >= redialPauseMax
 }
 
 // serve exchanges hellos and passes messages on until the link ends. It reports
