A row of runs that cannot be read makes no answer of an endpoint unusable

One odd row in an endpoint's lists of runs, such as a task name of another form, made the whole answer unusable, so that its agent followed the endpoint no more for as long as the row was listed, and polled it again every 20 ms. Numbers were converted without a check: a sequence number of 1e300 moved the cursor beyond all ends to come, a run number of 1.5 became 1, a clock reading far ahead or negative was taken, and task ID.1.STEP.INDEX counted as ID.0.STEP.INDEX. A list of 4 MB of empty objects took 297 MB of allocations and 0.5 s to be refused; an agent has 152 MB.

The whole answer was unusable on purpose: a run missing from it counts as ended. A row that names one of its tasks, but not the run, is kept without the number, and the guard takes the run that it keeps of that task as listed (TestGuardKeepsARun… fails without that).

--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -45,7 +45,7 @@
 
 // RunningRun is a run that an endpoint lists as running.
 type RunningRun struct {
-	Run     RunRef
+	Run     RunRef  // Run.Run is 0 if the number cannot be read: the task runs, and it is not known which run
 	Percent float64 // of its work that is done
 }
 
@@ -62,6 +62,7 @@
 	Born    int64 // start of the lifetime; 0 if not stated
 	Running []RunningRun
 	Ended   []EndedRun
+	Odd     int // rows that cannot be read, in whole or in part
 }
 
 // Order is an owner's order to start a run.
@@ -427,10 +428,13 @@
 	listed := make(map[RunRef]bool, len(s.Running))
 	for _, running := range s.Running {
 		listed[running.Run] = true
-		g.applyRunning(now, running.Run, s.Clock)
+		if running.Run.Run != 0 {
+			g.applyRunning(now, running.Run, s.Clock)
+		}
 	}
+	isListed := func(ref RunRef) bool { return listed[ref] || listed[RunRef{Task: ref.Task}] }
 	for ref := range g.earlierRuns {
-		if !listed[ref] {
+		if !isListed(ref) {
 			delete(g.earlierRuns, ref)
 		}
 	}
@@ -442,7 +446,7 @@
 		return // the end of an absent run may be listed in the next answer
 	}
 	for _, r := range g.sorted() {
-		if !listed[r.ref] {
+		if !isListed(r.ref) {
 			g.applyAbsent(now, r, s.Clock)
 		}
 	}
--- a/dispatch/guard_test.go
+++ b/dispatch/guard_test.go
@@ -285,3 +285,16 @@
 		t.Errorf("reported only %v after the start", at-now)
 	}
 }
+
+// A run whose number cannot be read may be the one kept: it must not count as ended.
+func TestGuardKeepsARunThatIsListedWithoutItsNumber(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("j", 0, 1)
+	g.Start(now, order(ownerA, run, now))
+	g.StartAnswered(now+ms, run, CallResult{Clock: now - 5*time.Second})
+	listed := RunningRun{Run: RunRef{Task: run.Task}}
+	g.Polled(now+60*ms, now+60*ms, Snapshot{Clock: now - 5*time.Second + 60*ms, Running: []RunningRun{listed}, Odd: 1})
+	wantEnds(t, g, map[RunRef]EndReason{})
+	g.Polled(now+120*ms, now+120*ms, Snapshot{Clock: now - 5*time.Second + 120*ms})
+	wantEnds(t, g, map[RunRef]EndReason{run: EndLapsed})
+}
--- a/hosted/agent/endpoint.go
+++ b/hosted/agent/endpoint.go
@@ -23,6 +23,9 @@
 	pollTimeout       = 30 * time.Millisecond
 	longPollSlack     = 50 * time.Millisecond // added to the wait of a long poll, which waits for an end
 	pollRetryPause    = 20 * time.Millisecond // after a failed long poll
+	// oddPollPause is the pause after an answer with rows that cannot be read: an end
+	// that cannot be acknowledged is answered again at once.
+	oddPollPause = 100 * time.Millisecond
 	// maxMissedHeartbeats is how many heartbeats a lifetime may miss before it is
 	// taken as ended.
 	maxMissedHeartbeats = 4
@@ -42,6 +45,7 @@
 	foundAt        time.Duration                         // when the lifetime was found
 	lastHeartbeat  time.Duration                         // when the last heartbeat came
 	reportedOthers map[dispatch.Owner]dispatch.Resources // resources taken by runs of others, as last reported to each owner
+	oddRuns        int                                   // rows of the newest answer that cannot be read
 }
 
 func (s *state) announced(now time.Duration, n platform.Announcement) {
@@ -160,6 +164,9 @@
 		if err != nil {
 			time.Sleep(pollRetryPause)
 		}
+		if snapshot.Odd > 0 {
+			time.Sleep(oddPollPause)
+		}
 	}
 }
 
@@ -203,12 +210,23 @@
 	}
 	if m.err == nil {
 		e.guard.Polled(now, m.received, m.snapshot)
+		s.countOddRuns(e, m.snapshot.Odd)
 	}
 	if m.next != nil {
 		m.next <- e.nextPoll()
 	}
 }
 
+// countOddRuns counts and logs rows of runs that cannot be read when there are more
+// of them than before.
+func (s *state) countOddRuns(e *endpoint, odd int) {
+	if more := odd - e.oddRuns; more > 0 {
+		s.a.deps.Metrics.Count("bergamotwing_odd_runs_total", "Rows of runs of endpoints that could not be read.", int64(more))
+		s.a.deps.Log.Warn().Str("event", "odd_run").Str("endpoint", e.announced.Endpoint.ID).Int("rows", odd).Msg("runs that cannot be read left out")
+	}
+	e.oddRuns = odd
+}
+
 // nextPoll returns the parameters of the next long poll.
 func (e *endpoint) nextPoll() nextPoll {
 	wait := dispatch.PollWait
