Heartbeats and stored endpoints with numbers, names or addresses out of range name no endpoint

A heartbeat of another writer with port 0, address 0.0.0.0, a negative or huge capacity, a negative or huge sequence number, an empty or huge service or zone, thousands of labels, or an id with a line break named an endpoint to be polled and reported to entries. By the code, a huge sequence number made all later heartbeats of the endpoint count as late, so that its draining would go unnoticed. The row with the stored endpoint, which an agent reads at its start, was not checked at all: {} named an endpoint without an id, address or service. A heartbeat of a service other than the one that the settings name for the host's endpoint was accepted too.

Announcement.Check has one check a field, and applies to heartbeats and to the stored row, as does the check of the service. A heartbeat that fails them is not acknowledged, counted and logged (bad_heartbeat); a row is left out, counted and logged once (odd_row), and replaced by the endpoint's next heartbeat.

--- a/hosted/agent/odd_test.go
+++ b/hosted/agent/odd_test.go
@@ -1,12 +1,39 @@
 package agent
 
 import (
+	"strings"
 	"testing"
 
+	"bergamotwing.example/dispatch"
 	"bergamotwing.example/hosted/mesh"
+	"bergamotwing.example/platform"
 	"bergamotwing.example/wire"
 )
 
+// A row of another writer under the agent's name named an endpoint without an address.
+func TestAnOddStoredEndpointIsLeftOut(t *testing.T) {
+	server, addr := startStore(t)
+	a := newTestAgent(t, testNode(t, addr))
+	for _, value := range []string{
+		``, `{`, `{}`, "\xff", `null`, `[]`, strings.Repeat("[", 60_000), `{"Endpoint":{"ID":"i-1"}}`,
+		`{"Endpoint":{"ID":"i-1"},"Addr":"10.0.0.1:99999","Service":"svc","Zone":"z1"}`,
+		`{"Endpoint":{"ID":"i-1"},"Addr":"10.0.0.1:0","Service":"svc","Zone":"z1"}`,
+		`{"Endpoint":{"ID":"i-1"},"Addr":"10.0.0.1:80","Service":"svc","Zone":"z1","Capacity":{"CPUMilli":-1}}`,
+		`{"Endpoint":{"ID":"i-1"},"Addr":"10.0.0.1:80","Service":"svc","Zone":"z1","Seq":9000000000000000000}`,
+		`{"Endpoint":{"ID":"i-1"},"Addr":"10.0.0.1:80","Service":"another","Zone":"z1"}`,
+		`{"Endpoint":{"ID":"i-1","Born":1e400},"Addr":"10.0.0.1:80","Service":"svc","Zone":"z1"}`,
+	} {
+		server.PutBytes(endpointsTable, a.node.Name, []byte(value))
+		if n, found, err := a.tryReadEndpoint(t.Context()); found || err != nil {
+			t.Errorf("%.80s: found %v, error %v", value, n, err)
+		}
+	}
+	server.PutBytes(endpointsTable, a.node.Name, []byte(`{"Endpoint":{"ID":"i-1"},"Addr":"10.0.0.1:80","Service":"svc","Zone":"z1"}`))
+	if n, found, err := a.tryReadEndpoint(t.Context()); !found || err != nil || n.Addr != "10.0.0.1:80" {
+		t.Errorf("good row: %v, error %v", n, err)
+	}
+}
+
 // A list from an entry that does not check its rows.
 func TestOddMembersOfAListAreNotDialed(t *testing.T) {
 	a := newTestAgent(t, testNode(t, "127.0.0.1:1"))
@@ -26,3 +53,18 @@
 		t.Errorf("known entries: %v", known)
 	}
 }
+
+func TestAnAnnouncementOfAnotherServiceNamesNoEndpoint(t *testing.T) {
+	a := newTestAgent(t, testNode(t, "127.0.0.1:1"))
+	a.ctx = t.Context()
+	a.actor.Start(a.receive)
+	t.Cleanup(a.actor.Shutdown)
+	n := platform.Announcement{Endpoint: dispatch.EndpointID{ID: "i-1"}, Addr: "127.0.0.1:1", Service: "another", Zone: "z1"}
+	if a.Announced(n) {
+		t.Error("an endpoint of another service is acknowledged")
+	}
+	n.Service = a.node.Service
+	if !a.Announced(n) {
+		t.Error("the endpoint is not acknowledged")
+	}
+}
--- a/hosted/agent/remember.go
+++ b/hosted/agent/remember.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -107,8 +108,16 @@
 	if err != nil || !found {
 		return n, false, eris.Wrap(err, "read endpoint")
 	}
-	if err := json.Unmarshal(row.Value, &n); err != nil {
-		return n, false, eris.Wrap(err, "decode stored endpoint")
+	err = row.Err
+	if err == nil {
+		err = json.Unmarshal(row.Value, &n)
+	}
+	if err == nil {
+		err = errors.Join(n.Check(), a.checkService(n))
+	}
+	if err != nil {
+		a.odd.Report(row.Odd(err))
+		return n, false, nil // written by another writer; the endpoint's next heartbeat replaces it
 	}
 	return n, true, nil
 }
