--- a/integration/hosted/cluster.go
+++ b/integration/hosted/cluster.go
@@ -76,6 +76,8 @@
 	// ShardEndpoints is the largest number of endpoints that one entry places tasks
 	// on; 0 means the built-in number.
 	ShardEndpoints int
+	// Prepare is called before the processes start; nil: nothing is.
+	Prepare func(*fake.Store)
 }
 
 // New starts a deployment and waits until all entries are ready.
@@ -90,6 +92,9 @@
 	c := &Cluster{Store: fake.NewStore(), Record: fake.NewRecord(), options: o, t: t, dir: t.TempDir()}
 	serve(t, c.storeAddr(), c.Store)
 	c.SetConfig(1, prefix)
+	if o.Prepare != nil {
+		o.Prepare(c.Store)
+	}
 	for i := range o.Entries {
 		c.Entries = append(c.Entries, c.startHost("entry", i, firstEntry+i))
 	}
