Tests of odd members run an actor, since refused dials are reported to it

Without one, a dial that was refused before the test ended panicked: once in hosted/entry in 'go test -race ./platform/... ./hosted/...'. 30 runs of the tests of hosted/entry and hosted/agent with -race pass now.

--- a/hosted/agent/odd_test.go
+++ b/hosted/agent/odd_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"bergamotwing.example/dispatch"
 	"bergamotwing.example/hosted/mesh"
@@ -38,6 +39,8 @@
 func TestOddMembersOfAListAreNotDialed(t *testing.T) {
 	a := newTestAgent(t, testNode(t, "127.0.0.1:1"))
 	a.ctx = t.Context()
+	a.actor.Start(func(time.Duration, any) {})
+	t.Cleanup(a.actor.Shutdown)
 	s := a.state
 	s.peers["e"] = &mesh.Peer{Link: &mesh.Link{}}
 	good := wire.Member{Name: "good", Addr: "127.0.0.2:7720"}
--- a/hosted/entry/odd_test.go
+++ b/hosted/entry/odd_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -14,7 +15,7 @@
 	"bergamotwing.example/wire"
 )
 
-// newTestState returns the state of an entry that does not run.
+// newTestState returns the state of an entry whose actor ignores all messages.
 func newTestState(t *testing.T) *state {
 	t.Helper()
 	metrics, err := telemetry.NewMetrics()
@@ -23,6 +24,8 @@
 	}
 	e := New(platform.Node{Name: "e", IP: "127.0.0.1"}, Options{}, control.Deps{Log: zerolog.Nop(), Metrics: metrics})
 	e.ctx = t.Context()
+	e.actor.Start(func(time.Duration, any) {})
+	t.Cleanup(e.actor.Shutdown)
 	return e.state
 }
 
