--- a/hosted/mesh/mesh.go
+++ b/hosted/mesh/mesh.go
@@ -25,6 +25,7 @@
 	dialTimeout    = 300 * time.Millisecond // ten times a round trip between regions
 	redialPause    = 20 * time.Millisecond  // pause after the first failed dial
 	redialPauseMax = 500 * time.Millisecond // pause after many failed dials
+	shortLink      = 100 * time.Millisecond // a link that ends sooner counts as a failed dial
 	acceptorDelay  = 300 * time.Millisecond // how long an entry leaves the first dialing to a new target with a lower address
 	linkedPoll     = 50 * time.Millisecond  // between two checks whether the link that the other side dialed is still open
 )
@@ -143,7 +144,9 @@
 	}
 }
 
-// dialOnce reports whether a link was made and has ended.
+// dialOnce reports whether a link was made, has lasted for shortLink and has ended.
+// Links that end sooner are made anew with a growing pause: an address that reaches an
+// entry linked under another address would otherwise be dialed without end.
 func (m *Mesh) dialOnce(ctx context.Context, addr string) bool {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -154,7 +157,8 @@
 	if err != nil {
 		return false
 	}
-	return m.serve(ctx, l, addr)
+	began := Now()
+	return m.serve(ctx, l, addr) && Now()-began >= shortLink
 }
 
 // serve exchanges hellos and passes messages on until the link ends. It reports
