Failing: a job that its client has given up goes on at its home, and runs twice

The cancel is lost with the link and not sent again: 4 of 4 tasks run 1.3 s later, when the client may send the job again. If the home gets SIGTERM in the meantime, the next home starts all 4 tasks while the old one's runs go on. Commands: go test -count=1 -run 'TestAJobWhoseCancel|TestAJobThatIsSentAgainAfter|TestSubmissionsThat' ./integration/hosted.

--- /dev/null
+++ b/integration/hosted/abandoned_test.go
@@ -0,0 +1,142 @@
+package hosted
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"bergamotwing.example/integration/harness"
+	"bergamotwing.example/platform/fake"
+)
+
+const (
+	abandonedTasks = 4
+	// abandonedTaskMs is longer than the tests of abandoned jobs take after the job's
+	// client has left, and short enough for the job to be admitted.
+	abandonedTaskMs = 2700
+	startLimit      = 500 * time.Millisecond // within which a task starts that a home has to start
+)
+
+// homeAndOthers returns the entry that every entry has as the service's home, and the others.
+func homeAndOthers(t *testing.T, c *Cluster) (home *Host, others []*Host) {
+	t.Helper()
+	harness.Eventually(t, readyLimit, "the entries agree on the home", func() bool {
+		name := lastHome(c.Entries[0])
+		home, others = nil, nil
+		for _, e := range c.Entries {
+			if lastHome(e) != name {
+				return false
+			}
+			if e.Name == name {
+				home = e
+			} else {
+				others = append(others, e)
+			}
+		}
+		return home != nil
+	})
+	return home, others
+}
+
+// lastHome returns the home that an entry has logged last.
+func lastHome(e *Host) string {
+	home := ""
+	for line := range strings.Lines(e.Log()) {
+		var event struct{ Event, To string }
+		if json.Unmarshal([]byte(line), &event) == nil && event.Event == "home_changed" {
+			home = event.To
+		}
+	}
+	return home
+}
+
+// submitInBackground submits a job of long tasks to an entry until leave is called.
+func submitInBackground(t *testing.T, c *Cluster, e *Host, id string) (leave func(), answer <-chan fake.Answer) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	answers := make(chan fake.Answer, 1)
+	go func() { answers <- c.SubmitWithin(ctx, e, prefix, id, fake.Tasks(abandonedTasks, abandonedTaskMs)) }()
+	return cancel, answers
+}
+
+// abandonWhileCut has a client leave an entry while the link between the entry and
+// the home of the client's running job is cut, and restores the link within the
+// entry's lease. It returns when the client left.
+func abandonWhileCut(t *testing.T, c *Cluster, e, home *Host, id string) time.Time {
+	t.Helper()
+	leave, answer := submitInBackground(t, c, e, id)
+	harness.Eventually(t, 2*time.Second, "the tasks run", func() bool { return c.Record.Running() == abandonedTasks })
+	home.Links.Disconnect(e.Name)
+	e.Links.Disconnect(home.Name)
+	leave()
+	left := time.Now()
+	<-answer
+	harness.Eventually(t, time.Second, "the entry has cancelled the job", func() bool {
+		return strings.Contains(e.Log(), `"event":"job_abandoned","job":"`+id)
+	})
+	home.Links.Heal(e.Name)
+	e.Links.Heal(home.Name)
+	return left
+}
+
+// A cancel that is lost with its link left the job running, if the link was restored
+// within the entry's lease.
+func TestAJobWhoseCancelIsLostWithTheLinkIsOverBeforeItIsSentAgain(t *testing.T) {
+	c := Start(t, Options{Entries: 2, Agents: 2, Proxied: true})
+	home, others := homeAndOthers(t, c)
+	left := abandonWhileCut(t, c, others[0], home, NewJobID())
+	if !harness.Poll(fake.ResendAfter-time.Since(left), func() bool { return c.Record.Running() == 0 }) {
+		t.Errorf("%d of %d tasks run %v after the client left", c.Record.Running(), abandonedTasks, time.Since(left))
+	}
+	if strings.Contains(home.Log(), `"event":"entry_lost"`) {
+		t.Error("the link was not restored within the entry's lease: nothing was tested")
+	}
+}
+
+// The job went on at its old home, which drained, while the new home ran it again.
+func TestAJobThatIsSentAgainAfterItsHomeHasMovedDoesNotRunTwice(t *testing.T) {
+	c := Start(t, Options{Entries: 3, Agents: 3, Proxied: true})
+	home, others := homeAndOthers(t, c)
+	id := NewJobID()
+	left := abandonWhileCut(t, c, others[0], home, id)
+	time.Sleep(300 * time.Millisecond)
+	if err := home.Terminate(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Until(left.Add(fake.ResendAfter)))
+	if a := c.Submit(others[1], id, fake.Tasks(abandonedTasks, 500)); !a.Completed() {
+		t.Errorf("the job that was sent again: %+v", a)
+	}
+	for _, task := range c.Record.Overlapping() {
+		t.Errorf("ran twice at the same time: %s", task)
+	}
+}
+
+// A submission that had waited at a frozen home was started, although its client had
+// been answered in the meantime.
+func TestSubmissionsThatWaitedAtAFrozenHomeStartNothing(t *testing.T) {
+	const rounds = 8 // the order in which a thawed process handles what has waited differs
+	c := Start(t, Options{Entries: 2, Agents: 2, Proxied: true})
+	for range rounds {
+		home, others := homeAndOthers(t, c)
+		id := NewJobID()
+		if err := home.Freeze(); err != nil {
+			t.Fatal(err)
+		}
+		leave, answer := submitInBackground(t, c, others[0], id)
+		a := <-answer
+		leave()
+		if err := home.Thaw(); err != nil {
+			t.Fatal(err)
+		}
+		if !a.Retryable() {
+			t.Errorf("the client is answered %+v, want an answer at which it sends the job again", a)
+		}
+		time.Sleep(startLimit)
+		if n := c.Record.Starts(id); n != 0 {
+			t.Errorf("%d tasks started after the client was answered", n)
+		}
+	}
+}
