A resubmission that waits is cancelled by its own caller only

A closed job that is submitted again waits for its runs to end. Scheduler.Cancel went by the caller of the closed job: a late cancel of that caller dropped the other entry's resubmission without an answer, and a cancel of the entry that had resubmitted it did nothing, so that the job ran for nobody. Cancel now goes by the caller of what it cancels, as EndEarly does. TestAResubmissionThatWaitsIsCancelledByItsOwnCaller fails in both cases without it.

--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -192,18 +192,17 @@
 }
 
 // Cancel closes the job of a caller that no longer waits for it, and stops its
-// runs.
+// runs. A closed job is not submitted again for that caller.
 func (s *Scheduler) Cancel(now Time, id string, caller Owner) {
 	j := s.jobs[id]
-	if j == nil || j.sub.Caller != caller {
-		return
-	}
-	if j.closed {
+	switch {
+	case j == nil:
+	case !j.closed && j.sub.Caller == caller:
+		s.closeJob(now, j)
+		s.place(now)
+	case j.resubmitted != nil && j.resubmitted.Caller == caller:
 		j.resubmitted = nil
-		return
 	}
-	s.closeJob(now, j)
-	s.place(now)
 }
 
 // EndEarly answers a job that its caller cannot wait for, and stops its runs.
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -237,6 +237,26 @@
 	}
 }
 
+// A resubmission that waits for the runs of its closed job to end belongs to its own
+// caller, not to that of the closed job.
+func TestAResubmissionThatWaitsIsCancelledByItsOwnCaller(t *testing.T) {
+	for _, tc := range []struct {
+		cancels Owner
+		orders  int
+	}{{callerA, 1}, {callerB, 0}} {
+		b := newBed(t, "e1")
+		b.submit("j", callerA, 0, step(1))
+		first, _, _ := b.take()
+		b.s.Cancel(b.now, "j", callerA)
+		b.submit("j", callerB, 0, step(1))
+		b.s.Cancel(b.now, "j", tc.cancels)
+		b.end(first[0], EndStopped)
+		if orders, _, _ := b.take(); len(orders) != tc.orders {
+			t.Errorf("cancelled by %s: %d orders, want %d", tc.cancels.Entry, len(orders), tc.orders)
+		}
+	}
+}
+
 func TestTheSameJobAgainJoinsTheOneThatIsOpen(t *testing.T) {
 	b := newBed(t, "e1")
 	b.submit("j", callerA, 0, step(1))
