Entries tell a home on each new link which jobs they still wait for

Cause: an entry sends JobCancel once. A cancel that is lost with the link to the home was never made good if the link was restored within the entry's lease, nor was the drop of all requests by an entry that had answered them 502 and linked to the same home again. The job ran on to its deadline. On each new link an entry now lists the jobs that it still waits for there, as agents list the orders that they keep; the home cancels the entry's other jobs, and resubmissions of them that wait. The list follows the JobSubmits on the same link, so it can not name fewer jobs than the home has been sent on it. A list on a link that the sender has already replaced may cancel a job that is waited for: it comes again with the next link. A link ends at a message of an unknown kind. The hello now carries the highest kind that its sender knows, and the list goes only to entries that know it; builds without it ignore the field (TestFieldsThatThisBuildDoesNotKnowAreIgnored) and are as before. The round trip of wire's messages stopped at the first unused number: kinds 30 to 43 were not tested. They are now, and round trip.

--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -192,16 +192,22 @@
 }
 
 // Cancel closes the job of a caller that no longer waits for it, and stops its
-// runs. A closed job is not submitted again for that caller.
-func (s *Scheduler) Cancel(now Time, id string, caller Owner) {
+// runs. A closed job is not submitted again for that caller. It reports whether the
+// caller had such a job.
+func (s *Scheduler) Cancel(now Time, id string, caller Owner) bool {
 	j := s.jobs[id]
 	switch {
 	case j == nil:
+		return false
 	case !j.closed && j.sub.Caller == caller:
 		s.closeJob(now, j)
 		s.place(now)
+		return true
 	case j.resubmitted != nil && j.resubmitted.Caller == caller:
 		j.resubmitted = nil
+		return true
+	default:
+		return false
 	}
 }
 
@@ -220,11 +226,20 @@
 	}
 }
 
-// CallerLost cancels the jobs of a lost entry.
-func (s *Scheduler) CallerLost(now Time, caller Owner) {
+// CancelOthers cancels the jobs of a caller other than those that it waits for, and
+// returns how many they are.
+func (s *Scheduler) CancelOthers(now Time, caller Owner, waitsFor []string) int {
+	kept := make(map[string]bool, len(waitsFor))
+	for _, id := range waitsFor {
+		kept[id] = true
+	}
+	n := 0
 	for _, id := range s.jobIDs() {
-		s.Cancel(now, id, caller)
+		if !kept[id] && s.Cancel(now, id, caller) {
+			n++
+		}
 	}
+	return n
 }
 
 func (s *Scheduler) jobIDs() []string {
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -257,6 +257,35 @@
 	}
 }
 
+func TestTheJobsThatACallerNoLongerWaitsForAreCancelled(t *testing.T) {
+	b := newBed(t, "e1")
+	b.submit("waits", callerA, 0, step(1))
+	b.submit("left", callerA, 0, step(1))
+	b.submit("sent again", callerA, 0, step(1))
+	b.submit("other", callerB, 0, step(1))
+	b.s.Cancel(b.now, "sent again", callerA)
+	b.submit("sent again", callerA, 0, step(1))
+	orders, _, _ := b.take()
+	if n := b.s.CancelOthers(b.now, callerA, []string{"waits", "unknown"}); n != 2 {
+		t.Errorf("%d jobs cancelled, want 2", n)
+	}
+	if _, _, cancels := b.take(); len(cancels) != 1 || cancels[0].Task.Job != "left" {
+		t.Errorf("runs stopped: %+v", cancels)
+	}
+	for _, a := range orders {
+		b.end(a, EndStopped)
+	}
+	again, _, _ := b.take()
+	for _, a := range again {
+		if a.Job != "waits" && a.Job != "other" {
+			t.Errorf("%s starts again", a.Job)
+		}
+	}
+	if len(again) != 2 {
+		t.Errorf("%d tasks start again, want 2", len(again))
+	}
+}
+
 func TestTheSameJobAgainJoinsTheOneThatIsOpen(t *testing.T) {
 	b := newBed(t, "e1")
 	b.submit("j", callerA, 0, step(1))
@@ -478,7 +507,7 @@
 	b := newBed(t, "e1")
 	b.submit("j", callerA, 0, step(1))
 	orders, _, _ := b.take()
-	b.s.CallerLost(b.now, callerA)
+	b.s.CancelOthers(b.now, callerA, nil)
 	b.end(orders[0], EndStopped)
 	b.submit("running", callerB, 0, Step{Count: 4, Need: Resources{CPUMilli: 1000}, Estimate: time.Second})
 	b.take()
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -293,9 +293,8 @@
 		return
 	}
 	p := s.peers[r.home.Entry]
-	// A home that does not receive this cancels the job if this entry's lease
-	// expires. If the link is restored before that, the job runs on: JobCancel is
-	// not resent.
+	// A home that does not receive this cancels the job at the next JobsOpen, or
+	// when this entry's lease expires.
 	if p == nil || p.Send(&wire.JobCancel{Job: r.job.ID}) != nil {
 		s.e.deps.Metrics.Count("bergamotwing_cancels_undelivered_total", "Cancels of jobs that no link to their home took.", 1)
 		s.e.deps.Log.Warn().Str("event", "cancel_undelivered").Str("job", r.job.ID).Str("home", r.home.Entry).Msg("job not cancelled at its home: no link")
--- a/hosted/entry/entry.go
+++ b/hosted/entry/entry.go
@@ -67,7 +67,7 @@
 	e.self = wire.NodeHello{
 		Name: node.Name, Incarnation: control.NewIncarnation(), Role: wire.RoleEntry, Zone: node.Zone,
 		Addr:  net.JoinHostPort(node.IP, strconv.Itoa(node.LinkPort)),
-		Cores: node.Cores, LinkMbps: node.LinkMbps,
+		Cores: node.Cores, LinkMbps: node.LinkMbps, NewestKind: wire.NewestKind,
 	}
 	if e.opts.ShardEndpoints == 0 {
 		e.opts.ShardEndpoints = dispatch.ShardEndpoints
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -54,13 +54,19 @@
 	return (l.Dialed != "") == (s.e.self.Addr < l.Hello.Addr)
 }
 
-// resume resends the requests that a broken link may have lost.
+// resume resends the requests that a broken link may have lost, and lists them, so
+// that the other side cancels the jobs whose cancels were lost.
 func (s *state) resume(now time.Duration, p *mesh.Peer, owner dispatch.Owner) {
-	for _, r := range s.requests {
+	open := &wire.JobsOpen{}
+	for id, r := range s.requests {
 		if r.home == owner {
+			open.Jobs = append(open.Jobs, id)
 			_ = p.Send(&wire.JobSubmit{Job: r.job, Route: r.route, Shard: r.shard.Index, Wait: r.deadline - now, MayHaveRun: true}) // a closed link is reported as down
 		}
 	}
+	if p.Hello.NewestKind >= wire.KindJobsOpen {
+		_ = p.Send(open) // a closed link is reported as down
+	}
 }
 
 func (s *state) linkDown(now time.Duration, l *mesh.Link) {
@@ -143,7 +149,7 @@
 func (s *state) entryLost(now time.Duration, owner dispatch.Owner, why string) {
 	s.e.deps.Log.Warn().Str("event", "entry_lost").Str("entry", owner.Entry).Str("reason", why).Msg("entry lost")
 	for _, sched := range s.schedulers {
-		sched.CallerLost(now, owner)
+		sched.CancelOthers(now, owner, nil)
 	}
 	for id, r := range s.requests {
 		if r.home == owner {
@@ -202,6 +208,8 @@
 		for _, sched := range s.schedulers {
 			sched.Cancel(now, m.Job, owner)
 		}
+	case *wire.JobsOpen:
+		s.reconcile(now, owner, m.Jobs)
 	case *wire.JobEnd:
 		if r := s.requests[m.Job]; r != nil && r.home == owner {
 			s.jobEnded(now, r, m.Outcome)
@@ -220,6 +228,19 @@
 	}
 }
 
+// reconcile cancels the jobs of an entry that no longer waits for them. Their cancels
+// were lost with an earlier link.
+func (s *state) reconcile(now time.Duration, owner dispatch.Owner, open []string) {
+	n := 0
+	for _, sched := range s.schedulers {
+		n += sched.CancelOthers(now, owner, open)
+	}
+	if n > 0 {
+		s.e.deps.Metrics.Count("bergamotwing_jobs_reconciled_total", "Jobs cancelled since their entry no longer waited for them when it was linked again.", int64(n))
+		s.e.deps.Log.Warn().Str("event", "jobs_reconciled").Str("entry", owner.Entry).Int("cancelled", n).Msg("jobs cancelled that an entry no longer waits for")
+	}
+}
+
 // submitted accepts a job from another entry, or resends its outcome if it has ended.
 func (s *state) submitted(now time.Duration, p *mesh.Peer, owner dispatch.Owner, m *wire.JobSubmit) {
 	if r, ok := s.recent[m.Job.ID]; ok && r.caller == owner {
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -38,6 +39,22 @@
 	KindHandover:       messages[Handover](),
 	KindHandoverAck:    messages[HandoverAck](),
 	KindSuccessor:      messages[Successor](),
+
+	KindNodeHello:      messages[NodeHello](),
+	KindNodeHeartbeat:  messages[NodeHeartbeat](),
+	KindOperatorUpdate: messages[OperatorUpdate](),
+	KindMembers:        messages[Members](),
+	KindJobSubmit:      messages[JobSubmit](),
+	KindJobCancel:      messages[JobCancel](),
+	KindJobEnd:         jobEnds(),
+	KindEndpointReport: messages[EndpointReport](),
+	KindEndpointGone:   messages[EndpointGone](),
+	KindRunsKept:       messages[RunsKept](),
+	KindRunOrder:       messages[RunOrder](),
+	KindRunStop:        messages[RunStop](),
+	KindRunEnd:         messages[RunEnd](),
+	KindShardCounts:    messages[ShardCounts](),
+	KindJobsOpen:       messages[JobsOpen](),
 }
 
 func messages[T any, P interface {
@@ -55,12 +72,26 @@
 	})
 }
 
+// jobEnds leaves out the outcome's field that is not sent.
+func jobEnds() *rapid.Generator[Message] {
+	return rapid.Map(rapid.Make[JobEnd](), func(m JobEnd) Message {
+		m.Outcome.Home = ""
+		return &m
+	})
+}
+
 // sameMessages compares what the encoding preserves: an empty list may be decoded as nil.
 var sameMessages = cmp.Options{cmpopts.EquateEmpty(), cmpopts.EquateNaNs()}
 
 func TestEveryKindHasAMessageANameAndAGenerator(t *testing.T) {
 	names := map[string]Kind{}
-	for k := Kind(1); newMessage(k) != nil; k++ {
+	for k := Kind(1); k < math.MaxUint8; k++ {
+		if newMessage(k) == nil {
+			continue
+		}
+		if k > NewestKind {
+			t.Errorf("kind %d is known and higher than NewestKind", k)
+		}
 		if got := KindOf(newMessage(k)); got != k {
 			t.Errorf("kind %d makes a message of kind %d", k, got)
 		}
@@ -96,6 +127,23 @@
 	}
 }
 
+// Processes of the build before and after a change are linked to each other during an
+// upgrade.
+func TestFieldsThatThisBuildDoesNotKnowAreIgnored(t *testing.T) {
+	frame, err := encMode.Marshal(KindNodeHello)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := encMode.Marshal(map[int]any{1: "name", 99: []string{"unknown"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := DecodeFrame(append(frame, body...))
+	if diff := cmp.Diff([]Message{&NodeHello{Name: "name"}}, got); diff != "" || err != nil {
+		t.Error(err, diff)
+	}
+}
+
 func TestDecodedMessagesShareNoMemoryWithTheFrame(t *testing.T) {
 	frame, err := AppendMessage(nil, &Forward{Body: []byte("body"), Ticket: "ticket"})
 	if err != nil {
--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -24,6 +24,7 @@
 	Addr        string      `cbor:"5,keyasint,omitempty"` // IP:port of the listener for links; entries only
 	Cores       float64     `cbor:"6,keyasint,omitempty"` // processor time that the process may use, in cores; entries only
 	LinkMbps    float64     `cbor:"7,keyasint,omitempty"` // bandwidth of the host; entries only
+	NewestKind  Kind        `cbor:"8,keyasint,omitempty"` // of message that the sender knows; 0: KindShardCounts
 }
 
 // NodeHeartbeat is the heartbeat between entries, and between entries and agents.
@@ -82,6 +83,12 @@
 	Job string `cbor:"1,keyasint"`
 }
 
+// JobsOpen lists, on a new link, the jobs whose outcomes the sender still waits for at
+// the receiver. The receiver cancels the sender's other jobs.
+type JobsOpen struct {
+	Jobs []string `cbor:"1,keyasint"`
+}
+
 // JobEnd answers a JobSubmit.
 type JobEnd struct {
 	Job     string           `cbor:"1,keyasint"`
--- a/wire/kinds.go
+++ b/wire/kinds.go
@@ -45,6 +45,11 @@
 	KindRunStop        Kind = 41
 	KindRunEnd         Kind = 42
 	KindShardCounts    Kind = 43
+	KindJobsOpen       Kind = 44
+
+	// NewestKind is the highest kind that this build knows. A link ends at a message of
+	// an unknown kind.
+	NewestKind = KindJobsOpen
 )
 
 func (*AgentHello) kind() Kind     { return KindAgentHello }
@@ -77,6 +82,7 @@
 func (*NodeHeartbeat) kind() Kind  { return KindNodeHeartbeat }
 func (*OperatorUpdate) kind() Kind { return KindOperatorUpdate }
 func (*ShardCounts) kind() Kind    { return KindShardCounts }
+func (*JobsOpen) kind() Kind       { return KindJobsOpen }
 func (*Members) kind() Kind        { return KindMembers }
 func (*JobSubmit) kind() Kind      { return KindJobSubmit }
 func (*JobCancel) kind() Kind      { return KindJobCancel }
@@ -169,6 +175,8 @@
 		return &RunEnd{}
 	case KindShardCounts:
 		return &ShardCounts{}
+	case KindJobsOpen:
+		return &JobsOpen{}
 	default:
 		return nil
 	}
@@ -258,6 +266,8 @@
 		return "run_end"
 	case KindShardCounts:
 		return "shard_counts"
+	case KindJobsOpen:
+		return "jobs_open"
 	default:
 		return "unknown"
 	}
