A home refuses submissions that have been on their way for longer than the entry's lease

Cause: JobSubmit had no age. One that had waited at a frozen home, or in a partition, was started on arrival, with the client's whole wait before it. It now echoes the newest reading of the home's clock that the entry has received, as orders echo an agent's. The home refuses it once that reading is older than the entry's lease, sends a heartbeat, and answers start_too_late. An entry that still waits submits the job again with that new reading, so a first submission to an entry that sent idle heartbeats until then costs one round trip more and nothing is refused to a client. MayHaveRun is kept: it is set on every link but the one that carried the first submission. On a new link requests are resumed at the first heartbeat, half a round trip later than before, since only then is there a reading. Builds without the field send none and are not refused.

--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -75,6 +75,7 @@
 	shard       dispatch.Shard
 	home        dispatch.Owner // entry that has the job
 	shardsTried int            // shards where the job's tasks fit no endpoint
+	firstPeer   *mesh.Peer     // link on which the job was first submitted to home
 }
 
 type recentEnd struct {
@@ -203,7 +204,7 @@
 	}
 	r := &request{submit: m, shard: s.shardOfJob(m.route.Service, m.job.ID)}
 	if old := s.requests[m.job.ID]; old != nil {
-		r.shard, r.home = old.shard, old.home // the entry that has the job's runs
+		r.shard, r.home, r.firstPeer = old.shard, old.home, old.firstPeer // the entry that has the job's runs
 		s.answer(m.job.ID, dispatch.Outcome{Code: result.OutcomeUnknown, Detail: "sent again on another connection"})
 	}
 	s.requests[m.job.ID] = r
@@ -241,10 +242,24 @@
 		return false
 	}
 	r.home = p.Owner()
-	_ = p.Send(&wire.JobSubmit{Job: r.job, Route: r.route, Shard: r.shard.Index, Wait: r.deadline - now}) // resent on the next link
+	s.sendSubmit(now, p, r)
 	return true
 }
 
+// sendSubmit sends a request to its home. On a new link, resume does so once the first
+// heartbeat has brought a reading of the home's clock.
+func (s *state) sendSubmit(now time.Duration, p *mesh.Peer, r *request) {
+	if p.Clock == 0 {
+		return
+	}
+	if r.firstPeer == nil {
+		r.firstPeer = p
+	}
+	_ = p.Send(&wire.JobSubmit{ // resent on the next link
+		Job: r.job, Route: r.route, Shard: r.shard.Index, Wait: r.deadline - now, MayHaveRun: r.firstPeer != p, Echo: p.Clock,
+	})
+}
+
 // jobEnded handles the outcome that a job's home reports. A job whose tasks fit
 // no endpoint of its shard has not run, and is submitted to the next shard.
 func (s *state) jobEnded(now time.Duration, r *request, out dispatch.Outcome) {
@@ -254,6 +269,7 @@
 		return
 	}
 	r.shard.Index = (r.shard.Index + 1) % count
+	r.firstPeer = nil
 	s.submitToHome(now, r)
 }
 
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -40,7 +40,6 @@
 	s.sendOperator(p)
 	_ = p.Send(s.memberList()) // a closed link is reported as down
 	_ = p.Send(s.shardCountsMessage())
-	s.resume(now, p, owner)
 	s.e.deps.Log.Info().Str("event", "entry_linked").Str("entry", name).Msg("entry linked")
 }
 
@@ -56,12 +55,12 @@
 
 // resume resends the requests that a broken link may have lost, and lists them, so
 // that the other side cancels the jobs whose cancels were lost.
-func (s *state) resume(now time.Duration, p *mesh.Peer, owner dispatch.Owner) {
+func (s *state) resume(now time.Duration, p *mesh.Peer) {
 	open := &wire.JobsOpen{}
 	for id, r := range s.requests {
-		if r.home == owner {
+		if r.home == p.Owner() {
 			open.Jobs = append(open.Jobs, id)
-			_ = p.Send(&wire.JobSubmit{Job: r.job, Route: r.route, Shard: r.shard.Index, Wait: r.deadline - now, MayHaveRun: true}) // a closed link is reported as down
+			s.sendSubmit(now, p, r)
 		}
 	}
 	if p.Hello.NewestKind >= wire.KindJobsOpen {
@@ -211,7 +210,11 @@
 	case *wire.JobsOpen:
 		s.reconcile(now, owner, m.Jobs)
 	case *wire.JobEnd:
-		if r := s.requests[m.Job]; r != nil && r.home == owner {
+		switch r := s.requests[m.Job]; {
+		case r == nil || r.home != owner:
+		case m.Outcome.Code == result.StartTooLate:
+			s.sendSubmit(now, p, r) // with the reading of the heartbeat that came before
+		default:
 			s.jobEnded(now, r, m.Outcome)
 		}
 	}
@@ -223,6 +226,9 @@
 	joins, leaves := p.Clock == 0, m.Draining && !p.LastHeartbeat.Draining
 	p.ReceiveHeartbeat(now, m)
 	s.sendOperatorIfOutdated(p)
+	if joins {
+		s.resume(now, p)
+	}
 	if joins || leaves {
 		s.chooseHomes(now)
 	}
@@ -242,6 +248,8 @@
 }
 
 // submitted accepts a job from another entry, or resends its outcome if it has ended.
+// A submission that has been on its way for longer than the entry's lease is refused:
+// the entry may have answered its client since.
 func (s *state) submitted(now time.Duration, p *mesh.Peer, owner dispatch.Owner, m *wire.JobSubmit) {
 	if r, ok := s.recent[m.Job.ID]; ok && r.caller == owner {
 		r.sent = now
@@ -249,6 +257,13 @@
 		_ = p.Send(&wire.JobEnd{Job: m.Job.ID, Outcome: r.outcome}) // resent on the next link
 		return
 	}
+	if age := now - m.Echo; m.Echo > 0 && age > s.timing.EntryLease {
+		s.e.deps.Metrics.Count("bergamotwing_submissions_stale_total", "Submissions of other entries that came too late.", 1)
+		s.e.deps.Log.Warn().Str("event", "submission_stale").Str("job", m.Job.ID).Str("entry", owner.Entry).Dur("age_ms", age).Msg("submission refused: it came too late")
+		p.SendHeartbeat(now, s.heartbeat())
+		_ = p.Send(&wire.JobEnd{Job: m.Job.ID, Outcome: dispatch.Outcome{Code: result.StartTooLate}}) // submitted again on the next link
+		return
+	}
 	s.scheduler(dispatch.Shard{Service: m.Route.Service, Index: m.Shard}).Submit(now, dispatch.Submission{
 		Caller: owner, Job: m.Job, Route: m.Route, Deadline: now + m.Wait, MayHaveRun: m.MayHaveRun,
 	})
--- /dev/null
+++ b/hosted/entry/submit_test.go
@@ -0,0 +1,179 @@
+package entry
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"bergamotwing.example/dispatch"
+	"bergamotwing.example/hosted/control"
+	"bergamotwing.example/hosted/mesh"
+	"bergamotwing.example/platform"
+	"bergamotwing.example/result"
+	"bergamotwing.example/telemetry"
+	"bergamotwing.example/wire"
+)
+
+var (
+	other     = dispatch.Owner{Entry: "other", Incarnation: 1}
+	testRoute = dispatch.Route{Name: "r", Service: "svc", MaxAttempts: 3, Stretch: 3, TargetLatency: time.Minute}
+)
+
+// newEntry returns an entry whose messages the test passes to receive.
+func newEntry(t *testing.T) *Entry {
+	t.Helper()
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return New(platform.Node{Name: "e"}, Options{}, control.Deps{Log: zerolog.Nop(), Metrics: metrics})
+}
+
+// linkOther links an entry to another one that knows kinds of messages up to newest,
+// and returns the link and what the other entry receives from then on.
+func linkOther(t *testing.T, e *Entry, newest wire.Kind) (*mesh.Link, <-chan wire.Message) {
+	t.Helper()
+	obs := wire.Count(e.deps.Metrics)
+	links := make(chan *wire.Link, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		l, err := wire.Accept(w, r, obs)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		links <- l
+		_ = l.Serve(t.Context(), func(wire.Message) {})
+	}))
+	t.Cleanup(server.Close)
+	far, err := wire.Dial(t.Context(), strings.TrimPrefix(server.URL, "http://"), "/", "", nil, obs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(far.Close)
+	received := make(chan wire.Message, 16)
+	go func() { _ = far.Serve(t.Context(), func(m wire.Message) { received <- m }) }()
+	hello := wire.NodeHello{Name: other.Entry, Incarnation: wire.Incarnation(other.Incarnation), Role: wire.RoleEntry, NewestKind: newest}
+	l := &mesh.Link{Link: <-links, Hello: hello}
+	e.receive(mesh.Now(), control.LinkUp{Link: l})
+	return l, received
+}
+
+// next returns the next message of a type.
+func next[M wire.Message](t *testing.T, received <-chan wire.Message) M {
+	t.Helper()
+	for timeout := time.After(stopTime); ; {
+		select {
+		case m := <-received:
+			if m, ok := m.(M); ok {
+				return m
+			}
+		case <-timeout:
+			t.Fatalf("no %T", *new(M))
+		}
+	}
+}
+
+func job(id string) dispatch.Job {
+	return dispatch.Job{ID: id, Steps: []dispatch.Step{{Count: 1, Need: dispatch.Resources{CPUMilli: 1000}, Estimate: time.Second}}}
+}
+
+// A submission may wait in a partition or at a frozen home for longer than its entry
+// counts as alive, and be answered to its client in the meantime.
+func TestASubmissionThatComesTooLateIsRefusedUnlessItsBuildSendsNoEcho(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		age     time.Duration // of the echo; 0: none
+		refused bool
+	}{
+		{"in time", 200 * time.Millisecond, false},
+		{"late", 400 * time.Millisecond, true},
+		{"without an echo", 0, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			e := newEntry(t)
+			l, received := linkOther(t, e, wire.NewestKind)
+			now := mesh.Now()
+			m := &wire.JobSubmit{Job: job("j"), Route: testRoute, Wait: time.Minute}
+			if tc.age > 0 {
+				m.Echo = now - tc.age
+			}
+			e.receive(now, control.Received{Link: l, Message: m})
+			if open := e.state.openJobs(); (open == 0) != tc.refused {
+				t.Errorf("%d open jobs", open)
+			}
+			if !tc.refused {
+				return
+			}
+			next[*wire.NodeHeartbeat](t, received) // of the new link
+			if b := next[*wire.NodeHeartbeat](t, received); b.Clock != now {
+				t.Errorf("the entry is given a reading of %v before, want that of the refusal", now-b.Clock)
+			}
+			if end := next[*wire.JobEnd](t, received); end.Outcome.Code != result.StartTooLate {
+				t.Errorf("outcome %v", end.Outcome.Code)
+			}
+		})
+	}
+}
+
+// A request is submitted again with a newer echo after a refusal, and on each new link.
+// Only what an earlier link has carried may have run.
+func TestARequestIsSubmittedWithTheNewestEchoOfItsHome(t *testing.T) {
+	e := newEntry(t)
+	l, received := linkOther(t, e, wire.NewestKind)
+	request := &request{submit: submit{job: job("j"), route: testRoute, reply: make(chan dispatch.Outcome, 1)}, home: other}
+	e.state.requests["j"] = request
+	beat := func(clock time.Duration) {
+		e.receive(mesh.Now(), control.Received{Link: l, Message: &wire.NodeHeartbeat{Clock: clock}})
+	}
+	want := func(echo time.Duration, mayHaveRun bool) {
+		t.Helper()
+		if m := next[*wire.JobSubmit](t, received); m.Echo != echo || m.MayHaveRun != mayHaveRun {
+			t.Errorf("submitted with echo %d, may have run %v, want %d and %v", m.Echo, m.MayHaveRun, echo, mayHaveRun)
+		}
+	}
+	refuse := func() {
+		e.receive(mesh.Now(), control.Received{Link: l, Message: &wire.JobEnd{Job: "j", Outcome: dispatch.Outcome{Code: result.StartTooLate}}})
+	}
+	beat(1)
+	want(1, false)
+	beat(2)
+	refuse()
+	want(2, false)
+	e.receive(mesh.Now(), control.LinkDown{Link: l})
+	l, received = linkOther(t, e, wire.NewestKind)
+	beat(3)
+	want(3, true)
+	beat(4)
+	refuse()
+	want(4, true)
+	if len(request.reply) > 0 {
+		t.Error("the client is answered")
+	}
+}
+
+func TestAnEntryThatDoesNotKnowJobsOpenIsNotSentIt(t *testing.T) {
+	for newest, want := range map[wire.Kind]bool{0: false, wire.KindJobsOpen: true} {
+		e := newEntry(t)
+		l, received := linkOther(t, e, newest)
+		e.state.requests["j"] = &request{submit: submit{job: job("j"), route: testRoute}, home: other}
+		e.receive(mesh.Now(), control.Received{Link: l, Message: &wire.NodeHeartbeat{Clock: 1}})
+		next[*wire.JobSubmit](t, received)
+		_ = l.Send(&wire.JobCancel{Job: "last"})
+		for sent := false; ; {
+			m := next[wire.Message](t, received)
+			if open, ok := m.(*wire.JobsOpen); ok {
+				sent = len(open.Jobs) == 1 && open.Jobs[0] == "j"
+			}
+			if _, last := m.(*wire.JobCancel); last {
+				if sent != want {
+					t.Errorf("newest kind %d: sent %v, want %v", newest, sent, want)
+				}
+				break
+			}
+		}
+	}
+}
--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -69,6 +69,7 @@
 	Wait       time.Duration  `cbor:"3,keyasint"` // time left until the client stops waiting
 	MayHaveRun bool           `cbor:"4,keyasint,omitempty"`
 	Shard      int            `cbor:"5,keyasint,omitempty"` // of the service, from 0
+	Echo       time.Duration  `cbor:"6,keyasint,omitempty"` // newest clock reading that the sender has received from the receiver; 0: from a build that sends none
 }
 
 // ShardCounts holds the number of shards of each service, as the sender has it.
@@ -89,7 +90,8 @@
 	Jobs []string `cbor:"1,keyasint"`
 }
 
-// JobEnd answers a JobSubmit.
+// JobEnd answers a JobSubmit. The code StartTooLate says that this submission came too
+// late and has started nothing; it may be sent again.
 type JobEnd struct {
 	Job     string           `cbor:"1,keyasint"`
 	Outcome dispatch.Outcome `cbor:"2,keyasint"`
