A job sent again at its entry starts nowhere else while the link to its home is down

A client whose connection is lost silently sends its job again at the entry that still has the request open. The request now takes the place of the open one and waits: the next link resumes it, or the end of the lease answers it outcome_unknown. A request that is open is always at this entry, at a linked one, or at one within its lease, so there is no other case. TestAJobSentAgainWhileTheLinkToItsHomeIsDownStartsNowhereElse fails without it (the job is open here as well). hosted/entry passes.

--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -203,16 +203,17 @@
 		return
 	}
 	r := &request{submit: m, shard: s.shardOfJob(m.route.Service, m.job.ID)}
-	if old := s.requests[m.job.ID]; old != nil {
+	old := s.requests[m.job.ID]
+	if old != nil {
 		r.shard, r.home, r.firstPeer = old.shard, old.home, old.firstPeer // the entry that has the job's runs
 		s.answer(m.job.ID, dispatch.Outcome{Code: result.OutcomeUnknown, Detail: "sent again on another connection"})
 	}
 	s.requests[m.job.ID] = r
-	if s.linked(r.home) {
+	if old == nil {
+		s.submitToHome(now, r)
+	} else if s.linked(r.home) {
 		s.submitTo(now, r, r.home.Entry)
-		return
-	}
-	s.submitToHome(now, r)
+	} // else the next link resumes the request, or entryLost answers it
 }
 
 // linked reports whether an entry is this one or is linked.
--- a/hosted/entry/submit_test.go
+++ b/hosted/entry/submit_test.go
@@ -177,3 +177,24 @@
 		}
 	}
 }
+
+// The home may go on with the job for as long as the entry counts as alive there.
+func TestAJobSentAgainWhileTheLinkToItsHomeIsDownStartsNowhereElse(t *testing.T) {
+	e := newEntry(t)
+	now := mesh.Now()
+	first, second := make(chan dispatch.Outcome, 1), make(chan dispatch.Outcome, 1)
+	e.state.lost[other.Entry] = lostEntry{other, now + e.state.timing.EntryLease}
+	e.state.requests["j"] = &request{submit: submit{job: job("j"), route: testRoute, reply: first}, home: other}
+	e.receive(now, submit{job: job("j"), route: testRoute, deadline: now + time.Minute, reply: second})
+	if open := e.state.openJobs(); open != 1 {
+		t.Errorf("%d open jobs and requests, want the request", open)
+	}
+	e.state.entryLost(now, other, "link not made anew in time")
+	for _, reply := range []chan dispatch.Outcome{first, second} {
+		if len(reply) == 0 {
+			t.Error("a client is not answered")
+		} else if out := <-reply; out.Code != result.OutcomeUnknown {
+			t.Errorf("answered %v", out.Code)
+		}
+	}
+}
