A link made anew does not renew an entry's lease that has ended

Leases of entries are checked at ticks. A home that had been suspended for longer than a lease could handle a new link of an entry before its next tick: the old link was closed, or the loss forgotten, and the lease began anew, so that the home went on with the jobs of an entry that had answered them, until the entry's list of open jobs came. Leases are now checked before a new link is taken. TestALinkMadeAnewAfterTheLeaseDoesNotRenewIt fails without it; hosted/entry passes.

--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -15,6 +15,7 @@
 		s.agentUp(now, l)
 		return
 	}
+	s.checkPeers(now) // a link that was made after a lease has ended must not renew it
 	name := l.Hello.Name
 	owner := l.Owner()
 	if old := s.peers[name]; old != nil {
--- a/hosted/entry/submit_test.go
+++ b/hosted/entry/submit_test.go
@@ -198,3 +198,19 @@
 		}
 	}
 }
+
+// A process that was suspended may handle a new link before a tick.
+func TestALinkMadeAnewAfterTheLeaseDoesNotRenewIt(t *testing.T) {
+	e := newEntry(t)
+	l, _ := linkOther(t, e, wire.NewestKind)
+	e.receive(mesh.Now(), control.Received{Link: l, Message: &wire.JobSubmit{Job: job("j"), Route: testRoute, Wait: time.Minute}})
+	e.state.checkPeers(mesh.Now())
+	if open := e.state.openJobs(); open != 1 {
+		t.Fatalf("%d open jobs", open)
+	}
+	time.Sleep(e.state.timing.EntryLease + 2*tickEvery)
+	linkOther(t, e, wire.NewestKind)
+	if open := e.state.openJobs(); open != 0 {
+		t.Errorf("%d open jobs of an entry that was lost before it was linked again", open)
+	}
+}
