--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -24,6 +24,7 @@
 	Addr        string      `cbor:"5,keyasint,omitempty"` // IP:port of the listener for links; entries only
 	Cores       float64     `cbor:"6,keyasint,omitempty"` // processor time that the process may use, in cores; entries only
 	LinkMbps    float64     `cbor:"7,keyasint,omitempty"` // bandwidth of the host; entries only
+	NewestKind  Kind        `cbor:"8,keyasint,omitempty"` // of message that the sender knows; 0: KindShardCounts
 }
 
 // NodeHeartbeat is the heartbeat between entries, and between entries and agents.
@@ -68,6 +69,7 @@
 	Wait       time.Duration  `cbor:"3,keyasint"` // time left until the client stops waiting
 	MayHaveRun bool           `cbor:"4,keyasint,omitempty"`
 	Shard      int            `cbor:"5,keyasint,omitempty"` // of the service, from 0
+	Echo       time.Duration  `cbor:"6,keyasint,omitempty"` // newest clock reading that the sender has received from the receiver; 0: from a build that sends none
 }
 
 // ShardCounts holds the number of shards of each service, as the sender has it.
@@ -82,7 +84,14 @@
 	Job string `cbor:"1,keyasint"`
 }
 
-// JobEnd answers a JobSubmit.
+// JobsOpen lists, on a new link, the jobs whose outcomes the sender still waits for at
+// the receiver. The receiver cancels the sender's other jobs.
+type JobsOpen struct {
+	Jobs []string `cbor:"1,keyasint"`
+}
+
+// JobEnd answers a JobSubmit. The code StartTooLate says that this submission came too
+// late and has started nothing; it may be sent again.
 type JobEnd struct {
 	Job     string           `cbor:"1,keyasint"`
 	Outcome dispatch.Outcome `cbor:"2,keyasint"`
