Guard.Ended follows from the runs kept

Nothing changes for callers. A guard whose id another lifetime has taken over has ended once it keeps no run; this is now computed where it is asked for, so that finish has no part in it. Run: go test ./dispatch -run TestGuard, go test ./hosted/agent, ok.

--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -142,7 +142,7 @@
 	draining  bool
 	evacuated bool
 	recovered bool // no run of an earlier agent incarnation is left
-	ended     bool // the lifetime is over
+	ended     bool // by End
 
 	runs        map[RunRef]*guardedRun
 	tasks       map[TaskRef]RunRef
@@ -180,7 +180,7 @@
 func (g *Guard) Endpoint() EndpointID { return g.endpoint }
 
 // Ended reports whether the lifetime is over and with it all runs.
-func (g *Guard) Ended() bool { return g.ended }
+func (g *Guard) Ended() bool { return g.ended || g.replaced() && len(g.runs) == 0 }
 
 // Born returns the start of the lifetime that has the endpoint's id, as far as is
 // known. Answers to stops that were sent before it changed must not be passed to
@@ -295,7 +295,7 @@
 // other may still be carried out, so it ends only once the new lifetime has answered
 // a stop.
 func (g *Guard) Replaced(now Time, born int64) {
-	if g.ended || born == g.born {
+	if g.Ended() || born == g.born {
 		return
 	}
 	g.born = born
@@ -308,16 +308,9 @@
 		r.state, r.seenRunning, r.stopAnswered, r.nextStop = runUnknown, 0, 0, 0
 		g.requestStop(now, r)
 	}
-	g.endIfReplaced()
 	g.updateAvailable(now)
 }
 
-// endIfReplaced ends the guarded lifetime once another has taken its id over and no
-// run is left.
-func (g *Guard) endIfReplaced() {
-	g.ended = g.ended || g.replaced() && len(g.runs) == 0
-}
-
 // RenewOwner extends the lease of an owner to a reading of the host's clock.
 func (g *Guard) RenewOwner(owner Owner, until Time) {
 	g.owners[owner] = max(g.owners[owner], until)
@@ -431,7 +424,7 @@
 // Polled processes the endpoint's answer to a poll. received is the host's clock
 // when the answer arrived.
 func (g *Guard) Polled(now, received Time, s Snapshot) {
-	if g.ended {
+	if g.Ended() {
 		return
 	}
 	if g.replaced() && s.Born < g.born {
@@ -571,7 +564,6 @@
 	delete(g.runs, r.ref)
 	delete(g.tasks, r.ref.Task)
 	g.used = g.used.Sub(r.need)
-	g.endIfReplaced()
 	g.emit(GuardAction{Kind: ReportEnd, Owner: r.owner, Order: r.order, Run: r.ref, Reason: reason, Age: now - r.ordered})
 }
 
@@ -581,7 +573,7 @@
 // for runs of an earlier agent incarnation, and updates whether the endpoint is
 // available. It has to be called regularly.
 func (g *Guard) Tick(now Time) {
-	if g.ended {
+	if g.Ended() {
 		return
 	}
 	g.stopUnowned(now)
