--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -45,7 +45,7 @@
 
 // RunningRun is a run that an endpoint lists as running.
 type RunningRun struct {
-	Run     RunRef
+	Run     RunRef  // Run.Run is 0 if the number cannot be read: the task runs, and it is not known which run
 	Percent float64 // of its work that is done
 }
 
@@ -62,6 +62,7 @@
 	Born    int64 // start of the lifetime; 0 if not stated
 	Running []RunningRun
 	Ended   []EndedRun
+	Odd     int // rows that cannot be read, in whole or in part
 }
 
 // Order is an owner's order to start a run.
@@ -113,10 +114,12 @@
 	owner         Owner
 	need          Resources
 	state         runState
+	listed        bool // as running: the call was carried out
 	ordered       Time
 	until         Time // endpoint's clock: the start is refused after it
 	seenRunning   Time // endpoint's clock: last listed or acknowledged as running
 	stopRequested bool
+	stopBy        Time // host clock: no lease outlasts it once a stop is requested
 	nextStop      Time
 	stopAnswered  Time // endpoint's clock, 0: no answer yet
 }
@@ -125,8 +128,13 @@
 // while the owner's lease is valid and the endpoint is available and has free
 // capacity. It reports a run as ended only when the run is certain not to be
 // running.
+//
+// A call reaches whatever lifetime has the endpoint's id. Once another lifetime
+// has taken the id over, the guard starts nothing, and only stops the runs whose
+// start may still be carried out there.
 type Guard struct {
 	endpoint EndpointID
+	born     int64 // of the lifetime that has the endpoint's id
 	service  string
 	zone     string
 	capacity Resources
@@ -136,7 +144,7 @@
 	draining  bool
 	evacuated bool
 	recovered bool // no run of an earlier agent incarnation is left
-	ended     bool // the lifetime is over
+	ended     bool // by End
 
 	runs        map[RunRef]*guardedRun
 	tasks       map[TaskRef]RunRef
@@ -149,6 +157,7 @@
 	offset      Time // endpoint's clock less the host's
 	sampled     Time // host clock of the offset; 0: none yet
 	maxUntil    Time // latest lease end sent, endpoint's clock
+	granted     Time // latest lease end sent, host clock
 
 	lastAnswer Time // host clock of the newest answer to a poll
 	nextPoll   Time
@@ -160,7 +169,7 @@
 // NewGuard returns the guard of an endpoint that was just announced.
 func NewGuard(id EndpointID, service, zone string, capacity Resources, labels []string, timing Timing) *Guard {
 	return &Guard{
-		endpoint: id, service: service, zone: zone, capacity: capacity, labels: labels,
+		endpoint: id, born: id.Born, service: service, zone: zone, capacity: capacity, labels: labels,
 		timing:      timing,
 		runs:        map[RunRef]*guardedRun{},
 		tasks:       map[TaskRef]RunRef{},
@@ -172,8 +181,22 @@
 // Endpoint returns the lifetime that is guarded.
 func (g *Guard) Endpoint() EndpointID { return g.endpoint }
 
-// Ended reports whether the lifetime is over.
-func (g *Guard) Ended() bool { return g.ended }
+// Ended reports whether the lifetime is over and with it all runs.
+func (g *Guard) Ended() bool { return g.ended || g.replaced() && len(g.runs) == 0 }
+
+// Born returns the start of the lifetime that has the endpoint's id, as far as is
+// known. Answers to stops that were sent before it changed must not be passed to
+// the guard.
+func (g *Guard) Born() int64 { return g.born }
+
+// replaced reports whether another lifetime has taken over the endpoint's id.
+func (g *Guard) replaced() bool { return g.born != g.endpoint.Born }
+
+// HasTask reports whether a run of the task is kept.
+func (g *Guard) HasTask(task TaskRef) bool {
+	_, kept := g.tasks[task]
+	return kept
+}
 
 // Cursor returns the sequence number of the last end processed.
 func (g *Guard) Cursor() int64 { return g.cursor }
@@ -269,6 +292,27 @@
 	g.updateAvailable(now)
 }
 
+// Replaced processes that the lifetime born then has taken over the endpoint's id.
+// Runs that were listed as running have ended with their lifetime. The start of any
+// other may still be carried out, so it ends only once the new lifetime has answered
+// a stop.
+func (g *Guard) Replaced(now Time, born int64) {
+	if g.Ended() || born == g.born {
+		return
+	}
+	g.born = born
+	g.cursor, g.newest = 0, 0
+	for _, r := range g.sorted() {
+		if r.listed {
+			g.finish(now, r, EndLapsed)
+			continue
+		}
+		r.state, r.seenRunning, r.stopAnswered, r.nextStop = runUnknown, 0, 0, 0
+		g.requestStop(now, r)
+	}
+	g.updateAvailable(now)
+}
+
 // RenewOwner extends the lease of an owner to a reading of the host's clock.
 func (g *Guard) RenewOwner(owner Owner, until Time) {
 	g.owners[owner] = max(g.owners[owner], until)
@@ -290,8 +334,7 @@
 	g.runs[o.Run] = r
 	g.tasks[o.Run.Task] = o.Run
 	g.used = g.used.Add(o.Need)
-	r.until = g.leaseEnd(now)
-	g.maxUntil = max(g.maxUntil, r.until)
+	r.until = g.grantLease(now)
 	g.emit(GuardAction{Kind: CallStart, Owner: o.Owner, Run: o.Run, Payload: o.Payload, Until: r.until})
 }
 
@@ -302,6 +345,8 @@
 		return NotAvailable
 	case now-o.Echo > orderMaxAge, g.owners[o.Owner]-g.timing.StopLead() <= now:
 		return Expired
+	case g.owners[o.Owner] < g.granted:
+		return Expired // the endpoint's lease would keep the run beyond the owner's
 	case !g.used.Add(o.Need).Fits(g.capacity):
 		return NoRoom
 	}
@@ -311,13 +356,19 @@
 	return 0
 }
 
-// leaseEnd returns the end of the endpoint's lease on the endpoint's clock: no
-// owner's runs may outlive the owner's lease.
-func (g *Guard) leaseEnd(now Time) Time {
+// grantLease returns the end of the endpoint's lease, on the endpoint's clock, that
+// is sent next: no owner's runs may outlive the owner's lease, and no run its stop
+// by more than such a lease.
+func (g *Guard) grantLease(now Time) Time {
 	until := now + g.timing.MaxLease - lateMargin
 	for _, r := range g.runs {
 		until = min(until, g.owners[r.owner])
+		if r.stopRequested {
+			until = min(until, r.stopBy)
+		}
 	}
+	g.granted = max(g.granted, until)
+	g.maxUntil = max(g.maxUntil, until+g.offset)
 	return until + g.offset
 }
 
@@ -331,7 +382,7 @@
 		g.finish(now, r, res.Refusal)
 		return
 	}
-	if r.state != runRunning {
+	if r.state != runRunning && !g.replaced() {
 		r.state = runRunning
 		r.seenRunning = res.Clock
 	}
@@ -357,7 +408,10 @@
 }
 
 func (g *Guard) requestStop(now Time, r *guardedRun) {
-	r.stopRequested = true
+	if !r.stopRequested {
+		r.stopRequested = true
+		r.stopBy = now + g.timing.OwnerLease
+	}
 	if r.stopAnswered != 0 || now < r.nextStop {
 		return
 	}
@@ -379,14 +433,20 @@
 // Polled processes the endpoint's answer to a poll. received is the host's clock
 // when the answer arrived.
 func (g *Guard) Polled(now, received Time, s Snapshot) {
-	if g.ended {
+	if g.Ended() {
 		return
 	}
-	if g.endpoint.Born != 0 && s.Born != 0 && s.Born != g.endpoint.Born {
-		g.End(now)
-		return
+	if g.replaced() && s.Born < g.born {
+		return // answered by an earlier lifetime
+	}
+	if g.born != 0 && s.Born != 0 {
+		g.Replaced(now, s.Born)
 	}
 	g.lastAnswer = max(g.lastAnswer, received)
+	if g.replaced() {
+		g.applyReplacement(now, s)
+		return
+	}
 	g.sampleClock(received, s.Clock)
 	g.applyEnds(now, s.Ended)
 	if s.Clock >= g.newest {
@@ -396,6 +456,30 @@
 	g.updateAvailable(now)
 }
 
+// applyReplacement compares the runs kept with a snapshot of the lifetime that has
+// taken the endpoint's id over. Other runs there are another guard's.
+func (g *Guard) applyReplacement(now Time, s Snapshot) {
+	ended := map[RunRef]EndReason{}
+	for _, e := range s.Ended {
+		ended[e.Run] = e.Reason
+	}
+	running := map[RunRef]bool{}
+	for _, r := range s.Running {
+		running[r.Run] = true
+	}
+	for _, r := range g.sorted() {
+		reason, isEnded := ended[r.ref]
+		switch {
+		case isEnded:
+			g.finish(now, r, reason)
+		case running[r.ref]:
+			r.listed = true
+		case r.stopAnswered != 0 && s.Clock > r.stopAnswered && len(s.Ended) < endsPerAnswer:
+			g.finish(now, r, EndLapsed)
+		}
+	}
+}
+
 // sampleClock keeps a low estimate of the endpoint's clock, so that leases end
 // too early rather than too late.
 func (g *Guard) sampleClock(received, clock Time) {
@@ -427,10 +511,13 @@
 	listed := make(map[RunRef]bool, len(s.Running))
 	for _, running := range s.Running {
 		listed[running.Run] = true
-		g.applyRunning(now, running.Run, s.Clock)
+		if running.Run.Run != 0 {
+			g.applyRunning(now, running.Run, s.Clock)
+		}
 	}
+	isListed := func(ref RunRef) bool { return listed[ref] || listed[RunRef{Task: ref.Task}] }
 	for ref := range g.earlierRuns {
-		if !listed[ref] {
+		if !isListed(ref) {
 			delete(g.earlierRuns, ref)
 		}
 	}
@@ -442,7 +529,7 @@
 		return // the end of an absent run may be listed in the next answer
 	}
 	for _, r := range g.sorted() {
-		if !listed[r.ref] {
+		if !isListed(r.ref) {
 			g.applyAbsent(now, r, s.Clock)
 		}
 	}
@@ -463,6 +550,7 @@
 		return
 	}
 	r.state = runRunning
+	r.listed = true
 	r.seenRunning = clock
 }
 
@@ -497,19 +585,19 @@
 // for runs of an earlier agent incarnation, and updates whether the endpoint is
 // available. It has to be called regularly.
 func (g *Guard) Tick(now Time) {
-	if g.ended {
+	if g.Ended() {
 		return
 	}
 	g.stopUnowned(now)
-	g.lapse(now)
+	if !g.replaced() {
+		g.lapse(now)
+	}
 	if g.awaitsEnd() && now >= g.nextPoll {
 		g.poll(now)
 	}
-	if len(g.runs) > 0 && now >= g.nextRenew {
+	if len(g.runs) > 0 && now >= g.nextRenew && !g.replaced() {
 		g.nextRenew = now + renewEvery
-		until := g.leaseEnd(now)
-		g.maxUntil = max(g.maxUntil, until)
-		g.emit(GuardAction{Kind: CallPoll, Until: until})
+		g.emit(GuardAction{Kind: CallPoll, Until: g.grantLease(now)})
 	}
 	if !g.recovered && now >= g.nextPoll {
 		g.poll(now)
@@ -559,7 +647,7 @@
 }
 
 func (g *Guard) updateAvailable(now Time) {
-	available := g.recovered && !g.ended && !g.draining && !g.evacuated && now-g.lastAnswer < unreachableAfter+renewEvery+g.extraPollPause()
+	available := g.recovered && !g.ended && !g.replaced() && !g.draining && !g.evacuated && now-g.lastAnswer < unreachableAfter+renewEvery+g.extraPollPause()
 	if available != g.available {
 		g.available = available
 		g.emit(GuardAction{Kind: StatusChanged})
--- a/hosted/agent/endpoint.go
+++ b/hosted/agent/endpoint.go
@@ -23,6 +23,9 @@
 	pollTimeout       = 30 * time.Millisecond
 	longPollSlack     = 50 * time.Millisecond // added to the wait of a long poll, which waits for an end
 	pollRetryPause    = 20 * time.Millisecond // after a failed long poll
+	// oddPollPause is the pause after an answer with rows that cannot be read: an end
+	// that cannot be acknowledged is answered again at once.
+	oddPollPause = 100 * time.Millisecond
 	// maxMissedHeartbeats is how many heartbeats a lifetime may miss before it is
 	// taken as ended.
 	maxMissedHeartbeats = 4
@@ -42,6 +45,7 @@
 	foundAt        time.Duration                         // when the lifetime was found
 	lastHeartbeat  time.Duration                         // when the last heartbeat came
 	reportedOthers map[dispatch.Owner]dispatch.Resources // resources taken by runs of others, as last reported to each owner
+	oddRuns        int                                   // rows of the newest answer that cannot be read
 }
 
 func (s *state) announced(now time.Duration, n platform.Announcement) {
@@ -93,7 +97,8 @@
 }
 
 // newEndpoint adds a lifetime of an endpoint, and reports false if a newer one of
-// the same id is known. An older lifetime of the same id is over and is ended.
+// the same id is known. An older lifetime of the same id is over; its guard is kept
+// until none of its starts can be carried out by the new one.
 func (s *state) newEndpoint(now time.Duration, n platform.Announcement) bool {
 	for id, e := range s.endpoints {
 		if id.ID != n.Endpoint.ID {
@@ -102,7 +107,7 @@
 		if id.Born > n.Endpoint.Born {
 			return false // delivered late, from an earlier lifetime
 		}
-		s.end(now, e)
+		e.guard.Replaced(now, n.Endpoint.Born)
 	}
 	ctx, cancel := context.WithCancel(s.a.ctx)
 	e := &endpoint{
@@ -140,10 +145,6 @@
 	}
 }
 
-func (s *state) end(now time.Duration, e *endpoint) {
-	e.guard.End(now)
-}
-
 // watch polls the endpoint without a break; each long poll waits for an end.
 func (a *Agent) watch(ctx context.Context, client *platform.EndpointClient, id dispatch.EndpointID) {
 	defer client.Close()
@@ -160,6 +161,9 @@
 		if err != nil {
 			time.Sleep(pollRetryPause)
 		}
+		if snapshot.Odd > 0 {
+			time.Sleep(oddPollPause)
+		}
 	}
 }
 
@@ -190,7 +194,7 @@
 
 func (s *state) stopAnswered(now time.Duration, m stopAnswered) {
 	e := s.endpoints[m.endpoint]
-	if e == nil || m.err != nil {
+	if e == nil || m.err != nil || m.born != e.guard.Born() {
 		return // the guard retries
 	}
 	e.guard.StopAnswered(now, m.run, m.res)
@@ -203,12 +207,23 @@
 	}
 	if m.err == nil {
 		e.guard.Polled(now, m.received, m.snapshot)
+		s.countOddRuns(e, m.snapshot.Odd)
 	}
 	if m.next != nil {
 		m.next <- e.nextPoll()
 	}
 }
 
+// countOddRuns counts and logs rows of runs that cannot be read when there are more
+// of them than before.
+func (s *state) countOddRuns(e *endpoint, odd int) {
+	if more := odd - e.oddRuns; more > 0 {
+		s.a.deps.Metrics.Count("bergamotwing_odd_runs_total", "Rows of runs of endpoints that could not be read.", int64(more))
+		s.a.deps.Log.Warn().Str("event", "odd_run").Str("endpoint", e.announced.Endpoint.ID).Int("rows", odd).Msg("runs that cannot be read left out")
+	}
+	e.oddRuns = odd
+}
+
 // nextPoll returns the parameters of the next long poll.
 func (e *endpoint) nextPoll() nextPoll {
 	wait := dispatch.PollWait
@@ -238,7 +253,7 @@
 	case dispatch.CallStart:
 		go a.callStart(e.client, id, action, e.startLimit(now))
 	case dispatch.CallStop:
-		go a.callStop(e.client, id, action.Run)
+		go a.callStop(e.client, id, e.guard.Born(), action.Run)
 	case dispatch.CallPoll:
 		cursor := e.guard.Cursor()
 		go func() {
@@ -271,11 +286,11 @@
 	a.actor.Send(startAnswered{id, action.Run, res, err})
 }
 
-func (a *Agent) callStop(client *platform.EndpointClient, id dispatch.EndpointID, run dispatch.RunRef) {
+func (a *Agent) callStop(client *platform.EndpointClient, id dispatch.EndpointID, born int64, run dispatch.RunRef) {
 	ctx, cancel := context.WithTimeout(a.ctx, a.state.timing.StopTime+stopSlack)
 	defer cancel()
 	res, err := client.Stop(ctx, run)
-	a.actor.Send(stopAnswered{id, run, res, err})
+	a.actor.Send(stopAnswered{id, born, run, res, err})
 }
 
 func (s *state) reportStatus(e *endpoint) {
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -75,6 +75,7 @@
 	shard       dispatch.Shard
 	home        dispatch.Owner // entry that has the job
 	shardsTried int            // shards where the job's tasks fit no endpoint
+	firstPeer   *mesh.Peer     // link on which the job was first submitted to home
 }
 
 type recentEnd struct {
@@ -121,7 +122,7 @@
 	case control.MembersRead:
 		s.setMembers(now, m.Members)
 	case operatorRead:
-		s.adopt(now, m.state, "store")
+		s.operatorRead(now, m)
 	case submit:
 		s.submit(now, m)
 	case abandonRequest:
@@ -202,16 +203,17 @@
 		return
 	}
 	r := &request{submit: m, shard: s.shardOfJob(m.route.Service, m.job.ID)}
-	if old := s.requests[m.job.ID]; old != nil {
-		r.shard, r.home = old.shard, old.home // the entry that has the job's runs
+	old := s.requests[m.job.ID]
+	if old != nil {
+		r.shard, r.home, r.firstPeer = old.shard, old.home, old.firstPeer // the entry that has the job's runs
 		s.answer(m.job.ID, dispatch.Outcome{Code: result.OutcomeUnknown, Detail: "sent again on another connection"})
 	}
 	s.requests[m.job.ID] = r
-	if s.linked(r.home) {
+	if old == nil {
+		s.submitToHome(now, r)
+	} else if s.linked(r.home) {
 		s.submitTo(now, r, r.home.Entry)
-		return
-	}
-	s.submitToHome(now, r)
+	} // else the next link resumes the request, or entryLost answers it
 }
 
 // linked reports whether an entry is this one or is linked.
@@ -241,10 +243,24 @@
 		return false
 	}
 	r.home = p.Owner()
-	_ = p.Send(&wire.JobSubmit{Job: r.job, Route: r.route, Shard: r.shard.Index, Wait: r.deadline - now}) // resent on the next link
+	s.sendSubmit(now, p, r)
 	return true
 }
 
+// sendSubmit sends a request to its home. On a new link, resume does so once the first
+// heartbeat has brought a reading of the home's clock.
+func (s *state) sendSubmit(now time.Duration, p *mesh.Peer, r *request) {
+	if p.Clock == 0 {
+		return
+	}
+	if r.firstPeer == nil {
+		r.firstPeer = p
+	}
+	_ = p.Send(&wire.JobSubmit{ // resent on the next link
+		Job: r.job, Route: r.route, Shard: r.shard.Index, Wait: r.deadline - now, MayHaveRun: r.firstPeer != p, Echo: p.Clock,
+	})
+}
+
 // jobEnded handles the outcome that a job's home reports. A job whose tasks fit
 // no endpoint of its shard has not run, and is submitted to the next shard.
 func (s *state) jobEnded(now time.Duration, r *request, out dispatch.Outcome) {
@@ -254,6 +270,7 @@
 		return
 	}
 	r.shard.Index = (r.shard.Index + 1) % count
+	r.firstPeer = nil
 	s.submitToHome(now, r)
 }
 
@@ -293,9 +310,8 @@
 		return
 	}
 	p := s.peers[r.home.Entry]
-	// A home that does not receive this cancels the job if this entry's lease
-	// expires. If the link is restored before that, the job runs on: JobCancel is
-	// not resent.
+	// A home that does not receive this cancels the job at the next JobsOpen, or
+	// when this entry's lease expires.
 	if p == nil || p.Send(&wire.JobCancel{Job: r.job.ID}) != nil {
 		s.e.deps.Metrics.Count("bergamotwing_cancels_undelivered_total", "Cancels of jobs that no link to their home took.", 1)
 		s.e.deps.Log.Warn().Str("event", "cancel_undelivered").Str("job", r.job.ID).Str("home", r.home.Entry).Msg("job not cancelled at its home: no link")
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -15,6 +15,7 @@
 		s.agentUp(now, l)
 		return
 	}
+	s.checkPeers(now) // a link that was made after a lease has ended must not renew it
 	name := l.Hello.Name
 	owner := l.Owner()
 	if old := s.peers[name]; old != nil {
@@ -40,7 +41,6 @@
 	s.sendOperator(p)
 	_ = p.Send(s.memberList()) // a closed link is reported as down
 	_ = p.Send(s.shardCountsMessage())
-	s.resume(now, p, owner)
 	s.e.deps.Log.Info().Str("event", "entry_linked").Str("entry", name).Msg("entry linked")
 }
 
@@ -54,13 +54,19 @@
 	return (l.Dialed != "") == (s.e.self.Addr < l.Hello.Addr)
 }
 
-// resume resends the requests that a broken link may have lost.
-func (s *state) resume(now time.Duration, p *mesh.Peer, owner dispatch.Owner) {
-	for _, r := range s.requests {
-		if r.home == owner {
-			_ = p.Send(&wire.JobSubmit{Job: r.job, Route: r.route, Shard: r.shard.Index, Wait: r.deadline - now, MayHaveRun: true}) // a closed link is reported as down
+// resume resends the requests that a broken link may have lost, and lists them, so
+// that the other side cancels the jobs whose cancels were lost.
+func (s *state) resume(now time.Duration, p *mesh.Peer) {
+	open := &wire.JobsOpen{}
+	for id, r := range s.requests {
+		if r.home == p.Owner() {
+			open.Jobs = append(open.Jobs, id)
+			s.sendSubmit(now, p, r)
 		}
 	}
+	if p.Hello.NewestKind >= wire.KindJobsOpen {
+		_ = p.Send(open) // a closed link is reported as down
+	}
 }
 
 func (s *state) linkDown(now time.Duration, l *mesh.Link) {
@@ -143,7 +149,7 @@
 func (s *state) entryLost(now time.Duration, owner dispatch.Owner, why string) {
 	s.e.deps.Log.Warn().Str("event", "entry_lost").Str("entry", owner.Entry).Str("reason", why).Msg("entry lost")
 	for _, sched := range s.schedulers {
-		sched.CallerLost(now, owner)
+		sched.CancelOthers(now, owner, nil)
 	}
 	for id, r := range s.requests {
 		if r.home == owner {
@@ -202,8 +208,14 @@
 		for _, sched := range s.schedulers {
 			sched.Cancel(now, m.Job, owner)
 		}
+	case *wire.JobsOpen:
+		s.reconcile(now, owner, m.Jobs)
 	case *wire.JobEnd:
-		if r := s.requests[m.Job]; r != nil && r.home == owner {
+		switch r := s.requests[m.Job]; {
+		case r == nil || r.home != owner:
+		case m.Outcome.Code == result.StartTooLate:
+			s.sendSubmit(now, p, r) // with the reading of the heartbeat that came before
+		default:
 			s.jobEnded(now, r, m.Outcome)
 		}
 	}
@@ -215,12 +227,30 @@
 	joins, leaves := p.Clock == 0, m.Draining && !p.LastHeartbeat.Draining
 	p.ReceiveHeartbeat(now, m)
 	s.sendOperatorIfOutdated(p)
+	if joins {
+		s.resume(now, p)
+	}
 	if joins || leaves {
 		s.chooseHomes(now)
 	}
 }
 
+// reconcile cancels the jobs of an entry that no longer waits for them. Their cancels
+// were lost with an earlier link.
+func (s *state) reconcile(now time.Duration, owner dispatch.Owner, open []string) {
+	n := 0
+	for _, sched := range s.schedulers {
+		n += sched.CancelOthers(now, owner, open)
+	}
+	if n > 0 {
+		s.e.deps.Metrics.Count("bergamotwing_jobs_reconciled_total", "Jobs cancelled since their entry no longer waited for them when it was linked again.", int64(n))
+		s.e.deps.Log.Warn().Str("event", "jobs_reconciled").Str("entry", owner.Entry).Int("cancelled", n).Msg("jobs cancelled that an entry no longer waits for")
+	}
+}
+
 // submitted accepts a job from another entry, or resends its outcome if it has ended.
+// A submission that has been on its way for longer than the entry's lease is refused:
+// the entry may have answered its client since.
 func (s *state) submitted(now time.Duration, p *mesh.Peer, owner dispatch.Owner, m *wire.JobSubmit) {
 	if r, ok := s.recent[m.Job.ID]; ok && r.caller == owner {
 		r.sent = now
@@ -228,6 +258,13 @@
 		_ = p.Send(&wire.JobEnd{Job: m.Job.ID, Outcome: r.outcome}) // resent on the next link
 		return
 	}
+	if age := now - m.Echo; m.Echo > 0 && age > s.timing.EntryLease {
+		s.e.deps.Metrics.Count("bergamotwing_submissions_stale_total", "Submissions of other entries that came too late.", 1)
+		s.e.deps.Log.Warn().Str("event", "submission_stale").Str("job", m.Job.ID).Str("entry", owner.Entry).Dur("age_ms", age).Msg("submission refused: it came too late")
+		p.SendHeartbeat(now, s.heartbeat())
+		_ = p.Send(&wire.JobEnd{Job: m.Job.ID, Outcome: dispatch.Outcome{Code: result.StartTooLate}}) // submitted again on the next link
+		return
+	}
 	s.scheduler(dispatch.Shard{Service: m.Route.Service, Index: m.Shard}).Submit(now, dispatch.Submission{
 		Caller: owner, Job: m.Job, Route: m.Route, Deadline: now + m.Wait, MayHaveRun: m.MayHaveRun,
 	})
@@ -274,7 +311,7 @@
 }
 
 func (s *state) addMember(m wire.Member) {
-	if m.Addr == "" || m.Name == s.e.self.Name || s.members[m.Name].Member == m {
+	if m.Name == s.e.self.Name || s.members[m.Name].Member == m || mesh.CheckMember(m) != nil {
 		return
 	}
 	moved := s.members[m.Name].Addr != m.Addr
--- a/hosted/entry/sim_test.go
+++ b/hosted/entry/sim_test.go
@@ -157,7 +157,7 @@
 	n.e.actor.Start(func(time.Duration, any) {})
 	n.hello = n.e.self
 	n.s.log("%s starts", n.hello.Name)
-	n.receive(operatorRead{dispatch.OperatorState{StoreVersion: 1, Config: dispatch.Config{
+	n.receive(operatorRead{hasConfig: true, state: dispatch.OperatorState{StoreVersion: 1, Config: dispatch.Config{
 		Version: 1, Services: []dispatch.Service{{Name: simService, Guarded: true}},
 	}}})
 	n.tick(n.incarnation)
--- a/hosted/entry/store.go
+++ b/hosted/entry/store.go
@@ -8,6 +8,7 @@
 	"bergamotwing.example/hosted/control"
 	"bergamotwing.example/hosted/mesh"
 	"bergamotwing.example/platform"
+	"bergamotwing.example/wire"
 )
 
 const (
@@ -73,7 +74,7 @@
 		if err != nil {
 			return err
 		}
-		if len(changes.Rows) > 0 {
+		if len(changes.Rows)+len(changes.Odd) > 0 {
 			return nil
 		}
 		version = max(version, changes.Version)
@@ -94,17 +95,29 @@
 	if err != nil {
 		return 0, err
 	}
+	e.odd.Report(rows.Odd...)
 	state, ok, err := platform.DecodeOperatorRows(rows.Rows, rows.Version)
-	if err != nil {
-		e.deps.Log.Error().Str("event", "bad_configuration").Err(err).Msg("operator's state not adopted")
-		return rows.Version, nil
-	}
-	if ok {
-		e.actor.Send(operatorRead{state})
+	var odd platform.OddRow
+	if errors.As(err, &odd) {
+		e.odd.Report(odd)
 	}
+	e.actor.Send(operatorRead{state, ok})
 	return rows.Version, nil
 }
 
+// operatorRead puts the operator's state into force. If its configuration could not be
+// read, the one in force stays so.
+func (s *state) operatorRead(now time.Duration, m operatorRead) {
+	if !m.hasConfig {
+		old := s.e.operator.Load()
+		if old == nil {
+			return
+		}
+		m.state.Config = old.Config
+	}
+	s.adopt(now, m.state, "store")
+}
+
 // register keeps this entry's row in the store and reads the rows of the others.
 func (e *Entry) register(ctx context.Context) {
 	written := false
@@ -112,9 +125,9 @@
 		if !written {
 			written = e.writeMember(ctx)
 		}
-		found := e.readMembers(ctx)
-		if written && found != nil && !containsMember(found, e.self.Name) {
-			written = false // removed by an entry that could not reach this one
+		found, ok := e.readMembers(ctx)
+		if written && ok && !containsMember(found, e.self.Member()) {
+			written = false // removed by an entry that could not reach this one, or written by another writer
 		}
 		pause := membersEvery
 		if !written {
@@ -127,9 +140,9 @@
 	}
 }
 
-func containsMember(members []mesh.MemberRow, name string) bool {
+func containsMember(members []mesh.MemberRow, member wire.Member) bool {
 	for _, m := range members {
-		if m.Name == name {
+		if m.Member == member {
 			return true
 		}
 	}
@@ -153,13 +166,14 @@
 	e.deps.Log.Info().Str("event", "member_removed").Str("entry", row.Name).AnErr("error", err).Msg("row of a lost entry removed")
 }
 
-func (e *Entry) readMembers(ctx context.Context) []mesh.MemberRow {
+func (e *Entry) readMembers(ctx context.Context) (members []mesh.MemberRow, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	members, err := mesh.ReadMembers(ctx, e.store)
+	members, odd, err := mesh.ReadMembers(ctx, e.store)
 	if err != nil {
-		return nil // the watch of the operator's state logs that the store fails
+		return nil, false // the watch of the operator's state logs that the store fails
 	}
+	e.odd.Report(odd...)
 	e.actor.Send(control.MembersRead{Members: members})
-	return members
+	return members, true
 }
