--- a/hosted/entry/submit_test.go
+++ b/hosted/entry/submit_test.go
@@ -57,7 +57,7 @@
 	received := make(chan wire.Message, 16)
 	go func() { _ = far.Serve(t.Context(), func(m wire.Message) { received <- m }) }()
 	hello := wire.NodeHello{Name: other.Entry, Incarnation: wire.Incarnation(other.Incarnation), Role: wire.RoleEntry, NewestKind: newest}
-	l := &mesh.Link{Link: <-links, Hello: hello}
+	l := &mesh.Link{Conn: <-links, Hello: hello}
 	e.receive(mesh.Now(), control.LinkUp{Link: l})
 	return l, received
 }
