Failing: a start that a replaced agent had sent runs beside the task's next run

Callers' tasks may run twice at the same time: an agent is killed with a start on its way, its next incarnation reports the endpoint after 50 ms, the home takes the runs of the earlier incarnation as ended and orders the tasks again, and the start is carried out all the same.

--- a/dispatch/explore_test.go
+++ b/dispatch/explore_test.go
@@ -144,3 +144,49 @@
 		})
 	}
 }
+
+// replacedSpan is the time after which the late call and the runs that it may have
+// started are over.
+const replacedSpan = 3 * time.Second
+
+// replaceAgent plays one job of long tasks, of which one call to an endpoint is
+// carried out late, while an agent is killed and started again.
+func replaceAgent(agent int, at Time, late lateCall) *sim {
+	s := newSim(1, 2)
+	s.work = longWork
+	s.behavior = func() callBehavior { return callBehavior{delay: ms} }
+	s.play(guardReady)
+	calls := 0
+	s.behavior = func() callBehavior {
+		if calls++; calls == late.call {
+			return callBehavior{delay: late.delay, lost: true}
+		}
+		return callBehavior{delay: ms}
+	}
+	s.submitAt(s.entries[0], exploredJob)
+	s.after(at, s.agents[agent].start)
+	s.play(guardReady + replacedSpan)
+	return s
+}
+
+// A start that an agent sent before it was killed is valid for longer than the next
+// agent looks for earlier runs.
+func TestNoInterleavingOfAReplacedAgentAndALateCallRunsATaskTwice(t *testing.T) {
+	for agent := range 2 {
+		t.Run(fmt.Sprintf("agent %d", agent), func(t *testing.T) {
+			t.Parallel()
+			played := 0
+			for _, at := range moments() {
+				for call := 1; call <= exploredCalls; call++ {
+					for _, delay := range []Time{30 * ms, 60 * ms, 85 * ms, 150 * ms, 300 * ms, 600 * ms, 780 * ms, 1200 * ms} {
+						played++
+						if s := replaceAgent(agent, at, lateCall{call, delay}); s.violation != "" {
+							t.Fatalf("killed after %v, call %d late by %v: %s", at, call, delay, s.violation)
+						}
+					}
+				}
+			}
+			t.Logf("%d combinations", played)
+		})
+	}
+}
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -374,6 +374,35 @@
 	}
 }
 
+// The endpoint may still accept a start that the earlier incarnation of its agent
+// sent, so a new incarnation is no evidence that a run has ended.
+func TestRunsOfAReplacedAgentStartAgainOnlyOnceTheirEndIsReported(t *testing.T) {
+	b := newBed(t, "e1", "e2")
+	b.submit("j", callerA, 0, step(1))
+	old, _, _ := b.take()
+	b.replaceAgent(old[0].Endpoint.ID, 2)
+	if orders, _, _ := b.take(); len(orders) > 0 {
+		t.Fatalf("ordered %v at %s while run %d may start at %s", orders[0].Run, orders[0].Endpoint.ID, old[0].Run.Run, old[0].Endpoint.ID)
+	}
+	b.s.Ended(b.now, old[0].Order, EndStopped, 0)
+	if orders, _, _ := b.take(); len(orders) != 1 || orders[0].Run.Run <= old[0].Run.Run {
+		t.Errorf("got %+v, want a run with a higher number", orders)
+	}
+}
+
+// replaceAgent has a new incarnation of an endpoint's agent report the endpoint.
+func (b *testBed) replaceAgent(name string, incarnation uint64) {
+	agent := agentOf(name)
+	agent.Incarnation = incarnation - 1
+	b.s.AgentLost(b.now, agent, testTiming.RunsEndBy(b.now))
+	b.now += 10 * ms
+	agent.Incarnation = incarnation
+	b.s.AgentReconnected(b.now, agent, nil)
+	b.s.Report(b.now, agent, EndpointStatus{
+		Endpoint: EndpointID{ID: name}, Service: "svc", Available: true, Capacity: Resources{CPUMilli: 4000, MemoryMB: 1000},
+	})
+}
+
 func TestARefusalAfterAStartDoesNotSayNotRun(t *testing.T) {
 	b := newBed(t, "e1")
 	b.submit("j", callerA, 0, step(1))
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -98,6 +98,9 @@
 	if s.chance(0.05) {
 		return callBehavior{delay: Time(2000+s.rng.IntN(3000)) * ms, lost: true}
 	}
+	if s.chance(0.05) { // within the time for which a start is valid
+		return callBehavior{delay: Time(20+s.rng.IntN(980)) * ms, lost: true}
+	}
 	return callBehavior{delay: Time(1+s.rng.IntN(3)) * ms, lost: s.chance(0.05)}
 }
 
@@ -520,7 +523,9 @@
 			e.send(l, func(a *simAgent) { a.guard.Start(e.s.now, o) })
 		case CancelRun:
 			owner := e.owner()
-			e.send(e.links[action.Agent.Name], func(a *simAgent) { a.guard.Stop(e.s.now, owner, action.Run) })
+			e.send(e.links[action.Agent.Name], func(a *simAgent) {
+				a.guard.Stop(e.s.now, owner, action.Run)
+			})
 		case FinishJob:
 			e.s.answered(e, action.Job, action.Outcome)
 		}
@@ -655,6 +660,22 @@
 	return s
 }
 
+// The seeds are those of the first 2,000 at which a start that an agent had sent
+// before it was killed was carried out beside the task's next run, and a few more.
+func TestLateStartsOfReplacedAgentsRunNoTaskTwice(t *testing.T) {
+	for _, seed := range []uint64{
+		621, 780, 859, 930, 1096, 1253, 1265, 1366, 1854,
+		0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19,
+	} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			if s := runSim(seed, true); s.violation != "" {
+				t.Error(s.violation)
+			}
+		})
+	}
+}
+
 func TestNoTaskRunsTwiceAtTheSameTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
