A run of a replaced agent is over only once its end is confirmed

Callers' tasks ran twice at the same time in the model: an agent was killed with a start on its way, and the start was carried out beside the task's next run. Cause: Scheduler.dropReplaced took all runs of an agent's earlier incarnation as ended as soon as the next one reported the endpoint as available. That one looks for earlier runs for 50 ms; a start that the earlier one sent is valid for up to 800 ms after the owner's last heartbeat.

The home now hands over these runs to the agent's next incarnation, at its first report about the endpoint: they move to the endpoint as that incarnation reports it (their capacity stays in use), and RunStop names their orders (an optional field). The ends are reported as stopped or as the endpoint lists them, without an age; they do not count against the endpoint. A reconnected agent is told again, another incarnation gets them again, and without any report they are over when their validity and a longest lease have passed: an older agent that ignores the field delays these tasks, nothing more. The endpoint takes other tasks meanwhile.

--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -30,8 +30,8 @@
 	// clockDriftPercent bounds how much slower an endpoint's clock may run.
 	clockDriftPercent = 2
 	// recoveryTime is how long a new guard looks for runs of an earlier agent
-	// incarnation: a start that the earlier one sent just before it exited
-	// arrives within the time in which endpoints answer calls.
+	// incarnation before it takes tasks. A start that the earlier one sent may
+	// arrive later; its owner hands the run over.
 	recoveryTime = 50 * time.Millisecond
 	// endsPerAnswer is how many ends an endpoint lists in one answer.
 	endsPerAnswer = 500
@@ -96,7 +96,7 @@
 	Payload string
 	Until   Time // on the endpoint's clock
 	Reason  EndReason
-	Age     Time // since the order
+	Age     Time // since the order; 0: not known
 }
 
 type runState uint8
@@ -119,6 +119,7 @@
 	stopRequested bool
 	nextStop      Time
 	stopAnswered  Time // endpoint's clock, 0: no answer yet
+	earlier       bool // ordered from an earlier agent incarnation; until is not known
 }
 
 // Guard manages the runs at one lifetime of an endpoint. It starts a task only
@@ -356,6 +357,19 @@
 	g.requestStop(now, r)
 }
 
+// StopEarlier carries out an owner's order to stop a run that the owner ordered
+// from an earlier agent incarnation. The start may still be on its way to the
+// endpoint, so the run is kept until it is certain not to start.
+func (g *Guard) StopEarlier(now Time, owner Owner, run RunRef, order uint64) {
+	if g.runs[run] == nil {
+		g.runs[run] = &guardedRun{ref: run, order: order, owner: owner, state: runUnknown, ordered: now, earlier: true}
+		if _, busy := g.tasks[run.Task]; !busy {
+			g.tasks[run.Task] = run
+		}
+	}
+	g.Stop(now, owner, run)
+}
+
 func (g *Guard) requestStop(now Time, r *guardedRun) {
 	r.stopRequested = true
 	if r.stopAnswered != 0 || now < r.nextStop {
@@ -475,20 +489,43 @@
 		}
 		g.finish(now, r, reason)
 	case r.state == runUnknown && r.stopAnswered != 0 && clock > r.stopAnswered,
-		r.state == runUnknown && clock > r.until+lateMargin:
-		g.finish(now, r, Unanswered)
+		r.state == runUnknown && clock > g.validUntil(r)+lateMargin:
+		reason := Unanswered
+		if r.earlier {
+			reason = EndStopped // it may have run, and says nothing about the endpoint
+		}
+		g.finish(now, r, reason)
 	case r.state == runUnknown:
 		g.requestStop(now, r)
 	}
 }
 
+// validUntil returns the time on the endpoint's clock from which on the endpoint
+// refuses the start of a run.
+func (g *Guard) validUntil(r *guardedRun) Time {
+	if r.earlier {
+		return g.earlierUntil()
+	}
+	return r.until
+}
+
+// earlierUntil returns the latest lease end, on the endpoint's clock, that an
+// earlier agent incarnation may have requested. There has to be a snapshot.
+func (g *Guard) earlierUntil() Time { return g.recoveryEnd + g.timing.MaxLease }
+
 // finish drops a run that is certain not to be running and reports its end to
 // the owner.
 func (g *Guard) finish(now Time, r *guardedRun, reason EndReason) {
 	delete(g.runs, r.ref)
-	delete(g.tasks, r.ref.Task)
+	if g.tasks[r.ref.Task] == r.ref {
+		delete(g.tasks, r.ref.Task)
+	}
 	g.used = g.used.Sub(r.need)
-	g.emit(GuardAction{Kind: ReportEnd, Owner: r.owner, Order: r.order, Run: r.ref, Reason: reason, Age: now - r.ordered})
+	age := now - r.ordered
+	if r.earlier {
+		age = 0 // not known here
+	}
+	g.emit(GuardAction{Kind: ReportEnd, Owner: r.owner, Order: r.order, Run: r.ref, Reason: reason, Age: age})
 }
 
 // Tick stops runs whose owner's lease is about to end, retries stops without an
@@ -533,9 +570,15 @@
 	if len(g.runs) == 0 || g.sampled == 0 {
 		return
 	}
+	latest := g.maxUntil
+	for _, r := range g.runs {
+		if r.earlier {
+			latest = max(latest, g.earlierUntil())
+		}
+	}
 	sinceAnswer := now - g.lastAnswer
 	slowest := now + g.offset - sinceAnswer*clockDriftPercent/100
-	if sinceAnswer < unreachableAfter || slowest < g.maxUntil+lateMargin {
+	if sinceAnswer < unreachableAfter || slowest < latest+lateMargin {
 		return
 	}
 	for _, r := range g.sorted() {
--- a/dispatch/guard_test.go
+++ b/dispatch/guard_test.go
@@ -235,6 +235,101 @@
 	}
 }
 
+// The start that the earlier agent sent may arrive after the stop, so the run is
+// over only once the endpoint has answered the stop.
+func TestGuardEndsARunOfAnEarlierAgentOnlyOnceItCannotStart(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("old", 0, 1)
+	polled := func(at Time) { g.Polled(at, at, Snapshot{Clock: at - 5*time.Second}) }
+	g.StopEarlier(now, ownerA, run, 7)
+	if calls := takeCalls(g); !hasCall(calls, CallStop, run) {
+		t.Fatalf("got %+v, want a stop", calls)
+	}
+	if orders := g.OrdersOf(ownerA); !cmp.Equal(orders, []uint64{7}) {
+		t.Errorf("orders kept %v, want 7", orders)
+	}
+	polled(now + 2*ms)
+	g.StopAnswered(now+5*ms, run, CallResult{Clock: now - 5*time.Second + 4*ms})
+	polled(now + 3*ms)
+	if got := ends(g.TakeActions()); len(got) > 0 {
+		t.Fatalf("reported %v from a snapshot taken before the stop", got)
+	}
+	polled(now + 6*ms)
+	want := []GuardAction{{Kind: ReportEnd, Owner: ownerA, Order: 7, Run: run, Reason: EndStopped}}
+	if diff := cmp.Diff(want, takeCalls(g)); diff != "" {
+		t.Errorf("actions (-want +got):\n%s", diff)
+	}
+}
+
+func TestGuardReportsARunOfAnEarlierAgentThatStartsAfterAll(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("old", 0, 1)
+	clock := now - 5*time.Second
+	g.StopEarlier(now, ownerA, run, 7)
+	g.Polled(now+10*ms, now+10*ms, Snapshot{Clock: clock + 10*ms, Running: []RunningRun{{Run: run}}})
+	g.StopAnswered(now+30*ms, run, CallResult{Clock: clock + 29*ms})
+	g.Polled(now+31*ms, now+31*ms, Snapshot{Clock: clock + 31*ms, Running: []RunningRun{{Run: run}}})
+	if got := ends(g.TakeActions()); len(got) > 0 {
+		t.Fatalf("reported %v while the run is listed", got)
+	}
+	g.Polled(now+80*ms, now+80*ms, Snapshot{Clock: clock + 80*ms, Ended: []EndedRun{{Seq: 1, Run: run, Reason: EndStopped}}})
+	wantEnds(t, g, map[RunRef]EndReason{run: EndStopped})
+}
+
+// Without an answer to a stop, the run is over once the endpoint refuses its start
+// because it is late.
+func TestGuardEndsARunOfAnEarlierAgentWhoseStopsAreLost(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("old", 0, 1)
+	g.StopEarlier(now, ownerA, run, 7)
+	refused := now + testTiming.MaxLease + lateMargin
+	for at := now; at <= refused+100*ms; at += 25 * ms {
+		g.RenewOwner(ownerA, at+testTiming.OwnerLease)
+		g.Tick(at)
+		g.Polled(at, at, Snapshot{Clock: at - 5*time.Second})
+		if got := ends(g.TakeActions()); len(got) > 0 {
+			if at < now-recoveryTime+testTiming.MaxLease+lateMargin {
+				t.Errorf("reported %v after %v, while its start may be accepted", got, at-now)
+			}
+			return
+		}
+	}
+	t.Error("never reported")
+}
+
+// An earlier agent may have extended the lease of an endpoint that does not answer.
+func TestGuardLapsesARunOfAnEarlierAgentOnlyAfterThatAgentsLease(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("old", 0, 1)
+	g.StopEarlier(now, ownerA, run, 7)
+	certain := now - recoveryTime + testTiming.MaxLease + lateMargin
+	for at := now; at < certain+200*ms; at += 5 * ms {
+		g.Tick(at)
+		if got := ends(g.TakeActions()); len(got) > 0 {
+			if at < certain {
+				t.Errorf("reported %v %v before it is certain", got, certain-at)
+			}
+			return
+		}
+	}
+	t.Error("never reported")
+}
+
+func TestGuardKeepsTheTaskOfARunBesideAnEarlierAgentsRunOfIt(t *testing.T) {
+	g, now := newGuard(t)
+	clock := now - 5*time.Second
+	earlier, later := ref("j", 0, 1), ref("j", 0, 2)
+	g.RenewOwner(ownerB, now+testTiming.OwnerLease)
+	g.Start(now, order(ownerB, later, now))
+	g.StartAnswered(now+ms, later, CallResult{Clock: clock + ms})
+	g.StopEarlier(now+2*ms, ownerA, earlier, 7)
+	g.StopAnswered(now+4*ms, earlier, CallResult{Clock: clock + 3*ms})
+	g.Polled(now+5*ms, now+5*ms, Snapshot{Clock: clock + 5*ms, Running: []RunningRun{{Run: later}}})
+	wantEnds(t, g, map[RunRef]EndReason{earlier: EndStopped})
+	g.Start(now+6*ms, order(ownerA, ref("j", 0, 3), now))
+	wantEnds(t, g, map[RunRef]EndReason{ref("j", 0, 3): TaskBusy})
+}
+
 func TestGuardIgnoresAnOlderSnapshot(t *testing.T) {
 	g, now := newGuard(t)
 	run := ref("j", 0, 1)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -46,8 +46,13 @@
 	expected Time
 	stopping bool
 	stuck    bool
+	endBy    Time // if handed over: certain to have ended by then; else 0
 }
 
+// handedOver reports whether the run was ordered from an earlier incarnation of
+// its endpoint's agent, and handed over to the next one.
+func (r *run) handedOver() bool { return r.endBy != 0 }
+
 // usefulFactor is the multiple of its latency objective that a job may take and
 // still be of use.
 const usefulFactor = 3
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -51,7 +51,7 @@
 	Kind     SchedulerActionKind
 	Agent    AgentID
 	Endpoint EndpointID
-	Order    uint64 // unique among the orders of the process
+	Order    uint64 // unique among the orders of the process; of CancelRun: 0 unless the run was ordered from an earlier incarnation of the agent
 	Run      RunRef
 	Need     Resources
 	Payload  string
@@ -255,10 +255,18 @@
 	}
 	r.stopping = true
 	if !r.endpoint.lost {
-		s.emit(SchedulerAction{Kind: CancelRun, Agent: r.endpoint.agent, Endpoint: r.endpoint.id, Run: r.ref})
+		s.cancel(r)
 	}
 }
 
+func (s *Scheduler) cancel(r *run) {
+	a := SchedulerAction{Kind: CancelRun, Agent: r.endpoint.agent, Endpoint: r.endpoint.id, Run: r.ref}
+	if r.handedOver() {
+		a.Order = r.order
+	}
+	s.emit(a)
+}
+
 // dropIfEnded drops a closed job once all of its runs have ended, and then
 // submits the job again if it was resubmitted.
 func (s *Scheduler) dropIfEnded(now Time, j *job) {
@@ -312,21 +320,48 @@
 	e.status = status
 	e.lost, e.released = false, false
 	s.raiseMaxFreeCPU(nil)
-	if status.Available {
-		s.dropReplaced(now, e)
-	}
+	s.takeOver(now, e)
 	s.place(now)
 }
 
-// dropReplaced ends the runs that an earlier incarnation of the agent had at the
-// same lifetime of an endpoint: the agent's new incarnation reports the endpoint
-// as available only once those runs have ended.
-func (s *Scheduler) dropReplaced(now Time, e *endpoint) {
+// takeOver hands over the runs that an earlier incarnation of the agent had at the
+// same lifetime of an endpoint: a start that the earlier one sent may still be on
+// its way, so only the new one can tell that a run has ended.
+func (s *Scheduler) takeOver(now Time, e *endpoint) {
 	for _, old := range slices.Clone(s.endpoints) {
 		if old != e && old.id == e.id && old.agent.Name == e.agent.Name && old.agent.Incarnation != e.agent.Incarnation {
-			s.dropEndpoint(now, old, "agent replaced")
+			for _, r := range slices.Clone(old.runs) {
+				s.handOver(now, r, e)
+			}
+			s.endpoints = slices.DeleteFunc(s.endpoints, func(o *endpoint) bool { return o == old })
+		}
+	}
+}
+
+// handOver moves a run to the endpoint as the agent's new incarnation reports it,
+// and has that incarnation stop it.
+func (s *Scheduler) handOver(now Time, r *run, e *endpoint) {
+	old := r.endpoint
+	if !r.handedOver() {
+		// The start is refused once the runs of a lost agent have ended. Whatever
+		// has started by then is found by the new incarnation, or lapses.
+		validUntil := s.timing.RunsEndBy(now)
+		if old.lost {
+			validUntil = old.runsEndBy
 		}
+		r.endBy = validUntil + s.timing.MaxLease
 	}
+	old.used = old.used.Sub(r.need)
+	old.runs = slices.DeleteFunc(old.runs, func(o *run) bool { return o == r })
+	e.used = e.used.Add(r.need)
+	e.runs = append(e.runs, r)
+	r.endpoint = e
+	r.stopping = true
+	s.emit(SchedulerAction{
+		Kind: LogDecision, Agent: e.agent, Endpoint: e.id, Order: r.order, Job: r.ref.Task.Job, Run: r.ref,
+		Event: "run_handed_over", Reason: fmt.Sprintf("agent replaced, %v after the order", now-r.ordered),
+	})
+	s.cancel(r)
 }
 
 func (s *Scheduler) dropEndpoint(now Time, e *endpoint, why string) {
@@ -407,10 +442,13 @@
 		e.lost, e.suspect = false, false
 		s.raiseMaxFreeCPU(nil)
 		for _, r := range slices.Clone(e.runs) {
-			if !slices.Contains(kept, r.order) {
+			switch {
+			case r.handedOver():
+				s.cancel(r) // the agent may not have received it
+			case !slices.Contains(kept, r.order):
 				s.presumeEnded(now, r, "not kept by the agent")
-			} else if r.stopping {
-				s.emit(SchedulerAction{Kind: CancelRun, Agent: agent, Endpoint: e.id, Run: r.ref})
+			case r.stopping:
+				s.cancel(r)
 			}
 		}
 	}
@@ -532,11 +570,12 @@
 	s.queue = slices.DeleteFunc(s.queue, func(o *job) bool { return o == j })
 }
 
-// Tick ends the runs of lost agents, ends jobs that cannot meet their deadline,
-// stops stuck runs and places waiting tasks. It has to be called regularly.
+// Tick ends the runs of lost agents and those handed over whose end is not
+// reported, ends jobs that cannot meet their deadline, stops stuck runs and places
+// waiting tasks. It has to be called regularly.
 func (s *Scheduler) Tick(now Time) {
 	s.raiseMaxFreeCPU(nil) // pauses of endpoints may have ended
-	s.expireLost(now)
+	s.expireRuns(now)
 	if now >= s.nextCheck {
 		s.nextCheck = now + checkEvery
 		s.expireJobs(now)
@@ -546,10 +585,25 @@
 	s.place(now)
 }
 
-func (s *Scheduler) expireLost(now Time) {
+// expireRuns ends the runs that are certain to be over though no agent reports it.
+func (s *Scheduler) expireRuns(now Time) {
 	for _, e := range slices.Clone(s.endpoints) {
-		if e.lost && now >= e.runsEndBy {
-			s.dropEndpoint(now, e, "agent lost")
+		lost := e.lost && now >= e.runsEndBy
+		why := "agent lost"
+		if !e.lost {
+			why = "no end reported after the agent was replaced"
+		}
+		var due []*run
+		for _, r := range e.runs {
+			if (lost || !e.lost && r.handedOver()) && now >= r.endBy {
+				due = append(due, r)
+			}
+		}
+		for _, r := range due {
+			s.presumeEnded(now, r, why)
+		}
+		if lost && len(e.runs) == 0 {
+			s.endpoints = slices.DeleteFunc(s.endpoints, func(o *endpoint) bool { return o == e })
 		}
 	}
 }
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -403,6 +403,139 @@
 	})
 }
 
+// stopsTo returns the orders of the runs that an agent is to stop though an earlier
+// incarnation was to start them.
+func (b *testBed) stopsTo(agent AgentID) (orders []uint64) {
+	for _, a := range b.s.TakeActions() {
+		if a.Kind == CancelRun && a.Agent == agent && a.Order != 0 {
+			orders = append(orders, a.Order)
+		}
+	}
+	return orders
+}
+
+func agentIncarnation(name string, incarnation uint64) AgentID {
+	return AgentID{Name: agentOf(name).Name, Incarnation: incarnation}
+}
+
+func TestEachNextIncarnationOfAnAgentIsToStopTheRunsOfTheEarlierOnes(t *testing.T) {
+	b := newBed(t, "e")
+	b.submit("j", callerA, 0, step(2))
+	old, _, _ := b.take()
+	want := []uint64{old[0].Order, old[1].Order}
+	for _, incarnation := range []uint64{2, 3} {
+		b.replaceAgent("e", incarnation)
+		if got := b.stopsTo(agentIncarnation("e", incarnation)); !cmp.Equal(got, want) {
+			t.Errorf("incarnation %d is to stop %v, want %v", incarnation, got, want)
+		}
+	}
+	if len(b.s.endpoints) != 1 {
+		t.Errorf("%d records of one endpoint", len(b.s.endpoints))
+	}
+}
+
+// A stop that was lost with the link is no evidence that the run has ended.
+func TestAReconnectedAgentIsToStopAgainTheRunsOfTheEarlierIncarnation(t *testing.T) {
+	b := newBed(t, "e", "other")
+	b.submit("j", callerA, 0, step(1))
+	old, _, _ := b.take()
+	name := old[0].Endpoint.ID
+	b.replaceAgent(name, 2)
+	b.s.TakeActions()
+	b.s.AgentLost(b.now, agentIncarnation(name, 2), b.now+time.Second)
+	b.s.AgentReconnected(b.now, agentIncarnation(name, 2), nil)
+	if got := b.stopsTo(agentIncarnation(name, 2)); !cmp.Equal(got, []uint64{old[0].Order}) {
+		t.Errorf("to stop: %v", got)
+	}
+	if len(b.s.runs) != 1 {
+		t.Errorf("%d runs, want the one whose end was not reported", len(b.s.runs))
+	}
+}
+
+// An agent of an older build does not report the ends of such runs, and a lost one
+// cannot. The run is over when its start is no longer valid and the lease that the
+// endpoint had then has ended.
+func TestARunOfAReplacedAgentEndsWithoutAReport(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		b := newBed(t, "e1", "e2")
+		b.submit("j", callerA, 0, Step{Count: 1, Need: Resources{CPUMilli: 1000}, Estimate: time.Second})
+		old, _, _ := b.take()
+		over := testTiming.RunsEndBy(b.now) + testTiming.MaxLease
+		b.replaceAgent(old[0].Endpoint.ID, 2)
+		if lost {
+			b.s.AgentLost(b.now, agentIncarnation(old[0].Endpoint.ID, 2), b.now+500*ms)
+		}
+		for ; b.now < over; b.now += 25 * ms {
+			b.s.Tick(b.now)
+			if len(b.s.runs) != 1 {
+				t.Fatalf("lost %v: the run ended %v before it is certain", lost, over-b.now)
+			}
+		}
+		b.s.Tick(b.now)
+		if r := b.s.runs[old[0].Order]; r != nil {
+			t.Errorf("lost %v: the run never ends", lost)
+		}
+	}
+}
+
+func TestAnEndpointTakesOtherTasksWhileItsEarlierRunsAreStopped(t *testing.T) {
+	b := newBed(t, "e")
+	b.submit("j", callerA, 0, step(2))
+	b.take()
+	b.replaceAgent("e", 2)
+	b.submit("wide", callerA, 0, step(4))
+	orders, _, _ := b.take()
+	if len(orders) != 2 {
+		t.Errorf("%d orders, want 2 beside two runs that may still use their capacity", len(orders))
+	}
+}
+
+func TestRunsOfAReplacedAgentDoNotCountAgainstTheEndpoint(t *testing.T) {
+	b := newBed(t, "e")
+	b.submit("j", callerA, 0, step(4))
+	for incarnation := uint64(2); incarnation < 8; incarnation++ {
+		old, _, _ := b.take()
+		b.replaceAgent("e", incarnation)
+		for _, o := range old {
+			b.s.Ended(b.now, o.Order, EndStopped, 0)
+		}
+	}
+	if h := b.s.endpoints[0].health; h.ejected() || h.failed > 0 || h.unanswered > 0 {
+		t.Errorf("health %+v", h)
+	}
+}
+
+func TestAClosedJobIsDroppedOnceItsReplacedAgentHasReportedTheEnd(t *testing.T) {
+	b := newBed(t, "e")
+	b.submit("j", callerA, 0, step(1))
+	old, _, _ := b.take()
+	b.replaceAgent("e", 2)
+	b.s.Cancel(b.now, "j", callerA)
+	b.submit("j", callerB, 0, step(1))
+	if orders, _, _ := b.take(); len(orders) > 0 || b.s.Jobs() != 1 {
+		t.Fatalf("%d orders, %d jobs while the old run may start", len(orders), b.s.Jobs())
+	}
+	b.s.Ended(b.now, old[0].Order, EndStopped, 0)
+	if orders, _, _ := b.take(); len(orders) != 1 || orders[0].Run.Run <= old[0].Run.Run {
+		t.Errorf("got %+v, want a run with a higher number", orders)
+	}
+}
+
+func TestAReleasedEndpointKeepsTheRunsOfItsReplacedAgent(t *testing.T) {
+	b := newBed(t, "e")
+	b.submit("j", callerA, 0, step(1))
+	old, _, _ := b.take()
+	b.replaceAgent("e", 2)
+	b.s.ReleaseEndpoint(agentIncarnation("e", 2), EndpointID{ID: "e"})
+	if len(b.s.runs) != 1 {
+		t.Fatal("the run ended with the release")
+	}
+	b.s.Ended(b.now, old[0].Order, EndStopped, 0)
+	if len(b.s.endpoints) != 0 {
+		t.Error("the released endpoint is kept")
+	}
+}
+
 func TestARefusalAfterAStartDoesNotSayNotRun(t *testing.T) {
 	b := newBed(t, "e1")
 	b.submit("j", callerA, 0, step(1))
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -524,6 +524,10 @@
 		case CancelRun:
 			owner := e.owner()
 			e.send(e.links[action.Agent.Name], func(a *simAgent) {
+				if action.Order != 0 {
+					a.guard.StopEarlier(e.s.now, owner, action.Run, action.Order)
+					return
+				}
 				a.guard.Stop(e.s.now, owner, action.Run)
 			})
 		case FinishJob:
--- a/hosted/agent/control.go
+++ b/hosted/agent/control.go
@@ -343,10 +343,20 @@
 	case *wire.RunOrder:
 		s.order(now, owner, m)
 	case *wire.RunStop:
-		if e := s.endpoints[m.Endpoint]; e != nil {
-			for _, run := range m.Runs {
-				e.guard.Stop(now, owner, run)
-			}
+		s.stopRuns(now, owner, m)
+	}
+}
+
+func (s *state) stopRuns(now time.Duration, owner dispatch.Owner, m *wire.RunStop) {
+	e := s.endpoints[m.Endpoint]
+	if e == nil {
+		return
+	}
+	for i, run := range m.Runs {
+		if i < len(m.Orders) {
+			e.guard.StopEarlier(now, owner, run, m.Orders[i])
+		} else {
+			e.guard.Stop(now, owner, run)
 		}
 	}
 }
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -358,7 +358,11 @@
 		return s.sendOrders(actions)
 	case dispatch.CancelRun:
 		if p := s.agentOf(first.Agent); p != nil {
-			_ = p.Send(&wire.RunStop{Endpoint: first.Endpoint, Runs: []dispatch.RunRef{first.Run}}) // resent on the next link
+			m := &wire.RunStop{Endpoint: first.Endpoint, Runs: []dispatch.RunRef{first.Run}}
+			if first.Order != 0 {
+				m.Orders = []uint64{first.Order}
+			}
+			_ = p.Send(m) // resent on the next link
 		}
 	case dispatch.FinishJob:
 		s.finish(now, first)
--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -123,6 +123,9 @@
 type RunStop struct {
 	Endpoint dispatch.EndpointID `cbor:"1,keyasint"`
 	Runs     []dispatch.RunRef   `cbor:"2,keyasint"`
+	// Orders holds the order of each run if the runs were ordered from an earlier
+	// incarnation of the agent, which may have sent their starts.
+	Orders []uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // RunEnd reports to an entry that runs are over, or never began.
