Failing: a late start outlasts the lease of a home that is partitioned from the agent

A home that is partitioned from a replaced agent cannot hand over its runs, and takes them as over 900 ms after its last heartbeat. A start that the earlier agent sent may be carried out until 800 ms after it.

--- a/dispatch/explore_test.go
+++ b/dispatch/explore_test.go
@@ -149,9 +149,9 @@
 // started are over.
 const replacedSpan = 3 * time.Second
 
-// replaceAgent plays one job of long tasks, of which one call to an endpoint is
-// carried out late, while an agent is killed and started again.
-func replaceAgent(agent int, at Time, late lateCall) *sim {
+// newReplacement returns a simulation of two agents and one submitted job of long
+// tasks, of which one call to an endpoint is carried out late.
+func newReplacement(late lateCall) *sim {
 	s := newSim(1, 2)
 	s.work = longWork
 	s.behavior = func() callBehavior { return callBehavior{delay: ms} }
@@ -164,8 +164,6 @@
 		return callBehavior{delay: ms}
 	}
 	s.submitAt(s.entries[0], exploredJob)
-	s.after(at, s.agents[agent].start)
-	s.play(guardReady + replacedSpan)
 	return s
 }
 
@@ -180,7 +178,10 @@
 				for call := 1; call <= exploredCalls; call++ {
 					for _, delay := range []Time{30 * ms, 60 * ms, 85 * ms, 150 * ms, 300 * ms, 600 * ms, 780 * ms, 1200 * ms} {
 						played++
-						if s := replaceAgent(agent, at, lateCall{call, delay}); s.violation != "" {
+						s := newReplacement(lateCall{call, delay})
+						s.after(at, s.agents[agent].start)
+						s.play(guardReady + replacedSpan)
+						if s.violation != "" {
 							t.Fatalf("killed after %v, call %d late by %v: %s", at, call, delay, s.violation)
 						}
 					}
@@ -190,3 +191,25 @@
 		})
 	}
 }
+
+// The home that is partitioned from the agent counts on its runs to be over in time,
+// though the agent's next incarnation extends the endpoint's lease for other homes.
+func TestNoLateStartOfAReplacedAgentOutlastsTheLeaseOfAPartitionedHome(t *testing.T) {
+	for others := 100 * ms; others < 260*ms; others += 20 * ms {
+		for delay := 620 * ms; delay < 800*ms; delay += 8 * ms {
+			s := newReplacement(lateCall{1, delay})
+			s.after(8*ms, func() {
+				a := s.agents[0]
+				s.entries[0].links[a.name].partitionedUntil = s.now + replacedSpan
+				a.start()
+			})
+			for i := range 2 {
+				s.after(others, func() { s.submitAt(s.entries[1], fmt.Sprintf("other%d", i)) })
+			}
+			s.play(guardReady + replacedSpan)
+			if s.violation != "" {
+				t.Fatalf("start late by %v, jobs of another home after %v: %s", delay, others, s.violation)
+			}
+		}
+	}
+}
