--- a/dispatch/explore_test.go
+++ b/dispatch/explore_test.go
@@ -144,3 +144,72 @@
 		})
 	}
 }
+
+// replacedSpan is the time after which the late call and the runs that it may have
+// started are over.
+const replacedSpan = 3 * time.Second
+
+// newReplacement returns a simulation of two agents and one submitted job of long
+// tasks, of which one call to an endpoint is carried out late.
+func newReplacement(late lateCall) *sim {
+	s := newSim(1, 2)
+	s.work = longWork
+	s.behavior = func() callBehavior { return callBehavior{delay: ms} }
+	s.play(guardReady)
+	calls := 0
+	s.behavior = func() callBehavior {
+		if calls++; calls == late.call {
+			return callBehavior{delay: late.delay, lost: true}
+		}
+		return callBehavior{delay: ms}
+	}
+	s.submitAt(s.entries[0], exploredJob)
+	return s
+}
+
+// A start that an agent sent before it was killed is valid for longer than the next
+// agent looks for earlier runs.
+func TestNoInterleavingOfAReplacedAgentAndALateCallRunsATaskTwice(t *testing.T) {
+	for agent := range 2 {
+		t.Run(fmt.Sprintf("agent %d", agent), func(t *testing.T) {
+			t.Parallel()
+			played := 0
+			for _, at := range moments() {
+				for call := 1; call <= exploredCalls; call++ {
+					for _, delay := range []Time{30 * ms, 60 * ms, 85 * ms, 150 * ms, 300 * ms, 600 * ms, 780 * ms, 1200 * ms} {
+						played++
+						s := newReplacement(lateCall{call, delay})
+						s.after(at, s.agents[agent].start)
+						s.play(guardReady + replacedSpan)
+						if s.violation != "" {
+							t.Fatalf("killed after %v, call %d late by %v: %s", at, call, delay, s.violation)
+						}
+					}
+				}
+			}
+			t.Logf("%d combinations", played)
+		})
+	}
+}
+
+// The home that is partitioned from the agent counts on its runs to be over in time,
+// though the agent's next incarnation extends the endpoint's lease for other homes.
+func TestNoLateStartOfAReplacedAgentOutlastsTheLeaseOfAPartitionedHome(t *testing.T) {
+	for others := 100 * ms; others < 260*ms; others += 20 * ms {
+		for delay := 620 * ms; delay < 800*ms; delay += 8 * ms {
+			s := newReplacement(lateCall{1, delay})
+			s.after(8*ms, func() {
+				a := s.agents[0]
+				s.entries[0].links[a.name].partitionedUntil = s.now + replacedSpan
+				a.start()
+			})
+			for i := range 2 {
+				s.after(others, func() { s.submitAt(s.entries[1], fmt.Sprintf("other%d", i)) })
+			}
+			s.play(guardReady + replacedSpan)
+			if s.violation != "" {
+				t.Fatalf("start late by %v, jobs of another home after %v: %s", delay, others, s.violation)
+			}
+		}
+	}
+}
