A new agent finds late starts of the earlier one for as long as they are valid

A task could run twice at the same time if its home was partitioned from an agent that was replaced: the home takes the runs there as over 900 ms after its last heartbeat. A start that the earlier agent had sent may be carried out until 800 ms after it, and does not lapse if the endpoint's lease was extended for runs of another home, by the new agent or by the earlier one. The new agent listed the runs every 150 ms while it had runs, else when a long poll of 1 s ended, and stopped what it did not know only then.

That costs about 40 calls on the host after the start of an agent. A start in the last 20 ms of its validity still relies on no poll and no stop being lost, by the time table.

--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -237,9 +237,12 @@
 
 func (g *Guard) emit(a GuardAction) { g.out = append(g.out, a) }
 
-// EarlierRunsEnded reports whether no run of an earlier agent incarnation is
-// left.
-func (g *Guard) EarlierRunsEnded() bool { return g.recovered || g.ended }
+// LooksForEarlierRuns reports whether runs of an earlier agent incarnation may be
+// found: until the guard has recovered, and until no start of such a run is valid.
+// They have to be found soon, since the lease that they have may go on for others.
+func (g *Guard) LooksForEarlierRuns() bool {
+	return !g.ended && (!g.recovered || g.newest <= g.earlierUntil())
+}
 
 // SinceLastAnswer returns the time since the endpoint last answered a poll.
 func (g *Guard) SinceLastAnswer(now Time) Time { return now - g.lastAnswer }
@@ -471,7 +474,7 @@
 			g.emit(GuardAction{Kind: FoundUnknown, Run: ref})
 		}
 		if now >= retryAt {
-			g.earlierRuns[ref] = now + retryStopEvery
+			g.earlierRuns[ref] = now + endPollEvery // its owner may count on its end
 			g.emit(GuardAction{Kind: CallStop, Run: ref})
 		}
 		return
@@ -530,9 +533,9 @@
 
 // Tick stops runs whose owner's lease is about to end, retries stops without an
 // answer, ends the runs of an endpoint whose lease has run out without an answer,
-// renews that lease, polls for the ends of runs and, until the guard has recovered,
-// for runs of an earlier agent incarnation, and updates whether the endpoint is
-// available. It has to be called regularly.
+// renews that lease, polls for the ends of runs and for runs of an earlier agent
+// incarnation, and updates whether the endpoint is available. It has to be called
+// regularly.
 func (g *Guard) Tick(now Time) {
 	if g.ended {
 		return
@@ -548,7 +551,7 @@
 		g.maxUntil = max(g.maxUntil, until)
 		g.emit(GuardAction{Kind: CallPoll, Until: until})
 	}
-	if !g.recovered && now >= g.nextPoll {
+	if g.LooksForEarlierRuns() && now >= g.nextPoll {
 		g.poll(now)
 	}
 	g.updateAvailable(now)
--- a/hosted/agent/control.go
+++ b/hosted/agent/control.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	busyTick            = 25 * time.Millisecond  // while there are runs or a guard awaits the end of earlier ones
+	busyTick            = 25 * time.Millisecond  // while there are runs or a guard looks for earlier ones
 	idleTick            = 100 * time.Millisecond // otherwise
 	homeHeartbeatEvery  = 150 * time.Millisecond // between heartbeats to an entry that is a home or owns runs; five in an owner's lease
 	otherHeartbeatEvery = 450 * time.Millisecond // between heartbeats to other entries
@@ -97,7 +97,7 @@
 	for _, e := range s.endpoints {
 		e.guard.Tick(now)
 		s.endIfUnresponsive(now, e)
-		busy = busy || e.guard.Runs() > 0 || !e.guard.EarlierRunsEnded()
+		busy = busy || e.guard.Runs() > 0 || e.guard.LooksForEarlierRuns()
 	}
 	for _, p := range s.peers {
 		if p.EchoOverdue(now, entryLinkTimeout) {
