--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -491,6 +491,7 @@
 			g.finish(now, r, reason)
 		case running[r.ref]:
 			r.listed = true
+		case running[RunRef{Task: r.ref.Task}]: // listed without its number
 		case r.stopAnswered != 0 && s.Clock > r.stopAnswered && len(s.Ended) < endsPerAnswer:
 			g.finish(now, r, EndLapsed)
 		}
--- a/dispatch/guard_test.go
+++ b/dispatch/guard_test.go
@@ -631,3 +631,20 @@
 	g.Polled(now+120*ms, now+120*ms, Snapshot{Clock: now - 5*time.Second + 120*ms})
 	wantEnds(t, g, map[RunRef]EndReason{run: EndLapsed})
 }
+
+// The next lifetime of an id lists a run without its number, after the stop was answered.
+func TestGuardKeepsARunThatTheNextLifetimeListsWithoutItsNumber(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("j", 0, 1)
+	g.Start(now, order(ownerA, run, now))
+	born := now + 50*ms
+	snapshot := func(at Time, running ...RunningRun) Snapshot {
+		return Snapshot{Clock: at - born, Born: 8, Running: running}
+	}
+	g.Polled(now+60*ms, now+60*ms, snapshot(now+60*ms))
+	g.StopAnswered(now+70*ms, run, CallResult{Clock: now + 70*ms - born})
+	g.Polled(now+80*ms, now+80*ms, snapshot(now+80*ms, RunningRun{Run: RunRef{Task: run.Task}}))
+	wantEnds(t, g, map[RunRef]EndReason{})
+	g.Polled(now+90*ms, now+90*ms, snapshot(now+90*ms))
+	wantEnds(t, g, map[RunRef]EndReason{run: EndLapsed})
+}
