--- a/hosted/entry/sim_test.go
+++ b/hosted/entry/sim_test.go
@@ -41,9 +41,9 @@
 	simStopTime   = 50 * ms         // longest time that a stop takes
 	simOrderAge   = 450 * ms        // oldest clock reading that an order may echo
 	simGrace      = 5 * time.Second // after which a stopping entry answers what is open
-	simKeepEnds   = 2 * time.Second
-	simRotation   = 2500 * ms
-	simStopMargin = 300 * ms
+	simKeepEnds   = 2 * time.Second // that an agent keeps an end, to send it again
+	simRotation   = 2500 * ms       // after which a stopping entry without work exits
+	simStopMargin = 300 * ms        // from simGrace until it exits in any case
 
 	simJobs         = 160
 	simFaults       = 20
@@ -75,11 +75,11 @@
 }
 
 type sim struct {
-	rng       *rand.Rand
+	rng       source
 	now       time.Duration
 	seq       int
 	seed      uint64
-	dials     map[string]int // links made, by pair
+	drawn     map[string]int // sources drawn, by what they are for
 	events    simQueue
 	entries   []*simEntry
 	agents    []*simAgent
@@ -95,8 +95,11 @@
 	heap.Push(&s.events, simEvent{s.now + d, s.seq, do})
 }
 
-func (s *sim) between(from, to time.Duration) time.Duration {
-	return from + time.Duration(s.rng.Int64N(int64(to-from)))
+// source draws random numbers.
+type source struct{ *rand.Rand }
+
+func (r source) between(from, to time.Duration) time.Duration {
+	return from + time.Duration(r.Int64N(int64(to-from)))
 }
 
 func (s *sim) log(format string, args ...any) {
@@ -216,7 +219,7 @@
 			idle := n.e.state.openJobs() == 0 && n.e.state.unacknowledged(n.s.now) == 0
 			switch {
 			case n.s.now-began > simRotation && idle, n.s.now-began > simGrace+simStopMargin:
-				n.exit(n.s.between(300*ms, 1500*ms))
+				n.exit(n.s.rng.between(300*ms, 1500*ms))
 			case n.s.now-began > simGrace:
 				n.e.receive(n.s.now, endRequests{})
 			}
@@ -242,18 +245,16 @@
 	silent bool // loses all that is sent
 	closed bool
 	newest [2]time.Duration // delivery of the newest message, by receiver
-	rng    *rand.Rand       // of its own: the entries send to their peers in no fixed order
+	rng    source
 }
 
-func (s *sim) newLink(a, b string) *simLink {
-	s.dials[a+b]++
+// source returns a random source of its own for what happens between a and b: entries
+// send to their peers in no fixed order, and one source for all would differ by that.
+func (s *sim) source(a, b string) source {
+	s.drawn[a+b]++
 	h := fnv.New64a()
-	_, _ = fmt.Fprintf(h, "%d %s %s %d", s.seed, a, b, s.dials[a+b])
-	return &simLink{s: s, rng: rand.New(rand.NewPCG(h.Sum64(), 3))}
-}
-
-func (l *simLink) between(from, to time.Duration) time.Duration {
-	return from + time.Duration(l.rng.Int64N(int64(to-from)))
+	_, _ = fmt.Fprintf(h, "%d %s %s %d", s.seed, a, b, s.drawn[a+b])
+	return source{rand.New(rand.NewPCG(h.Sum64(), 3))}
 }
 
 type simEnd struct {
@@ -292,9 +293,9 @@
 	if l.silent {
 		return
 	}
-	at := l.s.now + l.between(ms, 3*ms)
+	at := l.s.now + l.rng.between(ms, 3*ms)
 	if until := l.partitioned(); at < until {
-		at = until + l.between(ms, 20*ms)
+		at = until + l.rng.between(ms, 20*ms)
 	}
 	at = max(at, l.newest[to])
 	l.newest[to] = at
@@ -325,9 +326,9 @@
 		if end.entry != nil {
 			end.entry.links = slices.DeleteFunc(end.entry.links, func(o *simLink) bool { return o == l })
 		}
-		delay := l.between(ms/10, 3*ms)
+		delay := l.rng.between(ms/10, 3*ms)
 		if until := l.partitioned(); by != nil && side != *by && (l.silent || l.s.now < until) {
-			delay = max(until-l.s.now, 0) + l.between(100*ms, 900*ms) // only its own timeout tells it
+			delay = max(until-l.s.now, 0) + l.rng.between(100*ms, 900*ms) // only its own timeout tells it
 		}
 		l.s.after(delay, func() {
 			l.deliver(side, func(e *simEntry, link *mesh.Link) { e.e.receive(l.s.now, control.LinkDown{Link: link}) }, func(a *simAgent) { a.linkDown(l) })
@@ -347,7 +348,7 @@
 
 // dial links two entries as soon as both can answer.
 func (s *sim) dial(a, b *simEntry) {
-	s.after(s.newLink("dial "+a.hello.Name, b.hello.Name).between(2*ms, 40*ms), func() {
+	s.after(s.source("dial "+a.hello.Name, b.hello.Name).between(2*ms, 40*ms), func() {
 		if a.e == nil || b.e == nil {
 			return // the one that starts dials
 		}
@@ -358,7 +359,7 @@
 			s.dial(a, b)
 			return
 		}
-		l := s.newLink(a.hello.Name, b.hello.Name)
+		l := &simLink{s: s, rng: s.source(a.hello.Name, b.hello.Name)}
 		for i, n := range []*simEntry{a, b} {
 			l.ends[i] = simEnd{entry: n, incarnation: n.incarnation}
 			n.links = append(n.links, l)
@@ -406,7 +407,7 @@
 }
 
 func (a *simAgent) dial(n *simEntry) {
-	a.s.after(a.s.newLink("dial "+a.name, n.hello.Name).between(2*ms, 60*ms), func() {
+	a.s.after(a.s.source("dial "+a.name, n.hello.Name).between(2*ms, 60*ms), func() {
 		if n.e == nil {
 			return
 		}
@@ -417,7 +418,7 @@
 			a.dial(n)
 			return
 		}
-		l := a.s.newLink(a.name, n.hello.Name)
+		l := &simLink{s: a.s, rng: a.s.source(a.name, n.hello.Name)}
 		l.ends[0] = simEnd{entry: n, incarnation: n.incarnation}
 		l.ends[1] = simEnd{agent: a}
 		hello := wire.NodeHello{Name: a.name, Incarnation: 1, Role: wire.RoleAgent}
@@ -554,7 +555,7 @@
 		a.s.running[r.Run.Task] = a.name + " for " + owner.Entry
 		a.s.log("%v starts at %s for %s", r.Run, a.name, owner.Entry)
 		a.runs[r.Run] = &simRun{order: r.Order, owner: owner}
-		a.s.after(a.s.newLink("run", fmt.Sprint(r.Run.Task)).between(simWork/2, simWork*3/2), func() { a.end(r.Run, dispatch.EndDone) })
+		a.s.after(a.s.source("run", fmt.Sprint(r.Run.Task)).between(simWork/2, simWork*3/2), func() { a.end(r.Run, dispatch.EndDone) })
 	}
 }
 
@@ -563,7 +564,7 @@
 		return
 	}
 	r.stopping = true
-	a.s.after(a.s.newLink("stop", fmt.Sprint(ref.Task)).between(ms, simStopTime), func() { a.end(ref, dispatch.EndStopped) })
+	a.s.after(a.s.source("stop", fmt.Sprint(ref.Task)).between(ms, simStopTime), func() { a.end(ref, dispatch.EndStopped) })
 }
 
 func (a *simAgent) end(ref dispatch.RunRef, reason dispatch.EndReason) {
@@ -626,7 +627,7 @@
 		n.e.receive(s.now, submit{job: job, route: route, wait: until - s.now, deadline: until, reply: t.reply})
 	})
 	if s.rng.IntN(3) == 0 {
-		s.after(s.between(0, simWork), func() { t.disconnect() })
+		s.after(s.rng.between(0, simWork), func() { t.disconnect() })
 	}
 }
 
@@ -673,11 +674,11 @@
 	a := s.agents[s.rng.IntN(len(s.agents))]
 	switch s.rng.IntN(9) {
 	case 0:
-		n.freeze(s.between(100*ms, 2*time.Second))
+		n.freeze(s.rng.between(100*ms, 2*time.Second))
 	case 1:
-		n.freeze(s.between(200*ms, 900*ms))
+		n.freeze(s.rng.between(200*ms, 900*ms))
 	case 2:
-		n.exit(s.between(50*ms, time.Second))
+		n.exit(s.rng.between(50*ms, time.Second))
 	case 3:
 		n.stop()
 	case 4: // resets at one entry, of clients and links alike
@@ -699,15 +700,15 @@
 		}
 	case 6:
 		if other != n {
-			until := s.now + s.between(100*ms, 3*time.Second)
+			until := s.now + s.rng.between(100*ms, 3*time.Second)
 			s.log("%s and %s partitioned until %v", n.hello.Name, other.hello.Name, until)
 			s.partition[simPair(n, other)] = until
 		}
 	case 7:
-		a.partitioned[n.hello.Name] = s.now + s.between(100*ms, 3*time.Second)
+		a.partitioned[n.hello.Name] = s.now + s.rng.between(100*ms, 3*time.Second)
 		s.log("%s and %s partitioned until %v", n.hello.Name, a.name, a.partitioned[n.hello.Name])
 	case 8: // an entry loses most of its agents for a while, so that the home moves
-		until := s.now + s.between(100*ms, 3*time.Second)
+		until := s.now + s.rng.between(100*ms, 3*time.Second)
 		s.log("%s loses its agents until %v", n.hello.Name, until)
 		for _, a := range s.agents[1:] {
 			a.partitioned[n.hello.Name] = until
@@ -728,7 +729,7 @@
 // runSim plays one seed.
 func runSim(seed uint64) *sim {
 	s := &sim{
-		rng: rand.New(rand.NewPCG(seed, 2)), seed: seed, dials: map[string]int{}, now: 10 * time.Second, running: map[dispatch.TaskRef]string{},
+		rng: source{rand.New(rand.NewPCG(seed, 2))}, seed: seed, drawn: map[string]int{}, now: 10 * time.Second, running: map[dispatch.TaskRef]string{},
 		partition: map[string]time.Duration{}, ended: map[string]int{},
 	}
 	for i := range simAgents {
@@ -737,7 +738,7 @@
 			lease: map[dispatch.Owner]time.Duration{}, runs: map[dispatch.RunRef]*simRun{}, highest: map[dispatch.TaskRef]int{}, partitioned: map[string]time.Duration{},
 		}
 		s.agents = append(s.agents, a)
-		s.after(s.between(0, simHeartbeat), a.heartbeat)
+		s.after(s.rng.between(0, simHeartbeat), a.heartbeat)
 		a.tick()
 	}
 	for i := range simEntries {
@@ -748,10 +749,10 @@
 	}
 	begin, span := 2*time.Second, 10*time.Second
 	for i := range simJobs {
-		s.after(begin+s.between(0, span), func() { s.submit(fmt.Sprintf("job%d", i), 0, s.now+s.between(simShortestWait, simLongestWait)) })
+		s.after(begin+s.rng.between(0, span), func() { s.submit(fmt.Sprintf("job%d", i), 0, s.now+s.rng.between(simShortestWait, simLongestWait)) })
 	}
 	for range simFaults {
-		s.after(begin+s.between(0, span), s.injectFault)
+		s.after(begin+s.rng.between(0, span), s.injectFault)
 	}
 	end := s.now + begin + span + 6*time.Second
 	for s.events.Len() > 0 && s.events[0].at < end && s.violation == "" {
