guard: no lease is extended before the endpoint's clock is known

Since runs of an earlier agent are handed over, a guard can have runs before its first answer. It then extended the endpoint's lease to a reading of the host's clock, which the endpoint may shorten to a whole HoldMaxMs whatever the owner's lease is; and where the host has been up for longer than the endpoint, that reading kept the guard from ever taking a lease as run out. Leases are extended once the clock has been read.

--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -636,7 +636,7 @@
 	if g.awaitsEnd() && now >= g.nextPoll {
 		g.poll(now)
 	}
-	if len(g.runs) > 0 && now >= g.nextRenew && !g.replaced() {
+	if len(g.runs) > 0 && now >= g.nextRenew && g.sampled != 0 && !g.replaced() {
 		g.nextRenew = now + renewEvery
 		g.emit(GuardAction{Kind: CallPoll, Until: g.grantLease(now)})
 	}
--- a/dispatch/guard_test.go
+++ b/dispatch/guard_test.go
@@ -648,3 +648,50 @@
 	g.Polled(now+90*ms, now+90*ms, snapshot(now+90*ms))
 	wantEnds(t, g, map[RunRef]EndReason{run: EndLapsed})
 }
+
+// A guard that has no answer of its endpoint yet does not know the endpoint's clock,
+// so any time that it sends extends the lease by an unknown time.
+func TestGuardExtendsNoLeaseBeforeItKnowsTheEndpointsClock(t *testing.T) {
+	g := NewGuard(EndpointID{ID: "e", Born: 1}, "svc", "z", Resources{CPUMilli: 4000}, nil, testTiming)
+	now := 1000 * time.Second
+	g.Announced(now, false, Resources{CPUMilli: 4000})
+	g.RenewOwner(callerA, now+testTiming.OwnerLease)
+	g.StopEarlier(now, callerA, RunRef{Task: TaskRef{Job: "j"}, Run: 1}, 1)
+	g.Tick(now)
+	for _, a := range g.TakeActions() {
+		if a.Kind == CallPoll && a.Until != 0 {
+			t.Errorf("extends the lease to %v on the endpoint's clock, which is not known", a.Until)
+		}
+	}
+}
+
+// The lease that was sent before must not keep the guard from seeing that a lease
+// has run out.
+func TestGuardLapsesRunsThoughItHadARunBeforeTheFirstAnswer(t *testing.T) {
+	g := NewGuard(EndpointID{ID: "e", Born: 1}, "svc", "z", Resources{CPUMilli: 4000}, nil, testTiming)
+	now := 1000 * time.Second // the host is up for longer than the endpoint
+	g.Announced(now, false, Resources{CPUMilli: 4000})
+	g.RenewOwner(callerA, now+testTiming.OwnerLease)
+	earlier := RunRef{Task: TaskRef{Job: "j"}, Run: 1}
+	g.StopEarlier(now, callerA, earlier, 1)
+	g.Tick(now)
+	clock := 5 * time.Second
+	g.Polled(now, now, Snapshot{Clock: clock, Born: 1})
+	g.StopAnswered(now, earlier, CallResult{Clock: clock})
+	now, clock = now+60*ms, clock+60*ms
+	g.Polled(now, now, Snapshot{Clock: clock, Born: 1})
+	g.Tick(now)
+	if g.Runs() != 0 || !g.Status(callerA).Available {
+		t.Fatalf("%d runs, available %v", g.Runs(), g.Status(callerA).Available)
+	}
+	g.Start(now, Order{Owner: callerA, Number: 2, Run: RunRef{Task: TaskRef{Job: "k"}, Run: 1}, Need: Resources{CPUMilli: 1000}, Echo: now})
+	if g.Runs() != 1 {
+		t.Fatal("not started")
+	}
+	for end := now + 3*time.Second; now < end; now += 25 * ms { // the endpoint no longer answers
+		g.Tick(now)
+	}
+	if g.Runs() != 0 {
+		t.Error("the run has not lapsed 3 s after the endpoint's last answer")
+	}
+}
