guard: an answer of an earlier lifetime does not end the later one

Not seen by callers; found by the review. An answer with a lower birth than that of the guarded lifetime, delivered late, counted as if that lifetime had taken the id over, so that the guard ended. It is ignored.

--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -453,7 +453,7 @@
 	if g.Ended() {
 		return
 	}
-	if g.replaced() && s.Born < g.born {
+	if s.Born < g.born && (s.Born != 0 || g.replaced()) {
 		return // answered by an earlier lifetime
 	}
 	if g.born != 0 && s.Born != 0 {
--- a/dispatch/guard_test.go
+++ b/dispatch/guard_test.go
@@ -695,3 +695,14 @@
 		t.Error("the run has not lapsed 3 s after the endpoint's last answer")
 	}
 }
+
+// A snapshot of an earlier lifetime says nothing about a later one.
+func TestGuardIgnoresAnAnswerOfAnEarlierLifetime(t *testing.T) {
+	g := NewGuard(EndpointID{ID: "e", Born: 2}, "svc", "z", Resources{CPUMilli: 4000}, nil, testTiming)
+	now := 1000 * time.Second
+	g.Announced(now, false, Resources{CPUMilli: 4000})
+	g.Polled(now, now, Snapshot{Clock: 5 * time.Second, Born: 1})
+	if g.Ended() {
+		t.Error("the lifetime is taken as over")
+	}
+}
