A run that was handed over is not over with its endpoint

Not seen by callers; found by the review. A home that has handed over a run to an agent's next incarnation took it as ended when that agent reported the lifetime of the endpoint as gone, though another lifetime of the same id may carry out the start, and the agent dropped the stop of a lifetime that it no longer had. The run now stays until its end is reported or its validity and a lease have passed, and the agent stops it in the newest lifetime of the id. TestARunThatWasHandedOverIsNotOverWithItsEndpoint failed before ("run 2 ordered, though no end of run 1 was reported"). TestARunOfAReplacedAgentEndsWithoutAReport counted runs and took the task's next run for the one handed over; it looks for the order now, and so fails under two changes that it let pass (an end without the lease, ends of lost agents at once; tried by the reviewer). dispatch and hosted/agent pass.

--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -30,6 +30,7 @@
 	runs        []*run // not known to have ended, oldest order first
 	suspect     bool   // the agent has missed heartbeats
 	lost        bool   // nothing is received from the agent any more
+	gone        bool   // the lifetime is over; kept for runs that were handed over
 	released    bool   // another scheduler has the endpoint
 	runsEndBy   Time   // if lost: the runs have ended by then
 	pausedUntil Time   // gets no task before
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -378,9 +378,17 @@
 	s.cancel(r)
 }
 
+// dropEndpoint ends the runs at an endpoint and drops it. Runs that were handed over
+// stay until they are certain to have ended: their starts may still be on their way.
 func (s *Scheduler) dropEndpoint(now Time, e *endpoint, why string) {
 	for _, r := range slices.Clone(e.runs) {
-		s.presumeEnded(now, r, why)
+		if now >= r.endBy {
+			s.presumeEnded(now, r, why)
+		}
+	}
+	if len(e.runs) > 0 {
+		e.gone, e.lost, e.runsEndBy = true, true, now
+		return
 	}
 	s.endpoints = slices.DeleteFunc(s.endpoints, func(o *endpoint) bool { return o == e })
 }
@@ -453,7 +461,7 @@
 		if e.agent != agent {
 			continue
 		}
-		e.lost, e.suspect = false, false
+		e.lost, e.suspect = e.gone, false
 		s.raiseMaxFreeCPU(nil)
 		for _, r := range slices.Clone(e.runs) {
 			switch {
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -516,7 +516,7 @@
 		}
 		for ; b.now < over; b.now += 25 * ms {
 			b.s.Tick(b.now)
-			if len(b.s.runs) != 1 {
+			if b.s.runs[old[0].Order] == nil {
 				t.Fatalf("lost %v: the run ended %v before it is certain", lost, over-b.now)
 			}
 		}
@@ -868,3 +868,18 @@
 	}
 	return 0, b.now
 }
+
+// The agent may have removed the lifetime before the stop of the run arrived, because
+// another one has taken the id over, where the start may still be carried out.
+func TestARunThatWasHandedOverIsNotOverWithItsEndpoint(t *testing.T) {
+	b := newBed(t, "e1", "e2")
+	b.submit("j", callerA, 0, step(1))
+	old, _, _ := b.take()
+	name := old[0].Endpoint.ID
+	b.replaceAgent(name, 2)
+	b.take()
+	b.s.EndpointGone(b.now, agentIncarnation(name, 2), EndpointID{ID: name})
+	if orders, _, _ := b.take(); len(orders) > 0 {
+		t.Errorf("run %d ordered, though no end of run %d was reported", orders[0].Run.Run, old[0].Run.Run)
+	}
+}
--- a/hosted/agent/control.go
+++ b/hosted/agent/control.go
@@ -350,6 +350,9 @@
 
 func (s *state) stopRuns(now time.Duration, owner dispatch.Owner, m *wire.RunStop) {
 	e := s.endpoints[m.Endpoint]
+	if e == nil && len(m.Orders) > 0 {
+		e = s.newestOf(m.Endpoint.ID) // a start for an earlier lifetime may be carried out there
+	}
 	if e == nil {
 		return
 	}
@@ -414,6 +417,17 @@
 	return false
 }
 
+// newestOf returns the newest lifetime of an endpoint's id, or nil.
+func (s *state) newestOf(id string) *endpoint {
+	var newest *endpoint
+	for _, e := range s.endpoints {
+		if e.announced.Endpoint.ID == id && (newest == nil || e.announced.Endpoint.Born > newest.announced.Endpoint.Born) {
+			newest = e
+		}
+	}
+	return newest
+}
+
 // reportEnd reports an end to the owner of the run, and keeps it to be resent if
 // the owner reconnects.
 func (s *state) reportEnd(now time.Duration, owner dispatch.Owner, end wire.EndedRun) {
