A home that thaws checks leases and takes cancels before it places tasks

Callers may see a task run twice: their entry exits, or their connection to the home itself is lost, while the home is frozen for about 1.28 s; they send the job again after 1.3 s at an entry that has chosen another home, and the thawed home orders the task again at the same moment. Cause: a process that thaws handles what has waited in any order, and an agent's report of a stopped run, handled before the next tick, had the home place the task again before it noticed that the lease of the job's entry had ended or that the client had left. A home that has not checked the leases for 100 ms now does so before it handles anything, and places nothing for 50 ms, so that waiting cancels come first. A tick that is late by less than 100 ms changes nothing, so a slow host does not stop placing.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -83,7 +83,7 @@
 
 // place orders runs of waiting tasks at endpoints with free capacity.
 func (s *Scheduler) place(now Time) {
-	if len(s.queue) == 0 {
+	if len(s.queue) == 0 || now < s.holdUntil {
 		return
 	}
 	s.sortQueue(now)
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -92,8 +92,9 @@
 	nextCheck      Time
 	started        Time
 
-	searchFrom int // index of the endpoint at which the next search for capacity begins
-	maxFreeCPU int // upper bound of the free processors at any usable endpoint, in thousandths of a core
+	holdUntil  Time // no task is placed before
+	searchFrom int  // index of the endpoint at which the next search for capacity begins
+	maxFreeCPU int  // upper bound of the free processors at any usable endpoint, in thousandths of a core
 }
 
 // OrderNumbers numbers the orders of one process, whose schedulers share it.
@@ -119,6 +120,10 @@
 	}
 }
 
+// Hold has no task placed before a moment: a process that was frozen has to learn first
+// which jobs are no longer waited for.
+func (s *Scheduler) Hold(until Time) { s.holdUntil = until }
+
 // TakeActions returns the actions collected since the last call.
 func (s *Scheduler) TakeActions() []SchedulerAction {
 	out := s.out
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -12,6 +12,10 @@
 
 const (
 	tickEvery = 25 * time.Millisecond
+	// maxCheckPause is the longest time between two checks of the leases of entries. A
+	// process that exceeds it was frozen or slow: it checks them before anything else,
+	// and handles what has waited, cancels among it, before it places tasks.
+	maxCheckPause = 100 * time.Millisecond
 	// busyHeartbeatEvery is the pause between heartbeats of two entries of which one
 	// is a home, so that it may hold jobs of the other: six in an entry's lease.
 	busyHeartbeatEvery = 50 * time.Millisecond
@@ -54,6 +58,7 @@
 	seeds           []string               // addresses where entries may listen
 	sentMembers     wire.Members           // list of entries last sent to agents
 	nextMembersAt   time.Duration          // earliest time of the next list to agents
+	checkedAt       time.Duration          // when the leases of the other entries were last checked
 	stopping        bool
 	stopTimedOut    bool // the time to stop is over: requests are answered without the ends of their jobs
 }
@@ -97,6 +102,12 @@
 
 func (e *Entry) receive(now time.Duration, message any) {
 	s := e.state
+	if now-s.checkedAt > maxCheckPause {
+		s.checkPeers(now)
+		for _, sched := range s.schedulers {
+			sched.Hold(now + 2*tickEvery)
+		}
+	}
 	switch m := message.(type) {
 	case control.Tick:
 		s.tick(now)
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -103,6 +103,7 @@
 // checkPeers drops the entries whose echoes are overdue (their lease, or
 // idlePeerTimeout), and sends the heartbeats that are due.
 func (s *state) checkPeers(now time.Duration) {
+	s.checkedAt = now
 	heartbeat := s.heartbeat()
 	for name, p := range s.peers {
 		pause, timeout := s.pace(now, name, p)
--- a/hosted/entry/sim_test.go
+++ b/hosted/entry/sim_test.go
@@ -175,6 +175,10 @@
 }
 
 func (n *simEntry) tick(incarnation int) {
+	if n.s.now < n.frozenUntil { // a thawed process handles what has waited in any order
+		n.s.after(n.frozenUntil-n.s.now+n.s.rng.between(0, 5*ms), func() { n.tick(incarnation) })
+		return
+	}
 	n.run(incarnation, func() {
 		n.e.receive(n.s.now, control.Tick{})
 		n.s.after(simTick, func() { n.tick(incarnation) })
@@ -726,8 +730,8 @@
 	return m
 }()
 
-// runSim plays one seed.
-func runSim(seed uint64) *sim {
+// newSim returns a simulation of started processes.
+func newSim(seed uint64) *sim {
 	s := &sim{
 		rng: source{rand.New(rand.NewPCG(seed, 2))}, seed: seed, drawn: map[string]int{}, now: 10 * time.Second, running: map[dispatch.TaskRef]string{},
 		partition: map[string]time.Duration{}, ended: map[string]int{},
@@ -747,6 +751,21 @@
 	for _, n := range s.entries {
 		n.start()
 	}
+	return s
+}
+
+// play advances the time up to a moment, or to the first violation.
+func (s *sim) play(until time.Duration) {
+	for s.events.Len() > 0 && s.events[0].at < until && s.violation == "" {
+		ev := heap.Pop(&s.events).(simEvent)
+		s.now = ev.at
+		ev.do()
+	}
+}
+
+// runSim plays one seed.
+func runSim(seed uint64) *sim {
+	s := newSim(seed)
 	begin, span := 2*time.Second, 10*time.Second
 	for i := range simJobs {
 		s.after(begin+s.rng.between(0, span), func() { s.submit(fmt.Sprintf("job%d", i), 0, s.now+s.rng.between(simShortestWait, simLongestWait)) })
@@ -754,12 +773,7 @@
 	for range simFaults {
 		s.after(begin+s.rng.between(0, span), s.injectFault)
 	}
-	end := s.now + begin + span + 6*time.Second
-	for s.events.Len() > 0 && s.events[0].at < end && s.violation == "" {
-		ev := heap.Pop(&s.events).(simEvent)
-		s.now = ev.at
-		ev.do()
-	}
+	s.play(s.now + begin + span + 6*time.Second)
 	for _, n := range s.entries {
 		if n.e != nil {
 			n.e.actor.Shutdown()
--- /dev/null
+++ b/hosted/entry/thaw_test.go
@@ -0,0 +1,174 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bergamotwing.example/dispatch"
+	"bergamotwing.example/hosted/control"
+	"bergamotwing.example/hosted/mesh"
+	"bergamotwing.example/wire"
+)
+
+// sentTo records what is sent on a link.
+type sentTo struct{ messages []wire.Message }
+
+func (s *sentTo) Send(m wire.Message) error {
+	s.messages = append(s.messages, m)
+	return nil
+}
+
+func (*sentTo) Close() {}
+
+func (s *sentTo) orders() (orders []wire.OrderedRun) {
+	for _, m := range s.messages {
+		if o, ok := m.(*wire.RunOrder); ok {
+			orders = append(orders, o.Runs...)
+		}
+	}
+	return orders
+}
+
+func recordedLink(name, role string) (*mesh.Link, *sentTo) {
+	sent := &sentTo{}
+	return &mesh.Link{Conn: sent, Hello: wire.NodeHello{Name: name, Incarnation: 1, Role: role, NewestKind: wire.NewestKind}}, sent
+}
+
+// linkAgentTo links an agent with an endpoint.
+func linkAgentTo(e *Entry, now time.Duration, name string) (*mesh.Link, *sentTo) {
+	l, sent := recordedLink(name, wire.RoleAgent)
+	e.receive(now, control.LinkUp{Link: l})
+	for _, m := range []wire.Message{
+		&wire.NodeHeartbeat{Clock: now, Echo: now},
+		&wire.RunsKept{},
+		&wire.EndpointReport{Status: dispatch.EndpointStatus{
+			Endpoint: dispatch.EndpointID{ID: "endpoint of " + name, Born: 1}, Service: "svc", Available: true,
+			Capacity: dispatch.Resources{CPUMilli: 4000},
+		}},
+	} {
+		e.receive(now, control.Received{Link: l, Message: m})
+	}
+	return l, sent
+}
+
+// A process that was frozen may handle the end of a run before a tick.
+func TestNoRunIsOrderedForAnEntryWhoseLeaseHasEnded(t *testing.T) {
+	e := newEntry(t)
+	began := mesh.Now()
+	entry, _ := recordedLink(other.Entry, wire.RoleEntry)
+	e.receive(began, control.LinkUp{Link: entry})
+	e.receive(began, control.Received{Link: entry, Message: &wire.NodeHeartbeat{Clock: 1, Echo: began, StoreVersion: 1}})
+	agents, sent := [2]*mesh.Link{}, [2]*sentTo{}
+	for i, name := range []string{"a", "b"} {
+		agents[i], sent[i] = linkAgentTo(e, began, name)
+	}
+	e.receive(began, control.Received{Link: entry, Message: &wire.JobSubmit{Job: job("j"), Route: testRoute, Wait: time.Minute}})
+	e.state.checkPeers(began) // the lease counts from here on
+	first := append(sent[0].orders(), sent[1].orders()...)
+	if len(first) != 1 {
+		t.Fatalf("%d orders", len(first))
+	}
+	at := 0
+	if len(sent[1].orders()) == 1 {
+		at = 1
+	}
+	thaw := began + 1200*time.Millisecond // four leases of the entry later
+	for i := range agents {
+		sent[i].messages = nil
+		e.receive(thaw, control.Received{Link: agents[i], Message: &wire.NodeHeartbeat{Clock: thaw - 20*time.Millisecond, Echo: began}})
+	}
+	e.receive(thaw, control.Received{Link: agents[at], Message: &wire.RunEnd{Ends: []wire.EndedRun{
+		{Run: first[0].Run, Order: first[0].Order, Reason: dispatch.EndStopped},
+	}}})
+	if again := append(sent[0].orders(), sent[1].orders()...); len(again) > 0 {
+		t.Errorf("run %d ordered %v after the entry's last echo; its lease is %v", again[0].Run.Run, thaw-began, e.state.timing.EntryLease)
+	}
+}
+
+// thawCase is a simulation in which a job's tasks run, and the entries in their parts.
+type thawCase struct {
+	*sim
+	home   *simEntry
+	others []*simEntry
+}
+
+// newThawCase submits a job at its home, or at another entry, and lets its tasks start.
+func newThawCase(t *testing.T, seed uint64, atHome bool) *thawCase {
+	t.Helper()
+	c := &thawCase{sim: newSim(seed)}
+	c.play(12 * time.Second)
+	c.now = 12 * time.Second
+	for _, n := range c.entries {
+		if n.hello.Name == c.entries[0].e.state.home[dispatch.Shard{Service: simService}] {
+			c.home = n
+		} else {
+			c.others = append(c.others, n)
+		}
+	}
+	c.entries = c.others[:1] // that the client may choose
+	if atHome {
+		c.entries = []*simEntry{c.home}
+	}
+	c.submit("job", 0, c.now+8*time.Second)
+	c.play(c.now + 50*ms)
+	c.now = 12*time.Second + 50*ms
+	if len(c.running) != 2 {
+		t.Fatalf("seed %d: %d tasks run", seed, len(c.running))
+	}
+	c.entries = c.others[1:] // where the client sends the job again
+	return c
+}
+
+// finish plays the case to its end and reports a violation.
+func (c *thawCase) finish(t *testing.T, what string) {
+	t.Helper()
+	c.play(c.now + 3*time.Second)
+	for _, n := range append(c.others, c.home) {
+		if n.e != nil {
+			n.e.actor.Shutdown()
+		}
+	}
+	if c.violation != "" {
+		t.Errorf("%s: %s", what, c.violation)
+	}
+}
+
+// A job's entry exits while its home is frozen, or its client loses the connection to the
+// home itself. The home thaws shortly before the client sends the job again.
+func TestAThawedHomeStartsNothingBesideTheNextHome(t *testing.T) {
+	for seed := uint64(20); seed < 50; seed++ {
+		for _, thaw := range []time.Duration{1270 * ms, 1280 * ms, 1290 * ms} {
+			for _, atHome := range []bool{false, true} {
+				c := newThawCase(t, seed, atHome)
+				c.home.freeze(thaw)
+				if atHome {
+					attempt := c.home.waits["job"]
+					delete(c.home.waits, "job")
+					attempt.broken()
+					c.after(thaw+c.rng.between(0, 5*ms), func() { c.home.receive(abandonRequest{"job", attempt.reply}) })
+				} else {
+					c.others[0].exit(600 * ms)
+				}
+				c.finish(t, fmt.Sprintf("seed %d, submitted at its home %v, thawed after %v", seed, atHome, thaw))
+			}
+		}
+	}
+}
+
+// A job's entry is partitioned from the home when the client disconnects, and the home
+// freezes before the entry's lease has ended.
+func TestAThawedHomeStartsNothingForAnEntryThatItWasPartitionedFrom(t *testing.T) {
+	for seed := uint64(20); seed < 30; seed++ {
+		for _, freeze := range []time.Duration{200 * ms, 240 * ms} {
+			for _, thaw := range []time.Duration{1270 * ms, 1280 * ms, 1290 * ms, 1300 * ms} {
+				c := newThawCase(t, seed, false)
+				entry := c.others[0]
+				c.partition[simPair(c.home, entry)] = c.now + 3*time.Second
+				entry.waits["job"].disconnect()
+				c.after(freeze, func() { c.home.freeze(thaw - freeze) })
+				c.finish(t, fmt.Sprintf("seed %d, frozen after %v, thawed after %v", seed, freeze, thaw))
+			}
+		}
+	}
+}
