--- a/dispatch/explore_test.go
+++ b/dispatch/explore_test.go
@@ -192,7 +192,7 @@
 	}
 }
 
-// The home that is partitioned from the agent counts on its runs to be over in time,
+// The home that is partitioned from the agent takes its runs as over at the end of their lease,
 // though the agent's next incarnation extends the endpoint's lease for other homes.
 func TestNoLateStartOfAReplacedAgentOutlastsTheLeaseOfAPartitionedHome(t *testing.T) {
 	for others := 100 * ms; others < 260*ms; others += 20 * ms {
--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -562,7 +562,7 @@
 			g.emit(GuardAction{Kind: FoundUnknown, Run: ref})
 		}
 		if now >= retryAt {
-			g.earlierRuns[ref] = now + endPollEvery // its owner may count on its end
+			g.earlierRuns[ref] = now + endPollEvery // its owner may take it as ended
 			g.emit(GuardAction{Kind: CallStop, Run: ref})
 		}
 		return
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -263,7 +263,7 @@
 		s.e.deps.Metrics.Count("bergamotwing_submissions_stale_total", "Submissions of other entries that came too late.", 1)
 		s.e.deps.Log.Warn().Str("event", "submission_stale").Str("job", m.Job.ID).Str("entry", owner.Entry).Dur("age_ms", age).Msg("submission refused: it came too late")
 		p.SendHeartbeat(now, s.heartbeat())
-		_ = p.Send(&wire.JobEnd{Job: m.Job.ID, Outcome: dispatch.Outcome{Code: result.StartTooLate}}) // submitted again on the next link
+		_ = p.Send(&wire.JobEnd{Job: m.Job.ID, Outcome: dispatch.Outcome{Code: result.StartTooLate}}) // resumed on the next link if it is lost
 		return
 	}
 	s.scheduler(dispatch.Shard{Service: m.Route.Service, Index: m.Shard}).Submit(now, dispatch.Submission{
--- a/integration/hosted/abandoned_test.go
+++ b/integration/hosted/abandoned_test.go
@@ -86,21 +86,26 @@
 	return left
 }
 
-// A cancel that is lost with its link left the job running, if the link was restored
-// within the entry's lease.
+// A cancel that is lost with its link is made good on the next one, if that comes within
+// the entry's lease.
 func TestAJobWhoseCancelIsLostWithTheLinkIsOverBeforeItIsSentAgain(t *testing.T) {
+	const tries = 5 // of restoring the link within the lease, on a slow host
 	c := Start(t, Options{Entries: 2, Agents: 2, Proxied: true})
-	home, others := homeAndOthers(t, c)
-	left := abandonWhileCut(t, c, others[0], home, NewJobID())
-	if !harness.Poll(fake.ResendAfter-time.Since(left), func() bool { return c.Record.Running() == 0 }) {
-		t.Errorf("%d of %d tasks run %v after the client left", c.Record.Running(), abandonedTasks, time.Since(left))
-	}
-	if strings.Contains(home.Log(), `"event":"entry_lost"`) {
-		t.Error("the link was not restored within the entry's lease: nothing was tested")
+	for range tries {
+		home, others := homeAndOthers(t, c)
+		lost := strings.Count(home.Log(), `"event":"entry_lost"`)
+		left := abandonWhileCut(t, c, others[0], home, NewJobID())
+		if !harness.Poll(fake.ResendAfter-time.Since(left), func() bool { return c.Record.Running() == 0 }) {
+			t.Fatalf("%d of %d tasks run %v after the client left", c.Record.Running(), abandonedTasks, time.Since(left))
+		}
+		if strings.Count(home.Log(), `"event":"entry_lost"`) == lost {
+			return
+		}
 	}
+	t.Error("the link was never restored within the entry's lease: nothing was tested")
 }
 
-// The job went on at its old home, which drained, while the new home ran it again.
+// A home that drains does not go on with a job that its client has given up.
 func TestAJobThatIsSentAgainAfterItsHomeHasMovedDoesNotRunTwice(t *testing.T) {
 	c := Start(t, Options{Entries: 3, Agents: 3, Proxied: true})
 	home, others := homeAndOthers(t, c)
@@ -158,8 +163,8 @@
 	return answered
 }
 
-// A submission that had waited at a frozen home for longer than the entry's lease was
-// started.
+// A submission that has waited at a frozen home for longer than the entry's lease starts
+// nothing.
 func TestSubmissionsThatWaitedAtAFrozenHomeStartNothing(t *testing.T) {
 	const rounds = 8 // the order in which a thawed process handles what has waited differs
 	c := Start(t, Options{Entries: 2, Agents: 2, Proxied: true})
@@ -173,8 +178,8 @@
 	}
 }
 
-// A home that was thawed and linked again before it noticed that the entry had given it
-// up went on with the jobs that the entry had answered.
+// A home that is thawed and linked again before it has noticed that the entry has given it
+// up does not go on with the jobs that the entry has answered.
 func TestJobsThatAnEntryHasAnsweredAsLostAreOverBeforeTheyAreSentAgain(t *testing.T) {
 	const rounds = 4
 	c := Start(t, Options{Entries: 2, Agents: 2, Proxied: true})
--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -24,7 +24,7 @@
 	Addr        string      `cbor:"5,keyasint,omitempty"` // IP:port of the listener for links; entries only
 	Cores       float64     `cbor:"6,keyasint,omitempty"` // processor time that the process may use, in cores; entries only
 	LinkMbps    float64     `cbor:"7,keyasint,omitempty"` // bandwidth of the host; entries only
-	NewestKind  Kind        `cbor:"8,keyasint,omitempty"` // of message that the sender knows; 0: KindShardCounts
+	NewestKind  Kind        `cbor:"8,keyasint,omitempty"` // highest kind of message that the sender knows; 0: as if KindShardCounts
 }
 
 // NodeHeartbeat is the heartbeat between entries, and between entries and agents.
