--- a/hosted/agent/agent.go
+++ b/hosted/agent/agent.go
@@ -169,6 +169,10 @@
 
 // Announced implements platform.EndpointEvents.
 func (a *Agent) Announced(n platform.Announcement) bool {
+	if err := a.checkService(n); err != nil {
+		a.badAnnouncement(err)
+		return false
+	}
 	taken := make(chan struct{}, 1)
 	a.actor.Send(announced{n, taken})
 	select {
@@ -185,6 +189,15 @@
 	}
 }
 
+// checkService returns an error if an announcement names another service than the
+// settings name for the endpoint on this host.
+func (a *Agent) checkService(n platform.Announcement) error {
+	if a.node.Service != "" && n.Service != a.node.Service {
+		return eris.Errorf("endpoint %s names service %q, not %q", n.Endpoint.ID, n.Service, a.node.Service)
+	}
+	return nil
+}
+
 // Ended implements platform.EndpointEvents.
 func (a *Agent) Ended(id string) { a.actor.Send(endpointEnded{id}) }
 
--- a/hosted/agent/odd_test.go
+++ b/hosted/agent/odd_test.go
@@ -5,7 +5,9 @@
 	"testing"
 	"time"
 
+	"bergamotwing.example/dispatch"
 	"bergamotwing.example/hosted/mesh"
+	"bergamotwing.example/platform"
 	"bergamotwing.example/wire"
 )
 
@@ -19,6 +21,7 @@
 		`{"Endpoint":{"ID":"i-1"},"Addr":"10.0.0.1:0","Service":"svc","Zone":"z1"}`,
 		`{"Endpoint":{"ID":"i-1"},"Addr":"10.0.0.1:80","Service":"svc","Zone":"z1","Capacity":{"CPUMilli":-1}}`,
 		`{"Endpoint":{"ID":"i-1"},"Addr":"10.0.0.1:80","Service":"svc","Zone":"z1","Seq":9000000000000000000}`,
+		`{"Endpoint":{"ID":"i-1"},"Addr":"10.0.0.1:80","Service":"another","Zone":"z1"}`,
 		`{"Endpoint":{"ID":"i-1","Born":1e400},"Addr":"10.0.0.1:80","Service":"svc","Zone":"z1"}`,
 	} {
 		server.PutBytes(endpointsTable, a.node.Name, []byte(value))
@@ -53,3 +56,18 @@
 		t.Errorf("known entries: %v", known)
 	}
 }
+
+func TestAnAnnouncementOfAnotherServiceNamesNoEndpoint(t *testing.T) {
+	a := newTestAgent(t, testNode(t, "127.0.0.1:1"))
+	a.ctx = t.Context()
+	a.actor.Start(a.receive)
+	t.Cleanup(a.actor.Shutdown)
+	n := platform.Announcement{Endpoint: dispatch.EndpointID{ID: "i-1"}, Addr: "127.0.0.1:1", Service: "another", Zone: "z1"}
+	if a.Announced(n) {
+		t.Error("an endpoint of another service is acknowledged")
+	}
+	n.Service = a.node.Service
+	if !a.Announced(n) {
+		t.Error("the endpoint is not acknowledged")
+	}
+}
--- a/hosted/agent/remember.go
+++ b/hosted/agent/remember.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -112,7 +113,7 @@
 		err = json.Unmarshal(row.Value, &n)
 	}
 	if err == nil {
-		err = n.Check()
+		err = errors.Join(n.Check(), a.checkService(n))
 	}
 	if err != nil {
 		a.odd.Report(row.Odd(err))
