--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -144,7 +144,7 @@
 
 	draining  bool
 	evacuated bool
-	recovered bool // no run of an earlier agent incarnation is left
+	recovered bool // takes tasks: no unknown run is listed, and recoveryTime has passed
 	ended     bool // by End
 
 	runs        map[RunRef]*guardedRun
@@ -154,7 +154,7 @@
 	used        Resources
 	cursor      int64
 	newest      Time // clock of the newest snapshot
-	recoveryEnd Time // endpoint's clock from which on no start of an earlier agent incarnation arrives; 0: not known yet
+	recoveryEnd Time // endpoint's clock at which recoveryTime has passed; 0: no answer yet
 	offset      Time // endpoint's clock less the host's
 	sampled     Time // host clock of the offset; 0: none yet
 	maxUntil    Time // latest lease end sent, endpoint's clock
--- a/hosted/agent/odd_test.go
+++ b/hosted/agent/odd_test.go
@@ -11,7 +11,7 @@
 	"bergamotwing.example/wire"
 )
 
-// A row of another writer under the agent's name named an endpoint without an address.
+// A row that another writer has left under the agent's name names no endpoint.
 func TestAnOddStoredEndpointIsLeftOut(t *testing.T) {
 	server, addr := startStore(t)
 	a := newTestAgent(t, testNode(t, addr))
--- a/hosted/entry/odd_test.go
+++ b/hosted/entry/odd_test.go
@@ -29,8 +29,7 @@
 	return e.state
 }
 
-// A configuration that could not be read kept the zones out of service from being
-// followed.
+// A configuration that cannot be read keeps no zone out of service from being followed.
 func TestWithoutAReadableConfigurationTheOneInForceStays(t *testing.T) {
 	s := newTestState(t)
 	s.operatorRead(0, operatorRead{state: dispatch.OperatorState{StoreVersion: 1, Evacuated: []string{"z1"}}})
--- a/integration/hosted/odd_test.go
+++ b/integration/hosted/odd_test.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// One odd row or heartbeat of another writer made a list unreadable: processes ended,
-// or no longer followed it.
+// An odd row or heartbeat of another writer ends no process and stops no list from
+// being followed.
 func TestOddRowsAndHeartbeatsStopNothing(t *testing.T) {
 	c := Start(t, Options{Entries: 3, Agents: 3, Prepare: putOddRows})
 	tr := c.StartTraffic(6, 20*time.Millisecond)
