One drain for the clients of both kinds of entry

The hosted entry had a drain of its own that does not.

Change: that drain is now the module drain, which serves both. Connections over TLS or HTTP/2 are stopped by Shutdown as before.

--- a/hosted/entry/clientconn.go
+++ b/drain/conn.go
@@ -1,4 +1,4 @@
-package entry
+package drain
 
 import (
 	"io"
@@ -11,9 +11,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// clientConn is a client's connection. Once it is closing it takes no further
+// conn is a client's connection. Once it is closing it takes no further
 // request, but completes one of which any byte has been read.
-type clientConn struct {
+type conn struct {
 	net.Conn
 
 	mu          sync.Mutex
@@ -34,7 +34,7 @@
 
 // Read reads from the connection. Between two requests of a closing connection it
 // returns EOF.
-func (c *clientConn) Read(p []byte) (int, error) {
+func (c *conn) Read(p []byte) (int, error) {
 	if err := c.beginRead(len(p)); err != nil {
 		return 0, err
 	}
@@ -56,7 +56,7 @@
 	return n, err
 }
 
-func (c *clientConn) beginRead(length int) error {
+func (c *conn) beginRead(length int) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -70,7 +70,7 @@
 }
 
 // interrupt ends the reading of a request, so that its handler can answer it.
-func (c *clientConn) interrupt() {
+func (c *conn) interrupt() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.interrupted = true
@@ -79,7 +79,7 @@
 	}
 }
 
-func (c *clientConn) hasBegun() bool {
+func (c *conn) hasBegun() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.begun
@@ -87,7 +87,7 @@
 
 // startClosing has the connection take no further request. The server closes the
 // connection when Read returns EOF.
-func (c *clientConn) startClosing() {
+func (c *conn) startClosing() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closing = true
@@ -97,14 +97,14 @@
 }
 
 // answered marks the request as answered. It is called while no read is in progress.
-func (c *clientConn) answered() {
+func (c *conn) answered() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.begun, c.nextBegun = c.nextBegun, false
 }
 
 // SetReadDeadline implements net.Conn.
-func (c *clientConn) SetReadDeadline(t time.Time) error {
+func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.deadline = t
@@ -115,7 +115,7 @@
 }
 
 // SetDeadline implements net.Conn.
-func (c *clientConn) SetDeadline(t time.Time) error {
+func (c *conn) SetDeadline(t time.Time) error {
 	if err := c.SetReadDeadline(t); err != nil {
 		return err
 	}
@@ -124,29 +124,32 @@
 
 // CloseWrite lets the client receive an answer although its request was not read to
 // the end: net/http calls CloseWrite on connections that have it.
-func (c *clientConn) CloseWrite() error {
+func (c *conn) CloseWrite() error {
 	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return tcp.CloseWrite()
 	}
 	return nil
 }
 
-// clientListener accepts clients' connections.
-type clientListener struct{ net.Listener }
+// listener accepts clients' connections.
+type listener struct{ net.Listener }
 
 // Accept implements net.Listener.
-func (l clientListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{Conn: conn}, nil
+	return &conn{Conn: c}, nil
 }
 
 // hasWaiting reports whether the kernel holds connections that are not accepted
 // yet. The kernel resets them when the listener is closed.
-func (l clientListener) hasWaiting() bool {
-	socket, ok := l.Listener.(syscall.Conn)
+func hasWaiting(l net.Listener) bool {
+	if wrapped, ok := l.(listener); ok {
+		l = wrapped.Listener
+	}
+	socket, ok := l.(syscall.Conn)
 	if !ok {
 		return false
 	}
--- a/hosted/entry/drain_test.go
+++ b/drain/drain_test.go
@@ -1,4 +1,4 @@
-package entry
+package drain
 
 import (
 	"bufio"
@@ -8,85 +8,39 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
-)
 
-const stopTime = 3 * time.Second // longer than any wait of these tests
+	"bergamotwing.example/drain/draintest"
+)
 
 var answerNoContent = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 
-// startClientServer returns a server of clients that answers 204.
-func startClientServer(t *testing.T) *clientServer {
+// startServer returns a server of clients that answers 204.
+func startServer(t *testing.T) *Server {
 	t.Helper()
 	c, _ := startCountedServer(t, answerNoContent)
 	return c
 }
 
 // startCountedServer returns a server of clients, and its count of bytes read.
-func startCountedServer(t *testing.T, h http.Handler) (*clientServer, *countingListener) {
+func startCountedServer(t *testing.T, h http.Handler) (*Server, *draintest.CountingListener) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	counting := &countingListener{TCPListener: l.(*net.TCPListener)} //nolint:forcetypeassert // as listened for
-	c := newClientServer(counting, h)
+	counting := draintest.Listen(t)
+	c := New(&http.Server{Handler: h}, counting) //nolint:gosec // the tests send whole headers or end
 	go func() {
-		if err := c.serve(); err != nil {
+		if err := c.Serve(); err != nil {
 			t.Error(err)
 		}
 	}()
-	t.Cleanup(func() { _ = c.server.Close() })
+	t.Cleanup(func() { _ = c.Close() })
 	return c, counting
 }
 
-// countingListener counts the bytes that the server has read, by client.
-type countingListener struct {
-	*net.TCPListener
-
-	read sync.Map // *atomic.Int64 by the client's address
-}
-
-func (l *countingListener) Accept() (net.Conn, error) {
-	conn, err := l.TCPListener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &countingConn{Conn: conn, read: l.of(conn.RemoteAddr())}, nil
-}
-
-func (l *countingListener) of(client net.Addr) *atomic.Int64 {
-	n, _ := l.read.LoadOrStore(client.String(), new(atomic.Int64))
-	return n.(*atomic.Int64) //nolint:forcetypeassert // as stored
-}
-
-// waitRead returns once the server has read n bytes from a client.
-func (l *countingListener) waitRead(t *testing.T, conn net.Conn, n int) {
-	t.Helper()
-	for began := time.Now(); l.of(conn.LocalAddr()).Load() < int64(n); time.Sleep(time.Millisecond) {
-		if time.Since(began) > stopTime {
-			t.Fatalf("the server has read %d bytes, want %d", l.of(conn.LocalAddr()).Load(), n)
-		}
-	}
-}
-
-type countingConn struct {
-	net.Conn
-	read *atomic.Int64
-}
-
-func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.read.Add(int64(n))
-	return n, err
-}
-
-func dial(t *testing.T, c *clientServer) net.Conn {
+func dial(t *testing.T, c *Server) net.Conn {
 	t.Helper()
-	conn, err := net.Dial("tcp", c.listener.Addr().String())
+	conn, err := net.Dial("tcp", c.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -114,16 +68,16 @@
 }
 
 // stopInBackground begins a stop and returns once connections are refused.
-func stopInBackground(t *testing.T, c *clientServer) (stopped chan error) {
+func stopInBackground(t *testing.T, c *Server) (stopped chan error) {
 	t.Helper()
 	stopped = make(chan error, 1)
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), stopTime)
+		ctx, cancel := context.WithTimeout(context.Background(), draintest.Timeout)
 		defer cancel()
-		stopped <- c.stop(ctx)
+		stopped <- c.Stop(ctx)
 	}()
 	for {
-		conn, err := net.Dial("tcp", c.listener.Addr().String())
+		conn, err := net.Dial("tcp", c.Addr().String())
 		if err != nil {
 			return stopped
 		}
@@ -132,7 +86,7 @@
 }
 
 func TestARequestOnANewConnectionIsAnsweredAfterTheListenerIsClosed(t *testing.T) {
-	c := startClientServer(t)
+	c := startServer(t)
 	conn := dial(t, c)
 	write(t, conn, "GET / HTTP/1.1\r\n")
 	stopped := stopInBackground(t, c)
@@ -145,7 +99,7 @@
 
 // A request accepted late in a stop might not be answered before the process ends.
 func TestAStopClosesIdleConnectionsWhileOthersAreBusy(t *testing.T) {
-	c := startClientServer(t)
+	c := startServer(t)
 	idle, busy, last := dial(t, c), dial(t, c), dial(t, c)
 	write(t, idle, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 	wantNoContent(t, idle)
@@ -165,7 +119,7 @@
 
 func wantClosed(t *testing.T, conn net.Conn) {
 	t.Helper()
-	if err := conn.SetReadDeadline(time.Now().Add(stopTime)); err != nil {
+	if err := conn.SetReadDeadline(time.Now().Add(draintest.Timeout)); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, io.EOF) && !errors.Is(err, syscall.ECONNRESET) {
@@ -175,7 +129,7 @@
 
 // A connection without a request does not delay a stop.
 func TestUnusedConnectionsAreClosed(t *testing.T) {
-	c := startClientServer(t)
+	c := startServer(t)
 	dial(t, c)
 	if err := <-stopInBackground(t, c); err != nil {
 		t.Error(err)
@@ -195,9 +149,9 @@
 	write(t, conn, getRequest)
 	wantNoContent(t, conn)
 	write(t, conn, getRequest[:splitAt])
-	counting.waitRead(t, conn, len(getRequest)+splitAt)
+	counting.WaitRead(t, conn, len(getRequest)+splitAt)
 	stopped := stopInBackground(t, c)
-	time.Sleep(2 * idlePoll)
+	time.Sleep(2 * IdlePoll)
 	write(t, conn, getRequest[splitAt:])
 	wantNoContent(t, conn)
 	wantClosed(t, conn)
@@ -210,9 +164,9 @@
 	c, counting := startCountedServer(t, answerNoContent)
 	conn := dial(t, c)
 	write(t, conn, getRequest[:splitAt])
-	counting.waitRead(t, conn, splitAt)
+	counting.WaitRead(t, conn, splitAt)
 	stopped := stopInBackground(t, c)
-	time.Sleep(firstBytesTime + 2*idlePoll)
+	time.Sleep(firstBytesTime + 2*IdlePoll)
 	write(t, conn, getRequest[splitAt:])
 	wantNoContent(t, conn)
 	wantClosed(t, conn)
@@ -232,13 +186,13 @@
 	}))
 	conn := dial(t, c)
 	write(t, conn, getRequest)
-	counting.waitRead(t, conn, len(getRequest))
+	counting.WaitRead(t, conn, len(getRequest))
 	write(t, conn, getRequest[:1])
-	counting.waitRead(t, conn, len(getRequest)+1)
+	counting.WaitRead(t, conn, len(getRequest)+1)
 	stopped := stopInBackground(t, c)
 	release <- struct{}{}
 	wantNoContent(t, conn)
-	time.Sleep(2 * idlePoll)
+	time.Sleep(2 * IdlePoll)
 	write(t, conn, getRequest[1:])
 	release <- struct{}{}
 	wantNoContent(t, conn)
@@ -267,12 +221,12 @@
 				}
 				_ = resp.Body.Close()
 			}
-			if n := counting.of(conn.LocalAddr()).Load(); n != int64(answered*len(getRequest)) {
+			if n := counting.Read(conn); n != int64(answered*len(getRequest)) {
 				t.Errorf("%d bytes of a request were read and not answered", n-int64(answered*len(getRequest)))
 			}
 		})
 	}
-	time.Sleep(idlePoll)
+	time.Sleep(IdlePoll)
 	if err := <-stopInBackground(t, c); err != nil {
 		t.Error(err)
 	}
@@ -287,13 +241,13 @@
 		clients = 5
 	)
 	for range stops {
-		c := startClientServer(t)
+		c := startServer(t)
 		conns := make([]net.Conn, clients)
 		for i := range conns {
 			conns[i] = dial(t, c)
 		}
 		stopped := make(chan error, 1)
-		go func() { stopped <- c.stop(t.Context()) }()
+		go func() { stopped <- c.Stop(t.Context()) }()
 		for _, conn := range conns {
 			write(t, conn, getRequest)
 			wantNoContent(t, conn)
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"maps"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
 
+	"bergamotwing.example/drain"
 	"bergamotwing.example/ledger"
 	"bergamotwing.example/result"
 	"bergamotwing.example/wire"
@@ -139,11 +139,14 @@
 	e.control.deregister()
 	closing, cancelClosing := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelClosing()
-	for _, srv := range []*http.Server{s.callers, s.operators, s.metrics} {
-		if err := srv.Shutdown(closing); err != nil {
-			e.log.Warn().Err(err).Msg("server did not shut down in time")
+	for _, clients := range []*drain.Server{s.callers, s.operators} {
+		if err := clients.Stop(closing); err != nil {
+			e.log.Warn().Err(err).Msg("requests were open when the server closed")
 		}
 	}
+	if err := s.metrics.Shutdown(closing); err != nil {
+		e.log.Warn().Err(err).Msg("metrics server did not shut down in time")
+	}
 	_ = s.links.Close()
 	e.listeners.close()
 }
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"bergamotwing.example/client/api"
+	"bergamotwing.example/drain"
 	"bergamotwing.example/settings"
 )
 
@@ -67,7 +68,8 @@
 }
 
 type servers struct {
-	callers, operators, links, metrics *http.Server
+	callers, operators *drain.Server
+	links, metrics     *http.Server
 }
 
 // serve starts the HTTP servers.
@@ -80,21 +82,22 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &servers{
-		callers:   e.server(e.callerRoutes(), callersTLS),
-		operators: e.server(e.operatorRoutes(), callersTLS),
-		links:     e.server(e.linkRoutes(), linksTLS),
-		metrics:   e.server(e.metricsRoutes(), nil),
-	}
+	callers := e.server(e.callerRoutes(), callersTLS)
 	if e.cfg.HTTP2 {
 		p := new(http.Protocols)
 		p.SetHTTP1(true)
 		p.SetHTTP2(true)
 		p.SetUnencryptedHTTP2(true)
-		s.callers.Protocols = p
+		callers.Protocols = p
 	}
-	e.listen(s.callers, e.listeners.callers)
-	e.listen(s.operators, e.listeners.operators)
+	s := &servers{
+		callers:   drain.New(callers, e.listeners.callers),
+		operators: drain.New(e.server(e.operatorRoutes(), callersTLS), e.listeners.operators),
+		links:     e.server(e.linkRoutes(), linksTLS),
+		metrics:   e.server(e.metricsRoutes(), nil),
+	}
+	e.serveClients(s.callers)
+	e.serveClients(s.operators)
 	e.listen(s.links, e.listeners.links)
 	if e.listeners.metrics != nil {
 		e.listen(s.metrics, e.listeners.metrics)
@@ -102,6 +105,14 @@
 	return s, nil
 }
 
+func (e *Entry) serveClients(s *drain.Server) {
+	e.background(context.Background(), func(context.Context) {
+		if err := s.Serve(); err != nil {
+			e.log.Error().Err(err).Stringer("listen", s.Addr()).Msg("listener failed")
+		}
+	})
+}
+
 func (e *Entry) server(h http.Handler, tlsConfig *tls.Config) *http.Server {
 	return &http.Server{
 		Handler:           h,
--- a/hosted/entry/entry.go
+++ b/hosted/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"bergamotwing.example/dispatch"
+	"bergamotwing.example/drain"
 	"bergamotwing.example/hosted/control"
 	"bergamotwing.example/hosted/mesh"
 	"bergamotwing.example/platform"
@@ -113,7 +114,7 @@
 
 // drain marks the entry as not ready, goes on serving while the balancer may still
 // send clients, and then answers the open requests.
-func (e *Entry) drain(clients *clientServer) {
+func (e *Entry) drain(clients *drain.Server) {
 	limit := e.node.Grace - stopMargin
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
@@ -124,7 +125,7 @@
 	e.logDrain(ctx, clients, "stopping", "entry leaves rotation")
 	<-outOfRotation
 	e.logDrain(ctx, clients, "draining", "entry takes no new connections")
-	if err := clients.stop(ctx); err != nil {
+	if err := clients.Stop(ctx); err != nil {
 		e.endOpen(clients)
 	}
 	e.logDrain(ctx, clients, "drained", "clients are answered")
@@ -132,21 +133,21 @@
 }
 
 // endOpen answers the requests that are still open at the end of the time to stop.
-func (e *Entry) endOpen(clients *clientServer) {
+func (e *Entry) endOpen(clients *drain.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
 	defer cancel()
 	e.logDrain(ctx, clients, "ending_open", "open requests are answered without the ends of their jobs")
 	e.actor.Send(endRequests{})
-	clients.interrupt()
-	if err := clients.wait(ctx); err != nil {
+	clients.Interrupt()
+	if err := clients.Wait(ctx); err != nil {
 		e.deps.Log.Warn().Str("event", "cut_off").Err(err).Msg("connections were open at the end of the grace period")
 	}
 	e.waitIdle(ctx) // until the runs are stopped
 }
 
 // logDrain logs a step of a stop and the work that is left.
-func (e *Entry) logDrain(ctx context.Context, clients *clientServer, event, what string) {
-	busy, unused := clients.count(time.Now())
+func (e *Entry) logDrain(ctx context.Context, clients *drain.Server, event, what string) {
+	busy, unused := clients.Count(time.Now())
 	work := e.unfinished(ctx)
 	e.deps.Log.Info().Str("event", event).Int("busy_connections", busy).Int("unused_connections", unused).
 		Int("jobs", work.jobs).Int("untold", work.unacknowledged).Msg(what)
@@ -172,12 +173,12 @@
 	for ctx.Err() == nil && e.unfinished(ctx) != (unfinished{}) {
 		select {
 		case <-ctx.Done():
-		case <-time.After(idlePoll):
+		case <-time.After(drain.IdlePoll):
 		}
 	}
 }
 
-func (e *Entry) listenAll(ctx context.Context) (*clientServer, error) {
+func (e *Entry) listenAll(ctx context.Context) (*drain.Server, error) {
 	links, err := mesh.Listen(ctx, e.opts.LinkListen)
 	if err != nil {
 		return nil, err
@@ -198,9 +199,9 @@
 	if err != nil {
 		return nil, err
 	}
-	clients := newClientServer(l, http.HandlerFunc(e.serveClient))
+	clients := drain.New(&http.Server{Handler: http.HandlerFunc(e.serveClient), ReadHeaderTimeout: headerTimeout}, l)
 	go func() {
-		if err := clients.serve(); err != nil {
+		if err := clients.Serve(); err != nil {
 			e.deps.Log.Error().Err(err).Msg("listener ended")
 		}
 	}()
--- a/hosted/entry/grace_test.go
+++ b/hosted/entry/grace_test.go
@@ -13,6 +13,8 @@
 	"github.com/rs/zerolog"
 
 	"bergamotwing.example/dispatch"
+	"bergamotwing.example/drain"
+	"bergamotwing.example/drain/draintest"
 	"bergamotwing.example/hosted/control"
 	"bergamotwing.example/platform"
 	"bergamotwing.example/telemetry"
@@ -24,7 +26,7 @@
 )
 
 // startEntry returns an entry without links and endpoints, which serves clients.
-func startEntry(t *testing.T) (*Entry, *clientServer, *countingListener) {
+func startEntry(t *testing.T) (*Entry, *drain.Server, *draintest.CountingListener) {
 	t.Helper()
 	metrics, err := telemetry.NewMetrics()
 	if err != nil {
@@ -38,17 +40,41 @@
 		Routes:       []dispatch.Route{{Name: "r", Host: "h", Prefix: "/q/", Service: "svc", MaxAttempts: 3, Stretch: 3, TargetLatency: time.Minute}},
 		MaxBodyBytes: 1 << 18,
 	}})
-	clients, counting := startCountedServer(t, http.HandlerFunc(e.serveClient))
+	counting := draintest.Listen(t)
+	clients := drain.New(&http.Server{Handler: http.HandlerFunc(e.serveClient)}, counting) //nolint:gosec // the tests send whole headers or end
+	go func() {
+		if err := clients.Serve(); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() { _ = clients.Close() })
 	return e, clients, counting
 }
 
+func dial(t *testing.T, clients *drain.Server) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", clients.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+func write(t *testing.T, conn net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(conn, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // post returns the text of a submission by a client that waits for 30 s.
 func post(body string) string {
 	return fmt.Sprintf("POST /q/5c0e7a21d94b36f8 HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 }
 
 // drainWithinGrace drains an entry and fails if that takes longer than its grace period.
-func drainWithinGrace(t *testing.T, e *Entry, clients *clientServer) {
+func drainWithinGrace(t *testing.T, e *Entry, clients *drain.Server) {
 	t.Helper()
 	began := time.Now()
 	e.drain(clients)
@@ -59,7 +85,7 @@
 
 func wantAnswer(t *testing.T, conn net.Conn, status int, code string) http.Header {
 	t.Helper()
-	if err := conn.SetReadDeadline(time.Now().Add(stopTime)); err != nil {
+	if err := conn.SetReadDeadline(time.Now().Add(draintest.Timeout)); err != nil {
 		t.Fatal(err)
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
@@ -96,7 +122,7 @@
 	conn := dial(t, clients)
 	text := post(testJob)
 	write(t, conn, text[:len(text)-1])
-	counting.waitRead(t, conn, len(text)-1)
+	counting.WaitRead(t, conn, len(text)-1)
 	drainWithinGrace(t, e, clients)
 	wantAnswer(t, conn, http.StatusBadGateway, "outcome_unknown")
 }
--- a/hosted/entry/stop_test.go
+++ b/hosted/entry/stop_test.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"bergamotwing.example/dispatch"
+	"bergamotwing.example/drain/draintest"
 	"bergamotwing.example/hosted/control"
 	"bergamotwing.example/hosted/mesh"
 	"bergamotwing.example/platform"
@@ -31,7 +32,7 @@
 	e.actor.Start(e.receive)
 	defer e.actor.Shutdown()
 	e.actor.Send(control.Tick{})
-	ctx, cancel := context.WithTimeout(t.Context(), stopTime)
+	ctx, cancel := context.WithTimeout(t.Context(), draintest.Timeout)
 	defer cancel()
 	e.waitIdle(ctx)
 	if took := mesh.Now() - now; took < lease {
--- a/hosted/entry/submit_test.go
+++ b/hosted/entry/submit_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"bergamotwing.example/dispatch"
+	"bergamotwing.example/drain/draintest"
 	"bergamotwing.example/hosted/control"
 	"bergamotwing.example/hosted/mesh"
 	"bergamotwing.example/platform"
@@ -65,7 +66,7 @@
 // next returns the next message of a type.
 func next[M wire.Message](t *testing.T, received <-chan wire.Message) M {
 	t.Helper()
-	for timeout := time.After(stopTime); ; {
+	for timeout := time.After(draintest.Timeout); ; {
 		select {
 		case m := <-received:
 			if m, ok := m.(M); ok {
