A late DELETE, a lifetime that is no longer reported, links without an echo

- The message that an endpoint sends last names no lifetime, so one of an earlier lifetime that came late drained the next one for good.
A lifetime that announces itself as ready after it takes tasks again; one that drains still does not.
- A home kept a lifetime whose end was lost with the agent's link, and sent it orders in vain.
A relinked agent lists the lifetimes that it has (RunsKept.Endpoints); the others are dropped.
Older builds do not list them and are handled as before.
- Links that were reset again and again renewed an entry's lease without an echo.
The times of the last echo now pass on to the next link of the same process.

--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -143,6 +143,7 @@
 	timing   Timing
 
 	draining  bool
+	left      bool // a lifetime of this id has said that it ends
 	evacuated bool
 	recovered bool // takes tasks: no unknown run is listed, and recoveryTime has passed
 	ended     bool // by End
@@ -270,9 +271,18 @@
 // SinceLastAnswer returns the time since the endpoint last answered a poll.
 func (g *Guard) SinceLastAnswer(now Time) Time { return now - g.lastAnswer }
 
+// Left processes the message that an endpoint sends last. It does not say which
+// lifetime ends, and may be that of an earlier one that comes late, so a lifetime that
+// announces itself as ready again takes tasks again.
+func (g *Guard) Left(now Time) {
+	g.left = true
+	g.updateAvailable(now)
+}
+
 // Announced processes a heartbeat of the guarded lifetime.
 func (g *Guard) Announced(now Time, draining bool, capacity Resources) {
 	g.draining = g.draining || draining
+	g.left = g.left && draining
 	if capacity != g.capacity {
 		g.capacity = capacity
 		g.emit(GuardAction{Kind: StatusChanged})
@@ -694,7 +704,7 @@
 }
 
 func (g *Guard) updateAvailable(now Time) {
-	available := g.recovered && !g.ended && !g.replaced() && !g.draining && !g.evacuated && now-g.lastAnswer < unreachableAfter+renewEvery+g.extraPollPause()
+	available := g.recovered && !g.ended && !g.replaced() && !g.draining && !g.left && !g.evacuated && now-g.lastAnswer < unreachableAfter+renewEvery+g.extraPollPause()
 	if available != g.available {
 		g.available = available
 		g.emit(GuardAction{Kind: StatusChanged})
--- a/dispatch/guard_test.go
+++ b/dispatch/guard_test.go
@@ -706,3 +706,22 @@
 		t.Error("the lifetime is taken as over")
 	}
 }
+
+// An endpoint says that it ends without saying which lifetime does. The message of an
+// earlier one may come after the next one has announced itself.
+func TestALifetimeThatAnnouncesItselfAfterTheEndOfAnEarlierOneTakesTasks(t *testing.T) {
+	g, now := newGuard(t)
+	g.Left(now)
+	if g.Status(ownerA).Available {
+		t.Error("takes tasks after it has said that it ends")
+	}
+	g.Announced(now+ms, false, g.capacity)
+	if !g.Status(ownerA).Available {
+		t.Error("takes no tasks though it has announced itself as ready")
+	}
+	g.Announced(now+2*ms, true, g.capacity)
+	g.Announced(now+3*ms, false, g.capacity) // sent before the one that says that it drains
+	if g.Status(ownerA).Available {
+		t.Error("takes tasks while it drains")
+	}
+}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -482,6 +482,17 @@
 	s.place(now)
 }
 
+// DropUnlisted drops the endpoints that a reconnected agent no longer has: the
+// message that such a lifetime was over was lost with the agent's earlier link.
+func (s *Scheduler) DropUnlisted(now Time, agent AgentID, listed []EndpointID) {
+	for _, e := range slices.Clone(s.endpoints) {
+		if e.agent == agent && !e.gone && !slices.Contains(listed, e.id) {
+			s.dropEndpoint(now, e, "endpoint not listed by its agent")
+		}
+	}
+	s.place(now)
+}
+
 func (s *Scheduler) find(agent AgentID, id EndpointID) *endpoint {
 	for _, e := range s.endpoints {
 		if e.agent == agent && e.id == id {
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -883,3 +883,23 @@
 		t.Errorf("run %d ordered, though no end of run %d was reported", orders[0].Run.Run, old[0].Run.Run)
 	}
 }
+
+// The message that a lifetime is over was lost with a link. Orders to it would all be
+// refused until the agent is lost.
+func TestAnEndpointThatAReconnectedAgentNoLongerHasGetsNoTasks(t *testing.T) {
+	b := newBed(t, "e")
+	gone := EndpointID{ID: "e"}
+	next := EndpointID{ID: "e", Born: 2}
+	b.s.AgentLost(b.now, agentOf("e"), b.now+time.Second)
+	b.s.AgentReconnected(b.now, agentOf("e"), nil)
+	b.s.DropUnlisted(b.now, agentOf("e"), []EndpointID{next})
+	b.submit("j", callerA, 0, step(1))
+	if orders, outcomes, _ := b.take(); len(orders) > 0 || outcomes["j"] != result.Overloaded {
+		t.Errorf("orders %+v and outcomes %v, want none to %v", orders, outcomes, gone)
+	}
+	b.s.Report(b.now, agentOf("e"), EndpointStatus{Endpoint: next, Service: "svc", Available: true, Capacity: Resources{CPUMilli: 4000, MemoryMB: 1000}})
+	b.submit("k", callerA, 0, step(1))
+	if orders, _, _ := b.take(); len(orders) != 1 || orders[0].Endpoint != next {
+		t.Errorf("orders %+v, want one to %v", orders, next)
+	}
+}
--- a/hosted/agent/control.go
+++ b/hosted/agent/control.go
@@ -201,8 +201,9 @@
 	s.sendHeartbeat(now, p)
 	owner := l.Owner()
 	s.sendKeptEnds(now, p, owner)
-	kept := &wire.RunsKept{}
-	for _, e := range s.endpoints {
+	kept := &wire.RunsKept{Endpoints: []dispatch.EndpointID{}}
+	for id, e := range s.endpoints {
+		kept.Endpoints = append(kept.Endpoints, id)
 		kept.Orders = append(kept.Orders, e.guard.OrdersOf(owner)...)
 	}
 	_ = p.Send(kept) // a closed link is reported as down
--- a/hosted/agent/endpoint.go
+++ b/hosted/agent/endpoint.go
@@ -136,11 +136,11 @@
 }
 
 // endpointEnded handles the message that an endpoint sends last: its lifetimes here
-// count as draining.
+// take no new tasks unless they announce themselves again.
 func (s *state) endpointEnded(now time.Duration, id string) {
 	for _, e := range s.endpoints {
 		if e.announced.Endpoint.ID == id {
-			e.guard.Announced(now, true, e.announced.Capacity)
+			e.guard.Left(now)
 		}
 	}
 }
--- a/hosted/entry/agents.go
+++ b/hosted/entry/agents.go
@@ -96,6 +96,9 @@
 	case *wire.RunsKept:
 		for _, sched := range s.schedulers {
 			sched.AgentReconnected(now, id, m.Orders)
+			if m.Endpoints != nil {
+				sched.DropUnlisted(now, id, m.Endpoints)
+			}
 		}
 	case *wire.EndpointReport:
 		s.report(now, id, m.Status)
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -64,8 +64,9 @@
 }
 
 type lostEntry struct {
-	owner dispatch.Owner
-	until time.Duration
+	owner             dispatch.Owner
+	echoed, busySince time.Duration // as of the lost link
+	until             time.Duration
 }
 
 type endpointView struct {
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -18,6 +18,7 @@
 	s.checkPeers(now) // a link that was made after a lease has ended must not renew it
 	name := l.Hello.Name
 	owner := l.Owner()
+	p := mesh.NewPeer(l, now)
 	if old := s.peers[name]; old != nil {
 		if old.Owner() == owner && now-old.ConnectedAt < duplicateTime && s.preferred(old.Link) && !s.preferred(l) {
 			l.Close()
@@ -26,15 +27,18 @@
 		old.Close()
 		if old.Owner() != owner {
 			s.entryLost(now, old.Owner(), "replaced by a new process")
+		} else {
+			p.Echoed, p.BusySince = old.Echoed, old.BusySince // only an echo renews a lease
 		}
 	}
 	if lost, ok := s.lost[name]; ok {
 		delete(s.lost, name)
 		if lost.owner != owner {
 			s.entryLost(now, lost.owner, "replaced by a new process")
+		} else {
+			p.Echoed, p.BusySince = lost.echoed, lost.busySince
 		}
 	}
-	p := mesh.NewPeer(l, now)
 	s.peers[name] = p
 	s.addMember(l.Hello.Member())
 	p.SendHeartbeat(now, s.heartbeat())
@@ -80,7 +84,7 @@
 		return
 	}
 	s.dropPeer(name)
-	s.lost[name] = lostEntry{l.Owner(), max(p.Echoed, p.BusySince) + s.timing.EntryLease}
+	s.lost[name] = lostEntry{l.Owner(), p.Echoed, p.BusySince, max(p.Echoed, p.BusySince) + s.timing.EntryLease}
 	s.e.deps.Log.Warn().Str("event", "entry_link_lost").Str("entry", name).Msg("link to entry lost")
 }
 
--- a/hosted/entry/sim_test.go
+++ b/hosted/entry/sim_test.go
@@ -448,7 +448,7 @@
 		}
 	}
 	l.send(0, end)
-	kept := &wire.RunsKept{}
+	kept := &wire.RunsKept{Endpoints: []dispatch.EndpointID{a.endpoint}}
 	for _, r := range a.runs {
 		if r.owner == owner {
 			kept.Orders = append(kept.Orders, r.order)
--- a/hosted/entry/stop_test.go
+++ b/hosted/entry/stop_test.go
@@ -28,7 +28,7 @@
 	caller := dispatch.Owner{Entry: "caller", Incarnation: 1}
 	now := mesh.Now()
 	e.state.recent["job"] = recentEnd{caller: caller, at: now}
-	e.state.lost[caller.Entry] = lostEntry{caller, now + lease}
+	e.state.lost[caller.Entry] = lostEntry{owner: caller, until: now + lease}
 	e.actor.Start(e.receive)
 	defer e.actor.Shutdown()
 	e.actor.Send(control.Tick{})
--- a/hosted/entry/submit_test.go
+++ b/hosted/entry/submit_test.go
@@ -184,7 +184,7 @@
 	e := newEntry(t)
 	now := mesh.Now()
 	first, second := make(chan dispatch.Outcome, 1), make(chan dispatch.Outcome, 1)
-	e.state.lost[other.Entry] = lostEntry{other, now + e.state.timing.EntryLease}
+	e.state.lost[other.Entry] = lostEntry{owner: other, until: now + e.state.timing.EntryLease}
 	e.state.requests["j"] = &request{submit: submit{job: job("j"), route: testRoute, reply: first}, home: other}
 	e.receive(now, submit{job: job("j"), route: testRoute, deadline: now + time.Minute, reply: second})
 	if open := e.state.openJobs(); open != 1 {
@@ -215,3 +215,28 @@
 		t.Errorf("%d open jobs of an entry that was lost before it was linked again", open)
 	}
 }
+
+// A link that is made anew shows that some process listens, not that the other entry's
+// control state goes on: only an echo renews its lease.
+func TestLinksThatAreResetBeforeAnEchoDoNotRenewALease(t *testing.T) {
+	e := newEntry(t)
+	now := mesh.Now()
+	beat := func(at time.Duration) *mesh.Link {
+		l, _ := recordedLink(other.Entry, wire.RoleEntry)
+		e.receive(at, control.LinkUp{Link: l})
+		return l
+	}
+	l := beat(now)
+	e.receive(now, control.Received{Link: l, Message: &wire.NodeHeartbeat{Clock: 1, Echo: now, StoreVersion: 1}})
+	e.receive(now, control.Received{Link: l, Message: &wire.JobSubmit{Job: job("j"), Route: testRoute, Wait: time.Minute}})
+	e.state.checkPeers(now) // the lease counts from here on
+	const pause = 60 * time.Millisecond
+	for at := now + pause; at < now+e.state.timing.EntryLease+4*pause; at += pause {
+		e.receive(at, control.LinkDown{Link: l})
+		l = beat(at)
+		e.state.checkPeers(at)
+	}
+	if open := e.state.openJobs(); open != 0 {
+		t.Errorf("%d open jobs of an entry that has echoed nothing for longer than its lease", open)
+	}
+}
--- a/hosted/entry/thaw_test.go
+++ b/hosted/entry/thaw_test.go
@@ -52,6 +52,23 @@
 	return l, sent
 }
 
+// A link may be reset when a lifetime of an endpoint ends, so that the entry does not
+// learn of it.
+func TestAnEntryForgetsALifetimeThatARelinkedAgentNoLongerHas(t *testing.T) {
+	e := newEntry(t)
+	now := mesh.Now()
+	l, _ := linkAgentTo(e, now, "a")
+	e.receive(now, control.LinkDown{Link: l})
+	l, sent := recordedLink("a", wire.RoleAgent)
+	e.receive(now, control.LinkUp{Link: l})
+	e.receive(now, control.Received{Link: l, Message: &wire.NodeHeartbeat{Clock: now, Echo: now}})
+	e.receive(now, control.Received{Link: l, Message: &wire.RunsKept{Endpoints: []dispatch.EndpointID{}}})
+	e.receive(now, submit{job: job("j"), route: testRoute, deadline: now + time.Minute, reply: make(chan dispatch.Outcome, 1)})
+	if orders := sent.orders(); len(orders) > 0 {
+		t.Errorf("orders %+v to an endpoint that is gone", orders)
+	}
+}
+
 // A process that was frozen may handle the end of a run before a tick.
 func TestNoRunIsOrderedForAnEntryWhoseLeaseHasEnded(t *testing.T) {
 	e := newEntry(t)
--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -108,9 +108,11 @@
 }
 
 // RunsKept lists, on a new link, the orders whose runs the agent still has for the
-// entry.
+// entry, and the lifetimes of endpoints that it has. Builds that do not list the
+// lifetimes leave Endpoints nil.
 type RunsKept struct {
-	Orders []uint64 `cbor:"1,keyasint"`
+	Orders    []uint64              `cbor:"1,keyasint"`
+	Endpoints []dispatch.EndpointID `cbor:"2,keyasint"`
 }
 
 // RunOrder asks an agent for runs of tasks of one job at one endpoint.
