A change of the operator's is not sent by each entry to each other one

Cause: when the operator's state changed, each entry sent the whole of it to each entry whose newest heartbeat still named an older version, and on each new link, though all read it from the store within milliseconds; and it read the whole table a second time after the feed had delivered the change. Versions differed besides, since each entry named the state by the store's counter at its own read, so that equal states were sent as newer ones.

Change: the feed's rows are used as they come, with a whole read after an error, lost history, an odd row, or 30 s. A state is named by the version of its newest change. An entry that stays behind another one for 0.5 s asks one for the state (OperatorRequest), another one 0.6 s later. Older builds are sent it as before.

Ruled out: the read of the store alone (one read takes 0.6 s of such a link, without losses between entries on larger links).

TestAChangeIsNotSentToEntriesThatReadItFromTheStore and the others of operator_test.go.

--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -97,13 +97,20 @@
 	return c.Routes[best], true
 }
 
-// OperatorState is what operators have set, as the store held it at a version.
+// OperatorState is what operators have set.
 type OperatorState struct {
-	StoreVersion uint64   `cbor:"1,keyasint"`
+	StoreVersion uint64   `cbor:"1,keyasint"` // of the store, with the newest change that the state has
 	Config       Config   `cbor:"2,keyasint"`
 	Evacuated    []string `cbor:"3,keyasint"` // zones that take no new task, sorted
 }
 
+// SameSettings reports whether operators have set the same in both states.
+func (s *OperatorState) SameSettings(o *OperatorState) bool {
+	a, b := &s.Config, &o.Config
+	return a.Version == b.Version && a.MaxBodyBytes == b.MaxBodyBytes && slices.Equal(a.Routes, b.Routes) &&
+		slices.Equal(a.Services, b.Services) && slices.Equal(s.Evacuated, o.Evacuated)
+}
+
 // ZoneEvacuated reports whether the zone takes no new task.
 func (s *OperatorState) ZoneEvacuated(zone string) bool {
 	return slices.Contains(s.Evacuated, zone)
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -58,6 +58,8 @@
 	seeds           []string               // addresses where entries may listen
 	sentMembers     wire.Members           // list of entries last sent to agents
 	nextMembersAt   time.Duration          // earliest time of the next list to agents
+	behindSince     time.Duration          // since when another entry has a newer version of the operator's state; 0: none has
+	catchUps        int                    // requests for it since then
 	checkedAt       time.Duration          // when the leases of the other entries were last checked
 	stopping        bool
 	stopTimedOut    bool // the time to stop is over: requests are answered without the ends of their jobs
@@ -178,6 +180,7 @@
 func (s *state) tick(now time.Duration) {
 	s.checkPeers(now)
 	s.checkAgents(now)
+	s.catchUp(now)
 	s.chooseHomes(now)
 	s.sendMembers(now)
 	for _, sched := range s.schedulers {
--- a/hosted/entry/messages.go
+++ b/hosted/entry/messages.go
@@ -12,7 +12,8 @@
 	askUnfinished struct{ reply chan unfinished }
 	operatorRead  struct {
 		state     dispatch.OperatorState
-		hasConfig bool // state has a configuration
+		hasConfig bool   // state has a configuration
+		readAt    uint64 // version of the store when it was read
 	}
 	submit struct {
 		job      dispatch.Job
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -42,7 +42,6 @@
 	s.peers[name] = p
 	s.addMember(l.Hello.Member())
 	p.SendHeartbeat(now, s.heartbeat())
-	s.sendOperator(p)
 	_ = p.Send(s.memberList()) // a closed link is reported as down
 	_ = p.Send(s.shardCountsMessage())
 	s.e.deps.Log.Info().Str("event", "entry_linked").Str("entry", name).Msg("entry linked")
@@ -164,10 +163,7 @@
 }
 
 func (s *state) heartbeat() wire.NodeHeartbeat {
-	b := wire.NodeHeartbeat{Draining: s.stopping, Home: s.isHome()}
-	if op := s.e.operator.Load(); op != nil {
-		b.StoreVersion = op.StoreVersion
-	}
+	b := wire.NodeHeartbeat{Draining: s.stopping, Home: s.isHome(), StoreVersion: s.storeVersion()}
 	for _, v := range s.endpoints {
 		if v.status.Available {
 			b.Endpoints++
@@ -201,6 +197,8 @@
 		s.peerHeartbeat(now, p, m)
 	case *wire.OperatorUpdate:
 		s.adopt(now, m.State, l.Hello.Name)
+	case *wire.OperatorRequest:
+		s.sendOperator(p)
 	case *wire.ShardCounts:
 		s.peerShardCounts[l.Hello.Name] = m.Counts
 	case *wire.Members:
@@ -275,46 +273,6 @@
 	})
 }
 
-// adopt puts the operator's state into force unless the one held is as new or newer.
-func (s *state) adopt(now time.Duration, next dispatch.OperatorState, from string) {
-	old := s.e.operator.Load()
-	if old != nil && next.StoreVersion <= old.StoreVersion {
-		return
-	}
-	s.e.operator.Store(&next)
-	for _, sched := range s.schedulers {
-		sched.SetEvacuated(now, next.Evacuated)
-	}
-	s.e.deps.Log.Info().Str("event", "operator_state").Uint64("store_version", next.StoreVersion).Int64("config", next.Config.Version).
-		Strs("evacuated", next.Evacuated).Int("routes", len(next.Config.Routes)).Str("from", from).Msg("operator's state in force")
-	for _, p := range s.agents {
-		s.sendOperator(p)
-	}
-}
-
-// sendOperatorIfOutdated sends the operator's state to a process whose heartbeat
-// reports an older version. Most entries have read it from the store by then.
-func (s *state) sendOperatorIfOutdated(p *mesh.Peer) {
-	op := s.e.operator.Load()
-	if op != nil && p.LastHeartbeat.StoreVersion < op.StoreVersion && p.SentStateVersion < op.StoreVersion {
-		s.sendOperator(p)
-	}
-}
-
-// sendOperator sends the operator's state. Agents need the zones only.
-func (s *state) sendOperator(p *mesh.Peer) {
-	op := s.e.operator.Load()
-	if op == nil {
-		return
-	}
-	m := &wire.OperatorUpdate{State: *op}
-	if p.Hello.Role == wire.RoleAgent {
-		m.State.Config = dispatch.Config{Version: op.Config.Version}
-	}
-	p.SentStateVersion = op.StoreVersion
-	_ = p.Send(m) // resent on the next link
-}
-
 func (s *state) addMember(m wire.Member) {
 	if m.Name == s.e.self.Name || s.members[m.Name].Member == m || mesh.CheckMember(m) != nil {
 		return
--- a/hosted/entry/store.go
+++ b/hosted/entry/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"bergamotwing.example/hosted/control"
@@ -19,7 +20,7 @@
 	membersEvery  = 3 * time.Second        // between two reads of the registered entries
 	removeAfter   = 20 * time.Second       // without a link, until an entry's row is removed
 	watchDivisor  = 2                      // a watch call waits for ConfigApply / watchDivisor; a change must be in force within ConfigApply
-	rereadEvery   = 5 * time.Second        // between two full reads, besides the watch
+	rereadEvery   = 30 * time.Second       // between two full reads, besides the watch
 )
 
 // watchOperator keeps the operator's state up to date.
@@ -57,27 +58,29 @@
 	return err != nil
 }
 
-// readAndWatch reads the whole state, then watches it for rereadEvery. It returns
-// nil when the state is to be read again.
+// readAndWatch reads the whole state, then follows its changes for rereadEvery. It
+// returns nil when the state is to be read again.
 func (e *Entry) readAndWatch(ctx context.Context) error {
-	version, err := e.readOperator(ctx)
+	rows, err := e.readOperator(ctx)
 	if err != nil {
 		return err
 	}
 	for until := time.Now().Add(rereadEvery); time.Now().Before(until); {
-		wait := e.node.ConfigApply / watchDivisor
-		changes, err := e.watchOnce(ctx, version, wait)
+		changes, err := e.watchOnce(ctx, rows.readAt, e.node.ConfigApply/watchDivisor)
 		if errors.Is(err, platform.ErrHistoryLost) {
-			e.deps.Log.Info().Str("event", "store_history_lost").Uint64("after", version).Msg("reading the operator's state anew")
+			e.deps.Log.Info().Str("event", "store_history_lost").Uint64("after", rows.readAt).Msg("reading the operator's state anew")
 			return nil
 		}
 		if err != nil {
 			return err
 		}
-		if len(changes.Rows)+len(changes.Odd) > 0 {
+		if len(changes.Odd) > 0 || slices.ContainsFunc(changes.Rows, func(r platform.Row) bool { return r.Err != nil }) {
 			return nil
 		}
-		version = max(version, changes.Version)
+		rows.apply(changes)
+		if len(changes.Rows) > 0 {
+			e.sendOperatorRead(rows)
+		}
 	}
 	return nil
 }
@@ -88,34 +91,27 @@
 	return e.store.Watch(ctx, platform.OperatorTable, after, wait)
 }
 
-func (e *Entry) readOperator(ctx context.Context) (uint64, error) {
+func (e *Entry) readOperator(ctx context.Context) (*operatorRows, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	rows, err := e.store.Get(ctx, platform.OperatorTable)
+	read, err := e.store.Get(ctx, platform.OperatorTable)
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
-	e.odd.Report(rows.Odd...)
-	state, ok, err := platform.DecodeOperatorRows(rows.Rows, rows.Version)
+	e.odd.Report(read.Odd...)
+	rows := newOperatorRows(read)
+	e.sendOperatorRead(rows)
+	return rows, nil
+}
+
+// sendOperatorRead passes the state that rows hold to the control actor.
+func (e *Entry) sendOperatorRead(rows *operatorRows) {
+	read, err := rows.state()
 	var odd platform.OddRow
 	if errors.As(err, &odd) {
 		e.odd.Report(odd)
 	}
-	e.actor.Send(operatorRead{state, ok})
-	return rows.Version, nil
-}
-
-// operatorRead puts the operator's state into force. If its configuration could not be
-// read, the one in force stays so.
-func (s *state) operatorRead(now time.Duration, m operatorRead) {
-	if !m.hasConfig {
-		old := s.e.operator.Load()
-		if old == nil {
-			return
-		}
-		m.state.Config = old.Config
-	}
-	s.adopt(now, m.state, "store")
+	e.actor.Send(read)
 }
 
 // register keeps this entry's row in the store and reads the rows of the others.
--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -48,6 +48,10 @@
 	State dispatch.OperatorState `cbor:"1,keyasint"`
 }
 
+// OperatorRequest asks an entry for the operator's state, which it sends as an
+// OperatorUpdate.
+type OperatorRequest struct{}
+
 // Member is an entry as the other processes know it. The entry's row in the store is
 // JSON under the same field names.
 type Member struct {
--- a/wire/kinds.go
+++ b/wire/kinds.go
@@ -31,25 +31,26 @@
 	KindHandoverAck    Kind = 24
 	KindSuccessor      Kind = 25
 
-	KindNodeHello      Kind = 30
-	KindNodeHeartbeat  Kind = 31
-	KindOperatorUpdate Kind = 32
-	KindMembers        Kind = 33
-	KindJobSubmit      Kind = 34
-	KindJobCancel      Kind = 35
-	KindJobEnd         Kind = 36
-	KindEndpointReport Kind = 37
-	KindEndpointGone   Kind = 38
-	KindRunsKept       Kind = 39
-	KindRunOrder       Kind = 40
-	KindRunStop        Kind = 41
-	KindRunEnd         Kind = 42
-	KindShardCounts    Kind = 43
-	KindJobsOpen       Kind = 44
+	KindNodeHello       Kind = 30
+	KindNodeHeartbeat   Kind = 31
+	KindOperatorUpdate  Kind = 32
+	KindMembers         Kind = 33
+	KindJobSubmit       Kind = 34
+	KindJobCancel       Kind = 35
+	KindJobEnd          Kind = 36
+	KindEndpointReport  Kind = 37
+	KindEndpointGone    Kind = 38
+	KindRunsKept        Kind = 39
+	KindRunOrder        Kind = 40
+	KindRunStop         Kind = 41
+	KindRunEnd          Kind = 42
+	KindShardCounts     Kind = 43
+	KindJobsOpen        Kind = 44
+	KindOperatorRequest Kind = 45
 
 	// NewestKind is the highest kind that this build knows. A link ends at a message of
 	// an unknown kind.
-	NewestKind = KindJobsOpen
+	NewestKind = KindOperatorRequest
 )
 
 func (*AgentHello) kind() Kind     { return KindAgentHello }
@@ -78,21 +79,22 @@
 func (*HandoverAck) kind() Kind    { return KindHandoverAck }
 func (*Successor) kind() Kind      { return KindSuccessor }
 
-func (*NodeHello) kind() Kind      { return KindNodeHello }
-func (*NodeHeartbeat) kind() Kind  { return KindNodeHeartbeat }
-func (*OperatorUpdate) kind() Kind { return KindOperatorUpdate }
-func (*ShardCounts) kind() Kind    { return KindShardCounts }
-func (*JobsOpen) kind() Kind       { return KindJobsOpen }
-func (*Members) kind() Kind        { return KindMembers }
-func (*JobSubmit) kind() Kind      { return KindJobSubmit }
-func (*JobCancel) kind() Kind      { return KindJobCancel }
-func (*JobEnd) kind() Kind         { return KindJobEnd }
-func (*EndpointReport) kind() Kind { return KindEndpointReport }
-func (*EndpointGone) kind() Kind   { return KindEndpointGone }
-func (*RunsKept) kind() Kind       { return KindRunsKept }
-func (*RunOrder) kind() Kind       { return KindRunOrder }
-func (*RunStop) kind() Kind        { return KindRunStop }
-func (*RunEnd) kind() Kind         { return KindRunEnd }
+func (*NodeHello) kind() Kind       { return KindNodeHello }
+func (*NodeHeartbeat) kind() Kind   { return KindNodeHeartbeat }
+func (*OperatorUpdate) kind() Kind  { return KindOperatorUpdate }
+func (*ShardCounts) kind() Kind     { return KindShardCounts }
+func (*JobsOpen) kind() Kind        { return KindJobsOpen }
+func (*OperatorRequest) kind() Kind { return KindOperatorRequest }
+func (*Members) kind() Kind         { return KindMembers }
+func (*JobSubmit) kind() Kind       { return KindJobSubmit }
+func (*JobCancel) kind() Kind       { return KindJobCancel }
+func (*JobEnd) kind() Kind          { return KindJobEnd }
+func (*EndpointReport) kind() Kind  { return KindEndpointReport }
+func (*EndpointGone) kind() Kind    { return KindEndpointGone }
+func (*RunsKept) kind() Kind        { return KindRunsKept }
+func (*RunOrder) kind() Kind        { return KindRunOrder }
+func (*RunStop) kind() Kind         { return KindRunStop }
+func (*RunEnd) kind() Kind          { return KindRunEnd }
 
 // newMessage returns an empty message of a kind, or nil for an unknown kind.
 func newMessage(k Kind) Message {
@@ -177,6 +179,8 @@
 		return &ShardCounts{}
 	case KindJobsOpen:
 		return &JobsOpen{}
+	case KindOperatorRequest:
+		return &OperatorRequest{}
 	default:
 		return nil
 	}
@@ -268,6 +272,8 @@
 		return "shard_counts"
 	case KindJobsOpen:
 		return "jobs_open"
+	case KindOperatorRequest:
+		return "operator_request"
 	default:
 		return "unknown"
 	}
