Homes of a service's shards stand in different zones

Cause: the homes of the shards were chosen by hash alone.

Change: a zone gets a further home only when each other zone with a large, linked entry has as many.

Result: TestHomesOfAServicesShardsAreInDifferentZones fails without the change (homes of two shards in one of two zones) and passes.

--- a/dispatch/home.go
+++ b/dispatch/home.go
@@ -9,6 +9,7 @@
 // Candidate is an entry that may hold a service's queue.
 type Candidate struct {
 	Name      string
+	Zone      string  // empty: not known
 	Endpoints int     // that it may place tasks on
 	Cores     float64 // processor time of its host
 	LinkMbps  float64 // bandwidth of its host
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -648,7 +648,7 @@
 }
 
 func TestHomesAreChosenAmongWellConnectedEntries(t *testing.T) {
-	all := []Candidate{{"a", 10, 0.8, 200}, {"b", 10, 0.5, 150}, {"c", 4, 0.8, 200}, {"small", 10, 0.2, 200}, {"slow", 10, 0.8, 25}}
+	all := []Candidate{{Name: "a", Endpoints: 10, Cores: 0.8, LinkMbps: 200}, {Name: "b", Endpoints: 10, Cores: 0.5, LinkMbps: 150}, {Name: "c", Endpoints: 4, Cores: 0.8, LinkMbps: 200}, {Name: "small", Endpoints: 10, Cores: 0.2, LinkMbps: 200}, {Name: "slow", Endpoints: 10, Cores: 0.8, LinkMbps: 25}}
 	home := ChooseHome("svc", all)
 	if home != "a" && home != "b" {
 		t.Errorf("home %q, want a large one that reaches the endpoints", home)
--- a/dispatch/shard.go
+++ b/dispatch/shard.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "strconv"
+import (
+	"cmp"
+	"slices"
+	"strconv"
+)
 
 // A service whose endpoints are more than one entry can keep busy is split into
 // shards. Each has some of the endpoints and of the jobs, and its own home entry.
@@ -60,7 +64,8 @@
 // ChooseHomes returns the entry that holds the queue of each of a service's
 // shards: the first as ChooseHome returns it, the others by rendezvous hashing
 // among the large entries that agents link to, a different one each while there
-// are enough.
+// are enough. A zone gets a further home only when each other zone with such an entry
+// has as many, so that the loss of a zone takes as few queues as possible.
 func ChooseHomes(service string, count int, candidates []Candidate) []string {
 	first := ChooseHome(service, candidates)
 	homes := []string{first}
@@ -69,21 +74,20 @@
 	}
 	linked := atLeastHalf(candidates, func(c Candidate) float64 { return float64(c.Endpoints) })
 	eligible := large(ChooseStandbys(service, linked, MaxStandbys))
-	taken := map[string]bool{first: true}
+	held, heldInZone := map[string]int{first: 1}, map[string]int{}
+	for _, c := range candidates {
+		if c.Name == first {
+			heldInZone[c.Zone]++
+		}
+	}
 	for i := 1; i < count; i++ {
-		home := firstFree(rank(Shard{service, i}.key(), eligible), taken)
-		taken[home] = true
-		homes = append(homes, home)
+		// Of equal ones, the first by rank.
+		home := slices.MinFunc(rank(Shard{service, i}.key(), eligible), func(a, b Candidate) int {
+			return cmp.Or(cmp.Compare(held[a.Name], held[b.Name]), cmp.Compare(heldInZone[a.Zone], heldInZone[b.Zone]))
+		})
+		held[home.Name]++
+		heldInZone[home.Zone]++
+		homes = append(homes, home.Name)
 	}
 	return homes
 }
-
-// firstFree returns the first candidate that is not taken, or else the first.
-func firstFree(ranked []Candidate, taken map[string]bool) string {
-	for _, c := range ranked {
-		if !taken[c.Name] {
-			return c.Name
-		}
-	}
-	return ranked[0].Name
-}
--- a/dispatch/shard_test.go
+++ b/dispatch/shard_test.go
@@ -72,3 +72,33 @@
 		}
 	})
 }
+
+// The loss of a zone takes the queues of all homes there at once.
+func TestHomesOfAServicesShardsAreInDifferentZones(t *testing.T) {
+	for zones := 2; zones <= 5; zones++ {
+		var all []Candidate
+		for i := range 55 {
+			c := Candidate{Name: fmt.Sprintf("entry-%d", i), Zone: fmt.Sprintf("zone-%d", i%zones), Cores: 0.2, LinkMbps: 25, Endpoints: 240}
+			if i < 15 {
+				c.Cores, c.LinkMbps = 0.8, 200
+			}
+			all = append(all, c)
+		}
+		for service := range 20 {
+			homes := ChooseHomes(fmt.Sprintf("svc-%d", service), zones, all)
+			standbys := ChooseStandbys(fmt.Sprintf("svc-%d", service), all, MaxStandbys)
+			linked, perZone := map[string]bool{}, map[string]int{}
+			for _, c := range standbys {
+				linked[c.Zone] = true
+			}
+			for _, c := range all {
+				if slices.Contains(homes, c.Name) {
+					perZone[c.Zone]++
+				}
+			}
+			if len(perZone) != len(linked) {
+				t.Errorf("%d shards have homes in zones %v; entries that agents link to are in %v", zones, perZone, linked)
+			}
+		}
+	}
+}
--- a/hosted/entry/shards.go
+++ b/hosted/entry/shards.go
@@ -149,7 +149,7 @@
 }
 
 func candidate(hello wire.NodeHello, heartbeat wire.NodeHeartbeat) dispatch.Candidate {
-	return dispatch.Candidate{Name: hello.Name, Endpoints: heartbeat.Endpoints, Cores: hello.Cores, LinkMbps: hello.LinkMbps}
+	return dispatch.Candidate{Name: hello.Name, Zone: hello.Zone, Endpoints: heartbeat.Endpoints, Cores: hello.Cores, LinkMbps: hello.LinkMbps}
 }
 
 // isHome reports whether this entry is the home of a shard or has open jobs in
