A job that one shard refuses goes to the next

Cause: the jobs of a service are spread over its shards by hash, evenly; the load of a burst, lost endpoints and sizes are not.

Change: a job refused as overloaded is submitted to the next shard, as one that fits no endpoint was before; its client is refused only when all shards have refused it, with the soonest Retry-After. Ends of jobs name their shard, and recent ends are kept by shard: a refusal that comes twice, or an end that another shard at the same home has sent, is no answer of the shard that has the job now ('not run' would be false).

--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -51,7 +51,7 @@
 	timing          dispatch.Timing
 	endpoints       map[dispatch.EndpointID]endpointView
 	requests        map[string]*request
-	recent          map[string]recentEnd
+	recent          map[submittedJob]recentEnd
 	home            map[dispatch.Shard]string // entry that holds the shard's queue
 	shardCounts     shardCounts
 	peerShardCounts map[string]shardCounts // as sent by other entries, by name
@@ -81,11 +81,19 @@
 type request struct {
 	submit
 	shard       dispatch.Shard
-	home        dispatch.Owner // entry that has the job
-	shardsTried int            // shards where the job's tasks fit no endpoint
-	firstPeer   *mesh.Peer     // link on which the job was first submitted to home
+	home        dispatch.Owner   // entry that has the job
+	shardsTried int              // shards that have refused the job
+	refusal     dispatch.Outcome // of the shard that would take the job the soonest
+	firstPeer   *mesh.Peer       // link on which the job was first submitted to home
 }
 
+// submittedJob names a job as it was submitted to a shard.
+type submittedJob struct {
+	job   string
+	shard dispatch.Shard
+}
+
+// recentEnd is an outcome that is kept for the entry that waits for it.
 type recentEnd struct {
 	outcome dispatch.Outcome
 	caller  dispatch.Owner
@@ -98,7 +106,7 @@
 		e: e, seeds: mesh.SeedAddrs(e.node), peers: map[string]*mesh.Peer{}, agents: map[string]*mesh.Peer{}, lost: map[string]lostEntry{},
 		members: map[string]mesh.MemberRow{}, unlinked: map[string]time.Duration{},
 		schedulers: map[dispatch.Shard]*dispatch.Scheduler{}, orders: &dispatch.OrderNumbers{}, timing: control.TimingOf(e.node), endpoints: map[dispatch.EndpointID]endpointView{},
-		requests: map[string]*request{}, recent: map[string]recentEnd{}, home: map[dispatch.Shard]string{},
+		requests: map[string]*request{}, recent: map[submittedJob]recentEnd{}, home: map[dispatch.Shard]string{},
 		shardCounts: shardCounts{}, peerShardCounts: map[string]shardCounts{},
 	}
 }
@@ -276,19 +284,38 @@
 	})
 }
 
-// jobEnded handles the outcome that a job's home reports. A job whose tasks fit
-// no endpoint of its shard has not run, and is submitted to the next shard.
+// jobEnded handles the outcome that a job's home reports. A job that its shard has
+// refused has not run, and is submitted to the next shard: the jobs of a service are
+// spread evenly over its shards, their load and their endpoints are not.
 func (s *state) jobEnded(now time.Duration, r *request, out dispatch.Outcome) {
-	count := s.shardCounts.of(r.shard.Service)
-	if r.shardsTried++; out.Code != result.NeverFits || r.shardsTried >= count {
+	if out.Code != result.NeverFits && out.Code != result.Overloaded {
 		s.answer(r.job.ID, out)
 		return
 	}
+	r.refusal = soonerRefusal(r.refusal, out)
+	count := s.shardCounts.of(r.shard.Service)
+	if r.shardsTried++; r.shardsTried >= count {
+		s.answer(r.job.ID, r.refusal)
+		return
+	}
 	r.shard.Index = (r.shard.Index + 1) % count
 	r.firstPeer = nil
 	s.submitToHome(now, r)
 }
 
+// soonerRefusal returns the refusal of the shard that would take a job the soonest. A
+// shard without a large enough endpoint would never take it.
+func soonerRefusal(a, b dispatch.Outcome) dispatch.Outcome {
+	switch {
+	case a.Code == 0, a.Code == result.NeverFits && b.Code == result.Overloaded:
+		return b
+	case a.Code == b.Code && b.RetryAfter < a.RetryAfter:
+		return b
+	default:
+		return a
+	}
+}
+
 // waiting counts the jobs of a route that wait in the queues held here.
 func (s *state) waiting(route string) int {
 	n := 0
@@ -372,17 +399,17 @@
 
 // applyActions executes the actions that the schedulers decided on.
 func (s *state) applyActions(now time.Duration) {
-	for _, sched := range s.schedulers {
+	for shard, sched := range s.schedulers {
 		actions := sched.TakeActions()
 		for i := 0; i < len(actions); {
-			i += s.applyNext(now, actions[i:])
+			i += s.applyNext(now, shard, actions[i:])
 		}
 	}
 }
 
 // applyNext executes the first of actions, together with those after it that go into
 // the same message, and returns how many it has executed.
-func (s *state) applyNext(now time.Duration, actions []dispatch.SchedulerAction) int {
+func (s *state) applyNext(now time.Duration, shard dispatch.Shard, actions []dispatch.SchedulerAction) int {
 	first := actions[0]
 	switch first.Kind {
 	case dispatch.OrderRun:
@@ -396,7 +423,7 @@
 			_ = p.Send(m) // resent on the next link
 		}
 	case dispatch.FinishJob:
-		s.finish(now, first)
+		s.finish(now, shard, first)
 	case dispatch.LogDecision:
 		s.e.deps.Metrics.Count("bergamotwing_"+first.Event+"_total", "Decisions of the scheduler.", 1)
 		s.e.deps.Log.Info().Str("event", first.Event).Str("agent", first.Agent.Name).Str("endpoint", first.Endpoint.ID).
@@ -436,17 +463,15 @@
 }
 
 // finish sends a job's outcome to the entry whose client waits for it.
-func (s *state) finish(now time.Duration, a dispatch.SchedulerAction) {
+func (s *state) finish(now time.Duration, shard dispatch.Shard, a dispatch.SchedulerAction) {
 	if a.Caller == s.e.owner() {
-		if r := s.requests[a.Job]; r != nil {
+		if r := s.requests[a.Job]; r != nil && r.shard == shard {
 			s.jobEnded(now, r, a.Outcome)
 		}
 		return
 	}
-	if a.Outcome.Code != result.NeverFits { // the caller may submit the job for another shard held here
-		s.recent[a.Job] = recentEnd{outcome: a.Outcome, caller: a.Caller, at: now, sent: now}
-	}
+	s.recent[submittedJob{a.Job, shard}] = recentEnd{outcome: a.Outcome, caller: a.Caller, at: now, sent: now}
 	if p := s.peers[a.Caller.Entry]; p != nil && p.Owner() == a.Caller {
-		_ = p.Send(&wire.JobEnd{Job: a.Job, Outcome: a.Outcome}) // resent on the next link
+		_ = p.Send(&wire.JobEnd{Job: a.Job, Outcome: a.Outcome, Shard: shard.Index + 1}) // resent on the next link
 	}
 }
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -215,7 +215,7 @@
 		s.reconcile(now, owner, m.Jobs)
 	case *wire.JobEnd:
 		switch r := s.requests[m.Job]; {
-		case r == nil || r.home != owner:
+		case r == nil, r.home != owner, m.Shard > 0 && m.Shard != r.shard.Index+1:
 		case m.Outcome.Code == result.StartTooLate:
 			s.sendSubmit(now, p, r) // with the reading of the heartbeat that came before
 		default:
@@ -255,20 +255,22 @@
 // A submission that has been on its way for longer than the entry's lease is refused:
 // the entry may have answered its client since.
 func (s *state) submitted(now time.Duration, p *mesh.Peer, owner dispatch.Owner, m *wire.JobSubmit) {
-	if r, ok := s.recent[m.Job.ID]; ok && r.caller == owner {
+	shard := dispatch.Shard{Service: m.Route.Service, Index: m.Shard}
+	key := submittedJob{m.Job.ID, shard}
+	if r, ok := s.recent[key]; ok && r.caller == owner {
 		r.sent = now
-		s.recent[m.Job.ID] = r
-		_ = p.Send(&wire.JobEnd{Job: m.Job.ID, Outcome: r.outcome}) // resent on the next link
+		s.recent[key] = r
+		_ = p.Send(&wire.JobEnd{Job: m.Job.ID, Outcome: r.outcome, Shard: m.Shard + 1}) // resent on the next link
 		return
 	}
 	if age := now - m.Echo; m.Echo > 0 && age > s.timing.EntryLease {
 		s.e.deps.Metrics.Count("bergamotwing_submissions_stale_total", "Submissions of other entries that came too late.", 1)
 		s.e.deps.Log.Warn().Str("event", "submission_stale").Str("job", m.Job.ID).Str("entry", owner.Entry).Dur("age_ms", age).Msg("submission refused: it came too late")
 		p.SendHeartbeat(now, s.heartbeat())
-		_ = p.Send(&wire.JobEnd{Job: m.Job.ID, Outcome: dispatch.Outcome{Code: result.StartTooLate}}) // resumed on the next link if it is lost
+		_ = p.Send(&wire.JobEnd{Job: m.Job.ID, Outcome: dispatch.Outcome{Code: result.StartTooLate}, Shard: m.Shard + 1}) // resumed on the next link if it is lost
 		return
 	}
-	s.scheduler(dispatch.Shard{Service: m.Route.Service, Index: m.Shard}).Submit(now, dispatch.Submission{
+	s.scheduler(shard).Submit(now, dispatch.Submission{
 		Caller: owner, Job: m.Job, Route: m.Route, Deadline: now + m.Wait, MayHaveRun: m.MayHaveRun,
 	})
 }
--- a/hosted/entry/submit_test.go
+++ b/hosted/entry/submit_test.go
@@ -240,3 +240,96 @@
 		t.Errorf("%d open jobs of an entry that has echoed nothing for longer than its lease", open)
 	}
 }
+
+// twoShards returns an entry that knows a service of two shards, whose homes it is not, and
+// its link to the entry that holds both.
+func twoShards(t *testing.T, now time.Duration) (*Entry, *mesh.Link, *sentTo) {
+	t.Helper()
+	e := newEntry(t)
+	e.state.shardCounts = shardCounts{"svc": 2}
+	l, sent := recordedLink(other.Entry, wire.RoleEntry)
+	e.receive(now, control.LinkUp{Link: l})
+	e.receive(now, control.Received{Link: l, Message: &wire.NodeHeartbeat{Clock: 1, Echo: now, StoreVersion: 1}})
+	for i := range 2 {
+		e.state.home[dispatch.Shard{Service: "svc", Index: i}] = other.Entry
+	}
+	return e, l, sent
+}
+
+// Bursts and lost endpoints fill one shard before another. A job that one shard has
+// refused has not run, and is not refused to its client while another shard has room.
+func TestAJobThatOneShardRefusesGoesToTheNext(t *testing.T) {
+	overloaded := dispatch.Outcome{Code: result.Overloaded, RetryAfter: 3 * time.Second}
+	neverFits := dispatch.Outcome{Code: result.NeverFits}
+	for _, tc := range []struct {
+		name          string
+		first, second dispatch.Outcome
+		want          result.Code
+	}{
+		{"served there", overloaded, dispatch.Outcome{Code: result.OK}, result.OK},
+		{"refused by both", overloaded, overloaded, result.Overloaded},
+		{"too large for the second", overloaded, neverFits, result.Overloaded},
+		{"too large for the first", neverFits, overloaded, result.Overloaded},
+		{"too large for both", neverFits, neverFits, result.NeverFits},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			now := mesh.Now()
+			e, l, sent := twoShards(t, now)
+			reply := make(chan dispatch.Outcome, 1)
+			e.receive(now, submit{job: job("j"), route: testRoute, deadline: now + time.Minute, reply: reply})
+			for _, out := range []dispatch.Outcome{tc.first, tc.second} {
+				if len(reply) > 0 {
+					t.Fatal("answered before the second shard was tried")
+				}
+				submits := sentOf[*wire.JobSubmit](sent)
+				last := submits[len(submits)-1]
+				e.receive(now, control.Received{Link: l, Message: &wire.JobEnd{Job: "j", Outcome: out, Shard: last.Shard + 1}})
+			}
+			submits := sentOf[*wire.JobSubmit](sent)
+			if len(submits) != 2 || submits[0].Shard == submits[1].Shard || submits[1].MayHaveRun {
+				t.Errorf("submitted %+v, want to both shards, as not run", submits)
+			}
+			if out := <-reply; out.Code != tc.want {
+				t.Errorf("answered %v, want %v", out.Code, tc.want)
+			}
+		})
+	}
+}
+
+// A client that sends its job again causes a second submission, which the first shard
+// refuses again after the next one has accepted the job. To answer "not run" by that
+// would be false.
+func TestALateRefusalOfAnEarlierShardIsNoAnswer(t *testing.T) {
+	now := mesh.Now()
+	e, l, sent := twoShards(t, now)
+	reply := make(chan dispatch.Outcome, 1)
+	e.receive(now, submit{job: job("j"), route: testRoute, deadline: now + time.Minute, reply: reply})
+	first := sentOf[*wire.JobSubmit](sent)[0].Shard
+	refusal := &wire.JobEnd{Job: "j", Outcome: dispatch.Outcome{Code: result.Overloaded}, Shard: first + 1}
+	for range 2 {
+		e.receive(now, control.Received{Link: l, Message: refusal})
+	}
+	if len(reply) > 0 {
+		t.Errorf("answered %v by a shard that the job has left", (<-reply).Code)
+	}
+}
+
+// One entry may hold both shards. What one of them has answered is no answer of the other.
+func TestAHomeOfTwoShardsAnswersForEach(t *testing.T) {
+	e := newEntry(t)
+	now := mesh.Now()
+	l, sent := recordedLink(other.Entry, wire.RoleEntry)
+	e.receive(now, control.LinkUp{Link: l})
+	e.receive(now, control.Received{Link: l, Message: &wire.NodeHeartbeat{Clock: 1, Echo: now, StoreVersion: 1}})
+	late := now + time.Second // after the time in which a new scheduler admits jobs without endpoints
+	for shard := range 2 {
+		e.state.scheduler(dispatch.Shard{Service: "svc", Index: shard})
+	}
+	for shard := range 2 {
+		e.receive(late, control.Received{Link: l, Message: &wire.JobSubmit{Job: job("j"), Route: testRoute, Wait: time.Minute, Shard: shard}})
+	}
+	ends := sentOf[*wire.JobEnd](sent)
+	if len(ends) != 2 || ends[0].Shard != 1 || ends[1].Shard != 2 || ends[1].Outcome.Code != result.Overloaded {
+		t.Errorf("answers %+v, want one of each shard", ends)
+	}
+}
--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -99,6 +99,7 @@
 type JobEnd struct {
 	Job     string           `cbor:"1,keyasint"`
 	Outcome dispatch.Outcome `cbor:"2,keyasint"`
+	Shard   int              `cbor:"3,keyasint,omitempty"` // of the submission, from 1; 0: from a build that does not say
 }
 
 // EndpointReport reports the status of an endpoint to an entry.
