Jobs are submitted to a shard where no job waits

Change: heartbeats of entries say how many jobs wait there; a job goes first to the shard that its id names unless jobs wait there and none wait at another one (ChooseShard). Resubmissions that join an open job stay at its shard as before.

--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -55,8 +55,16 @@
 	unanswered float64                             // share of the orders without an answer
 	fails      func(endpoint int, at Time) float64 // share of the tasks that fail
 	outage     outage
+	shards     int                              // of the service; 0: one
+	byHash     bool                             // jobs stay at the shard that their id names
+	lost       func(endpoint int, at Time) bool // which endpoints take no tasks; nil: none
 }
 
+const (
+	shardHop       = 3 * ms  // from a home's refusal to the next home
+	shardHeartbeat = 50 * ms // after which entries know how many jobs wait at a home
+)
+
 // outage is a loss of all processes. Clients resend the lost jobs as long as
 // they wait.
 type outage struct{ from, until Time }
@@ -129,12 +137,19 @@
 	deadline  Time
 	actual    []Time // run time of each task
 	sub       Submission
+	shard     int // that has the job
+	tried     int // shards that have refused it
 }
 
 // playLoad replays a pattern.
 func playLoad(p loadPattern) *loadResult {
 	rng := rand.New(rand.NewPCG(p.seed, 7))
-	s := NewScheduler("svc", testTiming, &OrderNumbers{}, -time.Minute)
+	orders := &OrderNumbers{}
+	shards := make([]*Scheduler, max(p.shards, 1))
+	for i := range shards {
+		shards[i] = NewScheduler("svc", testTiming, orders, -time.Minute)
+	}
+	waiting := make([]int, len(shards))
 	res := &loadResult{offered: map[int]float64{}, achieved: map[int]float64{}, starts: map[string][]Time{}}
 	if p.fails == nil {
 		p.fails = neverFails
@@ -151,8 +166,9 @@
 			if i%3 == 2 {
 				capacity += capacity / 2
 			}
-			s.Report(now, AgentID{Name: fmt.Sprintf("a%02d", i), Incarnation: 1}, EndpointStatus{
-				Endpoint: EndpointID{ID: fmt.Sprintf("e%02d", i)}, Service: "svc", Available: true,
+			id := fmt.Sprintf("e%02d", i)
+			shards[ShardIndex(id, len(shards))].Report(now, AgentID{Name: fmt.Sprintf("a%02d", i), Incarnation: 1}, EndpointStatus{
+				Endpoint: EndpointID{ID: id}, Service: "svc", Available: p.lost == nil || !p.lost(i, now),
 				Capacity: Resources{CPUMilli: capacity, MemoryMB: 1 << 20},
 			})
 		}
@@ -171,19 +187,25 @@
 	}
 	open := map[string]*openJob{}
 	caller := Owner{Entry: "c", Incarnation: 1}
+	var submit func(j *openJob)
 	var carryOut func()
 	carryOut = func() {
 		ejected := 0
-		for _, e := range s.endpoints {
-			if e.health.ejected() {
-				ejected++
+		var actions []SchedulerAction
+		for _, s := range shards {
+			for _, e := range s.endpoints {
+				if e.health.ejected() {
+					ejected++
+				}
 			}
+			actions = append(actions, s.TakeActions()...)
 		}
 		res.mostEjected = max(res.mostEjected, ejected)
-		for _, a := range s.TakeActions() {
+		for _, a := range actions {
 			switch a.Kind {
 			case OrderRun:
 				j := open[a.Run.Task.Job]
+				s := shards[j.shard]
 				runTime := j.actual[a.Run.Task.Index]
 				var index int
 				_, _ = fmt.Sscanf(a.Endpoint.ID, "e%d", &index)
@@ -212,6 +234,11 @@
 				}
 			case FinishJob:
 				j := open[a.Job]
+				if j.tried++; a.Outcome.Code == result.Overloaded && !p.byHash && j.tried < len(shards) {
+					j.shard = (j.shard + 1) % len(shards)
+					afterUnlessLost(shardHop, func() { submit(j) })
+					continue
+				}
 				delete(open, a.Job)
 				took := now - j.arrived
 				window := int(j.arrived / (2 * time.Second))
@@ -244,10 +271,17 @@
 		case down:
 			after(simResend, func() { send(j) })
 		default:
-			s.Submit(now, j.sub)
-			carryOut()
+			j.shard = ShardIndex(j.sub.Job.ID, len(shards))
+			if !p.byHash {
+				j.shard = ChooseShard(j.shard, waiting)
+			}
+			submit(j)
 		}
 	}
+	submit = func(j *openJob) {
+		shards[j.shard].Submit(now, j.sub)
+		carryOut()
+	}
 	if p.outage.until > 0 {
 		after(p.outage.from, func() {
 			incarnation++
@@ -260,7 +294,9 @@
 		})
 		after(p.outage.until, func() {
 			down = false
-			s = NewScheduler("svc", testTiming, &OrderNumbers{}, now)
+			for i := range shards {
+				shards[i] = NewScheduler("svc", testTiming, orders, now)
+			}
 			report()
 		})
 	}
@@ -304,12 +340,25 @@
 	var tick func()
 	tick = func() {
 		if !down {
-			s.Tick(now)
+			if p.lost != nil {
+				report()
+			}
+			for _, s := range shards {
+				s.Tick(now)
+			}
 			carryOut()
 		}
 		after(25*ms, tick)
 	}
 	tick()
+	var heartbeat func()
+	heartbeat = func() {
+		for i, s := range shards {
+			waiting[i] = s.WaitingJobs()
+		}
+		after(shardHeartbeat, heartbeat)
+	}
+	heartbeat()
 	for events.Len() > 0 && now < p.length+drainTime {
 		ev := heap.Pop(&events).(simEvent)
 		now = ev.at
@@ -410,3 +459,22 @@
 		t.Errorf("jobs that arrive after the loss achieve %.3f of their value on average, want %.2f as under ordinary load", mean, ordinaryAim)
 	}
 }
+
+// Two of three endpoints of one shard take no tasks for four seconds, under a load that
+// the endpoints of both shards can carry together.
+func TestALoadThatOneShardCannotCarryIsCarriedByTheOther(t *testing.T) {
+	for seed := range uint64(3) {
+		p := bannerstroomLoad(seed, burst(2, 1))
+		p.endpoints, p.shards = 22, 2
+		p.lost = func(endpoint int, at Time) bool {
+			return at > 4*time.Second && at < 8*time.Second && endpoint%3 != 0 && ShardIndex(fmt.Sprintf("e%02d", endpoint), 2) == 0
+		}
+		byHash := p
+		byHash.byHash = true
+		alone, res := playLoad(byHash), playLoad(p)
+		t.Logf("seed %d: %v; with jobs that stay at their shard: %v", seed, res, alone)
+		if res.worst() < ordinaryAim || res.share() < alone.share() {
+			t.Errorf("seed %d: %v; with jobs that stay at their shard: %v", seed, res, alone)
+		}
+	}
+}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -147,6 +147,9 @@
 	return n
 }
 
+// WaitingJobs returns how many jobs have tasks that wait for capacity.
+func (s *Scheduler) WaitingJobs() int { return len(s.queue) }
+
 // Submit queues a job or refuses it. A job that is already open goes on, and its
 // outcome goes to the newest caller.
 func (s *Scheduler) Submit(now Time, sub Submission) {
--- a/dispatch/shard.go
+++ b/dispatch/shard.go
@@ -91,3 +91,16 @@
 	}
 	return homes
 }
+
+// ChooseShard returns the shard to which a job is submitted first, given how many jobs
+// wait at each: the one that the job's id names or, if jobs wait there, the next one
+// where none does. It answers loads that one shard cannot carry, since its endpoints
+// are fewer, slower or lost, while another has room.
+func ChooseShard(named int, waiting []int) int {
+	for i := range waiting {
+		if shard := (named + i) % len(waiting); waiting[shard] == 0 {
+			return shard
+		}
+	}
+	return named
+}
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -225,7 +225,7 @@
 		m.reply <- stopTimeoutOutcome("") // the job may have run elsewhere before
 		return
 	}
-	r := &request{submit: m, shard: s.shardOfJob(m.route.Service, m.job.ID)}
+	r := &request{submit: m, shard: s.chooseShard(m.route.Service, m.job.ID)}
 	old := s.requests[m.job.ID]
 	if old != nil {
 		r.shard, r.home, r.firstPeer = old.shard, old.home, old.firstPeer // the entry that has the job's runs
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -163,7 +163,7 @@
 }
 
 func (s *state) heartbeat() wire.NodeHeartbeat {
-	b := wire.NodeHeartbeat{Draining: s.stopping, Home: s.isHome(), StoreVersion: s.storeVersion()}
+	b := wire.NodeHeartbeat{Draining: s.stopping, Home: s.isHome(), StoreVersion: s.storeVersion(), Waiting: s.waitingJobs()}
 	for _, v := range s.endpoints {
 		if v.status.Available {
 			b.Endpoints++
--- a/hosted/entry/shards.go
+++ b/hosted/entry/shards.go
@@ -109,6 +109,33 @@
 	return dispatch.Shard{Service: service, Index: dispatch.ShardIndex(job, s.shardCounts.of(service))}
 }
 
+// chooseShard returns the shard to which a job is submitted first.
+func (s *state) chooseShard(service, job string) dispatch.Shard {
+	shard := s.shardOfJob(service, job)
+	waiting := make([]int, s.shardCounts.of(service))
+	for i := range waiting {
+		home := s.home[dispatch.Shard{Service: service, Index: i}]
+		if p := s.peers[home]; p != nil {
+			waiting[i] = p.LastHeartbeat.Waiting
+		} else if home == s.e.self.Name {
+			waiting[i] = s.waitingJobs()
+		} else if i != shard.Index {
+			waiting[i] = 1 // without a link, its home is chosen anew
+		}
+	}
+	shard.Index = dispatch.ChooseShard(shard.Index, waiting)
+	return shard
+}
+
+// waitingJobs counts the jobs in the schedulers here that have tasks waiting for capacity.
+func (s *state) waitingJobs() int {
+	n := 0
+	for _, sched := range s.schedulers {
+		n += sched.WaitingJobs()
+	}
+	return n
+}
+
 // sendShardCounts sends the numbers of shards to the other entries.
 func (s *state) sendShardCounts() {
 	m := s.shardCountsMessage()
--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -35,6 +35,7 @@
 	Draining     bool          `cbor:"4,keyasint,omitempty"` // takes no new work
 	Endpoints    int           `cbor:"5,keyasint,omitempty"` // number of available endpoints that the sender may place tasks on; entries only
 	Home         bool          `cbor:"6,keyasint,omitempty"` // the sender places tasks; entries only
+	Waiting      int           `cbor:"7,keyasint,omitempty"` // number of jobs with tasks that wait for capacity at the sender; entries only
 }
 
 // Member returns the sender as a member.
