--- a/hosted/entry/sim_test.go
+++ b/hosted/entry/sim_test.go
@@ -75,6 +75,7 @@
 }
 
 type sim struct {
+	options   Options // of the entries
 	rng       source
 	now       time.Duration
 	seq       int
@@ -153,7 +154,7 @@
 	n.frozenUntil = 0
 	n.waits = map[string]*simAttempt{}
 	node := platform.Node{Name: n.hello.Name, IP: n.hello.Name, LinkPort: 1, Cores: 1, LinkMbps: 1000, ResendAfter: simResend}
-	n.e = New(node, Options{}, control.Deps{Log: zerolog.Nop(), Metrics: simMetrics})
+	n.e = New(node, n.s.options, control.Deps{Log: zerolog.Nop(), Metrics: simMetrics})
 	cancelled, cancel := context.WithCancel(context.Background())
 	cancel()
 	n.e.ctx = cancelled // nothing is dialed
@@ -731,9 +732,12 @@
 }()
 
 // newSim returns a simulation of started processes.
-func newSim(seed uint64) *sim {
+func newSim(seed uint64) *sim { return newSimOf(seed, Options{}) }
+
+func newSimOf(seed uint64, o Options) *sim {
 	s := &sim{
-		rng: source{rand.New(rand.NewPCG(seed, 2))}, seed: seed, drawn: map[string]int{}, now: 10 * time.Second, running: map[dispatch.TaskRef]string{},
+		options: o,
+		rng:     source{rand.New(rand.NewPCG(seed, 2))}, seed: seed, drawn: map[string]int{}, now: 10 * time.Second, running: map[dispatch.TaskRef]string{},
 		partition: map[string]time.Duration{}, ended: map[string]int{},
 	}
 	for i := range simAgents {
@@ -764,8 +768,8 @@
 }
 
 // runSim plays one seed.
-func runSim(seed uint64) *sim {
-	s := newSim(seed)
+func runSim(seed uint64, o Options) *sim {
+	s := newSimOf(seed, o)
 	begin, span := 2*time.Second, 10*time.Second
 	for i := range simJobs {
 		s.after(begin+s.rng.between(0, span), func() { s.submit(fmt.Sprintf("job%d", i), 0, s.now+s.rng.between(simShortestWait, simLongestWait)) })
@@ -784,14 +788,23 @@
 
 // A home that moves does not start a task that still runs for the entry that was the
 // home before. BERGAMOTWING_SIM_SEEDS adds that many seeds to the fixed ones.
-func TestNoTaskRunsTwiceWhileHomesMove(t *testing.T) {
+func TestNoTaskRunsTwiceWhileHomesMove(t *testing.T) { playSeeds(t, Options{}) }
+
+// A job that one shard refuses, or that is submitted again while other jobs wait at its
+// shard, may go to another shard than before.
+func TestNoTaskRunsTwiceWhileJobsGoFromShardToShard(t *testing.T) {
+	playSeeds(t, Options{ShardEndpoints: simAgents / 2})
+}
+
+func playSeeds(t *testing.T, o Options) {
+	t.Helper()
 	const fixed = 48
 	more, _ := strconv.Atoi(os.Getenv("BERGAMOTWING_SIM_SEEDS")) // 0 if it is not set
 	for group := range simGroups {
 		t.Run(strconv.Itoa(group), func(t *testing.T) {
 			t.Parallel()
 			for seed := uint64(1 + group); seed <= uint64(fixed+more); seed += simGroups {
-				if s := runSim(seed); s.violation != "" {
+				if s := runSim(seed, o); s.violation != "" {
 					t.Errorf("seed %d: %s", seed, s.violation)
 				}
 			}
--- a/integration/hosted/cluster.go
+++ b/integration/hosted/cluster.go
@@ -76,6 +76,10 @@
 	// ShardEndpoints is the largest number of endpoints that one entry places tasks
 	// on; 0 means the built-in number.
 	ShardEndpoints int
+	// Zones and Services are assigned to the hosts in turn; nil: zones, and service.
+	Zones, Services []string
+	// Bounds replace those of the stand-ins.
+	Bounds map[string]int
 	// Prepare is called before the processes start; nil: nothing is.
 	Prepare func(*fake.Store)
 }
@@ -89,6 +93,12 @@
 // Start starts a deployment and waits until all entries are ready.
 func Start(t testing.TB, o Options) *Cluster {
 	t.Helper()
+	if o.Zones == nil {
+		o.Zones = zones
+	}
+	if o.Services == nil {
+		o.Services = []string{service}
+	}
 	c := &Cluster{Store: fake.NewStore(), Record: fake.NewRecord(), options: o, t: t, dir: t.TempDir()}
 	serve(t, c.storeAddr(), c.Store)
 	c.SetConfig(1, prefix)
@@ -128,12 +138,12 @@
 	c.t.Helper()
 	ip := address(n)
 	name := fmt.Sprintf("%s-%d", role, index)
-	zone := zones[index%len(zones)]
+	zone := c.options.Zones[index%len(c.options.Zones)]
 	node := fake.Node{
-		Name: name, IP: ip, Zone: zone, StoreAddr: c.storeAddr(), Seeds: []string{address(firstEntry), address(firstEntry + 1)},
+		Name: name, IP: ip, Zone: zone, Bounds: c.options.Bounds, StoreAddr: c.storeAddr(), Seeds: []string{address(firstEntry), address(firstEntry + 1)},
 	}
 	if role == "agent" {
-		node.Service = service
+		node.Service = c.options.Services[index%len(c.options.Services)]
 	}
 	text, err := node.SettingsFile()
 	if err != nil {
@@ -160,7 +170,7 @@
 // startEndpoint starts an endpoint that sends heartbeats to its agent.
 func (c *Cluster) startEndpoint(h *Host, index int) {
 	h.Endpoint = fake.NewEndpoint(fake.EndpointConfig{
-		ID: fmt.Sprintf("i-%d", index), Service: service, Zone: h.Zone, Addr: fake.Addr(h.IP, fake.EndpointPort),
+		ID: fmt.Sprintf("i-%d", index), Service: h.node.Service, Zone: h.Zone, Addr: fake.Addr(h.IP, fake.EndpointPort),
 		CPUMilli: endpointCPUMilli, Record: c.Record, Labels: []string{label(index)},
 	})
 	serve(c.t, fake.Addr(h.IP, fake.EndpointPort), h.Endpoint)
