Agents send frequent heartbeats to the home of their own shard only

Change: a heartbeat to an agent says 'home' only if the agent's endpoint is in a shard held there; only those agents count as suspect after two missed heartbeats.

--- a/hosted/entry/agents.go
+++ b/hosted/entry/agents.go
@@ -29,6 +29,7 @@
 		return
 	}
 	delete(s.agents, l.Hello.Name)
+	delete(s.agentShards, l.Hello.Name)
 	s.agentLost(now, p)
 }
 
@@ -49,17 +50,35 @@
 	s.e.deps.Log.Warn().Str("event", "agent_lost").Str("agent", id.Name).Dur("runs_over_in_ms", runsEndBy-now).Msg("agent lost")
 }
 
+// isHomeOf reports whether this entry places tasks on an agent's endpoint.
+func (s *state) isHomeOf(agent *mesh.Peer) bool {
+	shard, known := s.agentShards[agent.Hello.Name]
+	if !known {
+		return false
+	}
+	sched := s.schedulers[shard]
+	return s.home[shard] == s.e.self.Name || sched != nil && sched.Jobs() > 0
+}
+
+// heartbeatTo sends a heartbeat to an agent. It is marked as a home's only if the
+// agent's endpoint is in a shard held here: agents send heartbeats to their home more
+// often, and each home would get those of all shards.
+func (s *state) heartbeatTo(now time.Duration, agent *mesh.Peer, b wire.NodeHeartbeat) {
+	b.Home, b.Waiting = s.isHomeOf(agent), 0
+	agent.SendHeartbeat(now, b)
+}
+
 // checkAgents closes the links of agents that have sent no heartbeat for the owner's
-// lease (at a home) or agentLinkTimeout (at other entries). A home also stops placing
-// tasks on agents that miss heartbeats: agents send heartbeats to a home more often
-// than to other entries.
+// lease (at their home) or agentLinkTimeout (at other entries). A home also stops
+// placing tasks on agents that miss heartbeats: agents send heartbeats to their home
+// more often than to other entries.
 func (s *state) checkAgents(now time.Duration) {
-	limit := agentLinkTimeout
-	home := s.isHome()
-	if home {
-		limit = s.timing.OwnerLease
-	}
 	for _, p := range s.agents {
+		limit := agentLinkTimeout
+		home := s.isHomeOf(p)
+		if home {
+			limit = s.timing.OwnerLease
+		}
 		sinceHeartbeat := now - p.LastReceived
 		if home && sinceHeartbeat > agentSuspect {
 			s.setSuspect(p, true)
@@ -91,7 +110,7 @@
 	case *wire.NodeHeartbeat:
 		p.ReceiveHeartbeat(now, m)
 		s.setSuspect(p, false)
-		p.SendHeartbeat(now, s.heartbeat())
+		s.heartbeatTo(now, p, s.heartbeat())
 		s.sendOperatorIfOutdated(p)
 	case *wire.RunsKept:
 		for _, sched := range s.schedulers {
@@ -117,6 +136,7 @@
 func (s *state) report(now time.Duration, id dispatch.AgentID, status dispatch.EndpointStatus) {
 	shard := s.shardOfEndpoint(status.Service, status.Endpoint)
 	s.endpoints[status.Endpoint] = endpointView{agent: id, status: status, shard: shard}
+	s.agentShards[id.Name] = shard
 	s.scheduler(shard).Report(now, id, status)
 }
 
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -50,6 +50,7 @@
 	orders          *dispatch.OrderNumbers
 	timing          dispatch.Timing
 	endpoints       map[dispatch.EndpointID]endpointView
+	agentShards     map[string]dispatch.Shard // of the endpoint that an agent reported last, by the agent's name
 	requests        map[string]*request
 	recent          map[submittedJob]recentEnd
 	home            map[dispatch.Shard]string // entry that holds the shard's queue
@@ -106,7 +107,8 @@
 		e: e, seeds: mesh.SeedAddrs(e.node), peers: map[string]*mesh.Peer{}, agents: map[string]*mesh.Peer{}, lost: map[string]lostEntry{},
 		members: map[string]mesh.MemberRow{}, unlinked: map[string]time.Duration{},
 		schedulers: map[dispatch.Shard]*dispatch.Scheduler{}, orders: &dispatch.OrderNumbers{}, timing: control.TimingOf(e.node), endpoints: map[dispatch.EndpointID]endpointView{},
-		requests: map[string]*request{}, recent: map[submittedJob]recentEnd{}, home: map[dispatch.Shard]string{},
+		agentShards: map[string]dispatch.Shard{},
+		requests:    map[string]*request{}, recent: map[submittedJob]recentEnd{}, home: map[dispatch.Shard]string{},
 		shardCounts: shardCounts{}, peerShardCounts: map[string]shardCounts{},
 	}
 }
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -178,7 +178,7 @@
 		p.SendHeartbeat(now, b)
 	}
 	for _, p := range s.agents {
-		p.SendHeartbeat(now, b)
+		s.heartbeatTo(now, p, b)
 	}
 }
 
--- a/hosted/entry/shards.go
+++ b/hosted/entry/shards.go
@@ -98,6 +98,7 @@
 		s.scheduler(shard).Report(now, v.agent, v.status)
 		v.shard = shard
 		s.endpoints[id] = v
+		s.agentShards[v.agent.Name] = shard
 	}
 }
 
--- a/hosted/entry/thaw_test.go
+++ b/hosted/entry/thaw_test.go
@@ -69,6 +69,37 @@
 	}
 }
 
+// Agents send heartbeats to their home more often. With many shards each home would get
+// those of all agents, though it places tasks on its own shard's.
+func TestOnlyTheHomeOfAnAgentsShardAsksForFrequentHeartbeats(t *testing.T) {
+	e := newEntry(t)
+	now := mesh.Now()
+	e.state.shardCounts = shardCounts{"svc": 2}
+	sent := map[int]*sentTo{}
+	links := map[int]*mesh.Link{}
+	for i := 0; len(sent) < 2; i++ {
+		name := fmt.Sprintf("agent-%d", i)
+		shard := dispatch.ShardIndex("endpoint of "+name, 2)
+		if sent[shard] == nil {
+			links[shard], sent[shard] = linkAgentTo(e, now, name)
+		}
+	}
+	e.state.home = map[dispatch.Shard]string{{Service: "svc", Index: 0}: e.self.Name, {Service: "svc", Index: 1}: "another"}
+	beats := func(shard int) bool {
+		sent[shard].messages = nil
+		e.receive(now, control.Received{Link: links[shard], Message: &wire.NodeHeartbeat{Clock: now, Echo: now}})
+		return sentOf[*wire.NodeHeartbeat](sent[shard])[0].Home
+	}
+	if !beats(0) || beats(1) {
+		t.Errorf("as a home to the agents of shards 0 and 1: %v, %v; want true, false", beats(0), beats(1))
+	}
+	later := now + agentSuspect + time.Millisecond
+	e.state.checkAgents(later)
+	if !e.state.agents[links[0].Hello.Name].Suspect || e.state.agents[links[1].Hello.Name].Suspect {
+		t.Error("an agent of another home is suspect, or one of this home is not")
+	}
+}
+
 // A process that was frozen may handle the end of a run before a tick.
 func TestNoRunIsOrderedForAnEntryWhoseLeaseHasEnded(t *testing.T) {
 	e := newEntry(t)
