The cost of remote data comes from the platform's settings

Change: the stated factor, 1.5 where there is none.

Result: TestATaskLeavesItsDataOnlyForLessThanThePlatformSaysThatCosts.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -190,15 +190,11 @@
 func (s *Scheduler) penalty(st *Step, e *endpoint) float64 {
 	p := e.slowness()
 	if st.DataRack != "" && !slices.Contains(e.status.Labels, st.DataRack) {
-		p *= remoteDataFactor
+		p *= s.timing.RemoteDataFactor
 	}
 	return p
 }
 
-// remoteDataFactor is the factor by which a task takes longer on another rack
-// than its data.
-const remoteDataFactor = 1.5
-
 // anotherHealthy reports whether an endpoint other than e is healthy and of
 // normal speed, so that a task may get a better place by waiting.
 func (s *Scheduler) anotherHealthy(e *endpoint) bool {
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -903,3 +903,20 @@
 		t.Errorf("orders %+v, want one to %v", orders, next)
 	}
 }
+
+// Deployments differ in how much longer a task takes away from its data.
+func TestATaskLeavesItsDataOnlyForLessThanThePlatformSaysThatCosts(t *testing.T) {
+	for factor, want := range map[float64]string{0: "far", 1.5: "far", 3: "near"} {
+		b := newBed(t)
+		b.s.timing = NewTiming(Limits{RemoteDataFactor: factor})
+		b.report("near", EndpointStatus{Available: true, Labels: []string{"rack1"}, Capacity: Resources{CPUMilli: 4000, MemoryMB: 1000}})
+		b.report("far", EndpointStatus{Available: true, Labels: []string{"rack2"}, Capacity: Resources{CPUMilli: 4000, MemoryMB: 1000}})
+		b.s.find(agentOf("near"), EndpointID{ID: "near"}).slow = 2
+		st := step(1)
+		st.DataRack = "rack1"
+		b.submit("j", callerA, 0, st)
+		if orders, _, _ := b.take(); len(orders) != 1 || orders[0].Endpoint.ID != want {
+			t.Errorf("factor %v: %+v, want a start at the %s endpoint", factor, orders, want)
+		}
+	}
+}
--- a/dispatch/timing.go
+++ b/dispatch/timing.go
@@ -7,6 +7,9 @@
 	ResendAfter Time // after which a client resends an unanswered job
 	MaxLease    Time // longest lease that an endpoint grants
 	StopTime    Time // longest time that an endpoint takes to stop a run
+	// RemoteDataFactor is the factor by which a task takes longer on another rack than
+	// its data.
+	RemoteDataFactor float64
 }
 
 // Timing holds the times after which the processes of a deployment consider each
@@ -28,6 +31,7 @@
 	defaultResendAfter = 1300 * time.Millisecond
 	defaultMaxLease    = time.Second
 	defaultStopTime    = 50 * time.Millisecond
+	defaultRemoteData  = 1.5
 	maxEntryLease      = 300 * time.Millisecond
 	maxOwnerLease      = 800 * time.Millisecond
 )
@@ -46,6 +50,9 @@
 	l.ResendAfter = orDefault(l.ResendAfter, defaultResendAfter)
 	l.MaxLease = orDefault(l.MaxLease, defaultMaxLease)
 	l.StopTime = orDefault(l.StopTime, defaultStopTime)
+	if l.RemoteDataFactor < 1 {
+		l.RemoteDataFactor = defaultRemoteData
+	}
 	return Timing{
 		Limits:     l,
 		EntryLease: min(maxEntryLease, Time(entryLeaseShare*float64(l.ResendAfter))),
--- a/hosted/control/control.go
+++ b/hosted/control/control.go
@@ -98,5 +98,5 @@
 
 // TimingOf returns the timing that follows from the platform's settings.
 func TimingOf(node platform.Node) dispatch.Timing {
-	return dispatch.NewTiming(dispatch.Limits{ResendAfter: node.ResendAfter, MaxLease: node.MaxLease, StopTime: node.StopTime})
+	return dispatch.NewTiming(dispatch.Limits{ResendAfter: node.ResendAfter, MaxLease: node.MaxLease, StopTime: node.StopTime, RemoteDataFactor: node.RemoteDataFactor})
 }
