--- a/dispatch/shard_test.go
+++ b/dispatch/shard_test.go
@@ -76,7 +76,7 @@
 // The loss of a zone takes the queues of all homes there at once.
 func TestHomesOfAServicesShardsAreInDifferentZones(t *testing.T) {
 	for zones := 2; zones <= 5; zones++ {
-		var all []Candidate
+		all := make([]Candidate, 0, 55)
 		for i := range 55 {
 			c := Candidate{Name: fmt.Sprintf("entry-%d", i), Zone: fmt.Sprintf("zone-%d", i%zones), Cores: 0.2, LinkMbps: 25, Endpoints: 240}
 			if i < 15 {
