The time to stop counts no time that the kernel kept a thread waiting for a processor

Cause of the known red (TestARequestWithoutItsWholeBody..., 'the stop took 1.9 s of 1 s'), traced in 140 runs with the race detector beside 20 to 30 busy processes (load 25 to 33 of 6 processors): two took 1.38 and 1.82 s. In the second one thread of the process was ready to run without a processor for 1.09 s (its schedstat), and an independent goroutine that sleeps 5 ms was late by 0.39 and 0.31 s in the same stop; all others took 0.55 to 0.88 s. A process that does nothing but sleep 10 ms was late by up to 1.30 s on this machine (load 28, no steal). Ruled out: the steps of the stop, which are bounded by 0.5 and 0.2 s.

Change: the check compares the time less the longest such wait of one thread, which is 0 on a machine with a processor to spare: there it is as strict as before.

--- a/hosted/entry/grace_test.go
+++ b/hosted/entry/grace_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -73,16 +75,51 @@
 	return fmt.Sprintf("POST /q/5c0e7a21d94b36f8 HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 }
 
-// drainWithinGrace drains an entry and fails if that takes longer than its grace period.
+// drainWithinGrace drains an entry and fails if that takes longer than its grace period,
+// less the time for which the kernel kept one of its threads waiting for a processor.
 func drainWithinGrace(t *testing.T, e *Entry, clients *drain.Server) {
 	t.Helper()
-	began := time.Now()
+	began, before := time.Now(), processorWaits()
 	e.drain(clients)
-	if took := time.Since(began); took > shortGrace {
-		t.Errorf("the stop took %v of %v", took, shortGrace)
+	took, waited := time.Since(began), longestWait(before, processorWaits())
+	if took-waited > shortGrace {
+		t.Errorf("the stop took %v of %v, a thread waited %v of it for a processor", took, shortGrace, waited)
 	}
 }
 
+// processorWaits returns how long each thread of this process has been ready to run
+// without a processor; it is empty where the kernel does not say.
+func processorWaits() map[string]time.Duration {
+	waits := map[string]time.Duration{}
+	for thread, text := range threadFiles("schedstat") {
+		var ran, waited int64
+		if _, err := fmt.Sscan(text, &ran, &waited); err == nil {
+			waits[thread] = time.Duration(waited)
+		}
+	}
+	return waits
+}
+
+func threadFiles(name string) map[string]string {
+	files := map[string]string{}
+	const tasks = "/proc/self/task"
+	threads, _ := os.ReadDir(tasks) // none: not Linux
+	for _, thread := range threads {
+		text, err := os.ReadFile(filepath.Join(tasks, thread.Name(), name))
+		if err == nil { // else the thread has ended
+			files[thread.Name()] = string(text)
+		}
+	}
+	return files
+}
+
+func longestWait(before, after map[string]time.Duration) (longest time.Duration) {
+	for thread, waited := range after {
+		longest = max(longest, waited-before[thread])
+	}
+	return longest
+}
+
 func wantAnswer(t *testing.T, conn net.Conn, status int, code string) http.Header {
 	t.Helper()
 	if err := conn.SetReadDeadline(time.Now().Add(draintest.Timeout)); err != nil {
