Fewer heartbeats and wake-ups between processes that hold nothing of each other

Cause: what each pair of processes costs grew with their number. Agents sent each of 11 entries that were not their home a heartbeat each 0.45 s, entries each other one each 0.4 s, each answered; an entry looked 20 times a second at each link that another one had dialed; an agent without a link dialed all 55 entries at once.

Change: heartbeats to entries that are no home each 1.35 s, between such entries each 1.2 s, with timeouts to match. An entry that becomes the home of an agent's shard says so at once, and places nothing there before the agent has answered, since its reading of the agent's clock is old. A dialer waits for the end of a link instead of looking for it. An agent dials only the entries that may become its home for its first 1.5 s without a link.

--- a/hosted/agent/control.go
+++ b/hosted/agent/control.go
@@ -11,16 +11,22 @@
 )
 
 const (
-	busyTick            = 25 * time.Millisecond  // while there are runs or a guard looks for earlier ones
-	idleTick            = 100 * time.Millisecond // otherwise
-	homeHeartbeatEvery  = 150 * time.Millisecond // between heartbeats to an entry that is a home or owns runs; five in an owner's lease
-	otherHeartbeatEvery = 450 * time.Millisecond // between heartbeats to other entries
-	// entryLinkTimeout is the time without an echo after which the link to an entry is
-	// closed and dialed again.
-	entryLinkTimeout = 1200 * time.Millisecond
+	busyTick            = 25 * time.Millisecond   // while there are runs or a guard looks for earlier ones
+	idleTick            = 100 * time.Millisecond  // otherwise
+	homeHeartbeatEvery  = 150 * time.Millisecond  // between heartbeats to an entry that is a home or owns runs; five in an owner's lease
+	otherHeartbeatEvery = 1350 * time.Millisecond // between heartbeats to other entries
+	// homeLinkTimeout is the time without an echo after which the link to an entry that
+	// is a home or owns runs is closed and dialed again, and otherLinkTimeout that of
+	// other entries: some more than two and a half of their heartbeats.
+	homeLinkTimeout  = 1200 * time.Millisecond
+	otherLinkTimeout = 3600 * time.Millisecond
 	// endRetention is how long the end of a run is kept, to be resent to an owner that
 	// reconnects.
 	endRetention = 2 * time.Second
+	// dialAllAfter is how long an agent without a link dials only the entries that may
+	// become its home, and the seeds: after a loss of everything, all agents would dial
+	// all entries at once.
+	dialAllAfter = 1500 * time.Millisecond
 )
 
 // state is the state of the control actor.
@@ -36,6 +42,8 @@
 	ends      []keptEnd
 	seeds     []string // addresses where entries may listen
 	stopping  bool
+	// unlinkedSince is when the agent was last found without a link to any entry.
+	unlinkedSince time.Duration
 }
 
 type keptEnd struct {
@@ -48,7 +56,7 @@
 func newState(a *Agent) *state {
 	return &state{
 		a: a, timing: control.TimingOf(a.node), seeds: mesh.SeedAddrs(a.node), peers: map[string]*mesh.Peer{}, lists: map[string][]wire.Member{}, addrs: map[string]string{},
-		endpoints: map[dispatch.EndpointID]*endpoint{},
+		endpoints: map[dispatch.EndpointID]*endpoint{}, unlinkedSince: mesh.Now(),
 	}
 }
 
@@ -100,10 +108,11 @@
 		busy = busy || e.guard.Runs() > 0 || e.guard.LooksForEarlierRuns()
 	}
 	for _, p := range s.peers {
-		if p.EchoOverdue(now, entryLinkTimeout) {
+		pause, timeout := s.pace(now, p)
+		if p.EchoOverdue(now, timeout) && now-p.BusySince > timeout {
 			p.Close()
 		}
-		if now-p.LastSent >= s.heartbeatPause(p) {
+		if now-p.LastSent >= pause {
 			s.sendHeartbeat(now, p)
 		}
 	}
@@ -115,11 +124,18 @@
 	s.a.actor.TickAfter(pause)
 }
 
-func (s *state) heartbeatPause(p *mesh.Peer) time.Duration {
-	if p.LastHeartbeat.Home || s.hasRunsOf(p.Owner()) {
-		return homeHeartbeatEvery
+// pace returns the pause between heartbeats to an entry, and the time without an echo
+// after which its link is closed. Both are short if the entry is a home or owns runs
+// here. When they become short, the time starts anew (BusySince).
+func (s *state) pace(now time.Duration, p *mesh.Peer) (pause, timeout time.Duration) {
+	if !p.LastHeartbeat.Home && !s.hasRunsOf(p.Owner()) {
+		p.BusySince = 0
+		return otherHeartbeatEvery, otherLinkTimeout
 	}
-	return otherHeartbeatEvery
+	if p.BusySince == 0 {
+		p.BusySince = now
+	}
+	return homeHeartbeatEvery, homeLinkTimeout
 }
 
 func (s *state) hasRunsOf(owner dispatch.Owner) bool {
@@ -229,6 +245,9 @@
 func (s *state) linkDown(l *mesh.Link) {
 	if p := s.peers[l.Hello.Name]; p != nil && p.Link == l {
 		delete(s.peers, l.Hello.Name)
+		if len(s.peers) == 0 {
+			s.unlinkedSince = mesh.Now()
+		}
 		s.retarget()
 		s.a.deps.Log.Warn().Str("event", "entry_lost").Str("entry", l.Hello.Name).Msg("link to entry lost")
 	}
@@ -303,21 +322,12 @@
 }
 
 // retarget dials the seeds, the entries that may become the home of the endpoint's
-// service, and linked entries with runs here. Without a link all known entries are
-// dialed.
+// service, and linked entries with runs here. All known entries are dialed if there has
+// been no link for dialAllAfter.
 func (s *state) retarget() {
-	known := s.known()
 	s.addrs = map[string]string{}
-	var candidates []dispatch.Candidate
-	for name, m := range known {
-		s.addrs[name] = m.Addr
-		candidates = append(candidates, dispatch.Candidate{Name: name, Cores: m.Cores, LinkMbps: m.LinkMbps})
-	}
-	if len(s.peers) > 0 {
-		candidates = dispatch.ChooseStandbys(s.a.node.Service, candidates, dispatch.MaxStandbys)
-	}
 	targets := slices.Clone(s.seeds)
-	for _, c := range candidates {
+	for _, c := range s.dialCandidates(mesh.Now()) {
 		targets = append(targets, s.addrs[c.Name])
 	}
 	for name, p := range s.peers {
@@ -329,6 +339,20 @@
 	s.a.mesh.SetTargets(s.a.ctx, targets)
 }
 
+// dialCandidates returns the entries to dial besides seeds and owners of runs, and notes
+// the addresses of all that are known.
+func (s *state) dialCandidates(now time.Duration) []dispatch.Candidate {
+	var candidates []dispatch.Candidate
+	for name, m := range s.known() {
+		s.addrs[name] = m.Addr
+		candidates = append(candidates, dispatch.Candidate{Name: name, Cores: m.Cores, LinkMbps: m.LinkMbps})
+	}
+	if len(s.peers) > 0 || now-s.unlinkedSince < dialAllAfter {
+		candidates = dispatch.ChooseStandbys(s.a.node.Service, candidates, dispatch.MaxStandbys)
+	}
+	return candidates
+}
+
 func (s *state) received(now time.Duration, l *mesh.Link, m wire.Message) {
 	p := s.peers[l.Hello.Name]
 	if p == nil || p.Link != l {
--- a/hosted/agent/odd_test.go
+++ b/hosted/agent/odd_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -71,3 +72,18 @@
 		t.Error("the endpoint is not acknowledged")
 	}
 }
+
+// After a loss of all processes, each agent would dial each entry at once: 13,200 links at
+// 240 agents and 55 entries.
+func TestAnAgentWithoutALinkDialsAllEntriesOnlyIfTheFirstOnesDoNotAnswer(t *testing.T) {
+	s := newTestAgent(t, testNode(t, "127.0.0.1:1")).state
+	for i := range 55 {
+		s.rows = append(s.rows, wire.Member{Name: fmt.Sprintf("entry-%d", i), Addr: fmt.Sprintf("127.0.0.2:%d", 1000+i), Cores: 0.4, LinkMbps: 100})
+	}
+	if n := len(s.dialCandidates(s.unlinkedSince + dialAllAfter - time.Millisecond)); n != dispatch.MaxStandbys {
+		t.Errorf("%d entries dialed at first, want %d", n, dispatch.MaxStandbys)
+	}
+	if n := len(s.dialCandidates(s.unlinkedSince + dialAllAfter)); n != len(s.rows) {
+		t.Errorf("%d entries dialed after %v without a link, want all", n, dialAllAfter)
+	}
+}
--- a/hosted/entry/agents.go
+++ b/hosted/entry/agents.go
@@ -69,21 +69,28 @@
 }
 
 // checkAgents closes the links of agents that have sent no heartbeat for the owner's
-// lease (at their home) or agentLinkTimeout (at other entries). A home also stops
-// placing tasks on agents that miss heartbeats: agents send heartbeats to their home
-// more often than to other entries.
+// lease (at their home) or agentLinkTimeout (at other entries). Agents send heartbeats to
+// their home more often than to other entries: they are told at once when this entry
+// becomes it, and have that time anew. No tasks are placed on agents without a recent
+// heartbeat, which at an entry that has just become the home are nearly all, until
+// they have answered.
 func (s *state) checkAgents(now time.Duration) {
+	heartbeat := s.heartbeat()
 	for _, p := range s.agents {
 		limit := agentLinkTimeout
-		home := s.isHomeOf(p)
-		if home {
+		if !s.isHomeOf(p) {
+			p.BusySince = 0
+		} else {
 			limit = s.timing.OwnerLease
+			if p.BusySince == 0 {
+				p.BusySince = now
+				s.heartbeatTo(now, p, heartbeat)
+			}
 		}
-		sinceHeartbeat := now - p.LastReceived
-		if home && sinceHeartbeat > agentSuspect {
+		if now-p.LastReceived > agentSuspect {
 			s.setSuspect(p, true)
 		}
-		if sinceHeartbeat > limit {
+		if now-max(p.LastReceived, p.BusySince) > limit {
 			p.Close()
 		}
 	}
@@ -97,6 +104,9 @@
 	for _, sched := range s.schedulers {
 		sched.SetAgentSuspect(p.Agent(), suspect)
 	}
+	if !s.isHomeOf(p) {
+		return // heartbeats to other entries are rare
+	}
 	s.e.deps.Log.Info().Str("event", "agent_silent").Str("agent", p.Hello.Name).Bool("silent", suspect).Msg("agent gets no tasks while it misses heartbeats")
 }
 
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -22,17 +22,17 @@
 	// idleHeartbeatEvery is the pause between heartbeats of other entries, and
 	// idlePeerTimeout the time without an echo after which such an entry counts as
 	// lost: three heartbeats and a half.
-	idleHeartbeatEvery = 400 * time.Millisecond
-	idlePeerTimeout    = 1400 * time.Millisecond
+	idleHeartbeatEvery = 1200 * time.Millisecond
+	idlePeerTimeout    = 4200 * time.Millisecond
 	// membersPause is the shortest time between two lists of entries sent to agents.
 	membersPause = 500 * time.Millisecond
 	// agentLinkTimeout is the time without a heartbeat after which an agent's link
 	// is closed, for the agent to reconnect. It is longer than three heartbeats
 	// to an entry that is not a home. A home uses the owner's lease instead, since
 	// the agent has stopped the home's runs by then.
-	agentLinkTimeout = 1500 * time.Millisecond
-	// agentSuspect is the time without a heartbeat after which a home places no
-	// tasks on an agent: two heartbeats and their delay.
+	agentLinkTimeout = 4500 * time.Millisecond
+	// agentSuspect is the time without a heartbeat after which no tasks are placed on
+	// an agent: two heartbeats to a home and their delay.
 	agentSuspect = 350 * time.Millisecond
 	// outcomeRetention is how long the end of a job is kept for an entry that reconnects.
 	outcomeRetention = 2 * time.Second
--- a/hosted/mesh/mesh.go
+++ b/hosted/mesh/mesh.go
@@ -27,7 +27,6 @@
 	redialPauseMax = 500 * time.Millisecond // pause after many failed dials
 	shortLink      = 100 * time.Millisecond // a link that ends sooner counts as a failed dial
 	acceptorDelay  = 300 * time.Millisecond // how long an entry leaves the first dialing to a new target with a lower address
-	linkedPoll     = 50 * time.Millisecond  // between two checks whether the link that the other side dialed is still open
 )
 
 // Conn carries messages to the other side of a link.
@@ -71,15 +70,21 @@
 
 	mu      sync.Mutex
 	targets map[string]context.CancelFunc // dialing goroutines by address
-	linked  map[string]int                // open links by the address of the other side
+	linked  map[string]*openLinks         // by the address of the other side
 	wait    sync.WaitGroup
 }
 
+// openLinks counts the open links to one address.
+type openLinks struct {
+	count int
+	ended chan struct{} // closed once there are none
+}
+
 // New returns a mesh without links.
 func New(self wire.NodeHello, events Events, obs wire.Observer, log zerolog.Logger) *Mesh {
 	return &Mesh{
 		self: self, events: events, obs: obs, log: log,
-		targets: map[string]context.CancelFunc{}, linked: map[string]int{},
+		targets: map[string]context.CancelFunc{}, linked: map[string]*openLinks{},
 	}
 }
 
@@ -136,9 +141,11 @@
 	}
 	pause := redialPause
 	for ctx.Err() == nil {
-		if m.isLinked(addr) {
-			sleep(ctx, linkedPoll)
+		if m.waitUnlinked(ctx, addr) {
 			pause = redialPause
+			if m.self.Role == wire.RoleEntry && m.self.Addr > addr {
+				sleep(ctx, redialPause) // the other side dials again
+			}
 			continue
 		}
 		if m.dialOnce(ctx, addr) {
@@ -188,30 +195,53 @@
 		}
 		timeout.Stop()
 		link = &Link{Conn: l, Hello: *hello, Dialed: dialed}
-		m.addLinked(hello.Addr, 1)
+		m.addLinked(hello.Addr)
 		m.events.LinkUp(link)
 	})
 	if link == nil {
 		return false
 	}
-	m.addLinked(link.Hello.Addr, -1)
+	m.removeLinked(link.Hello.Addr)
 	m.log.Debug().AnErr("cause", eris.Cause(err)).Str("peer", link.Hello.Name).Msg("link ended")
 	m.events.LinkDown(link)
 	return true
 }
 
-func (m *Mesh) addLinked(addr string, n int) {
+func (m *Mesh) addLinked(addr string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.linked[addr] += n; m.linked[addr] == 0 {
-		delete(m.linked, addr)
+	l := m.linked[addr]
+	if l == nil {
+		l = &openLinks{ended: make(chan struct{})}
+		m.linked[addr] = l
 	}
+	l.count++
 }
 
-func (m *Mesh) isLinked(addr string) bool {
+func (m *Mesh) removeLinked(addr string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.linked[addr] > 0
+	l := m.linked[addr]
+	if l.count--; l.count == 0 {
+		close(l.ended)
+		delete(m.linked, addr)
+	}
+}
+
+// waitUnlinked waits until there is no link to addr, which may have been made by the
+// other side, and reports whether there was one.
+func (m *Mesh) waitUnlinked(ctx context.Context, addr string) bool {
+	m.mu.Lock()
+	l := m.linked[addr]
+	m.mu.Unlock()
+	if l == nil {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+	case <-l.ended:
+	}
+	return true
 }
 
 func sleep(ctx context.Context, d time.Duration) {
