A job that goes to a shard of the same home is ordered at once

Cause: an entry that holds two shards visits their schedulers in any order, so the orders for a job that one of them had refused could wait for the next tick, 25 ms.

Change: actions are applied until none is left.

Result: TestAJobThatGoesToAShardOfTheSameHomeIsOrderedAtOnce fails before and passes.

--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -399,12 +399,17 @@
 	s.answer(m.job, dispatch.Outcome{Code: result.Cancelled})
 }
 
-// applyActions executes the actions that the schedulers decided on.
+// applyActions executes the actions that the schedulers decided on, also those that
+// follow when a job goes from one of them to the next.
 func (s *state) applyActions(now time.Duration) {
-	for shard, sched := range s.schedulers {
-		actions := sched.TakeActions()
-		for i := 0; i < len(actions); {
-			i += s.applyNext(now, shard, actions[i:])
+	for applied := true; applied; {
+		applied = false
+		for shard, sched := range s.schedulers {
+			actions := sched.TakeActions()
+			applied = applied || len(actions) > 0
+			for i := 0; i < len(actions); {
+				i += s.applyNext(now, shard, actions[i:])
+			}
 		}
 	}
 }
--- a/hosted/entry/submit_test.go
+++ b/hosted/entry/submit_test.go
@@ -358,3 +358,29 @@
 		}
 	}
 }
+
+// The next shard may be held by the same entry, which must not leave the job to its next tick.
+func TestAJobThatGoesToAShardOfTheSameHomeIsOrderedAtOnce(t *testing.T) {
+	for range 20 { // schedulers are visited in any order
+		e := newEntry(t)
+		now := mesh.Now()
+		e.state.shardCounts = shardCounts{"svc": 2}
+		for shard := range 2 {
+			e.state.home[dispatch.Shard{Service: "svc", Index: shard}] = e.self.Name
+			e.state.scheduler(dispatch.Shard{Service: "svc", Index: shard})
+		}
+		id := "j"
+		full := dispatch.ShardIndex(id, 2)
+		agent := 0
+		for dispatch.ShardIndex(fmt.Sprintf("endpoint of %d", agent), 2) == full {
+			agent++
+		}
+		late := now + time.Second // after the time in which a new scheduler admits jobs without endpoints
+		_, sent := linkAgentTo(e, late, fmt.Sprint(agent))
+		late += 3 * tickEvery // nothing is placed right after a pause between two checks of leases
+		e.receive(late, submit{job: job(id), route: testRoute, deadline: late + time.Minute, reply: make(chan dispatch.Outcome, 1)})
+		if orders := sent.orders(); len(orders) != 1 {
+			t.Fatalf("%d orders, want one at once", len(orders))
+		}
+	}
+}
