Failing: a run whose stop is not carried out outlasts the resend of its job

Real processes: a job's entry is killed while its home is frozen for 0.6 s, the endpoint carries out no stop, the home is stopped after it has thawed, the client sends the job again 1.3 s after it lost its entry. At the guard: the lease is renewed until 1.4 s after the last echo before the stop. At the home: the echo that renews the agent's lease goes out before the stop, after a thaw and on a new link.

--- a/dispatch/guard_test.go
+++ b/dispatch/guard_test.go
@@ -226,6 +226,36 @@
 	}
 }
 
+// The client of a stopped run sends its job again soon after: 1.3 s after it lost its
+// entry, which the home notices 0.3 s later, or as late as it thaws.
+func TestARunWhoseStopIsNotCarriedOutGetsNoLongerLease(t *testing.T) {
+	for _, frozen := range []Time{0, 300 * ms, 600 * ms} { // for which the home had sent no echo before the stop
+		t.Run(frozen.String(), func(t *testing.T) {
+			g, now := newGuard(t)
+			run := ref("j", 0, 1)
+			g.Start(now, order(ownerA, run, now))
+			clock := func(at Time) Time { return at - 5*time.Second }
+			g.StartAnswered(now+ms, run, CallResult{Clock: clock(now + ms)})
+			echo, stopped := now+100*ms, now+100*ms+frozen
+			for at := now; at < now+3*time.Second; at += 25 * ms {
+				if at <= echo || at > stopped {
+					g.RenewOwner(ownerA, at+testTiming.OwnerLease)
+				}
+				if at == stopped {
+					g.Stop(at, ownerA, run)
+				}
+				g.Polled(at, at, Snapshot{Clock: clock(at), Running: []RunningRun{{Run: run}}})
+				g.Tick(at)
+				for _, a := range takeCalls(g) {
+					if a.Kind == CallPoll && a.Until > clock(echo+testTiming.OwnerLease) {
+						t.Fatalf("%v after the stop a lease until %v after the last echo before it; the owner's lease is %v", at-stopped, a.Until-clock(echo), testTiming.OwnerLease)
+					}
+				}
+			}
+		})
+	}
+}
+
 func TestGuardStopsTheRunsOfALostOwner(t *testing.T) {
 	g, now := newGuard(t)
 	run := ref("j", 0, 1)
--- a/hosted/entry/thaw_test.go
+++ b/hosted/entry/thaw_test.go
@@ -159,6 +159,64 @@
 	}
 }
 
+// A run whose stop is not carried out ends with the lease that its agent last had.
+func TestAThawedHomeSendsStopsBeforeItRenewsTheLease(t *testing.T) {
+	e := newEntry(t)
+	began := mesh.Now()
+	entry, _ := recordedLink(other.Entry, wire.RoleEntry)
+	e.receive(began, control.LinkUp{Link: entry})
+	e.receive(began, control.Received{Link: entry, Message: &wire.NodeHeartbeat{Clock: 1, Echo: began, StoreVersion: 1}})
+	agent, sent := linkAgentTo(e, began, "a")
+	e.receive(began, control.Received{Link: entry, Message: &wire.JobSubmit{Job: job("j"), Route: testRoute, Wait: time.Minute}})
+	if len(sent.orders()) != 1 {
+		t.Fatalf("%d orders", len(sent.orders()))
+	}
+	e.state.checkPeers(began)
+	sent.messages = nil
+	thaw := began + 700*time.Millisecond
+	e.receive(thaw, control.Received{Link: agent, Message: &wire.NodeHeartbeat{Clock: thaw - 20*time.Millisecond, Echo: began}})
+	for _, m := range sent.messages {
+		switch m.(type) {
+		case *wire.RunStop:
+			return
+		case *wire.NodeHeartbeat:
+			t.Fatal("the agent's lease is renewed before the run is stopped")
+		}
+	}
+	t.Fatal("the run is not stopped")
+}
+
+// The agent has renewed the run's lease by the time that it receives the stop again.
+func TestAnAgentThatIsLinkedAgainGetsStopsBeforeItsLeaseIsRenewed(t *testing.T) {
+	e := newEntry(t)
+	now := mesh.Now()
+	l, sent := linkAgentTo(e, now, "a")
+	reply := make(chan dispatch.Outcome, 1)
+	e.receive(now, submit{job: job("j"), route: testRoute, deadline: now + time.Minute, reply: reply})
+	orders := sent.orders()
+	if len(orders) != 1 {
+		t.Fatalf("%d orders", len(orders))
+	}
+	e.receive(now, control.LinkDown{Link: l})
+	e.receive(now, abandonRequest{"j", reply})
+	l, sent = recordedLink("a", wire.RoleAgent)
+	e.receive(now, control.LinkUp{Link: l})
+	e.receive(now, control.Received{Link: l, Message: &wire.NodeHeartbeat{Clock: now, Echo: now}})
+	e.receive(now, control.Received{Link: l, Message: &wire.RunsKept{Orders: []uint64{orders[0].Order}, Endpoints: []dispatch.EndpointID{}}})
+	e.receive(now, control.Received{Link: l, Message: &wire.NodeHeartbeat{Clock: now + 1, Echo: now}})
+	for _, m := range sent.messages {
+		switch m := m.(type) {
+		case *wire.RunStop:
+			return
+		case *wire.NodeHeartbeat:
+			if m.Echo > 0 {
+				t.Fatal("the agent's lease is renewed before the run is stopped")
+			}
+		}
+	}
+	t.Fatal("the run is not stopped")
+}
+
 // thawCase is a simulation in which a job's tasks run, and the entries in their parts.
 type thawCase struct {
 	*sim
--- a/integration/hosted/abandoned_test.go
+++ b/integration/hosted/abandoned_test.go
@@ -59,10 +59,15 @@
 
 // submitInBackground submits a job of long tasks to an entry until leave is called.
 func submitInBackground(t *testing.T, c *Cluster, e *Host, id string) (leave func(), answer <-chan fake.Answer) {
+	t.Helper()
+	return submitTasksInBackground(t, c, e, id, abandonedTasks)
+}
+
+func submitTasksInBackground(t *testing.T, c *Cluster, e *Host, id string, tasks int) (leave func(), answer <-chan fake.Answer) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	answers := make(chan fake.Answer, 1)
-	go func() { answers <- c.SubmitWithin(ctx, e, prefix, id, fake.Tasks(abandonedTasks, abandonedTaskMs)) }()
+	go func() { answers <- c.SubmitWithin(ctx, e, prefix, id, fake.Tasks(tasks, abandonedTaskMs)) }()
 	return cancel, answers
 }
 
@@ -124,6 +129,51 @@
 	}
 }
 
+// A job's entry is lost while its home is frozen for a moment, the endpoint carries out no
+// stop in time, and the home moves before the client sends the job again.
+func TestARunThatDoesNotStopIsOverBeforeItsJobIsSentAgain(t *testing.T) {
+	const (
+		rounds = 6 // the home's last heartbeat before it freezes comes at another moment in each
+		frozen = 600 * time.Millisecond
+	)
+	for round := range rounds {
+		t.Run(fmt.Sprint(round), func(t *testing.T) {
+			c := Start(t, Options{Entries: 3, Agents: 3, Proxied: true})
+			home, others := homeAndOthers(t, c)
+			id := NewJobID()
+			leave, answer := submitTasksInBackground(t, c, others[0], id, 1)
+			defer leave()
+			harness.Eventually(t, 2*time.Second, "the task runs", func() bool { return c.Record.Running() == 1 })
+			for _, a := range c.Agents {
+				if !a.Endpoint.Idle() {
+					a.Endpoint.SetFault(fake.EndpointLate)
+				}
+			}
+			if err := home.Freeze(); err != nil {
+				t.Fatal(err)
+			}
+			others[0].Kill()
+			<-answer
+			left := time.Now()
+			time.Sleep(frozen)
+			if err := home.Thaw(); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(150 * time.Millisecond) // heartbeats have renewed the home's leases
+			if err := home.Terminate(); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Until(left.Add(fake.ResendAfter)))
+			if a := c.Submit(others[1], id, fake.Tasks(1, 500)); !a.Completed() {
+				t.Errorf("the job that was sent again: %+v", a)
+			}
+			for _, task := range c.Record.Overlapping() {
+				t.Errorf("ran twice at the same time: %s", task)
+			}
+		})
+	}
+}
+
 // allThreadsStopped reports whether all threads of a process have taken SIGSTOP, which
 // some do only after the signal has been sent.
 func allThreadsStopped(t *testing.T, pid int) bool {
