A run that is to stop gets no longer lease than it had

Callers: a task may run twice at the same time when its endpoint carries out no stop for some hundred milliseconds. Cause: such a run kept its lease for an owner's lease (0.8 s) after the agent had received the stop. The client's 1.3 s count from its own loss; the home sends the stop 0.3 s later, or when it thaws. 0.6 s + 0.8 s is more than 1.3 s. Now the lease stays as it was when the stop was requested. That follows an echo that the home sent before the stop, since both come on one link in order, so it does not matter how late the stop is. TestARunWhoseStopIsNotCarriedOutGetsNoLongerLease failed with a lease until 1.1 and 1.4 s after that echo; it passes.

--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -119,7 +119,7 @@
 	until         Time // endpoint's clock: the start is refused after it
 	seenRunning   Time // endpoint's clock: last listed or acknowledged as running
 	stopRequested bool
-	stopBy        Time // host clock: no lease outlasts it once a stop is requested
+	stopBy        Time // host clock: the lease's end when the stop was requested; it is extended no further
 	nextStop      Time
 	stopAnswered  Time // endpoint's clock, 0: no answer yet
 	earlier       bool // ordered from an earlier agent incarnation; until is not known
@@ -371,8 +371,8 @@
 }
 
 // grantLease returns the end of the endpoint's lease, on the endpoint's clock, that
-// is sent next: no owner's runs may outlive the owner's lease, and no run its stop
-// by more than such a lease.
+// is sent next: no owner's runs may outlive the owner's lease, and a run that is to
+// stop gets no longer lease than it had.
 func (g *Guard) grantLease(now Time) Time {
 	until := now + g.timing.MaxLease - lateMargin
 	for _, r := range g.runs {
@@ -437,7 +437,7 @@
 func (g *Guard) requestStop(now Time, r *guardedRun) {
 	if !r.stopRequested {
 		r.stopRequested = true
-		r.stopBy = now + g.timing.OwnerLease
+		r.stopBy = g.granted
 	}
 	if r.stopAnswered != 0 || now < r.nextStop {
 		return
