A home that thaws sends its stops before it answers heartbeats

Cause: after a pause a home checks the leases of entries first, but the stops that follow were sent after the message that it was handling, and that is often an agent's heartbeat, whose answer renews the lease. Now they are sent at once. TestAThawedHomeSendsStopsBeforeItRenewsTheLease failed; it passes.

--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -120,6 +120,7 @@
 		for _, sched := range s.schedulers {
 			sched.Hold(now + 2*tickEvery)
 		}
+		s.applyActions(now) // agents get the stops before an echo renews their leases
 	}
 	switch m := message.(type) {
 	case control.Tick:
