A relinked agent gets stops before its lease is renewed

Cause: an agent begins a new link with a heartbeat, and the home answered it before the list of runs came, with which it sends the stops that the earlier link lost. Now the home answers no heartbeat before it has that list, sends the stops first, then the echo, then orders: those come with the agent's report, which follows. TestAnAgentThatIsLinkedAgainGetsStopsBeforeItsLeaseIsRenewed failed; it passes.

--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -463,14 +463,13 @@
 }
 
 // AgentReconnected compares the orders kept by a reconnected agent with the ones
-// expected there: orders that are not kept have ended, and stops are sent again.
+// expected there: orders that are not kept have ended, and stops are sent again. The
+// agent gets no order before its report, so that stops come before its lease is renewed.
 func (s *Scheduler) AgentReconnected(now Time, agent AgentID, kept []uint64) {
 	for _, e := range slices.Clone(s.endpoints) {
 		if e.agent != agent {
 			continue
 		}
-		e.lost, e.suspect = e.gone, false
-		s.raiseMaxFreeCPU(nil)
 		for _, r := range slices.Clone(e.runs) {
 			switch {
 			case r.handedOver():
@@ -482,7 +481,12 @@
 			}
 		}
 	}
-	s.place(now)
+	for _, e := range s.endpoints {
+		if e.agent == agent {
+			e.lost, e.suspect = e.gone, false
+		}
+	}
+	s.raiseMaxFreeCPU(nil)
 }
 
 // DropUnlisted drops the endpoints that a reconnected agent no longer has: the
--- a/hosted/entry/agents.go
+++ b/hosted/entry/agents.go
@@ -62,8 +62,13 @@
 
 // heartbeatTo sends a heartbeat to an agent. It is marked as a home's only if the
 // agent's endpoint is in a shard held here: agents send heartbeats to their home more
-// often, and each home would get those of all shards.
+// often, and each home would get those of all shards. Its echo renews the lease of the
+// agent's runs here, so it is sent after the stops of those that were cancelled while
+// the agent was not linked.
 func (s *state) heartbeatTo(now time.Duration, agent *mesh.Peer, b wire.NodeHeartbeat) {
+	if !agent.RunsReported {
+		return
+	}
 	b.Home, b.Waiting = s.isHomeOf(agent), 0
 	agent.SendHeartbeat(now, b)
 }
@@ -125,7 +130,12 @@
 	case *wire.RunsKept:
 		for _, sched := range s.schedulers {
 			sched.AgentReconnected(now, id, m.Orders)
-			if m.Endpoints != nil {
+		}
+		s.applyActions(now)
+		p.RunsReported = true
+		s.heartbeatTo(now, p, s.heartbeat())
+		if m.Endpoints != nil {
+			for _, sched := range s.schedulers {
 				sched.DropUnlisted(now, id, m.Endpoints)
 			}
 		}
--- a/hosted/mesh/peer.go
+++ b/hosted/mesh/peer.go
@@ -18,6 +18,7 @@
 	SentHeartbeat    wire.NodeHeartbeat // newest heartbeat to the peer, without clock and echo
 	BusySince        time.Duration      // since when either side may hold jobs of the other; 0: neither does
 	Suspect          bool               // misses heartbeats
+	RunsReported     bool               // of an agent: has reported the runs that it keeps
 	SentStateVersion uint64             // newest version of the operator's state sent to the peer
 }
 
