--- a/integration/hosted/abandoned_test.go
+++ b/integration/hosted/abandoned_test.go
@@ -132,12 +132,10 @@
 // A job's entry is lost while its home is frozen for a moment, the endpoint carries out no
 // stop in time, and the home moves before the client sends the job again.
 func TestARunThatDoesNotStopIsOverBeforeItsJobIsSentAgain(t *testing.T) {
-	const (
-		rounds = 6 // the home's last heartbeat before it freezes comes at another moment in each
-		frozen = 600 * time.Millisecond
-	)
-	for round := range rounds {
-		t.Run(fmt.Sprint(round), func(t *testing.T) {
+	// The home's last heartbeat before it freezes comes at another moment each time.
+	for _, frozenMs := range []time.Duration{520, 530, 540, 550, 560, 570} {
+		frozen := frozenMs * time.Millisecond
+		t.Run(frozen.String(), func(t *testing.T) {
 			c := Start(t, Options{Entries: 3, Agents: 3, Proxied: true})
 			home, others := homeAndOthers(t, c)
 			id := NewJobID()
