A thawed home renews no lease before it knows which clients have left

Callers: a task may run twice at the same time, as in, if the client's own entry is the home that froze. Cause: the home learns some milliseconds after it has thawed that its client has left; the heartbeats of agents that have waited as well are answered before, which renews the lease of the run that is to stop. Now a home that was paused for longer than an entry's lease puts off its heartbeats to agents for two ticks, as it does the placing of tasks. A new link may then be lost before a heartbeat was sent on it, so the end of its agent's runs counts from the link's start at the earliest. TestAThawedHomeRenewsNoLeaseBeforeItKnowsWhichClientsHaveLeft failed ('the agent's lease is renewed before the run is stopped'), and without the second part TestRunsOfAnAgentWhoseNewLinkIsLostAtOnceAreNotOver ('ordered again 350ms before its run is over'); both pass.

--- a/hosted/entry/agents.go
+++ b/hosted/entry/agents.go
@@ -35,10 +35,11 @@
 
 // agentLost removes the endpoints of an agent whose link is lost, and passes to
 // the schedulers the time by which its runs end: they may go on for the owner's
-// lease, counted from the last heartbeat that the agent may have received.
+// lease, counted from the last heartbeat that the agent may have received, on an
+// earlier link if none was sent on this one.
 func (s *state) agentLost(now time.Duration, p *mesh.Peer) {
 	id := p.Agent()
-	runsEndBy := s.timing.RunsEndBy(p.LastSent)
+	runsEndBy := s.timing.RunsEndBy(max(p.LastSent, p.ConnectedAt))
 	for key, v := range s.endpoints {
 		if v.agent.Name == id.Name {
 			delete(s.endpoints, key)
@@ -64,11 +65,13 @@
 // agent's endpoint is in a shard held here: agents send heartbeats to their home more
 // often, and each home would get those of all shards. Its echo renews the lease of the
 // agent's runs here, so it is sent after the stops of those that were cancelled while
-// the agent was not linked.
+// the agent was not linked or, after a pause, that no client waits for any more.
 func (s *state) heartbeatTo(now time.Duration, agent *mesh.Peer, b wire.NodeHeartbeat) {
-	if !agent.RunsReported {
+	if !agent.RunsReported || now < s.echoAgentsFrom {
+		agent.HeartbeatDue = true
 		return
 	}
+	agent.HeartbeatDue = false
 	b.Home, b.Waiting = s.isHomeOf(agent), 0
 	agent.SendHeartbeat(now, b)
 }
@@ -89,9 +92,12 @@
 			limit = s.timing.OwnerLease
 			if p.BusySince == 0 {
 				p.BusySince = now
-				s.heartbeatTo(now, p, heartbeat)
+				p.HeartbeatDue = true
 			}
 		}
+		if p.HeartbeatDue {
+			s.heartbeatTo(now, p, heartbeat)
+		}
 		if now-p.LastReceived > agentSuspect {
 			s.setSuspect(p, true)
 		}
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -62,6 +62,7 @@
 	behindSince     time.Duration          // since when another entry has a newer version of the operator's state; 0: none has
 	catchUps        int                    // requests for it since then
 	checkedAt       time.Duration          // when the leases of the other entries were last checked
+	echoAgentsFrom  time.Duration          // no agent's lease is renewed before
 	stopping        bool
 	stopTimedOut    bool // the time to stop is over: requests are answered without the ends of their jobs
 }
@@ -115,12 +116,15 @@
 
 func (e *Entry) receive(now time.Duration, message any) {
 	s := e.state
-	if now-s.checkedAt > maxCheckPause {
+	if pause := now - s.checkedAt; pause > maxCheckPause {
+		if pause > s.timing.EntryLease && s.checkedAt > 0 {
+			s.echoAgentsFrom = now + 2*tickEvery
+		}
 		s.checkPeers(now)
 		for _, sched := range s.schedulers {
 			sched.Hold(now + 2*tickEvery)
 		}
-		s.applyActions(now) // agents get the stops before an echo renews their leases
+		s.applyActions(now) // agents get the stops before their leases are renewed
 	}
 	switch m := message.(type) {
 	case control.Tick:
--- a/hosted/entry/thaw_test.go
+++ b/hosted/entry/thaw_test.go
@@ -186,6 +186,79 @@
 	t.Fatal("the run is not stopped")
 }
 
+// A home learns only after a thaw which of its own clients have left. A run whose stop is not
+// carried out keeps the lease that it had before, not one that the home has just renewed.
+func TestAThawedHomeRenewsNoLeaseBeforeItKnowsWhichClientsHaveLeft(t *testing.T) {
+	e := newTestState(t).e
+	began := mesh.Now()
+	agent, sent := linkAgentTo(e, began, "a")
+	reply := make(chan dispatch.Outcome, 1)
+	e.receive(began, submit{job: job("j"), route: testRoute, deadline: began + time.Minute, reply: reply})
+	if len(sent.orders()) != 1 {
+		t.Fatalf("%d orders", len(sent.orders()))
+	}
+	e.receive(began, control.Tick{})
+	sent.messages = nil
+	thaw := began + 550*time.Millisecond
+	e.receive(thaw, control.Received{Link: agent, Message: &wire.NodeHeartbeat{Clock: thaw - 20*time.Millisecond, Echo: began}})
+	e.receive(thaw+time.Millisecond, control.Tick{})
+	e.receive(thaw+tickEvery, control.Tick{})
+	e.receive(thaw+tickEvery+time.Millisecond, abandonRequest{"j", reply})
+	stopped := false
+	for now := thaw + 2*tickEvery; now <= thaw+4*tickEvery; now += tickEvery {
+		e.receive(now, control.Tick{})
+	}
+	for _, m := range sent.messages {
+		switch m := m.(type) {
+		case *wire.RunStop:
+			stopped = true
+		case *wire.NodeHeartbeat:
+			if !stopped {
+				t.Fatal("the agent's lease is renewed before the run is stopped")
+			}
+			if m.Echo == thaw-20*time.Millisecond {
+				return
+			}
+		}
+	}
+	t.Errorf("the run is stopped: %v; the agent's heartbeat is not answered", stopped)
+}
+
+// A link that is lost before its first heartbeat says nothing about the leases that earlier
+// links have renewed.
+func TestRunsOfAnAgentWhoseNewLinkIsLostAtOnceAreNotOver(t *testing.T) {
+	e := newTestState(t).e
+	began := mesh.Now()
+	links, sent := [2]*mesh.Link{}, [2]*sentTo{}
+	for i, name := range []string{"a", "b"} {
+		links[i], sent[i] = linkAgentTo(e, began, name)
+	}
+	e.receive(began, submit{job: job("j"), route: testRoute, deadline: began + time.Minute, reply: make(chan dispatch.Outcome, 1)})
+	at, orders := 0, sent[0].orders()
+	if len(orders) == 0 {
+		at, orders = 1, sent[1].orders()
+	}
+	if len(orders) != 1 {
+		t.Fatalf("%d orders", len(orders))
+	}
+	e.receive(began, control.Tick{})
+	thaw := began + 500*time.Millisecond
+	e.receive(thaw, control.Received{Link: links[1-at], Message: &wire.NodeHeartbeat{Clock: thaw, Echo: began}})
+	e.receive(thaw, control.LinkDown{Link: links[at]})
+	again, _ := recordedLink(links[at].Hello.Name, wire.RoleAgent)
+	e.receive(thaw, control.LinkUp{Link: again})
+	e.receive(thaw, control.Received{Link: again, Message: &wire.RunsKept{Orders: []uint64{orders[0].Order}}})
+	e.receive(thaw, control.LinkDown{Link: again})
+	over := began + e.state.timing.RunsEndBy(0) // the newest heartbeat to the agent was sent at began
+	for now := thaw; now < over; now += tickEvery {
+		e.receive(now, control.Received{Link: links[1-at], Message: &wire.NodeHeartbeat{Clock: now, Echo: now}})
+		e.receive(now, control.Tick{})
+		if len(sent[1-at].orders()) > 0 {
+			t.Fatalf("the task is ordered again %v before its run is over", over-now)
+		}
+	}
+}
+
 // The agent has renewed the run's lease by the time that it receives the stop again.
 func TestAnAgentThatIsLinkedAgainGetsStopsBeforeItsLeaseIsRenewed(t *testing.T) {
 	e := newEntry(t)
--- a/hosted/mesh/peer.go
+++ b/hosted/mesh/peer.go
@@ -19,6 +19,7 @@
 	BusySince        time.Duration      // since when either side may hold jobs of the other; 0: neither does
 	Suspect          bool               // misses heartbeats
 	RunsReported     bool               // of an agent: has reported the runs that it keeps
+	HeartbeatDue     bool               // a heartbeat to the peer was put off
 	SentStateVersion uint64             // newest version of the operator's state sent to the peer
 }
 
