Runs of a lifetime that is given up end only once its lease has run out

Callers: two runs of a task at the same time, for up to 0.8 s. Cause: Guard.End reported all runs as lapsed at once after four missed heartbeats without an answer. The guard renews the endpoint's lease every 150 ms until then, and an endpoint may carry out renewals whose answers are lost. Now End stops the renewals and takes the lifetime out of use; the runs lapse as those of any endpoint that does not answer. Where the clock of the lifetime that may have them is not known (no answer yet, or the id taken over), they lapse a longest lease after End. A lifetime whose id another one has taken over is given up only after that one, which may carry out its starts. The guard, the busy tasks and EndpointGone stay until then. On the code before, the tests failed with "reported as lapsed 790ms before the endpoint's lease has run out", "reported 0s after the lifetime was given up; a lease lasts up to 1s" (no answer yet; replaced), "0s after the next lifetime was found, which has answered no stop" and, at the agent, "0 runs kept, ended true, while the next lifetime may start the run".

--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -146,7 +146,8 @@
 	left      bool // a lifetime of this id has said that it ends
 	evacuated bool
 	recovered bool // takes tasks: no unknown run is listed, and recoveryTime has passed
-	ended     bool // by End
+	ended     bool // by End: takes no tasks and renews no lease
+	endedAt   Time
 
 	runs        map[RunRef]*guardedRun
 	tasks       map[TaskRef]RunRef
@@ -184,7 +185,7 @@
 func (g *Guard) Endpoint() EndpointID { return g.endpoint }
 
 // Ended reports whether the lifetime is over and with it all runs.
-func (g *Guard) Ended() bool { return g.ended || g.replaced() && len(g.runs) == 0 }
+func (g *Guard) Ended() bool { return (g.ended || g.replaced()) && len(g.runs) == 0 }
 
 // Born returns the start of the lifetime that has the endpoint's id, as far as is
 // known. Answers to stops that were sent before it changed must not be passed to
@@ -297,12 +298,13 @@
 	g.updateAvailable(now)
 }
 
-// End ends the guarded lifetime and with it all runs.
+// End gives up a lifetime that no longer answers. Its runs may go on, so they end only
+// once the lease, which is not renewed any more, has run out.
 func (g *Guard) End(now Time) {
-	g.ended = true
-	for _, r := range g.sorted() {
-		g.finish(now, r, EndLapsed)
+	if g.ended {
+		return
 	}
+	g.ended, g.endedAt = true, now
 	g.updateAvailable(now)
 }
 
@@ -314,7 +316,7 @@
 	if g.Ended() || born == g.born {
 		return
 	}
-	g.born = born
+	g.born, g.ended = born, false
 	g.cursor, g.newest = 0, 0
 	for _, r := range g.sorted() {
 		if r.listed {
@@ -640,13 +642,11 @@
 		return
 	}
 	g.stopUnowned(now)
-	if !g.replaced() {
-		g.lapse(now)
-	}
+	g.lapse(now)
 	if g.awaitsEnd() && now >= g.nextPoll {
 		g.poll(now)
 	}
-	if len(g.runs) > 0 && now >= g.nextRenew && g.sampled != 0 && !g.replaced() {
+	if len(g.runs) > 0 && now >= g.nextRenew && g.sampled != 0 && !g.replaced() && !g.ended {
 		g.nextRenew = now + renewEvery
 		g.emit(GuardAction{Kind: CallPoll, Until: g.grantLease(now)})
 	}
@@ -669,9 +669,19 @@
 // lapse ends all runs once the endpoint's lease is certain to have run out
 // without an answer from it.
 func (g *Guard) lapse(now Time) {
-	if len(g.runs) == 0 || g.sampled == 0 {
+	if len(g.runs) == 0 || !g.leaseIsOver(now) {
 		return
 	}
+	for _, r := range g.sorted() {
+		g.finish(now, r, EndLapsed)
+	}
+}
+
+func (g *Guard) leaseIsOver(now Time) bool {
+	if g.sampled == 0 || g.replaced() {
+		// The clock of the lifetime that may have the runs is not known.
+		return g.ended && (now-g.endedAt)*(100-clockDriftPercent)/100 >= g.timing.MaxLease+lateMargin
+	}
 	latest := g.maxUntil
 	for _, r := range g.runs {
 		if r.earlier {
@@ -680,12 +690,7 @@
 	}
 	sinceAnswer := now - g.lastAnswer
 	slowest := now + g.offset - sinceAnswer*clockDriftPercent/100
-	if sinceAnswer < unreachableAfter || slowest < latest+lateMargin {
-		return
-	}
-	for _, r := range g.sorted() {
-		g.finish(now, r, EndLapsed)
-	}
+	return sinceAnswer >= unreachableAfter && slowest >= latest+lateMargin
 }
 
 // awaitsEnd reports whether a poll is needed to find out if a run has ended.
--- a/dispatch/guard_test.go
+++ b/dispatch/guard_test.go
@@ -755,3 +755,95 @@
 		t.Error("takes tasks while it drains")
 	}
 }
+
+// The guard goes on renewing the lease of an endpoint whose answers are lost, so the runs
+// of a lifetime that is given up outlast that moment.
+func TestRunsOfALifetimeThatIsGivenUpAreReportedOnlyOnceItsLeaseHasRunOut(t *testing.T) {
+	run := ref("j", 0, 1)
+	g, now := newGuardWithRun(t, run)
+	givenUp, lease := now+2*time.Second, Time(0)
+	for at := now; at < now+6*time.Second; at += 25 * ms {
+		g.RenewOwner(ownerA, at+testTiming.OwnerLease)
+		g.Tick(at)
+		if at >= givenUp {
+			g.End(at)
+		}
+		for _, a := range takeCalls(g) {
+			switch {
+			case a.Kind == CallPoll && a.Until != 0:
+				lease = max(lease, a.Until+5*time.Second)
+				if at > givenUp {
+					t.Fatalf("lease renewed %v after the lifetime was given up", at-givenUp)
+				}
+			case a.Kind == ReportEnd && at < lease+(at-now)*clockDriftPercent/100:
+				t.Fatalf("reported as %v %v before the endpoint's lease has run out", a.Reason, lease+(at-now)*clockDriftPercent/100-at)
+			case a.Kind == ReportEnd:
+				if !g.Ended() || g.Status(ownerA).Available {
+					t.Errorf("ended %v, available %v after the last run", g.Ended(), g.Status(ownerA).Available)
+				}
+				return
+			}
+		}
+		if at > givenUp && (g.Ended() || !g.HasTask(run.Task) || g.Status(ownerA).Available) {
+			t.Fatalf("ended %v, has the task %v, available %v while the run may go on", g.Ended(), g.HasTask(run.Task), g.Status(ownerA).Available)
+		}
+	}
+	t.Error("never reported")
+}
+
+// Neither guard knows the clock of the lifetime that may carry out the start.
+func TestRunsOfALifetimeThatNeverAnsweredAreReportedOnlyOnceNoLeaseCanGoOn(t *testing.T) {
+	run := ref("j", 0, 1)
+	for name, prepare := range map[string]func(now Time) *Guard{
+		"no answer": func(now Time) *Guard {
+			g := NewGuard(EndpointID{ID: "e", Born: 1}, "svc", "z", Resources{CPUMilli: 4000}, nil, testTiming)
+			g.Tick(now)
+			g.StopEarlier(now, ownerA, run, 1)
+			return g
+		},
+		"replaced": func(Time) *Guard {
+			g, now := newGuard(t)
+			g.Start(now, order(ownerA, run, now))
+			g.Replaced(now, 8)
+			return g
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := 10 * time.Second
+			g := prepare(now)
+			givenUp := now + 2*time.Second
+			for at := now; at < givenUp+3*time.Second; at += 25 * ms {
+				g.RenewOwner(ownerA, at+testTiming.OwnerLease)
+				g.Tick(at)
+				if at >= givenUp {
+					g.End(at)
+				}
+				if got := ends(g.TakeActions()); len(got) > 0 {
+					if at < givenUp+testTiming.MaxLease*(100+clockDriftPercent)/100 {
+						t.Errorf("reported %v %v after the lifetime was given up; a lease lasts up to %v", got, at-givenUp, testTiming.MaxLease)
+					}
+					if !g.Ended() {
+						t.Error("the lifetime is not over")
+					}
+					return
+				}
+			}
+			t.Error("never reported")
+		})
+	}
+}
+
+// The lifetime that follows one that was given up may carry out a start of that one.
+func TestRunsOfALifetimeThatIsGivenUpWaitForTheNextOne(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("j", 0, 1)
+	g.Start(now, order(ownerA, run, now))
+	g.End(now + 500*ms)
+	g.Replaced(now+600*ms, 8)
+	for at := now + 600*ms; at < now+5*time.Second; at += 25 * ms {
+		g.Tick(at)
+		if got := ends(g.TakeActions()); len(got) > 0 {
+			t.Fatalf("reported %v %v after the next lifetime was found, which has answered no stop", got, at-now-600*ms)
+		}
+	}
+}
--- a/hosted/agent/endpoint.go
+++ b/hosted/agent/endpoint.go
@@ -87,11 +87,16 @@
 	}
 }
 
-// endIfUnresponsive ends a lifetime that has neither sent a heartbeat nor answered a
-// poll for longer than maxMissedHeartbeats heartbeats take.
+// endIfUnresponsive gives up a lifetime that has neither sent a heartbeat nor answered a
+// poll for longer than maxMissedHeartbeats heartbeats take. One whose id another lifetime
+// has taken over is given up only after that one: it may still carry out starts.
 func (s *state) endIfUnresponsive(now time.Duration, e *endpoint) {
 	limit := maxMissedHeartbeats * s.a.node.Heartbeat
-	if now-e.lastHeartbeat > limit && e.guard.SinceLastAnswer(now) > limit {
+	if now-e.lastHeartbeat <= limit || e.guard.SinceLastAnswer(now) <= limit {
+		return
+	}
+	next := s.endpoints[dispatch.EndpointID{ID: e.announced.Endpoint.ID, Born: e.guard.Born()}]
+	if next == nil || next == e {
 		e.guard.End(now)
 	}
 }
--- a/hosted/agent/lifetime_test.go
+++ b/hosted/agent/lifetime_test.go
@@ -178,3 +178,22 @@
 		t.Errorf("ends %+v, want %v refused as busy", a.state.ends, run)
 	}
 }
+
+// The next lifetime may carry out the start, and is there as long as it is not given up.
+func TestALifetimeWhoseIDWasTakenOverIsGivenUpOnlyAfterTheNext(t *testing.T) {
+	a := newPumpedAgent(t)
+	earlier, next := a.restartBehindLateStart(lateRun)
+	e := a.state.endpoints[earlier]
+	later := mesh.Now() + time.Minute
+	a.state.endIfUnresponsive(later, e)
+	e.guard.Tick(later + lateTime)
+	if e.guard.Runs() != 1 || e.guard.Ended() {
+		t.Fatalf("%d runs kept, ended %v, while the next lifetime may start the run", e.guard.Runs(), e.guard.Ended())
+	}
+	delete(a.state.endpoints, next)
+	a.state.endIfUnresponsive(later, e)
+	e.guard.Tick(later + lateTime)
+	if !e.guard.Ended() {
+		t.Error("not ended after the next lifetime")
+	}
+}
