A guard counts no time in which its host was suspended as the endpoint's

Callers: two runs of a task at the same time after a host was suspended. Cause: leases are measured on the endpoint's steady clock, which does not count suspended time; the host's clock (CLOCK_BOOTTIME) does. After a suspension the guard took runs as lapsed whose lease went on, and its sample of the endpoint's clock was ahead by as much, for up to a second: starts were valid, and leases granted, beyond the owner's. A frozen agent took its own silence for its endpoint's and gave the lifetime up. Now a lease has run out only by the newest answer's clock reading and the time since then without pauses between calls of the guard longer than 150 ms. After such a pause the sample is lowered by the pause until the next answer. The time without an answer is counted in the same way.

--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -27,6 +27,10 @@
 	// With the longest pause between polls added, it is the time after which an
 	// endpoint takes no new tasks.
 	unreachableAfter = 600 * time.Millisecond
+	// longestPause is the longest pause between two calls of a guard that counts as time
+	// of the endpoint's clock. In a longer one, the host may have been suspended, which
+	// the endpoint's clock does not count, or the process frozen. Suspensions take seconds.
+	longestPause = 150 * time.Millisecond
 	// clockDriftPercent bounds how much slower an endpoint's clock may run.
 	clockDriftPercent = 2
 	// recoveryTime is how long a new guard looks for runs of an earlier agent
@@ -147,7 +151,7 @@
 	evacuated bool
 	recovered bool // takes tasks: no unknown run is listed, and recoveryTime has passed
 	ended     bool // by End: takes no tasks and renews no lease
-	endedAt   Time
+	endedAt   Time // of the steady time
 
 	runs        map[RunRef]*guardedRun
 	tasks       map[TaskRef]RunRef
@@ -159,6 +163,10 @@
 	recoveryEnd Time // endpoint's clock at which recoveryTime has passed; 0: no answer yet
 	offset      Time // endpoint's clock less the host's
 	sampled     Time // host clock of the offset; 0: none yet
+	steady      Time // host clock without pauses longer than longestPause
+	lastCall    Time // host clock
+	resumedAt   Time // host clock at the end of the last such pause
+	answeredAt  Time // steady time of the newest answer to a poll, or of the first call
 	maxUntil    Time // latest lease end sent, endpoint's clock
 	granted     Time // latest lease end sent, host clock
 
@@ -269,8 +277,26 @@
 	return !g.ended && (!g.recovered || g.newest <= g.earlierUntil())
 }
 
-// SinceLastAnswer returns the time since the endpoint last answered a poll.
-func (g *Guard) SinceLastAnswer(now Time) Time { return now - g.lastAnswer }
+// SinceLastAnswer returns the time for which the guard has been called without an
+// answer of the endpoint to a poll.
+func (g *Guard) SinceLastAnswer() Time { return g.steady - g.answeredAt }
+
+// passTime counts the time since the last call. After a long pause, the endpoint's clock
+// may be behind the host's by as much more.
+func (g *Guard) passTime(now Time) {
+	pause := now - g.lastCall
+	switch {
+	case pause <= 0:
+		return
+	case g.lastCall == 0:
+	case pause <= longestPause:
+		g.steady += pause
+	default:
+		g.offset -= pause
+		g.resumedAt = now
+	}
+	g.lastCall = now
+}
 
 // Left processes the message that an endpoint sends last. It does not say which
 // lifetime ends, and may be that of an earlier one that comes late, so a lifetime that
@@ -304,7 +330,7 @@
 	if g.ended {
 		return
 	}
-	g.ended, g.endedAt = true, now
+	g.ended, g.endedAt = true, g.steady
 	g.updateAvailable(now)
 }
 
@@ -342,6 +368,7 @@
 
 // Start carries out an order for a run or reports why it is refused.
 func (g *Guard) Start(now Time, o Order) {
+	g.passTime(now)
 	if reason := g.check(now, o); reason != 0 {
 		g.emit(GuardAction{Kind: ReportEnd, Owner: o.Owner, Order: o.Number, Run: o.Run, Reason: reason})
 		return
@@ -465,6 +492,7 @@
 	if g.Ended() {
 		return
 	}
+	g.passTime(now)
 	if s.Born < g.born && (s.Born != 0 || g.replaced()) {
 		return // answered by an earlier lifetime
 	}
@@ -472,10 +500,14 @@
 		g.Replaced(now, s.Born)
 	}
 	g.lastAnswer = max(g.lastAnswer, received)
+	g.answeredAt = g.steady
 	if g.replaced() {
 		g.applyReplacement(now, s)
 		return
 	}
+	if received < g.resumedAt {
+		received = now // the host may have been suspended since
+	}
 	g.sampleClock(received, s.Clock)
 	g.applyEnds(now, s.Ended)
 	if s.Clock >= g.newest {
@@ -641,6 +673,7 @@
 	if g.Ended() {
 		return
 	}
+	g.passTime(now)
 	g.stopUnowned(now)
 	g.lapse(now)
 	if g.awaitsEnd() && now >= g.nextPoll {
@@ -669,7 +702,7 @@
 // lapse ends all runs once the endpoint's lease is certain to have run out
 // without an answer from it.
 func (g *Guard) lapse(now Time) {
-	if len(g.runs) == 0 || !g.leaseIsOver(now) {
+	if len(g.runs) == 0 || !g.leaseIsOver() {
 		return
 	}
 	for _, r := range g.sorted() {
@@ -677,10 +710,10 @@
 	}
 }
 
-func (g *Guard) leaseIsOver(now Time) bool {
+func (g *Guard) leaseIsOver() bool {
 	if g.sampled == 0 || g.replaced() {
 		// The clock of the lifetime that may have the runs is not known.
-		return g.ended && (now-g.endedAt)*(100-clockDriftPercent)/100 >= g.timing.MaxLease+lateMargin
+		return g.ended && slowest(g.steady-max(g.endedAt, g.answeredAt)) >= g.timing.MaxLease+lateMargin
 	}
 	latest := g.maxUntil
 	for _, r := range g.runs {
@@ -688,11 +721,12 @@
 			latest = max(latest, g.earlierUntil())
 		}
 	}
-	sinceAnswer := now - g.lastAnswer
-	slowest := now + g.offset - sinceAnswer*clockDriftPercent/100
-	return sinceAnswer >= unreachableAfter && slowest >= latest+lateMargin
+	return g.SinceLastAnswer() >= unreachableAfter && g.newest+slowest(g.SinceLastAnswer()) >= latest+lateMargin
 }
 
+// slowest returns how much the slowest clock of an endpoint advances in a time.
+func slowest(t Time) Time { return t * (100 - clockDriftPercent) / 100 }
+
 // awaitsEnd reports whether a poll is needed to find out if a run has ended.
 func (g *Guard) awaitsEnd() bool {
 	for _, r := range g.runs {
--- a/dispatch/guard_test.go
+++ b/dispatch/guard_test.go
@@ -847,3 +847,62 @@
 		}
 	}
 }
+
+// The host's clock counts the time for which the host is suspended, the endpoint's does not.
+func TestRunsOfASuspendedHostLapseOnlyByTheEndpointsClock(t *testing.T) {
+	const before = 100 * ms // until the host is suspended; the endpoint answers no more
+	for _, suspended := range []Time{300 * ms, 900 * ms, 3 * time.Second} {
+		t.Run(suspended.String(), func(t *testing.T) {
+			run := ref("j", 0, 1)
+			g, now := newGuardWithRun(t, run)
+			lease, clock := now-5*time.Second+testTiming.OwnerLease, Time(0)
+			for passed := Time(0); passed < 6*time.Second; passed += 25 * ms {
+				clock = now - 5*time.Second + passed
+				at := now + passed
+				if passed > before {
+					at += suspended
+				}
+				g.Tick(at)
+				for _, a := range takeCalls(g) {
+					if a.Kind == CallPoll {
+						lease = max(lease, min(a.Until, clock+testTiming.MaxLease))
+					}
+					if a.Kind == ReportEnd {
+						if clock < lease {
+							t.Errorf("reported as %v %v before the lease ends by the endpoint's clock", a.Reason, lease-clock)
+						}
+						return
+					}
+				}
+			}
+			t.Error("never reported")
+		})
+	}
+}
+
+// The sample of the endpoint's clock from before the host was suspended is too high.
+func TestASuspendedHostGrantsNoLongerLeaseByTheEndpointsClock(t *testing.T) {
+	const suspended = 700 * ms
+	for name, received := range map[string]Time{"answered before": 0, "answered after": suspended + ms} {
+		t.Run(name, func(t *testing.T) {
+			g, now := newGuard(t)
+			clock := func(at Time) Time { return at - 5*time.Second - suspended }
+			thawed := now + suspended
+			if received == 0 { // an answer that is handled only after the thaw
+				g.Polled(thawed, now+ms, Snapshot{Clock: now - 5*time.Second, Born: 7})
+			} else {
+				g.Polled(thawed+2*ms, now+received, Snapshot{Clock: clock(now + received), Born: 7})
+			}
+			at := thawed + 5*ms
+			g.RenewOwner(ownerA, at+testTiming.OwnerLease)
+			run := ref("j", 0, 1)
+			g.Start(at, order(ownerA, run, at))
+			g.Tick(at)
+			for _, a := range takeCalls(g) {
+				if a.Until > clock(at+testTiming.OwnerLease) {
+					t.Errorf("%v until %v after the owner's lease", a.Kind, a.Until-clock(at+testTiming.OwnerLease))
+				}
+			}
+		})
+	}
+}
--- a/hosted/agent/endpoint.go
+++ b/hosted/agent/endpoint.go
@@ -92,7 +92,7 @@
 // has taken over is given up only after that one: it may still carry out starts.
 func (s *state) endIfUnresponsive(now time.Duration, e *endpoint) {
 	limit := maxMissedHeartbeats * s.a.node.Heartbeat
-	if now-e.lastHeartbeat <= limit || e.guard.SinceLastAnswer(now) <= limit {
+	if now-e.lastHeartbeat <= limit || e.guard.SinceLastAnswer() <= limit {
 		return
 	}
 	next := s.endpoints[dispatch.EndpointID{ID: e.announced.Endpoint.ID, Born: e.guard.Born()}]
