The order of an endpoint's lifetimes doesn't follow their times of birth

Callers: two runs of a task at the same time at an endpoint that started again after the time of day had jumped back. Cause: of two lifetimes of an id, the one with the smaller `born` was taken for the older one, and its answers and heartbeats were ignored. A start that the new lifetime answered with 200 ran on unseen, the renewals went there with the clock readings of the earlier one, so that each granted the longest lease, and the guard counted the run as lapsed by the earlier clock. The other way round, a late heartbeat of a lifetime with a larger `born` ended runs that went on. Now an answer to a poll that was sent once the guard knew its lifetime, and that names another, is a later one's; answers to polls sent before count for nothing. A heartbeat of an unknown lifetime has the agent ask the endpoint, and is used once an answer confirms it; if the address differs, the times of birth decide as before, since the calls go elsewhere. On the code before, the tests failed with "reported as lapsed 75ms before the lease of the lifetime that has the run ends", "lifetime born at 7, want 5", "waited in vain for the new lifetime" (5 s) and "run ended as lapsed while it went on" (the late heartbeat).

--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -67,6 +67,8 @@
 	Running []RunningRun
 	Ended   []EndedRun
 	Odd     int // rows that cannot be read, in whole or in part
+
+	Sent Time // host clock when the poll was sent; 0: not known
 }
 
 // Order is an owner's order to start a run.
@@ -140,6 +142,7 @@
 type Guard struct {
 	endpoint EndpointID
 	born     int64 // of the lifetime that has the endpoint's id
+	bornSeen Time  // host clock when that lifetime was found; 0: with the guard
 	service  string
 	zone     string
 	capacity Resources
@@ -298,6 +301,9 @@
 	g.lastCall = now
 }
 
+// Ask polls the endpoint, so that its answer tells which lifetime has the id.
+func (g *Guard) Ask(now Time) { g.poll(now) }
+
 // Left processes the message that an endpoint sends last. It does not say which
 // lifetime ends, and may be that of an earlier one that comes late, so a lifetime that
 // announces itself as ready again takes tasks again.
@@ -342,7 +348,7 @@
 	if g.Ended() || born == g.born {
 		return
 	}
-	g.born, g.ended = born, false
+	g.born, g.bornSeen, g.ended = born, now, false
 	g.cursor, g.newest = 0, 0
 	for _, r := range g.sorted() {
 		if r.listed {
@@ -493,8 +499,8 @@
 		return
 	}
 	g.passTime(now)
-	if s.Born < g.born && (s.Born != 0 || g.replaced()) {
-		return // answered by an earlier lifetime
+	if !g.isCurrent(s) {
+		return
 	}
 	if g.born != 0 && s.Born != 0 {
 		g.Replaced(now, s.Born)
@@ -517,6 +523,20 @@
 	g.updateAvailable(now)
 }
 
+// isCurrent reports whether a snapshot is not of an earlier lifetime than the one that
+// has the endpoint's id. Times of birth may not tell, since the time of day may jump back.
+func (g *Guard) isCurrent(s Snapshot) bool {
+	switch {
+	case s.Born == 0:
+		return !g.replaced()
+	case s.Born == g.born:
+		return true
+	case s.Sent != 0:
+		return s.Sent > g.bornSeen
+	}
+	return s.Born > g.born
+}
+
 // applyReplacement compares the runs kept with a snapshot of the lifetime that has
 // taken the endpoint's id over. Other runs there are another guard's.
 func (g *Guard) applyReplacement(now Time, s Snapshot) {
--- a/dispatch/guard_test.go
+++ b/dispatch/guard_test.go
@@ -906,3 +906,51 @@
 		})
 	}
 }
+
+// The time of day at which a lifetime is born may have jumped back. Polls that were sent
+// once a lifetime was known are answered by no earlier one.
+func TestRunsAtALifetimeBornEarlierByTheTimeOfDayAreNotReportedWhileTheyGoOn(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("j", 0, 1)
+	g.Polled(now, now, Snapshot{Clock: now - 5*time.Second, Born: 7, Sent: now - ms})
+	g.Start(now, order(ownerA, run, now))
+	born := now // of the lifetime that carries out the start
+	g.StartAnswered(now+ms, run, CallResult{Clock: ms})
+	lease := testTiming.MaxLease // on its clock; what is sent is far ahead of that
+	for at := now + 25*ms; at < now+6*time.Second; at += 25 * ms {
+		g.RenewOwner(ownerA, at+testTiming.OwnerLease)
+		g.Polled(at, at, Snapshot{Clock: at - born, Born: 5, Sent: at - ms, Running: []RunningRun{{Run: run}}})
+		g.Tick(at)
+		if at > now+2*time.Second {
+			g.End(at)
+		}
+		for _, a := range takeCalls(g) {
+			switch {
+			case a.Kind == CallStop:
+				return // its answer is of that lifetime
+			case a.Kind == CallPoll && a.Until != 0:
+				lease = at - born + testTiming.MaxLease
+			case a.Kind == ReportEnd && at-born < lease:
+				t.Fatalf("reported as %v %v before the lease of the lifetime that has the run ends", a.Reason, lease-(at-born))
+			}
+		}
+	}
+	t.Error("neither stopped nor reported")
+}
+
+func TestGuardIgnoresAnswersToPollsFromBeforeALifetimeBornEarlierByTheTimeOfDay(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("j", 0, 1)
+	g.Start(now, order(ownerA, run, now))
+	g.Polled(now+20*ms, now+20*ms, Snapshot{Clock: 3 * ms, Born: 5, Sent: now + 18*ms})
+	if g.Born() != 5 {
+		t.Fatalf("lifetime born at %d, want 5", g.Born())
+	}
+	g.StopAnswered(now+22*ms, run, CallResult{Clock: 4 * ms})
+	g.Polled(now+25*ms, now+25*ms, Snapshot{Clock: now - 5*time.Second + 10*ms, Born: 7, Sent: now + 10*ms})
+	if got := ends(g.TakeActions()); len(got) > 0 || g.Born() != 5 {
+		t.Errorf("reported %v, lifetime born at %d, from an answer of the earlier lifetime", got, g.Born())
+	}
+	g.Polled(now+30*ms, now+30*ms, Snapshot{Clock: 12 * ms, Born: 5, Sent: now + 28*ms})
+	wantEnds(t, g, map[RunRef]EndReason{run: EndLapsed})
+}
--- a/hosted/agent/control.go
+++ b/hosted/agent/control.go
@@ -7,6 +7,7 @@
 	"bergamotwing.example/dispatch"
 	"bergamotwing.example/hosted/control"
 	"bergamotwing.example/hosted/mesh"
+	"bergamotwing.example/platform"
 	"bergamotwing.example/wire"
 )
 
@@ -38,10 +39,13 @@
 	rows      []wire.Member            // entries registered in the store, as last read
 	addrs     map[string]string        // addresses of the known entries, by name
 	endpoints map[dispatch.EndpointID]*endpoint
-	operator  dispatch.OperatorState
-	ends      []keptEnd
-	seeds     []string // addresses where entries may listen
-	stopping  bool
+	// unconfirmed holds, by the endpoint's id, the last announcement of a lifetime for
+	// which the endpoint's answer is awaited.
+	unconfirmed map[string]platform.Announcement
+	operator    dispatch.OperatorState
+	ends        []keptEnd
+	seeds       []string // addresses where entries may listen
+	stopping    bool
 	// unlinkedSince is when the agent was last found without a link to any entry.
 	unlinkedSince time.Duration
 }
@@ -56,7 +60,7 @@
 func newState(a *Agent) *state {
 	return &state{
 		a: a, timing: control.TimingOf(a.node), seeds: mesh.SeedAddrs(a.node), peers: map[string]*mesh.Peer{}, lists: map[string][]wire.Member{}, addrs: map[string]string{},
-		endpoints: map[dispatch.EndpointID]*endpoint{}, unlinkedSince: mesh.Now(),
+		endpoints: map[dispatch.EndpointID]*endpoint{}, unconfirmed: map[string]platform.Announcement{}, unlinkedSince: mesh.Now(),
 	}
 }
 
@@ -376,7 +380,7 @@
 func (s *state) stopRuns(now time.Duration, owner dispatch.Owner, m *wire.RunStop) {
 	e := s.endpoints[m.Endpoint]
 	if e == nil && len(m.Orders) > 0 {
-		e = s.newestOf(m.Endpoint.ID) // a start for an earlier lifetime may be carried out there
+		e = s.currentOf(m.Endpoint.ID) // a start for an earlier lifetime may be carried out there
 	}
 	if e == nil {
 		return
@@ -442,15 +446,16 @@
 	return false
 }
 
-// newestOf returns the newest lifetime of an endpoint's id, or nil.
-func (s *state) newestOf(id string) *endpoint {
-	var newest *endpoint
+// currentOf returns the lifetime that has an endpoint's id, as far as is known, another
+// one if its guard is not kept, or nil.
+func (s *state) currentOf(id string) *endpoint {
+	var current *endpoint
 	for _, e := range s.endpoints {
-		if e.announced.Endpoint.ID == id && (newest == nil || e.announced.Endpoint.Born > newest.announced.Endpoint.Born) {
-			newest = e
+		if e.announced.Endpoint.ID == id && (current == nil || e.guard.Born() == e.announced.Endpoint.Born) {
+			current = e
 		}
 	}
-	return newest
+	return current
 }
 
 // reportEnd reports an end to the owner of the run, and keeps it to be resent if
--- a/hosted/agent/endpoint.go
+++ b/hosted/agent/endpoint.go
@@ -51,9 +51,7 @@
 func (s *state) announced(now time.Duration, n platform.Announcement) {
 	e := s.endpoints[n.Endpoint]
 	if e == nil {
-		if s.newEndpoint(now, n) {
-			s.queueWrite(n)
-		}
+		s.announcedOther(now, n)
 		return
 	}
 	if n.Seq <= e.announced.Seq {
@@ -68,6 +66,18 @@
 	e.guard.Announced(now, n.Draining || s.stopping, n.Capacity)
 }
 
+// announcedOther handles a heartbeat of a lifetime that is not known. If another one of
+// the same id is, the heartbeat may be an earlier one's that comes late, and the time of
+// day at which a lifetime is born may have jumped back, so the endpoint is asked first.
+func (s *state) announcedOther(now time.Duration, n platform.Announcement) {
+	if !s.newEndpoint(now, n) {
+		s.unconfirmed[n.Endpoint.ID] = n
+		return
+	}
+	delete(s.unconfirmed, n.Endpoint.ID)
+	s.queueWrite(n)
+}
+
 // queueWrite queues an announcement to be written to the store, in place of an older
 // one that is not written yet.
 func (s *state) queueWrite(n platform.Announcement) {
@@ -101,16 +111,17 @@
 	}
 }
 
-// newEndpoint adds a lifetime of an endpoint, and reports false if a newer one of
-// the same id is known. An older lifetime of the same id is over; its guard is kept
-// until none of its starts can be carried out by the new one.
+// newEndpoint adds a lifetime of an endpoint. It reports false, and asks the endpoint, if
+// another one of the same id is known and no answer has said that this one has replaced
+// it. The guard of a replaced lifetime is kept until none of its starts can be carried
+// out by the new one.
 func (s *state) newEndpoint(now time.Duration, n platform.Announcement) bool {
 	for id, e := range s.endpoints {
 		if id.ID != n.Endpoint.ID {
 			continue
 		}
-		if id.Born > n.Endpoint.Born {
-			return false // delivered late, from an earlier lifetime
+		if !s.isReplacedBy(now, e, n) {
+			return false
 		}
 		e.guard.Replaced(now, n.Endpoint.Born)
 	}
@@ -140,6 +151,18 @@
 	return true
 }
 
+func (s *state) isReplacedBy(now time.Duration, e *endpoint, n platform.Announcement) bool {
+	known := e.guard.Born()
+	switch {
+	case known == n.Endpoint.Born:
+		return true
+	case known == 0, e.announced.Addr != n.Addr: // no answer of the new lifetime would tell
+		return known < n.Endpoint.Born
+	}
+	e.guard.Ask(now)
+	return false
+}
+
 // endpointEnded handles the message that an endpoint sends last: its lifetimes here
 // take no new tasks unless they announce themselves again.
 func (s *state) endpointEnded(now time.Duration, id string) {
@@ -179,7 +202,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	return client.Poll(ctx, until, acknowledged, wait)
+	sent := mesh.Now()
+	snapshot, err := client.Poll(ctx, until, acknowledged, wait)
+	snapshot.Sent = sent
+	return snapshot, err
 }
 
 func (s *state) startAnswered(now time.Duration, m startAnswered) {
@@ -212,6 +238,9 @@
 	}
 	if m.err == nil {
 		e.guard.Polled(now, m.received, m.snapshot)
+		if n, ok := s.unconfirmed[m.endpoint.ID]; ok && n.Endpoint.Born == e.guard.Born() {
+			s.announcedOther(now, n)
+		}
 		s.countOddRuns(e, m.snapshot.Odd)
 	}
 	if m.next != nil {
--- a/hosted/agent/lifetime_test.go
+++ b/hosted/agent/lifetime_test.go
@@ -213,3 +213,40 @@
 		t.Fatal("the lifetime was given up")
 	}
 }
+
+// The time of day may jump back before an endpoint starts again.
+func TestALifetimeBornEarlierByTheTimeOfDayTakesTasks(t *testing.T) {
+	a := newPumpedAgent(t)
+	earlier := a.pumpUntilAvailable(dispatch.EndpointID{})
+	next := dispatch.EndpointID{ID: earlier.ID, Born: earlier.Born - 1000}
+	a.endpoint.RestartAt(next.Born)
+	a.announce()
+	a.pump("the new lifetime", func() bool {
+		e := a.state.endpoints[next]
+		return e != nil && e.guard.Status(a.owner).Available
+	})
+	if a.state.endpoints[earlier] != nil {
+		t.Error("the earlier lifetime is kept")
+	}
+	a.order(next, lateRun)
+	a.pump("the end of the run", func() bool { return len(a.state.ends) > 0 })
+	if got := a.state.ends[0].end.Reason; got != dispatch.EndDone {
+		t.Errorf("run ended as %v", got)
+	}
+}
+
+// A heartbeat may come long after its lifetime has ended, and its time of birth says
+// nothing about the order: the run goes on in the lifetime that answers.
+func TestALateHeartbeatOfAnotherLifetimeEndsNoRun(t *testing.T) {
+	a := newPumpedAgent(t)
+	id := a.pumpUntilAvailable(dispatch.EndpointID{})
+	a.order(id, lateRun)
+	a.pumpFor(50 * time.Millisecond) // it is listed
+	n := a.state.endpoints[id].announced
+	n.Endpoint.Born += 1000
+	a.Announced(n)
+	a.pump("the end of the run", func() bool { return len(a.state.ends) > 0 })
+	if got := a.state.ends[0].end.Reason; got != dispatch.EndDone {
+		t.Errorf("run ended as %v while it went on", got)
+	}
+}
