--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -68,7 +68,18 @@
 	Ended   []EndedRun
 	Odd     int // rows that cannot be read, in whole or in part
 
-	Sent Time // host clock when the poll was sent; 0: not known
+	Sent         Time  // host clock when the poll was sent; 0: not known
+	Acknowledged int64 // sequence number of the last end that the poll acknowledged
+}
+
+// lastEnd returns the sequence number of the last end that had happened for certain: ends
+// up to the acknowledged one are not listed any more.
+func (s *Snapshot) lastEnd() int64 {
+	last := s.Acknowledged
+	for _, e := range s.Ended {
+		last = max(last, e.Seq)
+	}
+	return last
 }
 
 // Order is an owner's order to start a run.
@@ -162,16 +173,17 @@
 	earlierRuns map[RunRef]Time // runs not ordered here: host clock from which on to stop them again
 	used        Resources
 	cursor      int64
-	newest      Time // clock of the newest snapshot
-	recoveryEnd Time // endpoint's clock at which recoveryTime has passed; 0: no answer yet
-	offset      Time // endpoint's clock less the host's
-	sampled     Time // host clock of the offset; 0: none yet
-	steady      Time // host clock without pauses longer than longestPause
-	lastCall    Time // host clock
-	resumedAt   Time // host clock at the end of the last such pause
-	answeredAt  Time // steady time of the newest answer to a poll, or of the first call
-	maxUntil    Time // latest lease end sent, endpoint's clock
-	granted     Time // latest lease end sent, host clock
+	newest      Time  // clock of the newest snapshot
+	newestEnd   int64 // sequence number of the last end that the newest snapshot covers
+	recoveryEnd Time  // endpoint's clock at which recoveryTime has passed; 0: no answer yet
+	offset      Time  // endpoint's clock less the host's
+	sampled     Time  // host clock of the offset; 0: none yet
+	steady      Time  // host clock without pauses longer than longestPause
+	lastCall    Time  // host clock
+	resumedAt   Time  // host clock at the end of the last such pause
+	answeredAt  Time  // steady time of the newest answer to a poll, or of the first call
+	maxUntil    Time  // latest lease end sent, endpoint's clock
+	granted     Time  // latest lease end sent, host clock
 
 	lastAnswer Time // host clock of the newest answer to a poll
 	nextPoll   Time
@@ -349,7 +361,7 @@
 		return
 	}
 	g.born, g.bornSeen, g.ended = born, now, false
-	g.cursor, g.newest = 0, 0
+	g.cursor, g.newest, g.newestEnd = 0, 0, 0
 	for _, r := range g.sorted() {
 		if r.listed {
 			g.finish(now, r, EndLapsed)
@@ -516,8 +528,9 @@
 	}
 	g.sampleClock(received, s.Clock)
 	g.applyEnds(now, s.Ended)
-	if s.Clock >= g.newest {
-		g.newest = s.Clock
+	// An older snapshot of the same clock reading may list a run that has ended since.
+	if last := s.lastEnd(); s.Clock > g.newest || s.Clock == g.newest && last >= g.newestEnd {
+		g.newest, g.newestEnd = s.Clock, last
 		g.reconcile(now, s)
 	}
 	g.updateAvailable(now)
--- a/dispatch/guard_test.go
+++ b/dispatch/guard_test.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -954,3 +956,106 @@
 	g.Polled(now+30*ms, now+30*ms, Snapshot{Clock: 12 * ms, Born: 5, Sent: now + 28*ms})
 	wantEnds(t, g, map[RunRef]EndReason{run: EndLapsed})
 }
+
+// The endpoint's clock has whole milliseconds, and answers overtake each other: an older
+// list of the same millisecond has a run whose end a newer one lists.
+func TestGuardStopsNoEndedRunThatAnOlderSnapshotOfTheSameMillisecondLists(t *testing.T) {
+	run, other := ref("j", 0, 1), ref("k", 0, 1)
+	for _, acknowledged := range []bool{false, true} {
+		t.Run(fmt.Sprintf("acknowledged %v", acknowledged), func(t *testing.T) {
+			g, now := newGuardWithRun(t, run)
+			clock := now - 5*time.Second + 20*ms
+			g.Polled(now+20*ms, now+20*ms, Snapshot{Clock: clock, Born: 7, Ended: []EndedRun{{Seq: 1, Run: run, Reason: EndDone}}})
+			if acknowledged {
+				g.Polled(now+21*ms, now+21*ms, Snapshot{Clock: clock, Born: 7, Acknowledged: g.Cursor()})
+			}
+			wantEnds(t, g, map[RunRef]EndReason{run: EndDone})
+			g.Polled(now+22*ms, now+22*ms, Snapshot{Clock: clock, Born: 7, Running: []RunningRun{{Run: run}}})
+			if calls := takeCalls(g); len(calls) > 0 {
+				t.Errorf("got %+v for a run whose end is known", calls)
+			}
+			// A newer one of that millisecond is used.
+			g.Polled(now+23*ms, now+23*ms, Snapshot{Clock: clock, Born: 7, Acknowledged: g.Cursor(), Running: []RunningRun{{Run: other}}})
+			if calls := takeCalls(g); !hasCall(calls, FoundUnknown, other) || !hasCall(calls, CallStop, other) {
+				t.Errorf("got %+v, want a stop of the run that is not known", calls)
+			}
+		})
+	}
+}
+
+// Answers of an endpoint whose clock has whole milliseconds arrive in any order.
+func TestGuardReportsEachEndOnceWhateverTheOrderOfSnapshots(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		g, now := newGuard(t)
+		running, ended := map[RunRef]bool{}, map[RunRef]bool{}
+		var list []EndedRun
+		var waiting []Snapshot
+		acknowledged, next := int64(0), 0
+		reported := map[RunRef]bool{}
+		check := func() {
+			for _, a := range g.TakeActions() {
+				switch {
+				case a.Kind == FoundUnknown, a.Kind == CallStop:
+					rt.Fatalf("got %+v for an ordered run", a)
+				case a.Kind == ReportEnd && (!ended[a.Run] || reported[a.Run] || a.Reason != EndDone):
+					rt.Fatalf("reported %+v; ended %v, reported before %v", a, ended[a.Run], reported[a.Run])
+				case a.Kind == ReportEnd:
+					reported[a.Run] = true
+				}
+			}
+		}
+		poll := func() Snapshot {
+			ack := g.Cursor()
+			acknowledged = max(acknowledged, ack)
+			s := Snapshot{Clock: (now - 5*time.Second).Truncate(ms), Born: 7, Sent: now, Acknowledged: ack}
+			for run := range running {
+				s.Running = append(s.Running, RunningRun{Run: run})
+			}
+			for _, e := range list {
+				if e.Seq > acknowledged {
+					s.Ended = append(s.Ended, e)
+				}
+			}
+			return s
+		}
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			now += Time(rapid.IntRange(0, 700).Draw(rt, "pause")) * time.Microsecond
+			g.RenewOwner(ownerA, now+testTiming.OwnerLease)
+			switch rapid.IntRange(0, 4).Draw(rt, "step") {
+			case 0: // a run starts
+				run := ref("j", next, 1)
+				next++
+				g.Start(now, order(ownerA, run, now))
+				if g.runs[run] != nil {
+					running[run] = true
+					g.StartAnswered(now, run, CallResult{Clock: (now - 5*time.Second).Truncate(ms)})
+				}
+				g.TakeActions()
+			case 1: // the first one ends
+				for i := range next {
+					if run := ref("j", i, 1); running[run] {
+						delete(running, run)
+						ended[run] = true
+						list = append(list, EndedRun{Seq: int64(len(list) + 1), Run: run, Reason: EndDone})
+						break
+					}
+				}
+			case 2, 3:
+				waiting = append(waiting, poll())
+			case 4:
+				if len(waiting) > 0 {
+					i := rapid.IntRange(0, len(waiting)-1).Draw(rt, "answer")
+					g.Polled(now, now, waiting[i])
+					waiting = slices.Delete(waiting, i, i+1)
+				}
+			}
+			check()
+		}
+		now += 10 * ms
+		g.Polled(now, now, poll())
+		check()
+		if len(reported) != len(ended) {
+			rt.Fatalf("%d ends reported of %d", len(reported), len(ended))
+		}
+	})
+}
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -376,6 +376,7 @@
 	behavior := a.s.nextCall()
 	a.s.after(behavior.delay, func() {
 		snap := a.endpoint.poll(until, cursor)
+		snap.Acknowledged = cursor
 		if behavior.lost {
 			return
 		}
--- a/hosted/agent/endpoint.go
+++ b/hosted/agent/endpoint.go
@@ -204,7 +204,7 @@
 	defer cancel()
 	sent := mesh.Now()
 	snapshot, err := client.Poll(ctx, until, acknowledged, wait)
-	snapshot.Sent = sent
+	snapshot.Sent, snapshot.Acknowledged = sent, acknowledged
 	return snapshot, err
 }
 
