run_ended says how the end of a run was known

Operators could not tell a run whose stop was not carried out from one that an agent counted as over without an answer: both are `lapsed`. Now each `run_ended` at an agent has `known_by` (refused, listed, absent, absent_after_stop, start_unanswered, lease_over, lifetime_replaced) and, if its stop was requested, `stop_age_ms`. As before there is one line a run, and none for a run that ended well. The exact comparison of a reported end in TestGuardEndsARunOfAnEarlierAgentOnlyOnceItCannotStart has the two new fields.

--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -105,6 +105,28 @@
 	FoundUnknown  // the endpoint lists a run that was not ordered here
 )
 
+// Evidence is how a guard knows that a run has ended.
+type Evidence uint8
+
+// Kinds of evidence.
+const (
+	EvidenceRefused     Evidence = iota + 1 // the agent or the endpoint refused the start
+	EvidenceListed                          // the endpoint listed the end
+	EvidenceAbsent                          // the endpoint no longer lists the run, which it had listed or accepted
+	EvidenceStopped                         // the endpoint does not list the run after it has answered its stop
+	EvidenceLate                            // the start had no answer and is refused as late by now
+	EvidenceLease                           // the endpoint's lease has run out without an answer
+	EvidenceNewLifetime                     // the run was listed in a lifetime that another one has replaced
+)
+
+var evidenceNames = map[Evidence]string{
+	EvidenceRefused: "refused", EvidenceListed: "listed", EvidenceAbsent: "absent", EvidenceStopped: "absent_after_stop",
+	EvidenceLate: "start_unanswered", EvidenceLease: "lease_over", EvidenceNewLifetime: "lifetime_replaced",
+}
+
+// String returns the evidence's name in logs.
+func (e Evidence) String() string { return evidenceNames[e] }
+
 // GuardAction is an action for the caller of a Guard.
 type GuardAction struct {
 	Kind    GuardActionKind
@@ -115,6 +137,8 @@
 	Until   Time // on the endpoint's clock
 	Reason  EndReason
 	Age     Time // since the order; 0: not known
+	KnownBy Evidence
+	StopAge Time // since the stop was requested; 0: none was
 }
 
 type runState uint8
@@ -136,6 +160,7 @@
 	until         Time // endpoint's clock: the start is refused after it
 	seenRunning   Time // endpoint's clock: last listed or acknowledged as running
 	stopRequested bool
+	stopAt        Time // host clock of that
 	stopBy        Time // host clock: the lease's end when the stop was requested; it is extended no further
 	nextStop      Time
 	stopAnswered  Time // endpoint's clock, 0: no answer yet
@@ -364,7 +389,7 @@
 	g.cursor, g.newest, g.newestEnd = 0, 0, 0
 	for _, r := range g.sorted() {
 		if r.listed {
-			g.finish(now, r, EndLapsed)
+			g.finish(now, r, EndLapsed, EvidenceNewLifetime)
 			continue
 		}
 		r.state, r.seenRunning, r.stopAnswered, r.nextStop = runUnknown, 0, 0, 0
@@ -388,7 +413,7 @@
 func (g *Guard) Start(now Time, o Order) {
 	g.passTime(now)
 	if reason := g.check(now, o); reason != 0 {
-		g.emit(GuardAction{Kind: ReportEnd, Owner: o.Owner, Order: o.Number, Run: o.Run, Reason: reason})
+		g.emit(GuardAction{Kind: ReportEnd, Owner: o.Owner, Order: o.Number, Run: o.Run, Reason: reason, KnownBy: EvidenceRefused})
 		return
 	}
 	r := &guardedRun{ref: o.Run, order: o.Number, owner: o.Owner, need: o.Need, ordered: now}
@@ -440,7 +465,7 @@
 		return
 	}
 	if res.Refusal != 0 {
-		g.finish(now, r, res.Refusal)
+		g.finish(now, r, res.Refusal, EvidenceRefused)
 		return
 	}
 	if r.state != runRunning && !g.replaced() {
@@ -483,7 +508,7 @@
 
 func (g *Guard) requestStop(now Time, r *guardedRun) {
 	if !r.stopRequested {
-		r.stopRequested = true
+		r.stopRequested, r.stopAt = true, now
 		r.stopBy = g.granted
 	}
 	if r.stopAnswered != 0 || now < r.nextStop {
@@ -565,12 +590,12 @@
 		reason, isEnded := ended[r.ref]
 		switch {
 		case isEnded:
-			g.finish(now, r, reason)
+			g.finish(now, r, reason, EvidenceListed)
 		case running[r.ref]:
 			r.listed = true
 		case running[RunRef{Task: r.ref.Task}]: // listed without its number
 		case r.stopAnswered != 0 && s.Clock > r.stopAnswered && len(s.Ended) < endsPerAnswer:
-			g.finish(now, r, EndLapsed)
+			g.finish(now, r, EndLapsed, EvidenceStopped)
 		}
 	}
 }
@@ -593,7 +618,7 @@
 		g.cursor = e.Seq
 		delete(g.earlierRuns, e.Run)
 		if r := g.runs[e.Run]; r != nil {
-			g.finish(now, r, e.Reason)
+			g.finish(now, r, e.Reason, EvidenceListed)
 		}
 	}
 }
@@ -652,23 +677,28 @@
 func (g *Guard) applyAbsent(now Time, r *guardedRun, clock Time) {
 	switch {
 	case r.state == runRunning && clock > r.seenRunning:
-		reason := EndLapsed
+		reason, knownBy := EndLapsed, EvidenceAbsent
 		if r.stopAnswered != 0 {
-			reason = EndStopped
+			reason, knownBy = EndStopped, EvidenceStopped
 		}
-		g.finish(now, r, reason)
-	case r.state == runUnknown && r.stopAnswered != 0 && clock > r.stopAnswered,
-		r.state == runUnknown && clock > g.validUntil(r)+lateMargin:
-		reason := Unanswered
-		if r.earlier {
-			reason = EndStopped // it may have run, and says nothing about the endpoint
-		}
-		g.finish(now, r, reason)
+		g.finish(now, r, reason, knownBy)
+	case r.state == runUnknown && r.stopAnswered != 0 && clock > r.stopAnswered:
+		g.finish(now, r, r.unansweredReason(), EvidenceStopped)
+	case r.state == runUnknown && clock > g.validUntil(r)+lateMargin:
+		g.finish(now, r, r.unansweredReason(), EvidenceLate)
 	case r.state == runUnknown:
 		g.requestStop(now, r)
 	}
 }
 
+// unansweredReason returns the end reason of a run whose start had no answer.
+func (r *guardedRun) unansweredReason() EndReason {
+	if r.earlier {
+		return EndStopped // it may have run, and says nothing about the endpoint
+	}
+	return Unanswered
+}
+
 // validUntil returns the time on the endpoint's clock from which on the endpoint
 // refuses the start of a run.
 func (g *Guard) validUntil(r *guardedRun) Time {
@@ -684,7 +714,7 @@
 
 // finish drops a run that is certain not to be running and reports its end to
 // the owner.
-func (g *Guard) finish(now Time, r *guardedRun, reason EndReason) {
+func (g *Guard) finish(now Time, r *guardedRun, reason EndReason, knownBy Evidence) {
 	delete(g.runs, r.ref)
 	if g.tasks[r.ref.Task] == r.ref {
 		delete(g.tasks, r.ref.Task)
@@ -694,7 +724,14 @@
 	if r.earlier {
 		age = 0 // not known here
 	}
-	g.emit(GuardAction{Kind: ReportEnd, Owner: r.owner, Order: r.order, Run: r.ref, Reason: reason, Age: age})
+	stopAge := Time(0)
+	if r.stopRequested {
+		stopAge = now - r.stopAt
+	}
+	g.emit(GuardAction{
+		Kind: ReportEnd, Owner: r.owner, Order: r.order, Run: r.ref, Reason: reason, Age: age,
+		KnownBy: knownBy, StopAge: stopAge,
+	})
 }
 
 // Tick stops runs whose owner's lease is about to end, retries stops without an
@@ -739,7 +776,7 @@
 		return
 	}
 	for _, r := range g.sorted() {
-		g.finish(now, r, EndLapsed)
+		g.finish(now, r, EndLapsed, EvidenceLease)
 	}
 }
 
--- a/dispatch/guard_test.go
+++ b/dispatch/guard_test.go
@@ -313,7 +313,7 @@
 		t.Fatalf("reported %v from a snapshot taken before the stop", got)
 	}
 	polled(now + 6*ms)
-	want := []GuardAction{{Kind: ReportEnd, Owner: ownerA, Order: 7, Run: run, Reason: EndStopped}}
+	want := []GuardAction{{Kind: ReportEnd, Owner: ownerA, Order: 7, Run: run, Reason: EndStopped, KnownBy: EvidenceStopped, StopAge: 6 * ms}}
 	if diff := cmp.Diff(want, takeCalls(g)); diff != "" {
 		t.Errorf("actions (-want +got):\n%s", diff)
 	}
@@ -1059,3 +1059,59 @@
 		}
 	})
 }
+
+func TestGuardSaysHowItKnowsThatARunHasEnded(t *testing.T) {
+	run := ref("j", 0, 1)
+	absent := func(g *Guard, at Time) { g.Polled(at, at, Snapshot{Clock: at - 5*time.Second, Born: 7}) }
+	silence := func(g *Guard, from Time) {
+		for at := from; at < from+3*time.Second; at += 25 * ms {
+			g.Tick(at)
+		}
+	}
+	tests := map[string]struct {
+		accepted bool // the start was answered, and the run listed
+		then     func(g *Guard, now Time)
+		want     Evidence
+		stopAge  Time
+	}{
+		"refused": {false, func(g *Guard, now Time) { g.StartAnswered(now, run, CallResult{Refusal: NoRoom}) }, EvidenceRefused, 0},
+		"listed": {true, func(g *Guard, now Time) {
+			g.Stop(now+20*ms, ownerA, run)
+			g.Polled(now+50*ms, now+50*ms, Snapshot{Clock: now - 5*time.Second + 50*ms, Born: 7, Ended: []EndedRun{{Seq: 1, Run: run, Reason: EndStopped}}})
+		}, EvidenceListed, 30 * ms},
+		"absent": {true, func(g *Guard, now Time) { absent(g, now+50*ms) }, EvidenceAbsent, 0},
+		"absent after a stop": {true, func(g *Guard, now Time) {
+			g.Stop(now+20*ms, ownerA, run)
+			g.StopAnswered(now+22*ms, run, CallResult{Clock: now - 5*time.Second + 21*ms})
+			absent(g, now+50*ms)
+		}, EvidenceStopped, 30 * ms},
+		"start refused as late": {false, func(g *Guard, now Time) {
+			g.StartUnanswered(now+20*ms, run)
+			absent(g, now+testTiming.OwnerLease+2*lateMargin)
+		}, EvidenceLate, 0},
+		"lease over":   {true, func(g *Guard, now Time) { silence(g, now) }, EvidenceLease, 225 * ms},
+		"new lifetime": {true, func(g *Guard, now Time) { g.Replaced(now, 8) }, EvidenceNewLifetime, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			g, now := newGuard(t)
+			g.Start(now, order(ownerA, run, now))
+			if test.accepted {
+				g.StartAnswered(now+ms, run, CallResult{Clock: now - 5*time.Second + ms})
+				g.Polled(now+10*ms, now+10*ms, Snapshot{Clock: now - 5*time.Second + 10*ms, Born: 7, Running: []RunningRun{{Run: run}}})
+			}
+			g.TakeActions()
+			test.then(g, now)
+			for _, a := range g.TakeActions() {
+				if a.Kind != ReportEnd {
+					continue
+				}
+				if a.KnownBy != test.want || a.StopAge != test.stopAge {
+					t.Errorf("known by %v, stop requested %v before; want %v, %v", a.KnownBy, a.StopAge, test.want, test.stopAge)
+				}
+				return
+			}
+			t.Error("no end reported")
+		})
+	}
+}
--- a/hosted/agent/control.go
+++ b/hosted/agent/control.go
@@ -425,17 +425,21 @@
 	e := s.endpoints[m.Endpoint]
 	for _, r := range m.Runs {
 		if e == nil {
-			s.reportEnd(now, owner, wire.EndedRun{Run: r.Run, Order: r.Order, Reason: dispatch.NotAvailable})
+			s.refuse(now, owner, r, dispatch.NotAvailable)
 			continue
 		}
 		if s.isBusyElsewhere(e, r.Run.Task) {
-			s.reportEnd(now, owner, wire.EndedRun{Run: r.Run, Order: r.Order, Reason: dispatch.TaskBusy})
+			s.refuse(now, owner, r, dispatch.TaskBusy)
 			continue
 		}
 		e.guard.Start(now, dispatch.Order{Owner: owner, Number: r.Order, Run: r.Run, Need: r.Need, Payload: m.Payload, Echo: m.Echo})
 	}
 }
 
+func (s *state) refuse(now time.Duration, owner dispatch.Owner, r wire.OrderedRun, reason dispatch.EndReason) {
+	s.reportEnd(now, dispatch.GuardAction{Owner: owner, Run: r.Run, Order: r.Order, Reason: reason, KnownBy: dispatch.EvidenceRefused})
+}
+
 // isBusyElsewhere reports whether the guard of another lifetime keeps a run of the task.
 func (s *state) isBusyElsewhere(e *endpoint, task dispatch.TaskRef) bool {
 	for _, other := range s.endpoints {
@@ -460,15 +464,21 @@
 
 // reportEnd reports an end to the owner of the run, and keeps it to be resent if
 // the owner reconnects.
-func (s *state) reportEnd(now time.Duration, owner dispatch.Owner, end wire.EndedRun) {
-	s.ends = append(s.ends, keptEnd{owner: owner, end: end, at: now, sent: now})
-	if p := s.peers[owner.Entry]; p != nil && p.Owner() == owner {
+func (s *state) reportEnd(now time.Duration, a dispatch.GuardAction) {
+	end := wire.EndedRun{Run: a.Run, Order: a.Order, Reason: a.Reason, Age: a.Age}
+	s.ends = append(s.ends, keptEnd{owner: a.Owner, end: end, at: now, sent: now})
+	if p := s.peers[a.Owner.Entry]; p != nil && p.Owner() == a.Owner {
 		_ = p.Send(&wire.RunEnd{Ends: []wire.EndedRun{end}}) // resent on the next link
 	}
-	if end.Reason != dispatch.EndDone {
-		s.a.deps.Metrics.Count("bergamotwing_runs_"+end.Reason.String()+"_total", "Runs that ended so.", 1)
-		s.a.deps.Log.Info().Str("event", "run_ended").Str("job", end.Run.Task.Job).Int("step", end.Run.Task.Step).
-			Int("task", end.Run.Task.Index).Int("run", end.Run.Run).Str("reason", end.Reason.String()).
-			Dur("age_ms", end.Age).Str("entry", owner.Entry).Msg("run ended")
+	if a.Reason == dispatch.EndDone {
+		return
+	}
+	s.a.deps.Metrics.Count("bergamotwing_runs_"+a.Reason.String()+"_total", "Runs that ended so.", 1)
+	line := s.a.deps.Log.Info().Str("event", "run_ended").Str("job", a.Run.Task.Job).Int("step", a.Run.Task.Step).
+		Int("task", a.Run.Task.Index).Int("run", a.Run.Run).Str("reason", a.Reason.String()).Stringer("known_by", a.KnownBy).
+		Dur("age_ms", a.Age).Str("entry", a.Owner.Entry)
+	if a.StopAge > 0 {
+		line.Dur("stop_age_ms", a.StopAge)
 	}
+	line.Msg("run ended")
 }
--- a/hosted/agent/endpoint.go
+++ b/hosted/agent/endpoint.go
@@ -295,7 +295,7 @@
 			a.actor.Send(polled{endpoint: id, received: mesh.Now(), snapshot: snapshot, err: err})
 		}()
 	case dispatch.ReportEnd:
-		s.reportEnd(now, action.Owner, wire.EndedRun{Run: action.Run, Order: action.Order, Reason: action.Reason, Age: action.Age})
+		s.reportEnd(now, action)
 	case dispatch.StatusChanged:
 		s.reportStatus(e)
 	case dispatch.FoundUnknown:
--- a/hosted/agent/lifetime_test.go
+++ b/hosted/agent/lifetime_test.go
@@ -1,12 +1,17 @@
 package agent
 
 import (
+	"bytes"
+	"encoding/json"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"bergamotwing.example/dispatch"
 	"bergamotwing.example/hosted/control"
 	"bergamotwing.example/hosted/mesh"
@@ -250,3 +255,43 @@
 		t.Errorf("run ended as %v while it went on", got)
 	}
 }
+
+// Hypotheses about a task that ran twice differ in how the end of its first run was known.
+func TestTheLogSaysHowTheEndOfARunWasKnown(t *testing.T) {
+	a := newPumpedAgent(t)
+	var out bytes.Buffer
+	a.deps.Log = zerolog.New(&out)
+	id := a.pumpUntilAvailable(dispatch.EndpointID{})
+	a.order(id, lateRun)
+	a.pump("the end of the run", func() bool { return len(a.state.ends) > 0 })
+	if strings.Contains(out.String(), "run_ended") {
+		t.Errorf("a line for a run that ended well:\n%s", out.String())
+	}
+	stopped := lateRun
+	stopped.Task.Index = 1
+	a.order(id, stopped)
+	a.pumpFor(20 * time.Millisecond)
+	a.state.endpoints[id].guard.Stop(mesh.Now(), a.owner, stopped)
+	a.pump("the end of the stopped run", func() bool { return len(a.state.ends) > 1 })
+	lines := 0
+	for line := range strings.Lines(out.String()) {
+		var fields struct {
+			Event   string  `json:"event"`
+			KnownBy string  `json:"known_by"`
+			StopAge float64 `json:"stop_age_ms"`
+		}
+		if err := json.Unmarshal([]byte(line), &fields); err != nil {
+			t.Fatal(err)
+		}
+		if fields.Event != "run_ended" {
+			continue
+		}
+		lines++
+		if fields.KnownBy != "listed" || fields.StopAge <= 0 {
+			t.Errorf("known by %q, stop age %v ms", fields.KnownBy, fields.StopAge)
+		}
+	}
+	if lines != 1 {
+		t.Errorf("%d lines, want one for the stopped run:\n%s", lines, out.String())
+	}
+}
