--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -27,6 +27,10 @@
 	// With the longest pause between polls added, it is the time after which an
 	// endpoint takes no new tasks.
 	unreachableAfter = 600 * time.Millisecond
+	// longestPause is the longest pause between two calls of a guard that counts as time
+	// of the endpoint's clock. In a longer one, the host may have been suspended, which
+	// the endpoint's clock does not count, or the process frozen. Suspensions take seconds.
+	longestPause = 150 * time.Millisecond
 	// clockDriftPercent bounds how much slower an endpoint's clock may run.
 	clockDriftPercent = 2
 	// recoveryTime is how long a new guard looks for runs of an earlier agent
@@ -63,6 +67,19 @@
 	Running []RunningRun
 	Ended   []EndedRun
 	Odd     int // rows that cannot be read, in whole or in part
+
+	Sent         Time  // host clock when the poll was sent; 0: not known
+	Acknowledged int64 // sequence number of the last end that the poll acknowledged
+}
+
+// lastEnd returns the sequence number of the last end that had happened for certain: ends
+// up to the acknowledged one are not listed any more.
+func (s *Snapshot) lastEnd() int64 {
+	last := s.Acknowledged
+	for _, e := range s.Ended {
+		last = max(last, e.Seq)
+	}
+	return last
 }
 
 // Order is an owner's order to start a run.
@@ -88,6 +105,28 @@
 	FoundUnknown  // the endpoint lists a run that was not ordered here
 )
 
+// Evidence is how a guard knows that a run has ended.
+type Evidence uint8
+
+// Kinds of evidence.
+const (
+	EvidenceRefused     Evidence = iota + 1 // the agent or the endpoint refused the start
+	EvidenceListed                          // the endpoint listed the end
+	EvidenceAbsent                          // the endpoint no longer lists the run, which it had listed or accepted
+	EvidenceStopped                         // the endpoint does not list the run after it has answered its stop
+	EvidenceLate                            // the start had no answer and is refused as late by now
+	EvidenceLease                           // the endpoint's lease has run out without an answer
+	EvidenceNewLifetime                     // the run was listed in a lifetime that another one has replaced
+)
+
+var evidenceNames = map[Evidence]string{
+	EvidenceRefused: "refused", EvidenceListed: "listed", EvidenceAbsent: "absent", EvidenceStopped: "absent_after_stop",
+	EvidenceLate: "start_unanswered", EvidenceLease: "lease_over", EvidenceNewLifetime: "lifetime_replaced",
+}
+
+// String returns the evidence's name in logs.
+func (e Evidence) String() string { return evidenceNames[e] }
+
 // GuardAction is an action for the caller of a Guard.
 type GuardAction struct {
 	Kind    GuardActionKind
@@ -98,6 +137,8 @@
 	Until   Time // on the endpoint's clock
 	Reason  EndReason
 	Age     Time // since the order; 0: not known
+	KnownBy Evidence
+	StopAge Time // since the stop was requested; 0: none was
 }
 
 type runState uint8
@@ -119,6 +160,7 @@
 	until         Time // endpoint's clock: the start is refused after it
 	seenRunning   Time // endpoint's clock: last listed or acknowledged as running
 	stopRequested bool
+	stopAt        Time // host clock of that
 	stopBy        Time // host clock: the lease's end when the stop was requested; it is extended no further
 	nextStop      Time
 	stopAnswered  Time // endpoint's clock, 0: no answer yet
@@ -136,6 +178,7 @@
 type Guard struct {
 	endpoint EndpointID
 	born     int64 // of the lifetime that has the endpoint's id
+	bornSeen Time  // host clock when that lifetime was found; 0: with the guard
 	service  string
 	zone     string
 	capacity Resources
@@ -146,7 +189,8 @@
 	left      bool // a lifetime of this id has said that it ends
 	evacuated bool
 	recovered bool // takes tasks: no unknown run is listed, and recoveryTime has passed
-	ended     bool // by End
+	ended     bool // by End: takes no tasks and renews no lease
+	endedAt   Time // of the steady time
 
 	runs        map[RunRef]*guardedRun
 	tasks       map[TaskRef]RunRef
@@ -154,12 +198,17 @@
 	earlierRuns map[RunRef]Time // runs not ordered here: host clock from which on to stop them again
 	used        Resources
 	cursor      int64
-	newest      Time // clock of the newest snapshot
-	recoveryEnd Time // endpoint's clock at which recoveryTime has passed; 0: no answer yet
-	offset      Time // endpoint's clock less the host's
-	sampled     Time // host clock of the offset; 0: none yet
-	maxUntil    Time // latest lease end sent, endpoint's clock
-	granted     Time // latest lease end sent, host clock
+	newest      Time  // clock of the newest snapshot
+	newestEnd   int64 // sequence number of the last end that the newest snapshot covers
+	recoveryEnd Time  // endpoint's clock at which recoveryTime has passed; 0: no answer yet
+	offset      Time  // endpoint's clock less the host's
+	sampled     Time  // host clock of the offset; 0: none yet
+	steady      Time  // host clock without pauses longer than longestPause
+	lastCall    Time  // host clock
+	resumedAt   Time  // host clock at the end of the last such pause
+	answeredAt  Time  // steady time of the newest answer to a poll, or of the first call
+	maxUntil    Time  // latest lease end sent, endpoint's clock
+	granted     Time  // latest lease end sent, host clock
 
 	lastAnswer Time // host clock of the newest answer to a poll
 	nextPoll   Time
@@ -184,7 +233,7 @@
 func (g *Guard) Endpoint() EndpointID { return g.endpoint }
 
 // Ended reports whether the lifetime is over and with it all runs.
-func (g *Guard) Ended() bool { return g.ended || g.replaced() && len(g.runs) == 0 }
+func (g *Guard) Ended() bool { return (g.ended || g.replaced()) && len(g.runs) == 0 }
 
 // Born returns the start of the lifetime that has the endpoint's id, as far as is
 // known. Answers to stops that were sent before it changed must not be passed to
@@ -268,8 +317,29 @@
 	return !g.ended && (!g.recovered || g.newest <= g.earlierUntil())
 }
 
-// SinceLastAnswer returns the time since the endpoint last answered a poll.
-func (g *Guard) SinceLastAnswer(now Time) Time { return now - g.lastAnswer }
+// SinceLastAnswer returns the time for which the guard has been called without an
+// answer of the endpoint to a poll.
+func (g *Guard) SinceLastAnswer() Time { return g.steady - g.answeredAt }
+
+// passTime counts the time since the last call. After a long pause, the endpoint's clock
+// may be behind the host's by as much more.
+func (g *Guard) passTime(now Time) {
+	pause := now - g.lastCall
+	switch {
+	case pause <= 0:
+		return
+	case g.lastCall == 0:
+	case pause <= longestPause:
+		g.steady += pause
+	default:
+		g.offset -= pause
+		g.resumedAt = now
+	}
+	g.lastCall = now
+}
+
+// Ask polls the endpoint, so that its answer tells which lifetime has the id.
+func (g *Guard) Ask(now Time) { g.poll(now) }
 
 // Left processes the message that an endpoint sends last. It does not say which
 // lifetime ends, and may be that of an earlier one that comes late, so a lifetime that
@@ -297,12 +367,13 @@
 	g.updateAvailable(now)
 }
 
-// End ends the guarded lifetime and with it all runs.
+// End gives up a lifetime that no longer answers. Its runs may go on, so they end only
+// once the lease, which is not renewed any more, has run out.
 func (g *Guard) End(now Time) {
-	g.ended = true
-	for _, r := range g.sorted() {
-		g.finish(now, r, EndLapsed)
+	if g.ended {
+		return
 	}
+	g.ended, g.endedAt = true, g.steady
 	g.updateAvailable(now)
 }
 
@@ -314,11 +385,11 @@
 	if g.Ended() || born == g.born {
 		return
 	}
-	g.born = born
-	g.cursor, g.newest = 0, 0
+	g.born, g.bornSeen, g.ended = born, now, false
+	g.cursor, g.newest, g.newestEnd = 0, 0, 0
 	for _, r := range g.sorted() {
 		if r.listed {
-			g.finish(now, r, EndLapsed)
+			g.finish(now, r, EndLapsed, EvidenceNewLifetime)
 			continue
 		}
 		r.state, r.seenRunning, r.stopAnswered, r.nextStop = runUnknown, 0, 0, 0
@@ -340,8 +411,9 @@
 
 // Start carries out an order for a run or reports why it is refused.
 func (g *Guard) Start(now Time, o Order) {
+	g.passTime(now)
 	if reason := g.check(now, o); reason != 0 {
-		g.emit(GuardAction{Kind: ReportEnd, Owner: o.Owner, Order: o.Number, Run: o.Run, Reason: reason})
+		g.emit(GuardAction{Kind: ReportEnd, Owner: o.Owner, Order: o.Number, Run: o.Run, Reason: reason, KnownBy: EvidenceRefused})
 		return
 	}
 	r := &guardedRun{ref: o.Run, order: o.Number, owner: o.Owner, need: o.Need, ordered: now}
@@ -393,7 +465,7 @@
 		return
 	}
 	if res.Refusal != 0 {
-		g.finish(now, r, res.Refusal)
+		g.finish(now, r, res.Refusal, EvidenceRefused)
 		return
 	}
 	if r.state != runRunning && !g.replaced() {
@@ -436,7 +508,7 @@
 
 func (g *Guard) requestStop(now Time, r *guardedRun) {
 	if !r.stopRequested {
-		r.stopRequested = true
+		r.stopRequested, r.stopAt = true, now
 		r.stopBy = g.granted
 	}
 	if r.stopAnswered != 0 || now < r.nextStop {
@@ -463,26 +535,46 @@
 	if g.Ended() {
 		return
 	}
-	if s.Born < g.born && (s.Born != 0 || g.replaced()) {
-		return // answered by an earlier lifetime
+	g.passTime(now)
+	if !g.isCurrent(s) {
+		return
 	}
 	if g.born != 0 && s.Born != 0 {
 		g.Replaced(now, s.Born)
 	}
 	g.lastAnswer = max(g.lastAnswer, received)
+	g.answeredAt = g.steady
 	if g.replaced() {
 		g.applyReplacement(now, s)
 		return
 	}
+	if received < g.resumedAt {
+		received = now // the host may have been suspended since
+	}
 	g.sampleClock(received, s.Clock)
 	g.applyEnds(now, s.Ended)
-	if s.Clock >= g.newest {
-		g.newest = s.Clock
+	// An older snapshot of the same clock reading may list a run that has ended since.
+	if last := s.lastEnd(); s.Clock > g.newest || s.Clock == g.newest && last >= g.newestEnd {
+		g.newest, g.newestEnd = s.Clock, last
 		g.reconcile(now, s)
 	}
 	g.updateAvailable(now)
 }
 
+// isCurrent reports whether a snapshot is not of an earlier lifetime than the one that
+// has the endpoint's id. Times of birth may not tell, since the time of day may jump back.
+func (g *Guard) isCurrent(s Snapshot) bool {
+	switch {
+	case s.Born == 0:
+		return !g.replaced()
+	case s.Born == g.born:
+		return true
+	case s.Sent != 0:
+		return s.Sent > g.bornSeen
+	}
+	return s.Born > g.born
+}
+
 // applyReplacement compares the runs kept with a snapshot of the lifetime that has
 // taken the endpoint's id over. Other runs there are another guard's.
 func (g *Guard) applyReplacement(now Time, s Snapshot) {
@@ -498,12 +590,12 @@
 		reason, isEnded := ended[r.ref]
 		switch {
 		case isEnded:
-			g.finish(now, r, reason)
+			g.finish(now, r, reason, EvidenceListed)
 		case running[r.ref]:
 			r.listed = true
 		case running[RunRef{Task: r.ref.Task}]: // listed without its number
 		case r.stopAnswered != 0 && s.Clock > r.stopAnswered && len(s.Ended) < endsPerAnswer:
-			g.finish(now, r, EndLapsed)
+			g.finish(now, r, EndLapsed, EvidenceStopped)
 		}
 	}
 }
@@ -526,7 +618,7 @@
 		g.cursor = e.Seq
 		delete(g.earlierRuns, e.Run)
 		if r := g.runs[e.Run]; r != nil {
-			g.finish(now, r, e.Reason)
+			g.finish(now, r, e.Reason, EvidenceListed)
 		}
 	}
 }
@@ -585,23 +677,28 @@
 func (g *Guard) applyAbsent(now Time, r *guardedRun, clock Time) {
 	switch {
 	case r.state == runRunning && clock > r.seenRunning:
-		reason := EndLapsed
+		reason, knownBy := EndLapsed, EvidenceAbsent
 		if r.stopAnswered != 0 {
-			reason = EndStopped
+			reason, knownBy = EndStopped, EvidenceStopped
 		}
-		g.finish(now, r, reason)
-	case r.state == runUnknown && r.stopAnswered != 0 && clock > r.stopAnswered,
-		r.state == runUnknown && clock > g.validUntil(r)+lateMargin:
-		reason := Unanswered
-		if r.earlier {
-			reason = EndStopped // it may have run, and says nothing about the endpoint
-		}
-		g.finish(now, r, reason)
+		g.finish(now, r, reason, knownBy)
+	case r.state == runUnknown && r.stopAnswered != 0 && clock > r.stopAnswered:
+		g.finish(now, r, r.unansweredReason(), EvidenceStopped)
+	case r.state == runUnknown && clock > g.validUntil(r)+lateMargin:
+		g.finish(now, r, r.unansweredReason(), EvidenceLate)
 	case r.state == runUnknown:
 		g.requestStop(now, r)
 	}
 }
 
+// unansweredReason returns the end reason of a run whose start had no answer.
+func (r *guardedRun) unansweredReason() EndReason {
+	if r.earlier {
+		return EndStopped // it may have run, and says nothing about the endpoint
+	}
+	return Unanswered
+}
+
 // validUntil returns the time on the endpoint's clock from which on the endpoint
 // refuses the start of a run.
 func (g *Guard) validUntil(r *guardedRun) Time {
@@ -617,7 +714,7 @@
 
 // finish drops a run that is certain not to be running and reports its end to
 // the owner.
-func (g *Guard) finish(now Time, r *guardedRun, reason EndReason) {
+func (g *Guard) finish(now Time, r *guardedRun, reason EndReason, knownBy Evidence) {
 	delete(g.runs, r.ref)
 	if g.tasks[r.ref.Task] == r.ref {
 		delete(g.tasks, r.ref.Task)
@@ -627,7 +724,14 @@
 	if r.earlier {
 		age = 0 // not known here
 	}
-	g.emit(GuardAction{Kind: ReportEnd, Owner: r.owner, Order: r.order, Run: r.ref, Reason: reason, Age: age})
+	stopAge := Time(0)
+	if r.stopRequested {
+		stopAge = now - r.stopAt
+	}
+	g.emit(GuardAction{
+		Kind: ReportEnd, Owner: r.owner, Order: r.order, Run: r.ref, Reason: reason, Age: age,
+		KnownBy: knownBy, StopAge: stopAge,
+	})
 }
 
 // Tick stops runs whose owner's lease is about to end, retries stops without an
@@ -639,14 +743,13 @@
 	if g.Ended() {
 		return
 	}
+	g.passTime(now)
 	g.stopUnowned(now)
-	if !g.replaced() {
-		g.lapse(now)
-	}
+	g.lapse(now)
 	if g.awaitsEnd() && now >= g.nextPoll {
 		g.poll(now)
 	}
-	if len(g.runs) > 0 && now >= g.nextRenew && g.sampled != 0 && !g.replaced() {
+	if len(g.runs) > 0 && now >= g.nextRenew && g.sampled != 0 && !g.replaced() && !g.ended {
 		g.nextRenew = now + renewEvery
 		g.emit(GuardAction{Kind: CallPoll, Until: g.grantLease(now)})
 	}
@@ -669,25 +772,31 @@
 // lapse ends all runs once the endpoint's lease is certain to have run out
 // without an answer from it.
 func (g *Guard) lapse(now Time) {
-	if len(g.runs) == 0 || g.sampled == 0 {
+	if len(g.runs) == 0 || !g.leaseIsOver() {
 		return
 	}
+	for _, r := range g.sorted() {
+		g.finish(now, r, EndLapsed, EvidenceLease)
+	}
+}
+
+func (g *Guard) leaseIsOver() bool {
+	if g.sampled == 0 || g.replaced() {
+		// The clock of the lifetime that may have the runs is not known.
+		return g.ended && slowest(g.steady-max(g.endedAt, g.answeredAt)) >= g.timing.MaxLease+lateMargin
+	}
 	latest := g.maxUntil
 	for _, r := range g.runs {
 		if r.earlier {
 			latest = max(latest, g.earlierUntil())
 		}
 	}
-	sinceAnswer := now - g.lastAnswer
-	slowest := now + g.offset - sinceAnswer*clockDriftPercent/100
-	if sinceAnswer < unreachableAfter || slowest < latest+lateMargin {
-		return
-	}
-	for _, r := range g.sorted() {
-		g.finish(now, r, EndLapsed)
-	}
+	return g.SinceLastAnswer() >= unreachableAfter && g.newest+slowest(g.SinceLastAnswer()) >= latest+lateMargin
 }
 
+// slowest returns how much the slowest clock of an endpoint advances in a time.
+func slowest(t Time) Time { return t * (100 - clockDriftPercent) / 100 }
+
 // awaitsEnd reports whether a poll is needed to find out if a run has ended.
 func (g *Guard) awaitsEnd() bool {
 	for _, r := range g.runs {
--- a/dispatch/guard_test.go
+++ b/dispatch/guard_test.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -311,7 +313,7 @@
 		t.Fatalf("reported %v from a snapshot taken before the stop", got)
 	}
 	polled(now + 6*ms)
-	want := []GuardAction{{Kind: ReportEnd, Owner: ownerA, Order: 7, Run: run, Reason: EndStopped}}
+	want := []GuardAction{{Kind: ReportEnd, Owner: ownerA, Order: 7, Run: run, Reason: EndStopped, KnownBy: EvidenceStopped, StopAge: 6 * ms}}
 	if diff := cmp.Diff(want, takeCalls(g)); diff != "" {
 		t.Errorf("actions (-want +got):\n%s", diff)
 	}
@@ -755,3 +757,361 @@
 		t.Error("takes tasks while it drains")
 	}
 }
+
+// The guard goes on renewing the lease of an endpoint whose answers are lost, so the runs
+// of a lifetime that is given up outlast that moment.
+func TestRunsOfALifetimeThatIsGivenUpAreReportedOnlyOnceItsLeaseHasRunOut(t *testing.T) {
+	run := ref("j", 0, 1)
+	g, now := newGuardWithRun(t, run)
+	givenUp, lease := now+2*time.Second, Time(0)
+	for at := now; at < now+6*time.Second; at += 25 * ms {
+		g.RenewOwner(ownerA, at+testTiming.OwnerLease)
+		g.Tick(at)
+		if at >= givenUp {
+			g.End(at)
+		}
+		for _, a := range takeCalls(g) {
+			switch {
+			case a.Kind == CallPoll && a.Until != 0:
+				lease = max(lease, a.Until+5*time.Second)
+				if at > givenUp {
+					t.Fatalf("lease renewed %v after the lifetime was given up", at-givenUp)
+				}
+			case a.Kind == ReportEnd && at < lease+(at-now)*clockDriftPercent/100:
+				t.Fatalf("reported as %v %v before the endpoint's lease has run out", a.Reason, lease+(at-now)*clockDriftPercent/100-at)
+			case a.Kind == ReportEnd:
+				if !g.Ended() || g.Status(ownerA).Available {
+					t.Errorf("ended %v, available %v after the last run", g.Ended(), g.Status(ownerA).Available)
+				}
+				return
+			}
+		}
+		if at > givenUp && (g.Ended() || !g.HasTask(run.Task) || g.Status(ownerA).Available) {
+			t.Fatalf("ended %v, has the task %v, available %v while the run may go on", g.Ended(), g.HasTask(run.Task), g.Status(ownerA).Available)
+		}
+	}
+	t.Error("never reported")
+}
+
+// Neither guard knows the clock of the lifetime that may carry out the start.
+func TestRunsOfALifetimeThatNeverAnsweredAreReportedOnlyOnceNoLeaseCanGoOn(t *testing.T) {
+	run := ref("j", 0, 1)
+	for name, prepare := range map[string]func(now Time) *Guard{
+		"no answer": func(now Time) *Guard {
+			g := NewGuard(EndpointID{ID: "e", Born: 1}, "svc", "z", Resources{CPUMilli: 4000}, nil, testTiming)
+			g.Tick(now)
+			g.StopEarlier(now, ownerA, run, 1)
+			return g
+		},
+		"replaced": func(Time) *Guard {
+			g, now := newGuard(t)
+			g.Start(now, order(ownerA, run, now))
+			g.Replaced(now, 8)
+			return g
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := 10 * time.Second
+			g := prepare(now)
+			givenUp := now + 2*time.Second
+			for at := now; at < givenUp+3*time.Second; at += 25 * ms {
+				g.RenewOwner(ownerA, at+testTiming.OwnerLease)
+				g.Tick(at)
+				if at >= givenUp {
+					g.End(at)
+				}
+				if got := ends(g.TakeActions()); len(got) > 0 {
+					if at < givenUp+testTiming.MaxLease*(100+clockDriftPercent)/100 {
+						t.Errorf("reported %v %v after the lifetime was given up; a lease lasts up to %v", got, at-givenUp, testTiming.MaxLease)
+					}
+					if !g.Ended() {
+						t.Error("the lifetime is not over")
+					}
+					return
+				}
+			}
+			t.Error("never reported")
+		})
+	}
+}
+
+// The lifetime that follows one that was given up may carry out a start of that one.
+func TestRunsOfALifetimeThatIsGivenUpWaitForTheNextOne(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("j", 0, 1)
+	g.Start(now, order(ownerA, run, now))
+	g.End(now + 500*ms)
+	g.Replaced(now+600*ms, 8)
+	for at := now + 600*ms; at < now+5*time.Second; at += 25 * ms {
+		g.Tick(at)
+		if got := ends(g.TakeActions()); len(got) > 0 {
+			t.Fatalf("reported %v %v after the next lifetime was found, which has answered no stop", got, at-now-600*ms)
+		}
+	}
+}
+
+// The host's clock counts the time for which the host is suspended, the endpoint's does not.
+func TestRunsOfASuspendedHostLapseOnlyByTheEndpointsClock(t *testing.T) {
+	const before = 100 * ms // until the host is suspended; the endpoint answers no more
+	for _, suspended := range []Time{300 * ms, 900 * ms, 3 * time.Second} {
+		t.Run(suspended.String(), func(t *testing.T) {
+			run := ref("j", 0, 1)
+			g, now := newGuardWithRun(t, run)
+			lease, clock := now-5*time.Second+testTiming.OwnerLease, Time(0)
+			for passed := Time(0); passed < 6*time.Second; passed += 25 * ms {
+				clock = now - 5*time.Second + passed
+				at := now + passed
+				if passed > before {
+					at += suspended
+				}
+				g.Tick(at)
+				for _, a := range takeCalls(g) {
+					if a.Kind == CallPoll {
+						lease = max(lease, min(a.Until, clock+testTiming.MaxLease))
+					}
+					if a.Kind == ReportEnd {
+						if clock < lease {
+							t.Errorf("reported as %v %v before the lease ends by the endpoint's clock", a.Reason, lease-clock)
+						}
+						return
+					}
+				}
+			}
+			t.Error("never reported")
+		})
+	}
+}
+
+// The sample of the endpoint's clock from before the host was suspended is too high.
+func TestASuspendedHostGrantsNoLongerLeaseByTheEndpointsClock(t *testing.T) {
+	const suspended = 700 * ms
+	for name, received := range map[string]Time{"answered before": 0, "answered after": suspended + ms} {
+		t.Run(name, func(t *testing.T) {
+			g, now := newGuard(t)
+			clock := func(at Time) Time { return at - 5*time.Second - suspended }
+			thawed := now + suspended
+			if received == 0 { // an answer that is handled only after the thaw
+				g.Polled(thawed, now+ms, Snapshot{Clock: now - 5*time.Second, Born: 7})
+			} else {
+				g.Polled(thawed+2*ms, now+received, Snapshot{Clock: clock(now + received), Born: 7})
+			}
+			at := thawed + 5*ms
+			g.RenewOwner(ownerA, at+testTiming.OwnerLease)
+			run := ref("j", 0, 1)
+			g.Start(at, order(ownerA, run, at))
+			g.Tick(at)
+			for _, a := range takeCalls(g) {
+				if a.Until > clock(at+testTiming.OwnerLease) {
+					t.Errorf("%v until %v after the owner's lease", a.Kind, a.Until-clock(at+testTiming.OwnerLease))
+				}
+			}
+		})
+	}
+}
+
+// The time of day at which a lifetime is born may have jumped back. Polls that were sent
+// once a lifetime was known are answered by no earlier one.
+func TestRunsAtALifetimeBornEarlierByTheTimeOfDayAreNotReportedWhileTheyGoOn(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("j", 0, 1)
+	g.Polled(now, now, Snapshot{Clock: now - 5*time.Second, Born: 7, Sent: now - ms})
+	g.Start(now, order(ownerA, run, now))
+	born := now // of the lifetime that carries out the start
+	g.StartAnswered(now+ms, run, CallResult{Clock: ms})
+	lease := testTiming.MaxLease // on its clock; what is sent is far ahead of that
+	for at := now + 25*ms; at < now+6*time.Second; at += 25 * ms {
+		g.RenewOwner(ownerA, at+testTiming.OwnerLease)
+		g.Polled(at, at, Snapshot{Clock: at - born, Born: 5, Sent: at - ms, Running: []RunningRun{{Run: run}}})
+		g.Tick(at)
+		if at > now+2*time.Second {
+			g.End(at)
+		}
+		for _, a := range takeCalls(g) {
+			switch {
+			case a.Kind == CallStop:
+				return // its answer is of that lifetime
+			case a.Kind == CallPoll && a.Until != 0:
+				lease = at - born + testTiming.MaxLease
+			case a.Kind == ReportEnd && at-born < lease:
+				t.Fatalf("reported as %v %v before the lease of the lifetime that has the run ends", a.Reason, lease-(at-born))
+			}
+		}
+	}
+	t.Error("neither stopped nor reported")
+}
+
+func TestGuardIgnoresAnswersToPollsFromBeforeALifetimeBornEarlierByTheTimeOfDay(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("j", 0, 1)
+	g.Start(now, order(ownerA, run, now))
+	g.Polled(now+20*ms, now+20*ms, Snapshot{Clock: 3 * ms, Born: 5, Sent: now + 18*ms})
+	if g.Born() != 5 {
+		t.Fatalf("lifetime born at %d, want 5", g.Born())
+	}
+	g.StopAnswered(now+22*ms, run, CallResult{Clock: 4 * ms})
+	g.Polled(now+25*ms, now+25*ms, Snapshot{Clock: now - 5*time.Second + 10*ms, Born: 7, Sent: now + 10*ms})
+	if got := ends(g.TakeActions()); len(got) > 0 || g.Born() != 5 {
+		t.Errorf("reported %v, lifetime born at %d, from an answer of the earlier lifetime", got, g.Born())
+	}
+	g.Polled(now+30*ms, now+30*ms, Snapshot{Clock: 12 * ms, Born: 5, Sent: now + 28*ms})
+	wantEnds(t, g, map[RunRef]EndReason{run: EndLapsed})
+}
+
+// The endpoint's clock has whole milliseconds, and answers overtake each other: an older
+// list of the same millisecond has a run whose end a newer one lists.
+func TestGuardStopsNoEndedRunThatAnOlderSnapshotOfTheSameMillisecondLists(t *testing.T) {
+	run, other := ref("j", 0, 1), ref("k", 0, 1)
+	for _, acknowledged := range []bool{false, true} {
+		t.Run(fmt.Sprintf("acknowledged %v", acknowledged), func(t *testing.T) {
+			g, now := newGuardWithRun(t, run)
+			clock := now - 5*time.Second + 20*ms
+			g.Polled(now+20*ms, now+20*ms, Snapshot{Clock: clock, Born: 7, Ended: []EndedRun{{Seq: 1, Run: run, Reason: EndDone}}})
+			if acknowledged {
+				g.Polled(now+21*ms, now+21*ms, Snapshot{Clock: clock, Born: 7, Acknowledged: g.Cursor()})
+			}
+			wantEnds(t, g, map[RunRef]EndReason{run: EndDone})
+			g.Polled(now+22*ms, now+22*ms, Snapshot{Clock: clock, Born: 7, Running: []RunningRun{{Run: run}}})
+			if calls := takeCalls(g); len(calls) > 0 {
+				t.Errorf("got %+v for a run whose end is known", calls)
+			}
+			// A newer one of that millisecond is used.
+			g.Polled(now+23*ms, now+23*ms, Snapshot{Clock: clock, Born: 7, Acknowledged: g.Cursor(), Running: []RunningRun{{Run: other}}})
+			if calls := takeCalls(g); !hasCall(calls, FoundUnknown, other) || !hasCall(calls, CallStop, other) {
+				t.Errorf("got %+v, want a stop of the run that is not known", calls)
+			}
+		})
+	}
+}
+
+// Answers of an endpoint whose clock has whole milliseconds arrive in any order.
+func TestGuardReportsEachEndOnceWhateverTheOrderOfSnapshots(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		g, now := newGuard(t)
+		running, ended := map[RunRef]bool{}, map[RunRef]bool{}
+		var list []EndedRun
+		var waiting []Snapshot
+		acknowledged, next := int64(0), 0
+		reported := map[RunRef]bool{}
+		check := func() {
+			for _, a := range g.TakeActions() {
+				switch {
+				case a.Kind == FoundUnknown, a.Kind == CallStop:
+					rt.Fatalf("got %+v for an ordered run", a)
+				case a.Kind == ReportEnd && (!ended[a.Run] || reported[a.Run] || a.Reason != EndDone):
+					rt.Fatalf("reported %+v; ended %v, reported before %v", a, ended[a.Run], reported[a.Run])
+				case a.Kind == ReportEnd:
+					reported[a.Run] = true
+				}
+			}
+		}
+		poll := func() Snapshot {
+			ack := g.Cursor()
+			acknowledged = max(acknowledged, ack)
+			s := Snapshot{Clock: (now - 5*time.Second).Truncate(ms), Born: 7, Sent: now, Acknowledged: ack}
+			for run := range running {
+				s.Running = append(s.Running, RunningRun{Run: run})
+			}
+			for _, e := range list {
+				if e.Seq > acknowledged {
+					s.Ended = append(s.Ended, e)
+				}
+			}
+			return s
+		}
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			now += Time(rapid.IntRange(0, 700).Draw(rt, "pause")) * time.Microsecond
+			g.RenewOwner(ownerA, now+testTiming.OwnerLease)
+			switch rapid.IntRange(0, 4).Draw(rt, "step") {
+			case 0: // a run starts
+				run := ref("j", next, 1)
+				next++
+				g.Start(now, order(ownerA, run, now))
+				if g.runs[run] != nil {
+					running[run] = true
+					g.StartAnswered(now, run, CallResult{Clock: (now - 5*time.Second).Truncate(ms)})
+				}
+				g.TakeActions()
+			case 1: // the first one ends
+				for i := range next {
+					if run := ref("j", i, 1); running[run] {
+						delete(running, run)
+						ended[run] = true
+						list = append(list, EndedRun{Seq: int64(len(list) + 1), Run: run, Reason: EndDone})
+						break
+					}
+				}
+			case 2, 3:
+				waiting = append(waiting, poll())
+			case 4:
+				if len(waiting) > 0 {
+					i := rapid.IntRange(0, len(waiting)-1).Draw(rt, "answer")
+					g.Polled(now, now, waiting[i])
+					waiting = slices.Delete(waiting, i, i+1)
+				}
+			}
+			check()
+		}
+		now += 10 * ms
+		g.Polled(now, now, poll())
+		check()
+		if len(reported) != len(ended) {
+			rt.Fatalf("%d ends reported of %d", len(reported), len(ended))
+		}
+	})
+}
+
+func TestGuardSaysHowItKnowsThatARunHasEnded(t *testing.T) {
+	run := ref("j", 0, 1)
+	absent := func(g *Guard, at Time) { g.Polled(at, at, Snapshot{Clock: at - 5*time.Second, Born: 7}) }
+	silence := func(g *Guard, from Time) {
+		for at := from; at < from+3*time.Second; at += 25 * ms {
+			g.Tick(at)
+		}
+	}
+	tests := map[string]struct {
+		accepted bool // the start was answered, and the run listed
+		then     func(g *Guard, now Time)
+		want     Evidence
+		stopAge  Time
+	}{
+		"refused": {false, func(g *Guard, now Time) { g.StartAnswered(now, run, CallResult{Refusal: NoRoom}) }, EvidenceRefused, 0},
+		"listed": {true, func(g *Guard, now Time) {
+			g.Stop(now+20*ms, ownerA, run)
+			g.Polled(now+50*ms, now+50*ms, Snapshot{Clock: now - 5*time.Second + 50*ms, Born: 7, Ended: []EndedRun{{Seq: 1, Run: run, Reason: EndStopped}}})
+		}, EvidenceListed, 30 * ms},
+		"absent": {true, func(g *Guard, now Time) { absent(g, now+50*ms) }, EvidenceAbsent, 0},
+		"absent after a stop": {true, func(g *Guard, now Time) {
+			g.Stop(now+20*ms, ownerA, run)
+			g.StopAnswered(now+22*ms, run, CallResult{Clock: now - 5*time.Second + 21*ms})
+			absent(g, now+50*ms)
+		}, EvidenceStopped, 30 * ms},
+		"start refused as late": {false, func(g *Guard, now Time) {
+			g.StartUnanswered(now+20*ms, run)
+			absent(g, now+testTiming.OwnerLease+2*lateMargin)
+		}, EvidenceLate, 0},
+		"lease over":   {true, func(g *Guard, now Time) { silence(g, now) }, EvidenceLease, 225 * ms},
+		"new lifetime": {true, func(g *Guard, now Time) { g.Replaced(now, 8) }, EvidenceNewLifetime, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			g, now := newGuard(t)
+			g.Start(now, order(ownerA, run, now))
+			if test.accepted {
+				g.StartAnswered(now+ms, run, CallResult{Clock: now - 5*time.Second + ms})
+				g.Polled(now+10*ms, now+10*ms, Snapshot{Clock: now - 5*time.Second + 10*ms, Born: 7, Running: []RunningRun{{Run: run}}})
+			}
+			g.TakeActions()
+			test.then(g, now)
+			for _, a := range g.TakeActions() {
+				if a.Kind != ReportEnd {
+					continue
+				}
+				if a.KnownBy != test.want || a.StopAge != test.stopAge {
+					t.Errorf("known by %v, stop requested %v before; want %v, %v", a.KnownBy, a.StopAge, test.want, test.stopAge)
+				}
+				return
+			}
+			t.Error("no end reported")
+		})
+	}
+}
--- a/hosted/agent/control.go
+++ b/hosted/agent/control.go
@@ -7,6 +7,7 @@
 	"bergamotwing.example/dispatch"
 	"bergamotwing.example/hosted/control"
 	"bergamotwing.example/hosted/mesh"
+	"bergamotwing.example/platform"
 	"bergamotwing.example/wire"
 )
 
@@ -38,10 +39,13 @@
 	rows      []wire.Member            // entries registered in the store, as last read
 	addrs     map[string]string        // addresses of the known entries, by name
 	endpoints map[dispatch.EndpointID]*endpoint
-	operator  dispatch.OperatorState
-	ends      []keptEnd
-	seeds     []string // addresses where entries may listen
-	stopping  bool
+	// unconfirmed holds, by the endpoint's id, the last announcement of a lifetime for
+	// which the endpoint's answer is awaited.
+	unconfirmed map[string]platform.Announcement
+	operator    dispatch.OperatorState
+	ends        []keptEnd
+	seeds       []string // addresses where entries may listen
+	stopping    bool
 	// unlinkedSince is when the agent was last found without a link to any entry.
 	unlinkedSince time.Duration
 }
@@ -56,7 +60,7 @@
 func newState(a *Agent) *state {
 	return &state{
 		a: a, timing: control.TimingOf(a.node), seeds: mesh.SeedAddrs(a.node), peers: map[string]*mesh.Peer{}, lists: map[string][]wire.Member{}, addrs: map[string]string{},
-		endpoints: map[dispatch.EndpointID]*endpoint{}, unlinkedSince: mesh.Now(),
+		endpoints: map[dispatch.EndpointID]*endpoint{}, unconfirmed: map[string]platform.Announcement{}, unlinkedSince: mesh.Now(),
 	}
 }
 
@@ -376,7 +380,7 @@
 func (s *state) stopRuns(now time.Duration, owner dispatch.Owner, m *wire.RunStop) {
 	e := s.endpoints[m.Endpoint]
 	if e == nil && len(m.Orders) > 0 {
-		e = s.newestOf(m.Endpoint.ID) // a start for an earlier lifetime may be carried out there
+		e = s.currentOf(m.Endpoint.ID) // a start for an earlier lifetime may be carried out there
 	}
 	if e == nil {
 		return
@@ -421,17 +425,21 @@
 	e := s.endpoints[m.Endpoint]
 	for _, r := range m.Runs {
 		if e == nil {
-			s.reportEnd(now, owner, wire.EndedRun{Run: r.Run, Order: r.Order, Reason: dispatch.NotAvailable})
+			s.refuse(now, owner, r, dispatch.NotAvailable)
 			continue
 		}
 		if s.isBusyElsewhere(e, r.Run.Task) {
-			s.reportEnd(now, owner, wire.EndedRun{Run: r.Run, Order: r.Order, Reason: dispatch.TaskBusy})
+			s.refuse(now, owner, r, dispatch.TaskBusy)
 			continue
 		}
 		e.guard.Start(now, dispatch.Order{Owner: owner, Number: r.Order, Run: r.Run, Need: r.Need, Payload: m.Payload, Echo: m.Echo})
 	}
 }
 
+func (s *state) refuse(now time.Duration, owner dispatch.Owner, r wire.OrderedRun, reason dispatch.EndReason) {
+	s.reportEnd(now, dispatch.GuardAction{Owner: owner, Run: r.Run, Order: r.Order, Reason: reason, KnownBy: dispatch.EvidenceRefused})
+}
+
 // isBusyElsewhere reports whether the guard of another lifetime keeps a run of the task.
 func (s *state) isBusyElsewhere(e *endpoint, task dispatch.TaskRef) bool {
 	for _, other := range s.endpoints {
@@ -442,28 +450,35 @@
 	return false
 }
 
-// newestOf returns the newest lifetime of an endpoint's id, or nil.
-func (s *state) newestOf(id string) *endpoint {
-	var newest *endpoint
+// currentOf returns the lifetime that has an endpoint's id, as far as is known, another
+// one if its guard is not kept, or nil.
+func (s *state) currentOf(id string) *endpoint {
+	var current *endpoint
 	for _, e := range s.endpoints {
-		if e.announced.Endpoint.ID == id && (newest == nil || e.announced.Endpoint.Born > newest.announced.Endpoint.Born) {
-			newest = e
+		if e.announced.Endpoint.ID == id && (current == nil || e.guard.Born() == e.announced.Endpoint.Born) {
+			current = e
 		}
 	}
-	return newest
+	return current
 }
 
 // reportEnd reports an end to the owner of the run, and keeps it to be resent if
 // the owner reconnects.
-func (s *state) reportEnd(now time.Duration, owner dispatch.Owner, end wire.EndedRun) {
-	s.ends = append(s.ends, keptEnd{owner: owner, end: end, at: now, sent: now})
-	if p := s.peers[owner.Entry]; p != nil && p.Owner() == owner {
+func (s *state) reportEnd(now time.Duration, a dispatch.GuardAction) {
+	end := wire.EndedRun{Run: a.Run, Order: a.Order, Reason: a.Reason, Age: a.Age}
+	s.ends = append(s.ends, keptEnd{owner: a.Owner, end: end, at: now, sent: now})
+	if p := s.peers[a.Owner.Entry]; p != nil && p.Owner() == a.Owner {
 		_ = p.Send(&wire.RunEnd{Ends: []wire.EndedRun{end}}) // resent on the next link
 	}
-	if end.Reason != dispatch.EndDone {
-		s.a.deps.Metrics.Count("bergamotwing_runs_"+end.Reason.String()+"_total", "Runs that ended so.", 1)
-		s.a.deps.Log.Info().Str("event", "run_ended").Str("job", end.Run.Task.Job).Int("step", end.Run.Task.Step).
-			Int("task", end.Run.Task.Index).Int("run", end.Run.Run).Str("reason", end.Reason.String()).
-			Dur("age_ms", end.Age).Str("entry", owner.Entry).Msg("run ended")
+	if a.Reason == dispatch.EndDone {
+		return
+	}
+	s.a.deps.Metrics.Count("bergamotwing_runs_"+a.Reason.String()+"_total", "Runs that ended so.", 1)
+	line := s.a.deps.Log.Info().Str("event", "run_ended").Str("job", a.Run.Task.Job).Int("step", a.Run.Task.Step).
+		Int("task", a.Run.Task.Index).Int("run", a.Run.Run).Str("reason", a.Reason.String()).Stringer("known_by", a.KnownBy).
+		Dur("age_ms", a.Age).Str("entry", a.Owner.Entry)
+	if a.StopAge > 0 {
+		line.Dur("stop_age_ms", a.StopAge)
 	}
+	line.Msg("run ended")
 }
--- a/hosted/agent/lifetime_test.go
+++ b/hosted/agent/lifetime_test.go
@@ -1,12 +1,17 @@
 package agent
 
 import (
+	"bytes"
+	"encoding/json"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"bergamotwing.example/dispatch"
 	"bergamotwing.example/hosted/control"
 	"bergamotwing.example/hosted/mesh"
@@ -178,3 +183,115 @@
 		t.Errorf("ends %+v, want %v refused as busy", a.state.ends, run)
 	}
 }
+
+// The next lifetime may carry out the start, and is there as long as it is not given up.
+func TestALifetimeWhoseIDWasTakenOverIsGivenUpOnlyAfterTheNext(t *testing.T) {
+	a := newPumpedAgent(t)
+	earlier, next := a.restartBehindLateStart(lateRun)
+	e := a.state.endpoints[earlier]
+	later := mesh.Now()
+	pass := func(d time.Duration) { // without an answer
+		for end := later + d; later < end; later += busyTick {
+			e.guard.Tick(later)
+		}
+	}
+	pass(time.Minute)
+	a.state.endIfUnresponsive(later, e)
+	pass(lateTime)
+	if e.guard.Runs() != 1 || e.guard.Ended() {
+		t.Fatalf("%d runs kept, ended %v, while the next lifetime may start the run", e.guard.Runs(), e.guard.Ended())
+	}
+	delete(a.state.endpoints, next)
+	a.state.endIfUnresponsive(later, e)
+	pass(lateTime)
+	if !e.guard.Ended() {
+		t.Error("not ended after the next lifetime")
+	}
+}
+
+// Nobody had time to ask the endpoint while the process was frozen.
+func TestAFrozenAgentDoesNotTakeItsOwnSilenceForTheEndpoints(t *testing.T) {
+	a := newPumpedAgent(t)
+	id := a.pumpUntilAvailable(dispatch.EndpointID{})
+	a.receive(mesh.Now()+time.Minute, control.Tick{})
+	if a.state.endpoints[id] == nil {
+		t.Fatal("the lifetime was given up")
+	}
+}
+
+// The time of day may jump back before an endpoint starts again.
+func TestALifetimeBornEarlierByTheTimeOfDayTakesTasks(t *testing.T) {
+	a := newPumpedAgent(t)
+	earlier := a.pumpUntilAvailable(dispatch.EndpointID{})
+	next := dispatch.EndpointID{ID: earlier.ID, Born: earlier.Born - 1000}
+	a.endpoint.RestartAt(next.Born)
+	a.announce()
+	a.pump("the new lifetime", func() bool {
+		e := a.state.endpoints[next]
+		return e != nil && e.guard.Status(a.owner).Available
+	})
+	if a.state.endpoints[earlier] != nil {
+		t.Error("the earlier lifetime is kept")
+	}
+	a.order(next, lateRun)
+	a.pump("the end of the run", func() bool { return len(a.state.ends) > 0 })
+	if got := a.state.ends[0].end.Reason; got != dispatch.EndDone {
+		t.Errorf("run ended as %v", got)
+	}
+}
+
+// A heartbeat may come long after its lifetime has ended, and its time of birth says
+// nothing about the order: the run goes on in the lifetime that answers.
+func TestALateHeartbeatOfAnotherLifetimeEndsNoRun(t *testing.T) {
+	a := newPumpedAgent(t)
+	id := a.pumpUntilAvailable(dispatch.EndpointID{})
+	a.order(id, lateRun)
+	a.pumpFor(50 * time.Millisecond) // it is listed
+	n := a.state.endpoints[id].announced
+	n.Endpoint.Born += 1000
+	a.Announced(n)
+	a.pump("the end of the run", func() bool { return len(a.state.ends) > 0 })
+	if got := a.state.ends[0].end.Reason; got != dispatch.EndDone {
+		t.Errorf("run ended as %v while it went on", got)
+	}
+}
+
+// Hypotheses about a task that ran twice differ in how the end of its first run was known.
+func TestTheLogSaysHowTheEndOfARunWasKnown(t *testing.T) {
+	a := newPumpedAgent(t)
+	var out bytes.Buffer
+	a.deps.Log = zerolog.New(&out)
+	id := a.pumpUntilAvailable(dispatch.EndpointID{})
+	a.order(id, lateRun)
+	a.pump("the end of the run", func() bool { return len(a.state.ends) > 0 })
+	if strings.Contains(out.String(), "run_ended") {
+		t.Errorf("a line for a run that ended well:\n%s", out.String())
+	}
+	stopped := lateRun
+	stopped.Task.Index = 1
+	a.order(id, stopped)
+	a.pumpFor(20 * time.Millisecond)
+	a.state.endpoints[id].guard.Stop(mesh.Now(), a.owner, stopped)
+	a.pump("the end of the stopped run", func() bool { return len(a.state.ends) > 1 })
+	lines := 0
+	for line := range strings.Lines(out.String()) {
+		var fields struct {
+			Event   string  `json:"event"`
+			KnownBy string  `json:"known_by"`
+			StopAge float64 `json:"stop_age_ms"`
+		}
+		if err := json.Unmarshal([]byte(line), &fields); err != nil {
+			t.Fatal(err)
+		}
+		if fields.Event != "run_ended" {
+			continue
+		}
+		lines++
+		if fields.KnownBy != "listed" || fields.StopAge <= 0 {
+			t.Errorf("known by %q, stop age %v ms", fields.KnownBy, fields.StopAge)
+		}
+	}
+	if lines != 1 {
+		t.Errorf("%d lines, want one for the stopped run:\n%s", lines, out.String())
+	}
+}
