No task starts beside a run that keeps the endpoint's lease from being extended

Callers: tasks started where they lapsed soon after, or not at all. Cause: keeps the lease as it is while a run is to stop, but orders were taken there until its end. A new agent incarnation has granted nothing, so beside a run that was handed over starts were sent that were valid until a moment in the past. Now the guard refuses such orders as expired, which is tried again, and a home orders nothing at an endpoint before the runs that it has handed over there have ended: a stop and an answer later, on a sound endpoint. TestNoTaskStartsWhereTheLeaseIsAboutToEnd failed ('valid for 100ms'), and TestNoTaskStartsBesideARunThatIsHandedOverBeforeItIsOver. Two tests said otherwise. TestAnEndpointTakesOtherTasksWhileItsEarlier- RunsAreStopped wanted orders beside earlier runs, which lengthens their lease; ...OnceItsEarlierRunsAreOver wants none before, and the whole capacity then. TestGuardNeverRefusesASingleOwnerForTheLeaseGrantedToIt leaves out the time in which a run that is to stop has less than the lead of a stop left: such a start would have been refused by the endpoint or would have lapsed.

--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -45,11 +45,15 @@
 	return e.status.Capacity.Sub(e.used).Sub(e.status.Others)
 }
 
-// usable reports whether the endpoint takes a new task now.
+// usable reports whether the endpoint takes a new task now. Its lease is not extended
+// before the runs that were handed over have ended.
 func (e *endpoint) usable(now Time, evacuated []string) bool {
 	if e.lost || e.suspect || !e.status.Available || now < e.pausedUntil || slices.Contains(evacuated, e.status.Zone) {
 		return false
 	}
+	if slices.ContainsFunc(e.runs, (*run).handedOver) {
+		return false
+	}
 	return !e.health.ejected() || len(e.runs) < e.health.runsAllowed(now)
 }
 
--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -433,6 +433,8 @@
 		return Expired
 	case g.owners[o.Owner] < g.granted:
 		return Expired // the endpoint's lease would keep the run beyond the owner's
+	case g.leaseEnd(now)-g.timing.StopLead() <= now:
+		return Expired // the run would lapse with one that does not stop
 	case !g.used.Add(o.Need).Fits(g.capacity):
 		return NoRoom
 	}
@@ -442,10 +444,10 @@
 	return 0
 }
 
-// grantLease returns the end of the endpoint's lease, on the endpoint's clock, that
-// is sent next: no owner's runs may outlive the owner's lease, and a run that is to
-// stop gets no longer lease than it had.
-func (g *Guard) grantLease(now Time) Time {
+// leaseEnd returns the end of the endpoint's lease, on the host's clock, that may be
+// granted now: no owner's runs may outlive the owner's lease, and a run that is to stop
+// gets no longer lease than it had.
+func (g *Guard) leaseEnd(now Time) Time {
 	until := now + g.timing.MaxLease - lateMargin
 	for _, r := range g.runs {
 		until = min(until, g.owners[r.owner])
@@ -453,6 +455,13 @@
 			until = min(until, r.stopBy)
 		}
 	}
+	return until
+}
+
+// grantLease returns the end of the endpoint's lease, on the endpoint's clock, that
+// is sent next.
+func (g *Guard) grantLease(now Time) Time {
+	until := g.leaseEnd(now)
 	g.granted = max(g.granted, until)
 	g.maxUntil = max(g.maxUntil, until+g.offset)
 	return until + g.offset
