The lease of a run that was not ordered here is not extended

Cause: a start of an earlier agent incarnation or lifetime that is carried out late, and whose stop is not, went on for as long as any other run at the endpoint had its lease renewed: leases regarded the guard's own runs only. Now the lease stays as it was when such a run was found, until it is no longer listed. TestTheLeaseOfARunThatIsNotKnownIsNotRenewed and ...OfAnEarlierLifetime... failed, with a renewal 1.7 s after the run was found; they pass.

--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -167,6 +167,12 @@
 	earlier       bool // ordered from an earlier agent incarnation; until is not known
 }
 
+// earlierRun is a run that the endpoint lists and that was not ordered here.
+type earlierRun struct {
+	nextStop Time
+	leaseBy  Time // host clock: the lease's end when the run was found; it is extended no further
+}
+
 // Guard manages the runs at one lifetime of an endpoint. It starts a task only
 // while the owner's lease is valid and the endpoint is available and has free
 // capacity. It reports a run as ended only when the run is certain not to be
@@ -194,8 +200,8 @@
 
 	runs        map[RunRef]*guardedRun
 	tasks       map[TaskRef]RunRef
-	owners      map[Owner]Time  // end of the lease, host clock
-	earlierRuns map[RunRef]Time // runs not ordered here: host clock from which on to stop them again
+	owners      map[Owner]Time         // end of the lease, host clock
+	earlierRuns map[RunRef]*earlierRun // runs not ordered here
 	used        Resources
 	cursor      int64
 	newest      Time  // clock of the newest snapshot
@@ -225,7 +231,7 @@
 		runs:        map[RunRef]*guardedRun{},
 		tasks:       map[TaskRef]RunRef{},
 		owners:      map[Owner]Time{},
-		earlierRuns: map[RunRef]Time{},
+		earlierRuns: map[RunRef]*earlierRun{},
 	}
 }
 
@@ -455,6 +461,9 @@
 			until = min(until, r.stopBy)
 		}
 	}
+	for _, r := range g.earlierRuns {
+		until = min(until, r.leaseBy)
+	}
 	return until
 }
 
@@ -668,12 +677,14 @@
 	r := g.runs[ref]
 	if r == nil {
 		// A run of an earlier agent incarnation, or an order carried out late.
-		retryAt, known := g.earlierRuns[ref]
-		if !known {
+		earlier := g.earlierRuns[ref]
+		if earlier == nil {
+			earlier = &earlierRun{leaseBy: g.granted}
+			g.earlierRuns[ref] = earlier
 			g.emit(GuardAction{Kind: FoundUnknown, Run: ref})
 		}
-		if now >= retryAt {
-			g.earlierRuns[ref] = now + endPollEvery // its owner may take it as ended
+		if now >= earlier.nextStop {
+			earlier.nextStop = now + endPollEvery // its owner may take it as ended
 			g.emit(GuardAction{Kind: CallStop, Run: ref})
 		}
 		return
