Leases allow for the endpoint's clock since its last reading

Callers: a run may outlast its owner's lease. Cause: a lease's end is converted by the last reading of the endpoint's clock, which may be 2% slow, so that leases grew by 20 ms for each second without an answer, and were renewed all the while. TestALeaseByAnOldClockReadingDoesNotOutlastTheOwners failed: 50.5 ms too long 1.665 s after the last answer.

--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -468,12 +468,13 @@
 }
 
 // grantLease returns the end of the endpoint's lease, on the endpoint's clock, that
-// is sent next.
+// is sent next. The endpoint's clock may have fallen behind since its last reading.
 func (g *Guard) grantLease(now Time) Time {
 	until := g.leaseEnd(now)
 	g.granted = max(g.granted, until)
-	g.maxUntil = max(g.maxUntil, until+g.offset)
-	return until + g.offset
+	until += g.offset - max(now-g.sampled, 0)*clockDriftPercent/100
+	g.maxUntil = max(g.maxUntil, until)
+	return until
 }
 
 // StartAnswered processes the endpoint's answer to a start.
@@ -622,7 +623,7 @@
 // too early rather than too late.
 func (g *Guard) sampleClock(received, clock Time) {
 	sample := clock - received
-	if g.sampled == 0 || sample > g.offset || received-g.sampled > time.Second {
+	if g.sampled == 0 || sample >= g.offset || received-g.sampled > time.Second {
 		g.offset = sample
 		g.sampled = received
 	}
