A relinked agent's endpoints count as capacity while its runs end

Callers: a job that was sent again was answered 502, though its endpoint was back. Cause: ended the runs that the agent no longer has before it took the agent as linked, so a job that waited for such an end found no capacity. TestAJobThatIsSentAgainIsNotRefusedWhenItsAgentIsLinkedAgain failed ('outcome_unknown'); it passes.

--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -470,6 +470,7 @@
 		if e.agent != agent {
 			continue
 		}
+		e.lost, e.suspect = e.gone, true
 		for _, r := range slices.Clone(e.runs) {
 			switch {
 			case r.handedOver():
@@ -483,7 +484,7 @@
 	}
 	for _, e := range s.endpoints {
 		if e.agent == agent {
-			e.lost, e.suspect = e.gone, false
+			e.suspect = false
 		}
 	}
 	s.raiseMaxFreeCPU(nil)
--- a/hosted/entry/thaw_test.go
+++ b/hosted/entry/thaw_test.go
@@ -259,7 +259,7 @@
 	}
 }
 
-// The agent has renewed the run's lease by the time that it receives the stop again.
+// An echo before the stop would renew the lease of the run that is to stop.
 func TestAnAgentThatIsLinkedAgainGetsStopsBeforeItsLeaseIsRenewed(t *testing.T) {
 	e := newEntry(t)
 	now := mesh.Now()
@@ -290,6 +290,29 @@
 	t.Fatal("the run is not stopped")
 }
 
+// An agent refuses orders while its lease has ended, as it has after a long loss of the link.
+func TestAnAgentThatIsLinkedAgainGetsNoOrderBeforeItsLeaseIsRenewed(t *testing.T) {
+	e := newEntry(t)
+	now := mesh.Now()
+	l, _ := linkAgentTo(e, now, "a")
+	e.receive(now, control.LinkDown{Link: l})
+	e.receive(now, submit{job: job("j"), route: testRoute, deadline: now + time.Minute, reply: make(chan dispatch.Outcome, 1)})
+	l, sent := linkAgentTo(e, now, "a")
+	if len(sent.orders()) != 1 {
+		t.Fatalf("%d orders", len(sent.orders()))
+	}
+	for _, m := range sent.messages {
+		switch m := m.(type) {
+		case *wire.NodeHeartbeat:
+			if m.Echo > 0 {
+				return
+			}
+		case *wire.RunOrder:
+			t.Fatalf("%s is ordered to run a task before its lease is renewed", l.Hello.Name)
+		}
+	}
+}
+
 // thawCase is a simulation in which a job's tasks run, and the entries in their parts.
 type thawCase struct {
 	*sim
