A start whose run is over is stopped in the next lifetime of its endpoint

Cause: a start without an answer is carried out seconds later, in a lifetime that began anew under the same id. Its run counted as over, since its validity had passed by the earlier lifetime's clock; that of the next lifetime begins anew, so it takes the start, beside the task's next run. The same if the earlier lifetime had answered a stop, or its lease had run out without an answer. Now an agent keeps the starts of ended runs that had no answer for 10 s, and stops each in another lifetime of the id as soon as a poll or a heartbeat shows it. Their tasks are busy there until the stop is answered. They have no lease and hold up no other task. Still open: a start that is carried out before the agent's stop reaches the new lifetime, and an agent that has exited since.

--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -41,6 +41,8 @@
 	endsPerAnswer = 500
 )
 
+const never = Time(1 << 62)
+
 // CallResult is an endpoint's answer to an order.
 type CallResult struct {
 	Refusal EndReason // 0: accepted
@@ -139,6 +141,9 @@
 	Age     Time // since the order; 0: not known
 	KnownBy Evidence
 	StopAge Time // since the stop was requested; 0: none was
+	// MayStart says of ReportEnd that the start had no answer, so that a lifetime that
+	// begins anew under the endpoint's id may still carry it out.
+	MayStart bool
 }
 
 type runState uint8
@@ -165,6 +170,7 @@
 	nextStop      Time
 	stopAnswered  Time // endpoint's clock, 0: no answer yet
 	earlier       bool // ordered from an earlier agent incarnation; until is not known
+	late          bool // over for its owner: kept to be stopped in another lifetime
 }
 
 // Guard manages the runs at one lifetime of an endpoint. It starts a task only
@@ -448,6 +454,9 @@
 func (g *Guard) grantLease(now Time) Time {
 	until := now + g.timing.MaxLease - lateMargin
 	for _, r := range g.runs {
+		if r.late {
+			continue // it has no owner, and others do not wait for its stop
+		}
 		until = min(until, g.owners[r.owner])
 		if r.stopRequested {
 			until = min(until, r.stopBy)
@@ -506,6 +515,21 @@
 	g.Stop(now, owner, run)
 }
 
+// StopLate stops a run that was reported as ended with MayStart from an earlier lifetime
+// of the endpoint's id. The run is kept, and its task busy, until it is certain not to
+// start, but not reported again.
+func (g *Guard) StopLate(now Time, run RunRef) {
+	if g.runs[run] != nil {
+		return
+	}
+	r := &guardedRun{ref: run, state: runUnknown, until: never, ordered: now, late: true}
+	g.runs[run] = r
+	if _, busy := g.tasks[run.Task]; !busy {
+		g.tasks[run.Task] = run
+	}
+	g.requestStop(now, r)
+}
+
 func (g *Guard) requestStop(now Time, r *guardedRun) {
 	if !r.stopRequested {
 		r.stopRequested, r.stopAt = true, now
@@ -669,6 +693,9 @@
 		}
 		return
 	}
+	if r.late && !r.listed {
+		g.emit(GuardAction{Kind: FoundUnknown, Run: ref})
+	}
 	r.state = runRunning
 	r.listed = true
 	r.seenRunning = clock
@@ -720,6 +747,9 @@
 		delete(g.tasks, r.ref.Task)
 	}
 	g.used = g.used.Sub(r.need)
+	if r.late {
+		return
+	}
 	age := now - r.ordered
 	if r.earlier {
 		age = 0 // not known here
@@ -731,6 +761,7 @@
 	g.emit(GuardAction{
 		Kind: ReportEnd, Owner: r.owner, Order: r.order, Run: r.ref, Reason: reason, Age: age,
 		KnownBy: knownBy, StopAge: stopAge,
+		MayStart: r.state != runRunning && knownBy != EvidenceRefused && knownBy != EvidenceListed,
 	})
 }
 
@@ -749,7 +780,7 @@
 	if g.awaitsEnd() && now >= g.nextPoll {
 		g.poll(now)
 	}
-	if len(g.runs) > 0 && now >= g.nextRenew && g.sampled != 0 && !g.replaced() && !g.ended {
+	if g.hasOwnedRuns() && now >= g.nextRenew && g.sampled != 0 && !g.replaced() && !g.ended {
 		g.nextRenew = now + renewEvery
 		g.emit(GuardAction{Kind: CallPoll, Until: g.grantLease(now)})
 	}
@@ -759,6 +790,15 @@
 	g.updateAvailable(now)
 }
 
+func (g *Guard) hasOwnedRuns() bool {
+	for _, r := range g.runs {
+		if !r.late {
+			return true
+		}
+	}
+	return false
+}
+
 // stopUnowned stops the runs of owners whose lease is about to end, and retries
 // the stops that had no answer.
 func (g *Guard) stopUnowned(now Time) {
@@ -776,6 +816,9 @@
 		return
 	}
 	for _, r := range g.sorted() {
+		if r.late && !g.ended {
+			continue // it may start once the endpoint answers again
+		}
 		g.finish(now, r, EndLapsed, EvidenceLease)
 	}
 }
--- a/dispatch/guard_test.go
+++ b/dispatch/guard_test.go
@@ -313,7 +313,7 @@
 		t.Fatalf("reported %v from a snapshot taken before the stop", got)
 	}
 	polled(now + 6*ms)
-	want := []GuardAction{{Kind: ReportEnd, Owner: ownerA, Order: 7, Run: run, Reason: EndStopped, KnownBy: EvidenceStopped, StopAge: 6 * ms}}
+	want := []GuardAction{{Kind: ReportEnd, Owner: ownerA, Order: 7, Run: run, Reason: EndStopped, KnownBy: EvidenceStopped, StopAge: 6 * ms, MayStart: true}}
 	if diff := cmp.Diff(want, takeCalls(g)); diff != "" {
 		t.Errorf("actions (-want +got):\n%s", diff)
 	}
@@ -1115,3 +1115,41 @@
 		})
 	}
 }
+
+// The run was reported by an earlier lifetime's guard; its task may run elsewhere.
+func TestGuardStopsALateStartSilentlyUntilItIsRefused(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("j", 0, 1)
+	snapshot := func(at Time) { g.Polled(at, at, Snapshot{Clock: at - 5*time.Second, Born: 7}) }
+	g.StopLate(now, run)
+	if calls := takeCalls(g); !hasCall(calls, CallStop, run) {
+		t.Fatalf("got %+v, want a stop", calls)
+	}
+	// No answer to the stop: neither the time nor a silence of the endpoint ends the wait.
+	for passed := Time(0); passed < 3*time.Second; passed += 25 * ms {
+		at := now + passed
+		g.RenewOwner(ownerA, at+testTiming.OwnerLease)
+		if passed < time.Second || passed > 2*time.Second {
+			snapshot(at)
+		}
+		g.Tick(at)
+		if calls := takeCalls(g); !g.HasTask(run.Task) || len(ends(calls)) > 0 {
+			t.Fatalf("%v after the stop: task busy %v, got %+v", passed, g.HasTask(run.Task), calls)
+		}
+	}
+	now += 3 * time.Second
+	g.Start(now, order(ownerA, ref("j", 0, 2), now))
+	wantEnds(t, g, map[RunRef]EndReason{ref("j", 0, 2): TaskBusy})
+	g.Start(now, order(ownerA, ref("k", 0, 1), now))
+	for _, a := range takeCalls(g) {
+		if a.Kind == CallStart && a.Until < now-5*time.Second+testTiming.OwnerLease/2 {
+			t.Errorf("another run's start is valid for %v only", a.Until-(now-5*time.Second))
+		}
+	}
+	g.StartAnswered(now, ref("k", 0, 1), CallResult{Clock: now - 5*time.Second})
+	g.StopAnswered(now+ms, run, CallResult{Clock: now - 5*time.Second + ms})
+	g.Polled(now+5*ms, now+5*ms, Snapshot{Clock: now - 5*time.Second + 5*ms, Born: 7, Running: []RunningRun{{Run: ref("k", 0, 1)}}})
+	if calls := takeCalls(g); g.HasTask(run.Task) || len(ends(calls)) > 0 {
+		t.Errorf("after the answer: task busy %v, got %+v", g.HasTask(run.Task), calls)
+	}
+}
--- a/hosted/agent/control.go
+++ b/hosted/agent/control.go
@@ -24,6 +24,9 @@
 	// endRetention is how long the end of a run is kept, to be resent to an owner that
 	// reconnects.
 	endRetention = 2 * time.Second
+	// lateStartRetention is how long a start without an answer is kept after the end of its
+	// run, to be stopped in a new lifetime: endpoints may carry calls out seconds late.
+	lateStartRetention = 10 * time.Second
 	// dialAllAfter is how long an agent without a link dials only the entries that may
 	// become its home, and the seeds: after a loss of everything, all agents would dial
 	// all entries at once.
@@ -44,8 +47,10 @@
 	unconfirmed map[string]platform.Announcement
 	operator    dispatch.OperatorState
 	ends        []keptEnd
-	seeds       []string // addresses where entries may listen
-	stopping    bool
+	// lateStarts holds the starts without an answer of runs that have ended.
+	lateStarts []lateStart
+	seeds      []string // addresses where entries may listen
+	stopping   bool
 	// unlinkedSince is when the agent was last found without a link to any entry.
 	unlinkedSince time.Duration
 }
@@ -57,6 +62,14 @@
 	sent  time.Duration // when it was last sent
 }
 
+// lateStart is a start that had no answer, of a run that has ended.
+type lateStart struct {
+	endpoint string // id
+	run      dispatch.RunRef
+	born     int64 // of the lifetime that no longer carries the start out
+	at       time.Duration
+}
+
 func newState(a *Agent) *state {
 	return &state{
 		a: a, timing: control.TimingOf(a.node), seeds: mesh.SeedAddrs(a.node), peers: map[string]*mesh.Peer{}, lists: map[string][]wire.Member{}, addrs: map[string]string{},
@@ -120,6 +133,7 @@
 			s.sendHeartbeat(now, p)
 		}
 	}
+	s.lateStarts = slices.DeleteFunc(s.lateStarts, func(l lateStart) bool { return now-l.at > lateStartRetention })
 	s.ends = slices.DeleteFunc(s.ends, func(k keptEnd) bool { return now-k.at > endRetention })
 	pause := idleTick
 	if busy {
--- a/hosted/agent/endpoint.go
+++ b/hosted/agent/endpoint.go
@@ -143,6 +143,7 @@
 		}
 	}
 	e.guard.Announced(now, n.Draining || s.stopping, n.Capacity)
+	s.stopLateStarts(now, e)
 	s.a.deps.Log.Info().Str("event", "endpoint_found").Str("endpoint", n.Endpoint.ID).Int64("born", n.Endpoint.Born).
 		Str("addr", n.Addr).Int("cpu_milli", n.Capacity.CPUMilli).Msg("endpoint found")
 	for range watchers {
@@ -151,6 +152,17 @@
 	return true
 }
 
+// stopLateStarts stops starts of ended runs in the lifetime that has the endpoint's id, if
+// it is another than the one in which they are certain not to be carried out any more.
+func (s *state) stopLateStarts(now time.Duration, e *endpoint) {
+	for i, l := range s.lateStarts {
+		if l.endpoint == e.announced.Endpoint.ID && l.born != e.guard.Born() {
+			e.guard.StopLate(now, l.run)
+			s.lateStarts[i].born = e.guard.Born()
+		}
+	}
+}
+
 func (s *state) isReplacedBy(now time.Duration, e *endpoint, n platform.Announcement) bool {
 	known := e.guard.Born()
 	switch {
@@ -238,6 +250,7 @@
 	}
 	if m.err == nil {
 		e.guard.Polled(now, m.received, m.snapshot)
+		s.stopLateStarts(now, e)
 		if n, ok := s.unconfirmed[m.endpoint.ID]; ok && n.Endpoint.Born == e.guard.Born() {
 			s.announcedOther(now, n)
 		}
@@ -296,6 +309,9 @@
 		}()
 	case dispatch.ReportEnd:
 		s.reportEnd(now, action)
+		if action.MayStart {
+			s.lateStarts = append(s.lateStarts, lateStart{id.ID, action.Run, e.guard.Born(), now})
+		}
 	case dispatch.StatusChanged:
 		s.reportStatus(e)
 	case dispatch.FoundUnknown:
--- a/hosted/agent/lifetime_test.go
+++ b/hosted/agent/lifetime_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -34,30 +35,39 @@
 	endpoint *fake.Endpoint
 	record   *fake.Record
 	control  string // address for the endpoint's heartbeats
+	exit     context.CancelFunc
 	owner    dispatch.Owner
 }
 
 // newPumpedAgent returns an agent whose endpoint has sent a heartbeat.
 func newPumpedAgent(t *testing.T) *pumpedAgent {
 	t.Helper()
-	_, store := startStore(t)
-	a := &pumpedAgent{
-		Agent: newTestAgent(t, testNode(t, store)), t: t, messages: make(chan any, 10000),
-		record: fake.NewRecord(), owner: dispatch.Owner{Entry: "n", Incarnation: 1},
-	}
-	a.ctx = t.Context()
-	a.actor.Start(func(_ time.Duration, message any) { a.messages <- message })
-	t.Cleanup(a.actor.Shutdown)
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	a.endpoint = fake.NewEndpoint(fake.EndpointConfig{
-		ID: "i-0", Service: "svc", Zone: "z1", Addr: listener.Addr().String(), CPUMilli: 4000, Record: a.record,
+	record := fake.NewRecord()
+	endpoint := fake.NewEndpoint(fake.EndpointConfig{
+		ID: "i-0", Service: "svc", Zone: "z1", Addr: listener.Addr().String(), CPUMilli: 4000, Record: record,
 	})
-	server := &http.Server{Handler: a.endpoint, ReadHeaderTimeout: time.Second}
+	server := &http.Server{Handler: endpoint, ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
+	return newPumpedAgentOf(t, endpoint, record)
+}
+
+// newPumpedAgentOf returns an agent that an endpoint has sent a heartbeat.
+func newPumpedAgentOf(t *testing.T, endpoint *fake.Endpoint, record *fake.Record) *pumpedAgent {
+	t.Helper()
+	_, store := startStore(t)
+	a := &pumpedAgent{
+		Agent: newTestAgent(t, testNode(t, store)), t: t, messages: make(chan any, 10000),
+		endpoint: endpoint, record: record, owner: dispatch.Owner{Entry: "n", Incarnation: 1},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	a.ctx, a.exit = ctx, cancel
+	a.actor.Start(func(_ time.Duration, message any) { a.messages <- message })
+	t.Cleanup(a.actor.Shutdown)
 	heartbeats := httptest.NewServer(platform.ControlHandler(a, func(err error) { t.Error(err) }))
 	t.Cleanup(heartbeats.Close)
 	a.control = heartbeats.Listener.Addr().String()
@@ -295,3 +305,63 @@
 		t.Errorf("%d lines, want one for the stopped run:\n%s", lines, out.String())
 	}
 }
+
+// loseStart orders a run whose start the endpoint carries out late, and waits until the
+// run is over since its validity has passed. The endpoint carries out no stop.
+func (a *pumpedAgent) loseStart() {
+	a.t.Helper()
+	a.pumpFor(lateTime) // so that the start is valid until then by the next lifetime's clock
+	id := a.pumpUntilAvailable(dispatch.EndpointID{})
+	a.endpoint.SetFault(fake.EndpointLate)
+	a.state.endpoints[id].foundAt = mesh.Now() // the longer timeout of starts, so that the call arrives
+	a.order(id, lateRun)
+	for unanswered := false; !unanswered; {
+		message := <-a.messages
+		if _, unanswered = message.(startAnswered); unanswered {
+			a.endpoint.SetFault(fake.EndpointBusy)
+		}
+		a.receive(mesh.Now(), message)
+	}
+	a.pump("the end of the run", func() bool { return len(a.state.ends) > 0 })
+	a.pumpFor(100 * time.Millisecond) // so that no stop is on its way
+	a.endpoint.SetFault(fake.EndpointHealthy)
+}
+
+// The validity of the start has passed by the clock of its lifetime; that of the next one
+// begins anew.
+func TestAStartWhoseRunIsOverIsRefusedByTheNextLifetime(t *testing.T) {
+	for name, announce := range map[string]bool{"announced": true, "found by a poll": false} {
+		t.Run(name, func(t *testing.T) {
+			a := newPumpedAgent(t)
+			a.loseStart()
+			a.endpoint.Restart()
+			if announce {
+				a.announce()
+			}
+			a.pumpFor(lateTime)
+			if n := a.record.Starts(lateRun.Task.Job); n != 0 {
+				t.Errorf("%d runs started after the end was reported", n)
+			}
+			if !announce {
+				a.announce()
+			}
+			next := a.pumpUntilAvailable(dispatch.EndpointID{})
+			if len(a.state.endpoints) != 1 || a.state.endpoints[next].guard.Runs() != 0 {
+				t.Errorf("%d lifetimes and %d runs kept", len(a.state.endpoints), a.state.endpoints[next].guard.Runs())
+			}
+		})
+	}
+}
+
+// The agent that sent the start has exited, and its next incarnation knows nothing of it.
+func TestAStartWhoseRunIsOverIsRefusedByTheNextLifetimeOfARestartedAgent(t *testing.T) {
+	a := newPumpedAgent(t)
+	a.loseStart()
+	a.exit()
+	a.endpoint.Restart()
+	next := newPumpedAgentOf(t, a.endpoint, a.record)
+	next.pumpFor(lateTime)
+	if n := a.record.Starts(lateRun.Task.Job); n != 0 {
+		t.Errorf("%d runs started after the end was reported", n)
+	}
+}
