A job that is sent again at the same entry is not answered with its last outcome

Cause: a home keeps the outcome of another entry's job for 2 s, to send it again on the next link. It found it by the job's id, so a client that was answered 502 and sent its job again through the same entry 1.3 s later got that 502 again, without a run, until 2 s had passed. An answer on its way to an earlier request was also taken for one to the later.

Change: entries number their requests. JobSubmit and JobEnd carry the number (0 from older builds, which are handled as before). A kept outcome belongs to an entry, a job and a number; only the same request, which a new link has the entry submit again, gets it. stop_test.go states the caller in the key of the kept outcome instead of its value; what it checks is the same.

--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -18,7 +18,8 @@
 
 // Submission is a job with the parameters by which it is scheduled.
 type Submission struct {
-	Caller   Owner // entry that waits for the outcome
+	Caller   Owner  // entry that waits for the outcome
+	Request  uint64 // number of the caller's request; 0: the caller numbers none
 	Job      Job
 	Route    Route
 	Deadline Time // when the client stops waiting
@@ -57,6 +58,7 @@
 	Payload  string
 	Job      string
 	Caller   Owner
+	Request  uint64 // of FinishJob
 	Outcome  Outcome
 	Event    string // of LogDecision
 	Reason   string
@@ -186,7 +188,7 @@
 		j.resubmitted = &sub
 		return
 	}
-	j.sub.Caller = sub.Caller
+	j.sub.Caller, j.sub.Request = sub.Caller, sub.Request
 	j.sub.Deadline = sub.Deadline
 }
 
@@ -196,7 +198,7 @@
 	if sub.MayHaveRun && result.Lookup(out.Code).Ran == result.RanNo {
 		out.Code = result.OutcomeUnknown
 	}
-	s.emit(SchedulerAction{Kind: FinishJob, Job: sub.Job.ID, Caller: sub.Caller, Outcome: out})
+	s.emit(SchedulerAction{Kind: FinishJob, Job: sub.Job.ID, Caller: sub.Caller, Request: sub.Request, Outcome: out})
 }
 
 // Cancel closes the job of a caller that no longer waits for it, and stops its
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -52,6 +52,7 @@
 	endpoints       map[dispatch.EndpointID]endpointView
 	agentShards     map[string]dispatch.Shard // of the endpoint that an agent reported last, by the agent's name
 	requests        map[string]*request
+	lastRequest     uint64 // number of the newest request
 	recent          map[submittedJob]recentEnd
 	home            map[dispatch.Shard]string // entry that holds the shard's queue
 	shardCounts     shardCounts
@@ -81,6 +82,7 @@
 // request is a client's submission whose answer is pending here.
 type request struct {
 	submit
+	number      uint64 // from 1 in each incarnation
 	shard       dispatch.Shard
 	home        dispatch.Owner   // entry that has the job
 	shardsTried int              // shards that have refused the job
@@ -88,16 +90,17 @@
 	firstPeer   *mesh.Peer       // link on which the job was first submitted to home
 }
 
-// submittedJob names a job as it was submitted to a shard.
+// submittedJob names a job as an entry has submitted it to a shard.
 type submittedJob struct {
-	job   string
-	shard dispatch.Shard
+	job    string
+	shard  dispatch.Shard
+	caller dispatch.Owner
 }
 
 // recentEnd is an outcome that is kept for the entry that waits for it.
 type recentEnd struct {
 	outcome dispatch.Outcome
-	caller  dispatch.Owner
+	request uint64 // of the caller
 	at      time.Duration
 	sent    time.Duration // when the outcome was last sent to the caller
 }
@@ -173,12 +176,12 @@
 // proves that all messages sent before it have arrived.
 func (s *state) unacknowledged(now time.Duration) int {
 	n := 0
-	for _, r := range s.recent {
-		p := s.peers[r.caller.Entry]
+	for key, r := range s.recent {
+		p := s.peers[key.caller.Entry]
 		switch {
-		case now-r.at > outcomeRetention, p == nil && s.lost[r.caller.Entry].owner != r.caller:
+		case now-r.at > outcomeRetention, p == nil && s.lost[key.caller.Entry].owner != key.caller:
 			continue // too late to send it: the caller has given up
-		case p != nil && (p.Owner() != r.caller || p.Echoed > r.sent):
+		case p != nil && (p.Owner() != key.caller || p.Echoed > r.sent):
 			continue
 		case p != nil && p.LastSent <= r.sent:
 			p.SendHeartbeat(now, s.heartbeat())
@@ -228,7 +231,8 @@
 		m.reply <- stopTimeoutOutcome("") // the job may have run elsewhere before
 		return
 	}
-	r := &request{submit: m, shard: s.chooseShard(m.route.Service, m.job.ID)}
+	s.lastRequest++
+	r := &request{submit: m, number: s.lastRequest, shard: s.chooseShard(m.route.Service, m.job.ID)}
 	old := s.requests[m.job.ID]
 	if old != nil {
 		r.shard, r.home, r.firstPeer = old.shard, old.home, old.firstPeer // the entry that has the job's runs
@@ -261,7 +265,7 @@
 func (s *state) submitTo(now time.Duration, r *request, home string) bool {
 	if home == s.e.self.Name {
 		r.home = s.e.owner()
-		s.scheduler(r.shard).Submit(now, dispatch.Submission{Caller: r.home, Job: r.job, Route: r.route, Deadline: r.deadline})
+		s.scheduler(r.shard).Submit(now, dispatch.Submission{Caller: r.home, Request: r.number, Job: r.job, Route: r.route, Deadline: r.deadline})
 		return true
 	}
 	p := s.peers[home]
@@ -283,7 +287,7 @@
 		r.firstPeer = p
 	}
 	_ = p.Send(&wire.JobSubmit{ // resent on the next link
-		Job: r.job, Route: r.route, Shard: r.shard.Index, Wait: r.deadline - now, MayHaveRun: r.firstPeer != p, Echo: p.Clock,
+		Job: r.job, Route: r.route, Shard: r.shard.Index, Wait: r.deadline - now, MayHaveRun: r.firstPeer != p, Echo: p.Clock, Request: r.number,
 	})
 }
 
@@ -473,13 +477,13 @@
 // finish sends a job's outcome to the entry whose client waits for it.
 func (s *state) finish(now time.Duration, shard dispatch.Shard, a dispatch.SchedulerAction) {
 	if a.Caller == s.e.owner() {
-		if r := s.requests[a.Job]; r != nil && r.shard == shard {
+		if r := s.requests[a.Job]; r != nil && r.shard == shard && r.number == a.Request {
 			s.jobEnded(now, r, a.Outcome)
 		}
 		return
 	}
-	s.recent[submittedJob{a.Job, shard}] = recentEnd{outcome: a.Outcome, caller: a.Caller, at: now, sent: now}
+	s.recent[submittedJob{a.Job, shard, a.Caller}] = recentEnd{outcome: a.Outcome, request: a.Request, at: now, sent: now}
 	if p := s.peers[a.Caller.Entry]; p != nil && p.Owner() == a.Caller {
-		_ = p.Send(&wire.JobEnd{Job: a.Job, Outcome: a.Outcome, Shard: shard.Index + 1}) // resent on the next link
+		_ = p.Send(&wire.JobEnd{Job: a.Job, Outcome: a.Outcome, Shard: shard.Index + 1, Request: a.Request}) // resent on the next link
 	}
 }
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -215,7 +215,7 @@
 		s.reconcile(now, owner, m.Jobs)
 	case *wire.JobEnd:
 		switch r := s.requests[m.Job]; {
-		case r == nil, r.home != owner, m.Shard > 0 && m.Shard != r.shard.Index+1:
+		case r == nil, r.home != owner, m.Shard > 0 && m.Shard != r.shard.Index+1, m.Request > 0 && m.Request != r.number:
 		case m.Outcome.Code == result.StartTooLate:
 			s.sendSubmit(now, p, r) // with the reading of the heartbeat that came before
 		default:
@@ -251,27 +251,28 @@
 	}
 }
 
-// submitted accepts a job from another entry, or resends its outcome if it has ended.
+// submitted accepts a job from another entry, or resends its outcome if this request for
+// it has been answered. A later request starts the job again.
 // A submission that has been on its way for longer than the entry's lease is refused:
 // the entry may have answered its client since.
 func (s *state) submitted(now time.Duration, p *mesh.Peer, owner dispatch.Owner, m *wire.JobSubmit) {
 	shard := dispatch.Shard{Service: m.Route.Service, Index: m.Shard}
-	key := submittedJob{m.Job.ID, shard}
-	if r, ok := s.recent[key]; ok && r.caller == owner {
+	key := submittedJob{m.Job.ID, shard, owner}
+	if r, ok := s.recent[key]; ok && m.Request <= r.request {
 		r.sent = now
 		s.recent[key] = r
-		_ = p.Send(&wire.JobEnd{Job: m.Job.ID, Outcome: r.outcome, Shard: m.Shard + 1}) // resent on the next link
+		_ = p.Send(&wire.JobEnd{Job: m.Job.ID, Outcome: r.outcome, Shard: m.Shard + 1, Request: r.request}) // resent on the next link
 		return
 	}
 	if age := now - m.Echo; m.Echo > 0 && age > s.timing.EntryLease {
 		s.e.deps.Metrics.Count("bergamotwing_submissions_stale_total", "Submissions of other entries that came too late.", 1)
 		s.e.deps.Log.Warn().Str("event", "submission_stale").Str("job", m.Job.ID).Str("entry", owner.Entry).Dur("age_ms", age).Msg("submission refused: it came too late")
 		p.SendHeartbeat(now, s.heartbeat())
-		_ = p.Send(&wire.JobEnd{Job: m.Job.ID, Outcome: dispatch.Outcome{Code: result.StartTooLate}, Shard: m.Shard + 1}) // resumed on the next link if it is lost
+		_ = p.Send(&wire.JobEnd{Job: m.Job.ID, Outcome: dispatch.Outcome{Code: result.StartTooLate}, Shard: m.Shard + 1, Request: m.Request}) // resumed on the next link if it is lost
 		return
 	}
 	s.scheduler(shard).Submit(now, dispatch.Submission{
-		Caller: owner, Job: m.Job, Route: m.Route, Deadline: now + m.Wait, MayHaveRun: m.MayHaveRun,
+		Caller: owner, Request: m.Request, Job: m.Job, Route: m.Route, Deadline: now + m.Wait, MayHaveRun: m.MayHaveRun,
 	})
 }
 
--- /dev/null
+++ b/hosted/entry/resume_test.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"bergamotwing.example/dispatch"
+	"bergamotwing.example/hosted/control"
+	"bergamotwing.example/hosted/mesh"
+	"bergamotwing.example/result"
+	"bergamotwing.example/wire"
+)
+
+const (
+	passEvery = 50 * time.Millisecond // between heartbeats
+	resend    = 1300 * time.Millisecond
+)
+
+// passing is a home, entries that are linked to it and an agent with an endpoint. The test
+// passes on what they send.
+type passing struct {
+	t       *testing.T
+	now     time.Duration
+	home    *Entry
+	entries []*Entry
+	links   map[*Entry]*bothEnds
+	agent   *mesh.Link
+	toAgent *sentTo
+}
+
+// bothEnds is a link between an entry and the home.
+type bothEnds struct {
+	atEntry, atHome *mesh.Link
+	toEntry, toHome *sentTo
+}
+
+func newPassing(t *testing.T, entries int) *passing {
+	t.Helper()
+	p := &passing{t: t, now: mesh.Now(), home: newTestState(t).e, links: map[*Entry]*bothEnds{}}
+	shard := dispatch.Shard{Service: "svc"}
+	p.home.self.Name = "home"
+	p.home.state.home[shard] = "home"
+	p.agent, p.toAgent = linkAgentTo(p.home, p.now, "a")
+	for i := range entries {
+		e := newTestState(t).e
+		e.self.Name = string(rune('1' + i))
+		e.state.home[shard] = "home"
+		p.entries = append(p.entries, e)
+		p.link(e)
+	}
+	return p
+}
+
+// link links an entry to the home.
+func (p *passing) link(e *Entry) {
+	p.t.Helper()
+	l := &bothEnds{toEntry: &sentTo{}, toHome: &sentTo{}}
+	l.atEntry = &mesh.Link{Conn: l.toHome, Hello: p.home.self, Dialed: "x"}
+	l.atHome = &mesh.Link{Conn: l.toEntry, Hello: e.self}
+	p.links[e] = l
+	e.receive(p.now, control.LinkUp{Link: l.atEntry})
+	p.home.receive(p.now, control.LinkUp{Link: l.atHome})
+	p.pass()
+}
+
+// cut ends an entry's link. What has not been passed on is lost.
+func (p *passing) cut(e *Entry) {
+	l := p.links[e]
+	delete(p.links, e)
+	e.receive(p.now, control.LinkDown{Link: l.atEntry})
+	p.home.receive(p.now, control.LinkDown{Link: l.atHome})
+}
+
+// pass delivers what has been sent, and what is sent because of it.
+func (p *passing) pass() {
+	for delivered := true; delivered; {
+		delivered = false
+		for e, l := range p.links {
+			delivered = p.deliver(p.home, l.atHome, l.toHome) || delivered
+			delivered = p.deliver(e, l.atEntry, l.toEntry) || delivered
+		}
+	}
+}
+
+func (p *passing) deliver(to *Entry, l *mesh.Link, sent *sentTo) bool {
+	messages := sent.messages
+	sent.messages = nil
+	for _, m := range messages {
+		to.receive(p.now, control.Received{Link: l, Message: m})
+	}
+	return len(messages) > 0
+}
+
+// wait advances the time, with heartbeats.
+func (p *passing) wait(d time.Duration) {
+	for until := p.now + d; p.now < until; {
+		p.now += passEvery
+		for _, e := range append([]*Entry{p.home}, p.entries...) {
+			e.state.checkPeers(p.now)
+		}
+		p.home.receive(p.now, control.Received{Link: p.agent, Message: &wire.NodeHeartbeat{Clock: p.now, Echo: p.now - passEvery}})
+		p.pass()
+	}
+}
+
+// submit has a client send a job to an entry.
+func (p *passing) submit(e *Entry, id string) chan dispatch.Outcome {
+	reply := make(chan dispatch.Outcome, 1)
+	e.receive(p.now, submit{job: job(id), route: testRoute, deadline: p.now + time.Minute, reply: reply})
+	return reply
+}
+
+// ordered returns the only run that was ordered since the last call.
+func (p *passing) ordered() wire.OrderedRun {
+	p.t.Helper()
+	orders := p.toAgent.orders()
+	if len(orders) != 1 {
+		p.t.Fatalf("%d orders, want one", len(orders))
+	}
+	p.toAgent.messages = nil
+	return orders[0]
+}
+
+func (p *passing) end(r wire.OrderedRun, reason dispatch.EndReason) {
+	p.home.receive(p.now, control.Received{Link: p.agent, Message: &wire.RunEnd{Ends: []wire.EndedRun{{Run: r.Run, Order: r.Order, Reason: reason}}}})
+	p.pass()
+}
+
+// wantAnswer checks the answer that a client has received.
+func (p *passing) wantAnswer(who string, reply <-chan dispatch.Outcome, want result.Code) {
+	p.t.Helper()
+	if len(reply) == 0 {
+		p.t.Errorf("%s is not answered, want %v", who, want)
+	} else if out := <-reply; out.Code != want {
+		p.t.Errorf("%s is answered %v, want %v", who, out.Code, want)
+	}
+}
+
+// A home keeps outcomes for entries whose links were lost. A client that was answered 502
+// sends its job again, also at the same entry.
+func TestAJobThatIsSentAgainAtTheSameEntryIsNotAnsweredWithItsLastOutcome(t *testing.T) {
+	p := newPassing(t, 1)
+	e := p.entries[0]
+	early := p.submit(e, "j")
+	p.pass()
+	p.end(p.ordered(), dispatch.InvalidOrder) // after which nobody knows what ran
+	p.wantAnswer("the client", early, result.OutcomeUnknown)
+	p.wait(resend)
+	late := p.submit(e, "j")
+	p.pass()
+	p.end(p.ordered(), dispatch.EndDone)
+	p.wantAnswer("the client that has sent the job again", late, result.OK)
+}
+
+func TestARequestWhoseOutcomeWasLostWithTheLinkGetsItOnTheNext(t *testing.T) {
+	p := newPassing(t, 1)
+	e := p.entries[0]
+	reply := p.submit(e, "j")
+	p.pass()
+	p.home.receive(p.now, control.Received{Link: p.agent, Message: &wire.RunEnd{Ends: []wire.EndedRun{{Order: p.ordered().Order, Reason: dispatch.EndDone}}}})
+	p.cut(e)
+	p.link(e)
+	p.wantAnswer("the client", reply, result.OK)
+	if orders := p.toAgent.orders(); len(orders) > 0 {
+		t.Errorf("the job runs again: %+v", orders)
+	}
+}
--- a/hosted/entry/stop_test.go
+++ b/hosted/entry/stop_test.go
@@ -27,7 +27,7 @@
 	e := New(platform.Node{Name: "stopping"}, Options{}, control.Deps{Log: zerolog.Nop(), Metrics: metrics})
 	caller := dispatch.Owner{Entry: "caller", Incarnation: 1}
 	now := mesh.Now()
-	e.state.recent[submittedJob{job: "job"}] = recentEnd{caller: caller, at: now}
+	e.state.recent[submittedJob{job: "job", caller: caller}] = recentEnd{at: now}
 	e.state.lost[caller.Entry] = lostEntry{owner: caller, until: now + lease}
 	e.actor.Start(e.receive)
 	defer e.actor.Shutdown()
--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -75,6 +75,9 @@
 	MayHaveRun bool           `cbor:"4,keyasint,omitempty"`
 	Shard      int            `cbor:"5,keyasint,omitempty"` // of the service, from 0
 	Echo       time.Duration  `cbor:"6,keyasint,omitempty"` // newest clock reading that the sender has received from the receiver; 0: from a build that sends none
+	// Request numbers the clients' requests of the sender's incarnation, from 1. A request
+	// that is submitted again keeps its number. 0: from a build that sends none.
+	Request uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // ShardCounts holds the number of shards of each service, as the sender has it.
@@ -101,6 +104,7 @@
 	Job     string           `cbor:"1,keyasint"`
 	Outcome dispatch.Outcome `cbor:"2,keyasint"`
 	Shard   int              `cbor:"3,keyasint,omitempty"` // of the submission, from 1; 0: from a build that does not say
+	Request uint64           `cbor:"4,keyasint,omitempty"` // of the submission; 0: from a build that does not say
 }
 
 // EndpointReport reports the status of an endpoint to an entry.
