A resumed request takes no job back from the entry that its client has gone to

Cause: a home gives a job to the newest caller. An entry that has not noticed that its client left submits its request again on a new link, so it became the newest caller of a job that had been joined through another entry, and cancelled it once it noticed. The client waited at the other entry for a job that was gone, up to its deadline: its home was silent about it.

Test: TestAResumedRequestDoesNotTakeAJobBackFromALaterEntry (three real control states, with the first entry linked and not linked when the job is sent again) failed in both cases: the run was stopped by the entry that the client had left, and the client was not answered. Also failed: TestARequestThatWasLostWithItsLinkTakesTheJobOver, TestAnAnswerToAnEarlierRequestIsNoAnswerToTheNext.

Change: when another entry takes a job over, the scheduler answers the caller before, with outcome_unknown and the number of its request. Its entry answers its client and forgets the request; if the answer was lost with the link, the home has kept it and sends it to the resumed request. Callers that number no requests (older builds) are replaced without an answer, as before.

Result: these tests and TestACallerThatIsReplacedByALaterOneIsAnswered pass; go test ./dispatch ./hosted/... ./wire passes.

--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -184,14 +184,27 @@
 // started again once its runs have ended.
 func (s *Scheduler) resubmit(j *job, sub Submission) {
 	if j.closed {
+		if j.resubmitted != nil {
+			s.replaceCaller(*j.resubmitted, sub)
+		}
 		sub.MayHaveRun = true
 		j.resubmitted = &sub
 		return
 	}
+	s.replaceCaller(j.sub, sub)
 	j.sub.Caller, j.sub.Request = sub.Caller, sub.Request
 	j.sub.Deadline = sub.Deadline
 }
 
+// replaceCaller answers the earlier of two callers that wait for a job, so that it does
+// not submit its request again and take the job back.
+func (s *Scheduler) replaceCaller(earlier, later Submission) {
+	if earlier.Caller == later.Caller || earlier.Request == 0 {
+		return
+	}
+	s.answer(earlier, Outcome{Code: result.OutcomeUnknown, Detail: "sent again at entry " + later.Caller.Entry})
+}
+
 // answer reports a job's outcome to its caller. A code that says that nothing
 // ran becomes OutcomeUnknown if a task may have started.
 func (s *Scheduler) answer(sub Submission, out Outcome) {
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -286,6 +286,41 @@
 	}
 }
 
+// The earlier caller would submit its request again on a new link, and take the job back.
+func TestACallerThatIsReplacedByALaterOneIsAnswered(t *testing.T) {
+	for _, closed := range []bool{false, true} {
+		b := newBed(t, "e1")
+		submit := func(caller Owner, request uint64) {
+			b.s.Submit(b.now, Submission{
+				Caller: caller, Request: request, Job: Job{ID: "j", Steps: []Step{step(1)}}, Deadline: b.now + 2*time.Second,
+				Route: Route{Name: "r", MaxAttempts: 3, Stretch: 2, TargetLatency: 100 * ms},
+			})
+		}
+		ends := func() (ends []SchedulerAction) {
+			for _, a := range b.s.TakeActions() {
+				if a.Kind == FinishJob {
+					ends = append(ends, a)
+				}
+			}
+			return ends
+		}
+		submit(callerA, 1)
+		if closed {
+			b.s.Cancel(b.now, "j", callerA)
+			submit(callerA, 2)
+		}
+		b.s.TakeActions()
+		submit(callerA, 7) // of the same entry, which has answered its earlier request itself
+		if got := ends(); len(got) > 0 {
+			t.Errorf("closed %v: answered %+v", closed, got)
+		}
+		submit(callerB, 1)
+		if got := ends(); len(got) != 1 || got[0].Caller != callerA || got[0].Request != 7 || got[0].Outcome.Code != result.OutcomeUnknown {
+			t.Errorf("closed %v: answered %+v, want request 7 of the earlier caller", closed, got)
+		}
+	}
+}
+
 func TestTheSameJobAgainJoinsTheOneThatIsOpen(t *testing.T) {
 	b := newBed(t, "e1")
 	b.submit("j", callerA, 0, step(1))
--- a/hosted/entry/resume_test.go
+++ b/hosted/entry/resume_test.go
@@ -136,6 +136,95 @@
 	}
 }
 
+// An entry that has not noticed that its client left resumes its request on a new link,
+// and cancels the job once it notices. The client waits at another entry by then.
+func TestAResumedRequestDoesNotTakeAJobBackFromALaterEntry(t *testing.T) {
+	for _, tc := range []struct {
+		name           string
+		cutBeforeJoins bool // the first entry's link is down when the job is sent again
+	}{{"linked when the job is sent again", false}, {"not linked when the job is sent again", true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPassing(t, 2)
+			first, second := p.entries[0], p.entries[1]
+			early := p.submit(first, "j")
+			p.pass()
+			run := p.ordered()
+			p.wait(resend)
+			if tc.cutBeforeJoins {
+				p.cut(first)
+			}
+			late := p.submit(second, "j")
+			p.pass()
+			if !tc.cutBeforeJoins {
+				p.cut(first)
+			}
+			p.link(first)
+			first.receive(p.now, abandonRequest{"j", early})
+			p.pass()
+			if stops := sentOf[*wire.RunStop](p.toAgent); len(stops) > 0 {
+				t.Error("the run is stopped by the entry that the client has left")
+			}
+			p.end(run, dispatch.EndDone)
+			p.wantAnswer("the client", late, result.OK)
+			p.wantAnswer("the connection that the client has left", early, result.OutcomeUnknown)
+		})
+	}
+}
+
+// A request that no link has delivered yet is newer than those that the home knows.
+func TestARequestThatWasLostWithItsLinkTakesTheJobOver(t *testing.T) {
+	p := newPassing(t, 2)
+	first, second := p.entries[0], p.entries[1]
+	early := p.submit(first, "j")
+	p.pass()
+	run := p.ordered()
+	p.wait(resend)
+	late := p.submit(second, "j")
+	p.cut(second)
+	p.link(second)
+	p.wantAnswer("the connection that the client has left", early, result.OutcomeUnknown)
+	first.receive(p.now, abandonRequest{"j", early})
+	p.pass()
+	p.end(run, dispatch.EndDone)
+	p.wantAnswer("the client", late, result.OK)
+}
+
+// A home answers the request that an entry has replaced on its client's behalf meanwhile.
+func TestAnAnswerToAnEarlierRequestIsNoAnswerToTheNext(t *testing.T) {
+	p := newPassing(t, 2)
+	first, second := p.entries[0], p.entries[1]
+	p.submit(first, "j")
+	p.pass()
+	run := p.ordered()
+	elsewhere := p.submit(second, "j")
+	p.deliver(p.home, p.links[second].atHome, p.links[second].toHome)
+	again := p.submit(first, "j")
+	p.pass()
+	p.wantAnswer("the client at the other entry", elsewhere, result.OutcomeUnknown)
+	p.end(run, dispatch.EndDone)
+	p.wantAnswer("the client", again, result.OK)
+}
+
+// Entries of older builds number no requests.
+func TestASubmissionWithoutANumberTakesAJobOverAndIsNotAnswered(t *testing.T) {
+	e := newEntry(t)
+	now := mesh.Now()
+	_, orders := linkAgentTo(e, now, "a")
+	sent := map[string]*sentTo{}
+	for _, name := range []string{"1", "2"} {
+		var l *mesh.Link
+		l, sent[name] = recordedLink(name, wire.RoleEntry)
+		e.receive(now, control.LinkUp{Link: l})
+		e.receive(now, control.Received{Link: l, Message: &wire.NodeHeartbeat{Clock: 1, Echo: now, StoreVersion: 1}})
+		e.receive(now, control.Received{Link: l, Message: &wire.JobSubmit{Job: job("j"), Route: testRoute, Wait: time.Minute}})
+	}
+	run := orders.orders()[0]
+	e.receive(now, control.Received{Link: e.state.agents["a"].Link, Message: &wire.RunEnd{Ends: []wire.EndedRun{{Run: run.Run, Order: run.Order, Reason: dispatch.EndDone}}}})
+	if a, b := len(sentOf[*wire.JobEnd](sent["1"])), len(sentOf[*wire.JobEnd](sent["2"])); a != 0 || b != 1 {
+		t.Errorf("%d and %d answers, want one to the later entry", a, b)
+	}
+}
+
 // A home keeps outcomes for entries whose links were lost. A client that was answered 502
 // sends its job again, also at the same entry.
 func TestAJobThatIsSentAgainAtTheSameEntryIsNotAnsweredWithItsLastOutcome(t *testing.T) {
