An entry that is taken for the home is not lost while it is linked

Cause: two entries send each other frequent heartbeats, and count each other as lost after 300 ms without an echo, where one of them is a home. Each decided that by its own view.

Test: TestAnEntryThatIsTakenForTheHomeIsNotLostWhileItIsLinked failed: both lost, in 5 s of heartbeats.

Change: a heartbeat says that its sender takes the receiver for the home of a shard (NodeHeartbeat.ReceiverHome); the receiver then sends frequent ones, and both have the short timeout. Others stay rare: TestEntriesThatAreNoHomeOfEachOtherSendRareHeartbeats.

--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -184,7 +184,7 @@
 		case p != nil && (p.Owner() != key.caller || p.Echoed > r.sent):
 			continue
 		case p != nil && p.LastSent <= r.sent:
-			p.SendHeartbeat(now, s.heartbeat())
+			p.SendHeartbeat(now, s.heartbeatFor(key.caller.Entry))
 		}
 		n++
 	}
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -41,7 +41,7 @@
 	}
 	s.peers[name] = p
 	s.addMember(l.Hello.Member())
-	p.SendHeartbeat(now, s.heartbeat())
+	p.SendHeartbeat(now, s.heartbeatFor(name))
 	_ = p.Send(s.memberList()) // a closed link is reported as down
 	_ = p.Send(s.shardCountsMessage())
 	s.e.deps.Log.Info().Str("event", "entry_linked").Str("entry", name).Msg("entry linked")
@@ -109,6 +109,7 @@
 	s.checkedAt = now
 	heartbeat := s.heartbeat()
 	for name, p := range s.peers {
+		heartbeat.ReceiverHome = s.isShardHome(name)
 		pause, timeout := s.pace(now, name, p)
 		if heartbeat != p.SentHeartbeat {
 			pause = busyHeartbeatEvery // other entries choose homes by what the heartbeat reports
@@ -132,13 +133,13 @@
 }
 
 // pace returns the pause between heartbeats to an entry, and the time without
-// an echo after which it is lost. Both are short only if one of the two is a home
-// and so may hold jobs of the other; otherwise the number of frequent heartbeats
-// would grow with the square of the number of entries. When the timeout becomes
+// an echo after which it is lost. Both are short only if one of the two is a home, or is
+// taken for one by the other, and so may hold jobs of the other; otherwise the number of
+// frequent heartbeats would grow with the square of the number of entries. When the timeout becomes
 // short, it starts anew at that moment (BusySince), so that the entry has all of it
 // to answer.
 func (s *state) pace(now time.Duration, name string, p *mesh.Peer) (pause, timeout time.Duration) {
-	if !p.LastHeartbeat.Home && !s.isHome() && !s.isShardHome(name) {
+	if !p.LastHeartbeat.Home && !p.LastHeartbeat.ReceiverHome && !s.isHome() && !s.isShardHome(name) {
 		p.BusySince = 0
 		return idleHeartbeatEvery, idlePeerTimeout
 	}
@@ -172,11 +173,20 @@
 	return b
 }
 
+// heartbeatFor returns the heartbeat to another entry.
+func (s *state) heartbeatFor(name string) wire.NodeHeartbeat {
+	b := s.heartbeat()
+	b.ReceiverHome = s.isShardHome(name)
+	return b
+}
+
 func (s *state) broadcastHeartbeat(now time.Duration) {
 	b := s.heartbeat()
-	for _, p := range s.peers {
+	for name, p := range s.peers {
+		b.ReceiverHome = s.isShardHome(name)
 		p.SendHeartbeat(now, b)
 	}
+	b.ReceiverHome = false
 	for _, p := range s.agents {
 		s.heartbeatTo(now, p, b)
 	}
@@ -267,7 +277,7 @@
 	if age := now - m.Echo; m.Echo > 0 && age > s.timing.EntryLease {
 		s.e.deps.Metrics.Count("bergamotwing_submissions_stale_total", "Submissions of other entries that came too late.", 1)
 		s.e.deps.Log.Warn().Str("event", "submission_stale").Str("job", m.Job.ID).Str("entry", owner.Entry).Dur("age_ms", age).Msg("submission refused: it came too late")
-		p.SendHeartbeat(now, s.heartbeat())
+		p.SendHeartbeat(now, s.heartbeatFor(owner.Entry))
 		_ = p.Send(&wire.JobEnd{Job: m.Job.ID, Outcome: dispatch.Outcome{Code: result.StartTooLate}, Shard: m.Shard + 1, Request: m.Request}) // resumed on the next link if it is lost
 		return
 	}
--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -36,6 +36,9 @@
 	Endpoints    int           `cbor:"5,keyasint,omitempty"` // number of available endpoints that the sender may place tasks on; entries only
 	Home         bool          `cbor:"6,keyasint,omitempty"` // the sender places tasks; entries only
 	Waiting      int           `cbor:"7,keyasint,omitempty"` // number of jobs with tasks that wait for capacity at the sender; entries only
+	// ReceiverHome says that the sender takes the receiver for the home of a shard, which
+	// the receiver may not know, and so expects frequent heartbeats; between entries only.
+	ReceiverHome bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Member returns the sender as a member.
