A job that is done does not run again for a later request of the same entry

Cause: since a later request of the same entry runs a job again whatever its last outcome, so a client that lost its connection just before the answer had a job that was done run once more.

Test: TestAJobThatIsDoneDoesNotRunAgainForALaterRequestOfTheSameEntry failed: not answered, and ordered again.

Change: a kept outcome that says that all tasks are done answers later requests too, as it did before.

--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -262,16 +262,16 @@
 }
 
 // submitted accepts a job from another entry, or resends its outcome if this request for
-// it has been answered. A later request starts the job again.
+// it has been answered. A later request starts the job again unless all of it is done.
 // A submission that has been on its way for longer than the entry's lease is refused:
 // the entry may have answered its client since.
 func (s *state) submitted(now time.Duration, p *mesh.Peer, owner dispatch.Owner, m *wire.JobSubmit) {
 	shard := dispatch.Shard{Service: m.Route.Service, Index: m.Shard}
 	key := submittedJob{m.Job.ID, shard, owner}
-	if r, ok := s.recent[key]; ok && m.Request <= r.request {
+	if r, ok := s.recent[key]; ok && (m.Request <= r.request || r.outcome.Code == result.OK) {
 		r.sent = now
 		s.recent[key] = r
-		_ = p.Send(&wire.JobEnd{Job: m.Job.ID, Outcome: r.outcome, Shard: m.Shard + 1, Request: r.request}) // resent on the next link
+		_ = p.Send(&wire.JobEnd{Job: m.Job.ID, Outcome: r.outcome, Shard: m.Shard + 1, Request: m.Request}) // resent on the next link
 		return
 	}
 	if age := now - m.Echo; m.Echo > 0 && age > s.timing.EntryLease {
--- a/hosted/entry/resume_test.go
+++ b/hosted/entry/resume_test.go
@@ -241,6 +241,23 @@
 	p.wantAnswer("the client that has sent the job again", late, result.OK)
 }
 
+// The client may have lost its connection just before the answer.
+func TestAJobThatIsDoneDoesNotRunAgainForALaterRequestOfTheSameEntry(t *testing.T) {
+	p := newPassing(t, 1)
+	e := p.entries[0]
+	early := p.submit(e, "j")
+	p.pass()
+	p.end(p.ordered(), dispatch.EndDone)
+	p.wantAnswer("the connection that the client has lost", early, result.OK)
+	p.wait(resend)
+	late := p.submit(e, "j")
+	p.pass()
+	p.wantAnswer("the client", late, result.OK)
+	if orders := p.toAgent.orders(); len(orders) > 0 {
+		t.Errorf("the job runs again: %+v", orders)
+	}
+}
+
 func TestARequestWhoseOutcomeWasLostWithTheLinkGetsItOnTheNext(t *testing.T) {
 	p := newPassing(t, 1)
 	e := p.entries[0]
