--- a/hosted/entry/resume_test.go
+++ b/hosted/entry/resume_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -26,6 +27,7 @@
 	links   map[*Entry]*bothEnds
 	agent   *mesh.Link
 	toAgent *sentTo
+	onStop  func() // if set, called after each step in which the agent is sent a stop
 }
 
 // bothEnds is a link between an entry and the home.
@@ -36,11 +38,8 @@
 
 func newPassing(t *testing.T, entries int) *passing {
 	t.Helper()
-	p := &passing{t: t, now: mesh.Now(), home: newTestState(t).e, links: map[*Entry]*bothEnds{}}
 	shard := dispatch.Shard{Service: "svc"}
-	p.home.self.Name = "home"
-	p.home.state.home[shard] = "home"
-	p.agent, p.toAgent = linkAgentTo(p.home, p.now, "a")
+	p := newPassingOf(t, shard, 1, "home")
 	for i := range entries {
 		e := newTestState(t).e
 		e.self.Name = string(rune('1' + i))
@@ -51,6 +50,21 @@
 	return p
 }
 
+// newPassingOf returns the home of a shard without entries.
+func newPassingOf(t *testing.T, shard dispatch.Shard, shards int, name string) *passing {
+	t.Helper()
+	p := &passing{t: t, now: mesh.Now(), home: newTestState(t).e, links: map[*Entry]*bothEnds{}}
+	p.home.self.Name = name
+	p.home.state.home[shard] = name
+	p.home.state.shardCounts = shardCounts{shard.Service: shards}
+	agent := 0
+	for dispatch.ShardIndex(fmt.Sprintf("endpoint of %s%d", name, agent), shards) != shard.Index {
+		agent++
+	}
+	p.agent, p.toAgent = linkAgentTo(p.home, p.now, fmt.Sprintf("%s%d", name, agent))
+	return p
+}
+
 // link links an entry to the home.
 func (p *passing) link(e *Entry) {
 	p.t.Helper()
@@ -73,6 +87,7 @@
 
 // pass delivers what has been sent, and what is sent because of it.
 func (p *passing) pass() {
+	defer p.checkStops()
 	for delivered := true; delivered; {
 		delivered = false
 		for e, l := range p.links {
@@ -82,6 +97,13 @@
 	}
 }
 
+func (p *passing) checkStops() {
+	if p.onStop != nil && len(sentOf[*wire.RunStop](p.toAgent)) > 0 {
+		p.onStop()
+		p.onStop = nil
+	}
+}
+
 func (p *passing) deliver(to *Entry, l *mesh.Link, sent *sentTo) bool {
 	messages := sent.messages
 	sent.messages = nil
