--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -18,7 +18,8 @@
 
 // Submission is a job with the parameters by which it is scheduled.
 type Submission struct {
-	Caller   Owner // entry that waits for the outcome
+	Caller   Owner  // entry that waits for the outcome
+	Request  uint64 // number of the caller's request; 0: the caller numbers none
 	Job      Job
 	Route    Route
 	Deadline Time // when the client stops waiting
@@ -57,6 +58,7 @@
 	Payload  string
 	Job      string
 	Caller   Owner
+	Request  uint64 // of FinishJob
 	Outcome  Outcome
 	Event    string // of LogDecision
 	Reason   string
@@ -182,21 +184,34 @@
 // started again once its runs have ended.
 func (s *Scheduler) resubmit(j *job, sub Submission) {
 	if j.closed {
+		if j.resubmitted != nil {
+			s.replaceCaller(*j.resubmitted, sub)
+		}
 		sub.MayHaveRun = true
 		j.resubmitted = &sub
 		return
 	}
-	j.sub.Caller = sub.Caller
+	s.replaceCaller(j.sub, sub)
+	j.sub.Caller, j.sub.Request = sub.Caller, sub.Request
 	j.sub.Deadline = sub.Deadline
 }
 
+// replaceCaller answers the earlier of two callers that wait for a job, so that it does
+// not submit its request again and take the job back.
+func (s *Scheduler) replaceCaller(earlier, later Submission) {
+	if earlier.Caller == later.Caller || earlier.Request == 0 {
+		return
+	}
+	s.answer(earlier, Outcome{Code: result.OutcomeUnknown, Detail: "sent again at entry " + later.Caller.Entry})
+}
+
 // answer reports a job's outcome to its caller. A code that says that nothing
 // ran becomes OutcomeUnknown if a task may have started.
 func (s *Scheduler) answer(sub Submission, out Outcome) {
 	if sub.MayHaveRun && result.Lookup(out.Code).Ran == result.RanNo {
 		out.Code = result.OutcomeUnknown
 	}
-	s.emit(SchedulerAction{Kind: FinishJob, Job: sub.Job.ID, Caller: sub.Caller, Outcome: out})
+	s.emit(SchedulerAction{Kind: FinishJob, Job: sub.Job.ID, Caller: sub.Caller, Request: sub.Request, Outcome: out})
 }
 
 // Cancel closes the job of a caller that no longer waits for it, and stops its
