A job that comes again through another entry joins the first at whichever shard has it

Cause: since an entry submits a job to a shard where no jobs wait, by what it knows at that moment, and a job that its shard refuses goes to the next. So the same job from another entry could go to another shard than before, whose home did not join the two. If the first entry goes on but does not learn that its client left, nothing but the job's deadline bounded the first home's runs.

Change: an entry submits each job to the shard that its id names, and says to which shard it would go otherwise (JobSubmit.Elsewhere). The home there keeps a job that it has; else it names that shard (JobEnd.Elsewhere) and keeps it until the deadline, also after a refusal, for any entry that submits the job. A job that another shard has refused stays. One more hop for jobs that move.

TestAJobIsSubmittedToAShardWhereNoJobWaits counted what an entry sends to recorded links. It now has real homes, and checks where each of 8 jobs is in the end, both ways, as strictly.

Result: these pass; go test ./hosted/entry ./wire passes.

--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -59,6 +59,7 @@
 	Job      string
 	Caller   Owner
 	Request  uint64 // of FinishJob
+	Deadline Time   // of FinishJob
 	Outcome  Outcome
 	Event    string // of LogDecision
 	Reason   string
@@ -135,6 +136,9 @@
 
 func (s *Scheduler) emit(a SchedulerAction) { s.out = append(s.out, a) }
 
+// Has reports whether a job is open, or closed with runs that have not ended.
+func (s *Scheduler) Has(job string) bool { return s.jobs[job] != nil }
+
 // Jobs returns how many jobs are open.
 func (s *Scheduler) Jobs() int { return len(s.jobs) }
 
@@ -211,7 +215,7 @@
 	if sub.MayHaveRun && result.Lookup(out.Code).Ran == result.RanNo {
 		out.Code = result.OutcomeUnknown
 	}
-	s.emit(SchedulerAction{Kind: FinishJob, Job: sub.Job.ID, Caller: sub.Caller, Request: sub.Request, Outcome: out})
+	s.emit(SchedulerAction{Kind: FinishJob, Job: sub.Job.ID, Caller: sub.Caller, Request: sub.Request, Deadline: sub.Deadline, Outcome: out})
 }
 
 // Cancel closes the job of a caller that no longer waits for it, and stops its
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"time"
 
 	"bergamotwing.example/dispatch"
@@ -54,6 +55,7 @@
 	requests        map[string]*request
 	lastRequest     uint64 // number of the newest request
 	recent          map[submittedJob]recentEnd
+	moved           map[movedJob]movedTo
 	home            map[dispatch.Shard]string // entry that holds the shard's queue
 	shardCounts     shardCounts
 	peerShardCounts map[string]shardCounts // as sent by other entries, by name
@@ -85,7 +87,9 @@
 	number      uint64 // from 1 in each incarnation
 	shard       dispatch.Shard
 	home        dispatch.Owner   // entry that has the job
+	elsewhere   int              // shard, from 1, for a job that its home does not have yet; 0: none
 	shardsTried int              // shards that have refused the job
+	shardsLeft  int              // shards that have named another one for the job
 	refusal     dispatch.Outcome // of the shard that would take the job the soonest
 	firstPeer   *mesh.Peer       // link on which the job was first submitted to home
 }
@@ -97,6 +101,18 @@
 	caller dispatch.Owner
 }
 
+// movedJob names a job that a shard held here does not take.
+type movedJob struct {
+	job   string
+	shard dispatch.Shard
+}
+
+// movedTo is the shard to which a job has gone instead, and when its client stops waiting.
+type movedTo struct {
+	index int
+	until time.Duration
+}
+
 // recentEnd is an outcome that is kept for the entry that waits for it.
 type recentEnd struct {
 	outcome dispatch.Outcome
@@ -111,7 +127,7 @@
 		members: map[string]mesh.MemberRow{}, unlinked: map[string]time.Duration{},
 		schedulers: map[dispatch.Shard]*dispatch.Scheduler{}, orders: &dispatch.OrderNumbers{}, timing: control.TimingOf(e.node), endpoints: map[dispatch.EndpointID]endpointView{},
 		agentShards: map[string]dispatch.Shard{},
-		requests:    map[string]*request{}, recent: map[submittedJob]recentEnd{}, home: map[dispatch.Shard]string{},
+		requests:    map[string]*request{}, recent: map[submittedJob]recentEnd{}, moved: map[movedJob]movedTo{}, home: map[dispatch.Shard]string{},
 		shardCounts: shardCounts{}, peerShardCounts: map[string]shardCounts{},
 	}
 }
@@ -205,6 +221,7 @@
 			delete(s.recent, id)
 		}
 	}
+	maps.DeleteFunc(s.moved, func(_ movedJob, m movedTo) bool { return now > m.until })
 	s.e.ready.Store(s.isReady())
 	s.e.actor.TickAfter(tickEvery)
 }
@@ -232,7 +249,10 @@
 		return
 	}
 	s.lastRequest++
-	r := &request{submit: m, number: s.lastRequest, shard: s.chooseShard(m.route.Service, m.job.ID)}
+	r := &request{submit: m, number: s.lastRequest, shard: s.shardOfJob(m.route.Service, m.job.ID)}
+	if index := s.chooseShard(r.shard); index != r.shard.Index {
+		r.elsewhere = index + 1
+	}
 	old := s.requests[m.job.ID]
 	if old != nil {
 		r.shard, r.home, r.firstPeer = old.shard, old.home, old.firstPeer // the entry that has the job's runs
@@ -265,6 +285,10 @@
 func (s *state) submitTo(now time.Duration, r *request, home string) bool {
 	if home == s.e.self.Name {
 		r.home = s.e.owner()
+		if index, moved := s.moveJob(r.job.ID, r.shard, r.elsewhere, r.shardsTried > 0, r.deadline); moved {
+			s.jobMoved(now, r, index)
+			return true
+		}
 		s.scheduler(r.shard).Submit(now, dispatch.Submission{Caller: r.home, Request: r.number, Job: r.job, Route: r.route, Deadline: r.deadline})
 		return true
 	}
@@ -288,6 +312,7 @@
 	}
 	_ = p.Send(&wire.JobSubmit{ // resent on the next link
 		Job: r.job, Route: r.route, Shard: r.shard.Index, Wait: r.deadline - now, MayHaveRun: r.firstPeer != p, Echo: p.Clock, Request: r.number,
+		Elsewhere: r.elsewhere, Refused: r.shardsTried > 0,
 	})
 }
 
@@ -306,10 +331,44 @@
 		return
 	}
 	r.shard.Index = (r.shard.Index + 1) % count
-	r.firstPeer = nil
+	r.firstPeer, r.elsewhere = nil, 0
+	s.submitToHome(now, r)
+}
+
+// jobMoved submits a request to the shard that the job has gone to.
+func (s *state) jobMoved(now time.Duration, r *request, index int) {
+	if r.shardsLeft++; r.shardsLeft > s.shardCounts.of(r.shard.Service) {
+		s.answer(r.job.ID, soonerRefusal(r.refusal, dispatch.Outcome{Code: result.Overloaded, Detail: "refused by all shards"}))
+		return
+	}
+	r.shard.Index = index
+	r.firstPeer, r.elsewhere = nil, 0
 	s.submitToHome(now, r)
 }
 
+// moveJob returns the shard to which a job goes that is submitted to a shard held here:
+// the one to which it has gone before, so that a job that is sent again through another
+// entry joins the first submission; or elsewhere, if it is not here. A job that another
+// shard has refused stays.
+func (s *state) moveJob(job string, shard dispatch.Shard, elsewhere int, refused bool, deadline time.Duration) (index int, moved bool) {
+	key := movedJob{job, shard}
+	count := s.shardCounts.of(shard.Service)
+	if refused || s.scheduler(shard).Has(job) {
+		delete(s.moved, key)
+		return 0, false
+	}
+	to, moved := s.moved[key]
+	if !moved && elsewhere > 0 {
+		to, moved = movedTo{elsewhere - 1, deadline}, true
+	}
+	if !moved || to.index >= count || to.index == shard.Index {
+		return 0, false
+	}
+	to.until = max(to.until, deadline)
+	s.moved[key] = to
+	return to.index, true
+}
+
 // soonerRefusal returns the refusal of the shard that would take a job the soonest. A
 // shard without a large enough endpoint would never take it.
 func soonerRefusal(a, b dispatch.Outcome) dispatch.Outcome {
@@ -476,6 +535,9 @@
 
 // finish sends a job's outcome to the entry whose client waits for it.
 func (s *state) finish(now time.Duration, shard dispatch.Shard, a dispatch.SchedulerAction) {
+	if count := s.shardCounts.of(shard.Service); count > 1 && (a.Outcome.Code == result.Overloaded || a.Outcome.Code == result.NeverFits) {
+		s.moved[movedJob{a.Job, shard}] = movedTo{(shard.Index + 1) % count, a.Deadline} // where jobEnded submits it
+	}
 	if a.Caller == s.e.owner() {
 		if r := s.requests[a.Job]; r != nil && r.shard == shard && r.number == a.Request {
 			s.jobEnded(now, r, a.Outcome)
--- a/hosted/entry/elsewhere_test.go
+++ b/hosted/entry/elsewhere_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"bergamotwing.example/dispatch"
+	"bergamotwing.example/hosted/control"
+	"bergamotwing.example/result"
 	"bergamotwing.example/wire"
 )
 
@@ -55,9 +57,11 @@
 	}
 }
 
+const fillers = 8 // twice as many as an endpoint takes
+
 // fill has jobs wait at a home.
 func (h *twoHomes) fill(home *passing) {
-	for i := range 8 {
+	for i := range fillers {
 		home.home.receive(home.now, submit{
 			job: job(fmt.Sprintf("filler%d", i)), route: testRoute, deadline: home.now + time.Minute, reply: make(chan dispatch.Outcome, 1),
 		})
@@ -118,25 +122,77 @@
 	}
 }
 
+// submit has a client submit a job to an entry, and passes on what follows.
+func (h *twoHomes) submit(e *Entry, id string) chan dispatch.Outcome {
+	reply := make(chan dispatch.Outcome, 1)
+	e.receive(h.homes[0].now, submit{job: job(id), route: testRoute, deadline: h.homes[0].now + time.Minute, reply: reply})
+	for range len(h.homes) {
+		for _, p := range h.homes {
+			p.pass()
+		}
+	}
+	return reply
+}
+
 // The entry does not learn that its client has left: what would tell it is lost on the way.
 func TestAJobWhoseEntryHasNotNoticedThatItsClientLeftIsNotStartedByAnotherShard(t *testing.T) {
-	h := newTwoHomes(t)
-	id := h.jobOf(0)
-	p, other := h.homes[0], h.homes[1]
-	p.submit(h.first, id)
-	p.pass()
-	run := p.ordered()
-	h.fill(p)
-	h.wait(resend)
-	reply := make(chan dispatch.Outcome, 1)
-	h.next.receive(p.now, submit{job: job(id), route: testRoute, deadline: p.now + time.Minute, reply: reply})
-	h.wait(2 * passEvery)
-	if stops := sentOf[*wire.RunStop](p.toAgent); len(stops) > 0 {
-		t.Errorf("the run is stopped: %+v", stops)
+	for _, tc := range []struct {
+		name          string
+		first, before func(h *twoHomes) // before the job is submitted first, and before it is sent again
+		at            int               // home that takes it
+	}{
+		{"jobs wait at its shard when it is sent again", func(*twoHomes) {}, func(h *twoHomes) { h.fill(h.homes[0]) }, 0},
+		{"jobs wait at its shard when it is first sent", func(h *twoHomes) { h.fill(h.homes[0]) }, func(h *twoHomes) { h.empty(h.homes[0]) }, 1},
+		{"its shard has refused it", func(h *twoHomes) {
+			h.setAvailable(h.homes[0], false)
+			h.wait(time.Second) // a new scheduler admits jobs without endpoints
+		}, func(h *twoHomes) { h.setAvailable(h.homes[0], true) }, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newTwoHomes(t)
+			id := h.jobOf(0)
+			tc.first(h)
+			h.wait(2 * passEvery)
+			for _, p := range h.homes {
+				p.toAgent.messages = nil
+			}
+			h.submit(h.first, id)
+			h.wait(2 * passEvery)
+			run := h.homes[tc.at].ordered()
+			tc.before(h)
+			h.wait(resend)
+			reply := h.submit(h.next, id)
+			h.wait(2 * passEvery)
+			for i, p := range h.homes {
+				for _, o := range p.toAgent.orders() {
+					if o.Run.Task == run.Run.Task {
+						t.Errorf("home%d orders %v while %v goes on for home%d", i, o.Run, run.Run, tc.at)
+					}
+				}
+			}
+			if stops := sentOf[*wire.RunStop](h.homes[tc.at].toAgent); len(stops) > 0 {
+				t.Errorf("the run is stopped: %+v", stops)
+			}
+			h.homes[tc.at].end(run, dispatch.EndDone)
+			h.homes[tc.at].wantAnswer("the client", reply, result.OK)
+		})
 	}
-	for _, o := range other.toAgent.orders() {
-		if o.Run.Task == run.Run.Task {
-			t.Errorf("home1 orders %v while %v goes on for home0", o.Run, run.Run)
-		}
+}
+
+// empty has no jobs wait at a home that fill has filled.
+func (h *twoHomes) empty(p *passing) {
+	for i := range fillers {
+		p.home.receive(p.now, deleteJob{fmt.Sprintf("filler%d", i), make(chan bool, 1)})
+	}
+	for order := range uint64(2 * fillers) {
+		p.home.receive(p.now, control.Received{Link: p.agent, Message: &wire.RunEnd{Ends: []wire.EndedRun{{Order: order, Reason: dispatch.EndStopped}}}})
+	}
+	p.toAgent.messages = nil
+}
+
+func (h *twoHomes) setAvailable(p *passing, available bool) {
+	for id, v := range p.home.state.endpoints {
+		v.status.Endpoint, v.status.Available = id, available
+		p.home.receive(p.now, control.Received{Link: p.agent, Message: &wire.EndpointReport{Status: v.status}})
 	}
 }
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -228,6 +228,8 @@
 		case r == nil, r.home != owner, m.Shard > 0 && m.Shard != r.shard.Index+1, m.Request > 0 && m.Request != r.number:
 		case m.Outcome.Code == result.StartTooLate:
 			s.sendSubmit(now, p, r) // with the reading of the heartbeat that came before
+		case m.Elsewhere > 0 && m.Elsewhere <= s.shardCounts.of(r.shard.Service):
+			s.jobMoved(now, r, m.Elsewhere-1)
 		default:
 			s.jobEnded(now, r, m.Outcome)
 		}
@@ -281,6 +283,10 @@
 		_ = p.Send(&wire.JobEnd{Job: m.Job.ID, Outcome: dispatch.Outcome{Code: result.StartTooLate}, Shard: m.Shard + 1, Request: m.Request}) // resumed on the next link if it is lost
 		return
 	}
+	if index, moved := s.moveJob(m.Job.ID, shard, m.Elsewhere, m.Refused, now+m.Wait); moved {
+		_ = p.Send(&wire.JobEnd{Job: m.Job.ID, Outcome: dispatch.Outcome{Code: result.Overloaded}, Shard: m.Shard + 1, Request: m.Request, Elsewhere: index + 1}) // resumed on the next link if it is lost
+		return
+	}
 	s.scheduler(shard).Submit(now, dispatch.Submission{
 		Caller: owner, Request: m.Request, Job: m.Job, Route: m.Route, Deadline: now + m.Wait, MayHaveRun: m.MayHaveRun,
 	})
--- a/hosted/entry/shards.go
+++ b/hosted/entry/shards.go
@@ -110,9 +110,10 @@
 	return dispatch.Shard{Service: service, Index: dispatch.ShardIndex(job, s.shardCounts.of(service))}
 }
 
-// chooseShard returns the shard to which a job is submitted first.
-func (s *state) chooseShard(service, job string) dispatch.Shard {
-	shard := s.shardOfJob(service, job)
+// chooseShard returns the index of the shard to which a job goes that its shard does not
+// have yet.
+func (s *state) chooseShard(shard dispatch.Shard) int {
+	service := shard.Service
 	waiting := make([]int, s.shardCounts.of(service))
 	for i := range waiting {
 		home := s.home[dispatch.Shard{Service: service, Index: i}]
@@ -124,8 +125,7 @@
 			waiting[i] = 1 // without a link, its home is chosen anew
 		}
 	}
-	shard.Index = dispatch.ChooseShard(shard.Index, waiting)
-	return shard
+	return dispatch.ChooseShard(shard.Index, waiting)
 }
 
 // waitingJobs counts the jobs in the schedulers here that have tasks waiting for capacity.
--- a/hosted/entry/submit_test.go
+++ b/hosted/entry/submit_test.go
@@ -337,24 +337,21 @@
 
 // A burst fills one shard before another.
 func TestAJobIsSubmittedToAShardWhereNoJobWaits(t *testing.T) {
-	now := mesh.Now()
-	e, l, sent := twoShards(t, now)
-	e.state.home[dispatch.Shard{Service: "svc", Index: 1}] = "third"
-	third, sentThird := recordedLink("third", wire.RoleEntry)
-	e.receive(now, control.LinkUp{Link: third})
-	beat := func(l *mesh.Link, waiting int) {
-		e.receive(now, control.Received{Link: l, Message: &wire.NodeHeartbeat{Clock: 1, Echo: now, StoreVersion: 1, Waiting: waiting}})
-	}
-	for i, tc := range []struct{ first, second, toFirst, toSecond int }{{0, 5, 8, 0}, {5, 0, 0, 8}} {
-		sent.messages, sentThird.messages = nil, nil
-		beat(l, tc.first)
-		beat(third, tc.second)
-		for n := range 8 {
-			id := fmt.Sprintf("%d-%d", i, n)
-			e.receive(now, submit{job: job(id), route: testRoute, deadline: now + time.Minute, reply: make(chan dispatch.Outcome, 1)})
+	const jobs = 8
+	for busy := range 2 {
+		h := newTwoHomes(t)
+		h.fill(h.homes[busy])
+		h.wait(2 * passEvery)
+		for n := range jobs {
+			h.submit(h.first, fmt.Sprint(n))
 		}
-		if a, b := len(sentOf[*wire.JobSubmit](sent)), len(sentOf[*wire.JobSubmit](sentThird)); a != tc.toFirst || b != tc.toSecond {
-			t.Errorf("with %d and %d jobs waiting, %d and %d of 8 jobs are submitted", tc.first, tc.second, a, b)
+		for n := range jobs {
+			id := fmt.Sprint(n)
+			for shard, p := range h.homes {
+				if has := p.home.state.scheduler(dispatch.Shard{Service: "svc", Index: shard}).Has(id); has == (shard == busy) {
+					t.Errorf("jobs wait at shard %d; job %s at shard %d: %v", busy, id, shard, has)
+				}
+			}
 		}
 	}
 }
--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -81,6 +81,10 @@
 	// Request numbers the clients' requests of the sender's incarnation, from 1. A request
 	// that is submitted again keeps its number. 0: from a build that sends none.
 	Request uint64 `cbor:"7,keyasint,omitempty"`
+	// Elsewhere is a shard, from 1, to which the job is to be submitted if the receiver does
+	// not have it, since jobs wait at the receiver and not there. 0: none.
+	Elsewhere int  `cbor:"8,keyasint,omitempty"`
+	Refused   bool `cbor:"9,keyasint,omitempty"` // another shard has refused the job, so it is not there
 }
 
 // ShardCounts holds the number of shards of each service, as the sender has it.
@@ -108,6 +112,9 @@
 	Outcome dispatch.Outcome `cbor:"2,keyasint"`
 	Shard   int              `cbor:"3,keyasint,omitempty"` // of the submission, from 1; 0: from a build that does not say
 	Request uint64           `cbor:"4,keyasint,omitempty"` // of the submission; 0: from a build that does not say
+	// Elsewhere is the shard, from 1, to which the job is to be submitted instead; the code
+	// is Overloaded then. 0: none.
+	Elsewhere int `cbor:"5,keyasint,omitempty"`
 }
 
 // EndpointReport reports the status of an endpoint to an entry.
