The model endpoint of the simulation moves to dispatch/dispatchtest

So that the simulation of entries can use it as well, with the queue of events. The simulation of dispatch imports it and is an external test package now; the replay of loads keeps a queue of its own, since it uses what the package doesn't export.

--- a/dispatch/explore_test.go
+++ b/dispatch/explore_test.go
@@ -1,9 +1,11 @@
-package dispatch
+package dispatch_test
 
 import (
 	"fmt"
 	"testing"
 	"time"
+
+	"bergamotwing.example/dispatch"
 )
 
 // The search simulates one job in every combination of a change of the home
@@ -16,8 +18,8 @@
 // how long its tasks run.
 type resubmission struct {
 	agents int
-	pause  Time // since the change
-	work   Time
+	pause  dispatch.Time // since the change
+	work   dispatch.Time
 }
 
 // resubmissions are the ones that must be safe: at the same endpoint at any
@@ -38,7 +40,7 @@
 }
 
 func homeChanges() []homeChange {
-	outages := []Time{300 * ms, 1200 * ms, 3000 * ms}
+	outages := []dispatch.Time{300 * ms, 1200 * ms, 3000 * ms}
 	changes := make([]homeChange, 0, 2+2*len(outages))
 	changes = append(changes,
 		homeChange{"home without fault", func(*sim, *simEntry) {}},
@@ -64,7 +66,7 @@
 // lateCall is a call that is carried out late; call 0 stands for none.
 type lateCall struct {
 	call  int
-	delay Time
+	delay dispatch.Time
 }
 
 func lateCalls() []lateCall {
@@ -72,7 +74,7 @@
 	for call := 1; call <= exploredCalls; call++ {
 		// Just after the call's timeout, while a second run may go on, within a
 		// lease, after one lease, after two.
-		for _, delay := range []Time{simCallTime + 5*ms, 150 * ms, 600 * ms, 1200 * ms, 2500 * ms} {
+		for _, delay := range []dispatch.Time{simCallTime + 5*ms, 150 * ms, 600 * ms, 1200 * ms, 2500 * ms} {
 			calls = append(calls, lateCall{call, delay})
 		}
 	}
@@ -81,9 +83,9 @@
 
 // moments returns when a change happens after the submission: dense while
 // messages are in transit.
-func moments() []Time {
-	var at []Time
-	for t := Time(0); t < 20*ms; t += 4 * ms {
+func moments() []dispatch.Time {
+	var at []dispatch.Time
+	for t := dispatch.Time(0); t < 20*ms; t += 4 * ms {
 		at = append(at, t)
 	}
 	for t := 20 * ms; t <= 350*ms; t += 60 * ms {
@@ -93,7 +95,7 @@
 }
 
 // explore plays one combination and returns the simulation at its end.
-func explore(change homeChange, at Time, resub resubmission, late lateCall) *sim {
+func explore(change homeChange, at dispatch.Time, resub resubmission, late lateCall) *sim {
 	s := newSim(1, resub.agents)
 	s.work = resub.work
 	s.behavior = func() callBehavior { return callBehavior{delay: ms} }
@@ -176,7 +178,7 @@
 			played := 0
 			for _, at := range moments() {
 				for call := 1; call <= exploredCalls; call++ {
-					for _, delay := range []Time{30 * ms, 60 * ms, 85 * ms, 150 * ms, 300 * ms, 600 * ms, 780 * ms, 1200 * ms} {
+					for _, delay := range []dispatch.Time{30 * ms, 60 * ms, 85 * ms, 150 * ms, 300 * ms, 600 * ms, 780 * ms, 1200 * ms} {
 						played++
 						s := newReplacement(lateCall{call, delay})
 						s.after(at, s.agents[agent].start)
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -17,6 +17,29 @@
 // pattern. Sizes, run times and rates are those of the users' request sheet;
 // declared run times are off by 0.4.
 
+type simEvent struct {
+	at  Time
+	seq int
+	do  func()
+}
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int { return len(q) }
+func (q simQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *simQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+const simResend = 1300 * ms // after which clients resend
+
 // drainTime is how long the replay goes on after the last arrival, so that open
 // jobs can end.
 const drainTime = 6 * time.Second
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -1,17 +1,15 @@
-package dispatch
+package dispatch_test
 
 import (
-	"cmp"
-	"container/heap"
 	"fmt"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"bergamotwing.example/dispatch"
+	"bergamotwing.example/dispatch/dispatchtest"
 	"bergamotwing.example/result"
 )
 
@@ -23,6 +21,7 @@
 // started.
 
 const (
+	ms                = time.Millisecond
 	simResend         = 1300 * time.Millisecond // after which clients resend
 	simHeartbeatEvery = 150 * time.Millisecond
 	simEndpointSlots  = 4 // runs on an endpoint
@@ -33,39 +32,19 @@
 // simAttempt is the connection on which a client waits for a job's answer.
 type simAttempt struct {
 	entry *simEntry // nil: none
-	owner Owner
+	owner dispatch.Owner
 }
 
-type simEvent struct {
-	at  Time
-	seq int
-	do  func()
-}
-
-type simQueue []simEvent
-
-func (q simQueue) Len() int { return len(q) }
-func (q simQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
-func (q *simQueue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return last
-}
+var simTiming = dispatch.NewTiming(dispatch.Limits{})
 
 type sim struct {
 	rng         *rand.Rand
-	now         Time
-	seq         int
-	events      simQueue
+	now         dispatch.Time
+	events      dispatchtest.Queue
 	faulty      bool // faults are injected
 	agents      []*simAgent
 	entries     []*simEntry
-	running     map[TaskRef]string // endpoint on which a task runs
+	running     map[dispatch.TaskRef]string // endpoint on which a task runs
 	violation   string
 	ended       map[result.Code]int // answers to clients
 	attempt     map[string]simAttempt
@@ -73,20 +52,20 @@
 	started     map[string]bool // jobs of which a task has started
 	starts      int
 	behavior    func() callBehavior // of the next call to an endpoint; nil: at random
-	work        Time                // of each task; 0: at random
+	work        dispatch.Time       // of each task; 0: at random
 }
 
-func (s *sim) nextWork() Time {
+func (s *sim) nextWork() dispatch.Time {
 	if s.work > 0 {
 		return s.work
 	}
-	return Time(20+s.rng.IntN(300)) * ms
+	return dispatch.Time(20+s.rng.IntN(300)) * ms
 }
 
 // callBehavior is how a call to an endpoint proceeds.
 type callBehavior struct {
-	delay Time // until the call is carried out
-	lost  bool // the answer is lost
+	delay dispatch.Time // until the call is carried out
+	lost  bool          // the answer is lost
 }
 
 const simCallTime = 80 * ms // timeout of a call without an answer
@@ -96,119 +75,57 @@
 		return s.behavior()
 	}
 	if s.chance(0.05) {
-		return callBehavior{delay: Time(2000+s.rng.IntN(3000)) * ms, lost: true}
+		return callBehavior{delay: dispatch.Time(2000+s.rng.IntN(3000)) * ms, lost: true}
 	}
 	if s.chance(0.05) { // within the time for which a start is valid
-		return callBehavior{delay: Time(20+s.rng.IntN(980)) * ms, lost: true}
+		return callBehavior{delay: dispatch.Time(20+s.rng.IntN(980)) * ms, lost: true}
 	}
-	return callBehavior{delay: Time(1+s.rng.IntN(3)) * ms, lost: s.chance(0.05)}
+	return callBehavior{delay: dispatch.Time(1+s.rng.IntN(3)) * ms, lost: s.chance(0.05)}
 }
 
-func (s *sim) after(d Time, do func()) {
-	s.seq++
-	heap.Push(&s.events, simEvent{s.now + d, s.seq, do})
+func (s *sim) after(d dispatch.Time, do func()) {
+	s.events.Add(s.now+d, do)
 }
 
 func (s *sim) chance(p float64) bool { return s.faulty && s.rng.Float64() < p }
 
-// simEndpoint models an endpoint by the published protocol.
+// simEndpoint is a model endpoint.
 type simEndpoint struct {
-	s         *sim
-	name      string
-	clockRate float64
-	until     Time // lease, own clock
-	runs      map[RunRef]bool
-	highest   map[TaskRef]int // highest run that was stopped or ended here
-	ends      []EndedRun
-	endSeq    int64
-}
-
-func (e *simEndpoint) clock() Time { return Time(float64(e.s.now) * e.clockRate) }
-
-func (e *simEndpoint) start(run RunRef, until Time) CallResult {
-	if until < e.clock() {
-		return CallResult{Refusal: Expired, Clock: e.clock()}
-	}
-	e.extend(until)
-	switch {
-	case e.runs[run]:
-		return CallResult{Clock: e.clock()}
-	case run.Run <= e.highest[run.Task]:
-		return CallResult{Refusal: StaleRun, Clock: e.clock()}
-	case len(e.runs) >= simEndpointSlots:
-		return CallResult{Refusal: NoRoom, Clock: e.clock()}
-	}
-	if on, twice := e.s.running[run.Task]; twice {
-		e.s.violation = fmt.Sprintf("%v: task %v starts at %s while it runs at %s", e.s.now, run, e.name, on)
-	}
-	e.s.running[run.Task] = e.name
-	e.s.starts++
-	e.s.started[run.Task.Job] = true
-	e.runs[run] = true
-	e.s.after(e.s.nextWork(), func() { e.end(run, EndDone) })
-	return CallResult{Clock: e.clock()}
+	*dispatchtest.Endpoint
+	s *sim
 }
 
-func (e *simEndpoint) end(run RunRef, reason EndReason) {
-	if !e.runs[run] {
-		return
-	}
-	delete(e.runs, run)
-	delete(e.s.running, run.Task)
-	e.highest[run.Task] = max(e.highest[run.Task], run.Run)
-	e.endSeq++
-	e.ends = append(e.ends, EndedRun{Seq: e.endSeq, Run: run, Reason: reason})
+func newSimEndpoint(s *sim, name string) *simEndpoint {
+	e := &simEndpoint{s: s}
+	e.Endpoint = dispatchtest.NewEndpoint(e, name, simEndpointSlots, 1-0.02*s.rng.Float64())
+	return e
 }
 
-func (e *simEndpoint) stop(run RunRef) CallResult {
-	e.highest[run.Task] = max(e.highest[run.Task], run.Run)
-	if e.runs[run] {
-		e.s.after(Time(e.s.rng.IntN(50))*ms, func() { e.end(run, EndStopped) })
-	}
-	return CallResult{Clock: e.clock()}
-}
+// Now implements dispatchtest.Host.
+func (e *simEndpoint) Now() dispatch.Time { return e.s.now }
 
-// extend moves the end of the lease to a later time, at most a second in the
-// future.
-func (e *simEndpoint) extend(until Time) {
-	until = min(until, e.clock()+time.Second)
-	if until <= e.until {
-		return
-	}
-	e.until = until
-	e.s.after(Time(float64(until-e.clock())/e.clockRate)+ms, e.lapse)
-}
+// After implements dispatchtest.Host.
+func (e *simEndpoint) After(d dispatch.Time, do func()) { e.s.after(d, do) }
 
-func (e *simEndpoint) lapse() {
-	if e.clock() <= e.until {
-		return
-	}
-	for _, run := range e.listed() {
-		e.end(run, EndLapsed)
+// RunStarts implements dispatchtest.Host.
+func (e *simEndpoint) RunStarts(_ *dispatchtest.Endpoint, run dispatch.RunRef) dispatch.Time {
+	if on, twice := e.s.running[run.Task]; twice {
+		e.s.violation = fmt.Sprintf("%v: task %v starts at %s while it runs at %s", e.s.now, run, e.Name, on)
 	}
+	e.s.running[run.Task] = e.Name
+	e.s.starts++
+	e.s.started[run.Task.Job] = true
+	return e.s.nextWork()
 }
 
-// listed returns the active runs in a fixed order.
-func (e *simEndpoint) listed() []RunRef {
-	return slices.SortedFunc(maps.Keys(e.runs), func(a, b RunRef) int {
-		return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Run, b.Run))
-	})
+// RunEnds implements dispatchtest.Host.
+func (e *simEndpoint) RunEnds(_ *dispatchtest.Endpoint, run dispatch.RunRef, _ dispatch.EndReason) {
+	delete(e.s.running, run.Task)
 }
 
-func (e *simEndpoint) poll(until Time, acknowledged int64) Snapshot {
-	if until > 0 {
-		e.extend(until)
-	}
-	snap := Snapshot{Clock: e.clock()}
-	for _, run := range e.listed() {
-		snap.Running = append(snap.Running, RunningRun{Run: run})
-	}
-	for _, end := range e.ends {
-		if end.Seq > acknowledged {
-			snap.Ended = append(snap.Ended, end)
-		}
-	}
-	return snap
+// StopTime implements dispatchtest.Host.
+func (e *simEndpoint) StopTime(*dispatchtest.Endpoint, dispatch.RunRef) dispatch.Time {
+	return dispatch.Time(e.s.rng.IntN(50)) * ms
 }
 
 // simAgent is an agent process: a guard and its calls.
@@ -216,16 +133,16 @@
 	s           *sim
 	name        string
 	incarnation uint64
-	guard       *Guard
+	guard       *dispatch.Guard
 	endpoint    *simEndpoint
-	frozenUntil Time
+	frozenUntil dispatch.Time
 	deferred    []func()       // arrived while frozen
 	links       map[string]int // version of the link to each entry, by name
 }
 
 func (a *simAgent) start() {
 	a.incarnation++
-	a.guard = NewGuard(EndpointID{ID: a.endpoint.name}, "svc", "z", Resources{CPUMilli: simEndpointSlots * 1000}, nil, testTiming)
+	a.guard = dispatch.NewGuard(dispatch.EndpointID{ID: a.endpoint.Name}, "svc", "z", dispatch.Resources{CPUMilli: simEndpointSlots * 1000}, nil, simTiming)
 	for _, e := range a.s.entries {
 		e.linkAgent(a)
 	}
@@ -238,7 +155,7 @@
 func (a *simAgent) pollRepeatedly(incarnation uint64) {
 	a.run(incarnation, func() {
 		a.poll(0)
-		a.s.after(PollWait, func() { a.pollRepeatedly(incarnation) })
+		a.s.after(dispatch.PollWait, func() { a.pollRepeatedly(incarnation) })
 	})
 }
 
@@ -261,12 +178,12 @@
 	kept := a.guard.OrdersOf(e.owner())
 	status := a.guard.Status(e.owner())
 	a.send(e, func() {
-		e.sched.AgentReconnected(e.s.now, AgentID{a.name, l.incarnation}, kept)
-		e.sched.Report(e.s.now, AgentID{a.name, l.incarnation}, status)
+		e.sched.AgentReconnected(e.s.now, dispatch.AgentID{a.name, l.incarnation}, kept)
+		e.sched.Report(e.s.now, dispatch.AgentID{a.name, l.incarnation}, status)
 	})
 }
 
-func (a *simAgent) freeze(d Time) {
+func (a *simAgent) freeze(d dispatch.Time) {
 	a.frozenUntil = a.s.now + d
 	a.s.after(d, func() {
 		deferred := a.deferred
@@ -321,31 +238,31 @@
 	incarnation := a.incarnation
 	for _, action := range a.guard.TakeActions() {
 		switch action.Kind {
-		case CallStart:
-			a.call(func() CallResult { return a.endpoint.start(action.Run, action.Until) },
-				func(res CallResult, err bool) {
+		case dispatch.CallStart:
+			a.call(func() dispatch.CallResult { return a.endpoint.Start(action.Run, action.Until) },
+				func(res dispatch.CallResult, err bool) {
 					if err {
 						a.guard.StartUnanswered(a.s.now, action.Run)
 						return
 					}
 					a.guard.StartAnswered(a.s.now, action.Run, res)
 				})
-		case CallStop:
-			a.call(func() CallResult { return a.endpoint.stop(action.Run) },
-				func(res CallResult, err bool) {
+		case dispatch.CallStop:
+			a.call(func() dispatch.CallResult { return a.endpoint.Stop(action.Run) },
+				func(res dispatch.CallResult, err bool) {
 					if !err {
 						a.guard.StopAnswered(a.s.now, action.Run, res)
 					}
 				})
-		case CallPoll:
+		case dispatch.CallPoll:
 			a.poll(action.Until)
-		case ReportEnd:
+		case dispatch.ReportEnd:
 			for _, e := range a.s.entries {
 				if e.owner() == action.Owner {
 					a.send(e, func() { e.sched.Ended(a.s.now, action.Order, action.Reason, action.Age) })
 				}
 			}
-		case StatusChanged:
+		case dispatch.StatusChanged:
 			for _, e := range a.s.entries {
 				status := a.guard.Status(e.owner())
 				a.send(e, func() { e.report(a, incarnation, status) })
@@ -356,7 +273,7 @@
 
 // call makes a call to the endpoint, which may be answered late, lose its
 // answer or be carried out only seconds later.
-func (a *simAgent) call(do func() CallResult, answer func(CallResult, bool)) {
+func (a *simAgent) call(do func() dispatch.CallResult, answer func(dispatch.CallResult, bool)) {
 	incarnation := a.incarnation
 	behavior := a.s.nextCall()
 	a.s.after(behavior.delay, func() {
@@ -366,20 +283,20 @@
 		}
 	})
 	if behavior.lost {
-		a.s.after(simCallTime, func() { a.run(incarnation, func() { answer(CallResult{}, true) }) })
+		a.s.after(simCallTime, func() { a.run(incarnation, func() { answer(dispatch.CallResult{}, true) }) })
 	}
 }
 
-func (a *simAgent) poll(until Time) {
+func (a *simAgent) poll(until dispatch.Time) {
 	incarnation := a.incarnation
 	cursor := a.guard.Cursor()
 	behavior := a.s.nextCall()
 	a.s.after(behavior.delay, func() {
-		snap := a.endpoint.poll(until, cursor)
+		snap := a.endpoint.Poll(until, cursor)
 		if behavior.lost {
 			return
 		}
-		a.s.after(Time(1+a.s.rng.IntN(4))*ms, func() {
+		a.s.after(dispatch.Time(1+a.s.rng.IntN(4))*ms, func() {
 			a.run(incarnation, func() { a.guard.Polled(a.s.now, a.s.now, snap) })
 		})
 	})
@@ -390,22 +307,22 @@
 	s           *sim
 	name        string
 	incarnation uint64
-	sched       *Scheduler
-	frozenUntil Time
+	sched       *dispatch.Scheduler
+	frozenUntil dispatch.Time
 	deferred    []func()
 	links       map[string]*simLink
 }
 
 type simLink struct {
 	agent            *simAgent
-	incarnation      uint64 // of the agent
-	clock            Time   // newest reading of the agent's clock
-	lastSent         Time   // newest heartbeat sent
-	lastReceived     Time
-	partitionedUntil Time
+	incarnation      uint64        // of the agent
+	clock            dispatch.Time // newest reading of the agent's clock
+	lastSent         dispatch.Time // newest heartbeat sent
+	lastReceived     dispatch.Time
+	partitionedUntil dispatch.Time
 	lost             bool
-	version          int     // a new link has a higher one than the link it replaces
-	newest           [2]Time // delivery of the newest message, by direction
+	version          int              // a new link has a higher one than the link it replaces
+	newest           [2]dispatch.Time // delivery of the newest message, by direction
 }
 
 // Directions of messages.
@@ -414,11 +331,11 @@
 	toAgent
 )
 
-func (e *simEntry) owner() Owner { return Owner{e.name, e.incarnation} }
+func (e *simEntry) owner() dispatch.Owner { return dispatch.Owner{e.name, e.incarnation} }
 
 func (e *simEntry) start() {
 	e.incarnation++
-	e.sched = NewScheduler("svc", testTiming, &OrderNumbers{}, e.s.now)
+	e.sched = dispatch.NewScheduler("svc", simTiming, &dispatch.OrderNumbers{}, e.s.now)
 	for _, a := range e.s.agents {
 		e.linkAgent(a)
 	}
@@ -433,7 +350,7 @@
 		l.version = old.version + 1
 		l.partitionedUntil = old.partitionedUntil
 		if !old.lost {
-			e.sched.AgentLost(e.s.now, AgentID{a.name, old.incarnation}, old.lastSent+testTiming.OwnerLease+100*ms)
+			e.sched.AgentLost(e.s.now, dispatch.AgentID{a.name, old.incarnation}, old.lastSent+simTiming.OwnerLease+100*ms)
 		}
 	}
 	e.links[a.name] = l
@@ -454,7 +371,7 @@
 	e.carryOut()
 }
 
-func (e *simEntry) freeze(d Time) {
+func (e *simEntry) freeze(d dispatch.Time) {
 	e.frozenUntil = e.s.now + d
 	e.s.after(d, func() {
 		deferred := e.deferred
@@ -469,9 +386,9 @@
 	e.run(incarnation, func() {
 		for _, a := range e.s.agents {
 			l := e.links[a.name]
-			if !l.lost && e.s.now-l.lastReceived > testTiming.OwnerLease {
+			if !l.lost && e.s.now-l.lastReceived > simTiming.OwnerLease {
 				l.lost = true
-				e.sched.AgentLost(e.s.now, AgentID{l.agent.name, l.incarnation}, l.lastSent+testTiming.OwnerLease+100*ms)
+				e.sched.AgentLost(e.s.now, dispatch.AgentID{l.agent.name, l.incarnation}, l.lastSent+simTiming.OwnerLease+100*ms)
 			}
 		}
 		e.sched.Tick(e.s.now)
@@ -479,7 +396,7 @@
 	})
 }
 
-func (e *simEntry) receiveHeartbeat(a *simAgent, incarnation uint64, reading Time) {
+func (e *simEntry) receiveHeartbeat(a *simAgent, incarnation uint64, reading dispatch.Time) {
 	l := e.links[a.name]
 	if a.incarnation != incarnation || l == nil {
 		return
@@ -493,7 +410,7 @@
 	l.lastSent = e.s.now
 	owner := e.owner()
 	echo := l.clock
-	e.send(l, func(a *simAgent) { a.guard.RenewOwner(owner, echo+testTiming.OwnerLease) })
+	e.send(l, func(a *simAgent) { a.guard.RenewOwner(owner, echo+simTiming.OwnerLease) })
 }
 
 // send delivers a message to an agent, unless the link was replaced by then.
@@ -508,20 +425,20 @@
 	})
 }
 
-func (e *simEntry) report(a *simAgent, incarnation uint64, status EndpointStatus) {
+func (e *simEntry) report(a *simAgent, incarnation uint64, status dispatch.EndpointStatus) {
 	if l := e.links[a.name]; l != nil && !l.lost {
-		e.sched.Report(e.s.now, AgentID{a.name, incarnation}, status)
+		e.sched.Report(e.s.now, dispatch.AgentID{a.name, incarnation}, status)
 	}
 }
 
 func (e *simEntry) carryOut() {
 	for _, action := range e.sched.TakeActions() {
 		switch action.Kind {
-		case OrderRun:
+		case dispatch.OrderRun:
 			l := e.links[action.Agent.Name]
-			o := Order{Owner: e.owner(), Number: action.Order, Run: action.Run, Need: action.Need, Echo: l.clock}
+			o := dispatch.Order{Owner: e.owner(), Number: action.Order, Run: action.Run, Need: action.Need, Echo: l.clock}
 			e.send(l, func(a *simAgent) { a.guard.Start(e.s.now, o) })
-		case CancelRun:
+		case dispatch.CancelRun:
 			owner := e.owner()
 			e.send(e.links[action.Agent.Name], func(a *simAgent) {
 				if action.Order != 0 {
@@ -530,7 +447,7 @@
 				}
 				a.guard.Stop(e.s.now, owner, action.Run)
 			})
-		case FinishJob:
+		case dispatch.FinishJob:
 			e.s.answered(e, action.Job, action.Outcome)
 		}
 	}
@@ -541,7 +458,7 @@
 func (s *sim) message(l *simLink, direction int, do func()) {
 	at := s.now + simLinkTime
 	if s.now < l.partitionedUntil {
-		at = l.partitionedUntil + Time(s.rng.IntN(20))*ms
+		at = l.partitionedUntil + dispatch.Time(s.rng.IntN(20))*ms
 	}
 	at = max(at, l.newest[direction]) // messages of one link keep their order
 	l.newest[direction] = at
@@ -550,7 +467,7 @@
 
 // answered processes an answer to a client. If the answer leaves the outcome
 // open, the client submits the job again, at any entry.
-func (s *sim) answered(e *simEntry, id string, out Outcome) {
+func (s *sim) answered(e *simEntry, id string, out dispatch.Outcome) {
 	if s.attempt[id] != (simAttempt{e, e.owner()}) {
 		return // the client no longer waits there
 	}
@@ -567,7 +484,7 @@
 	}
 }
 
-var simClient = Owner{Entry: "client", Incarnation: 1}
+var simClient = dispatch.Owner{Entry: "client", Incarnation: 1}
 
 func (s *sim) submit(id string) {
 	s.submitAt(s.entries[s.rng.IntN(len(s.entries))], id)
@@ -578,17 +495,17 @@
 		s.after(simResend, func() { s.submit(id) })
 		return
 	}
-	job := Job{ID: id, Steps: []Step{{Count: 1 + s.rng.IntN(3), Need: Resources{CPUMilli: 1000}, Estimate: 150 * ms}}}
-	route := Route{Name: "r", MaxAttempts: 3, Stretch: 1.6, TargetLatency: 60 * ms}
+	job := dispatch.Job{ID: id, Steps: []dispatch.Step{{Count: 1 + s.rng.IntN(3), Need: dispatch.Resources{CPUMilli: 1000}, Estimate: 150 * ms}}}
+	route := dispatch.Route{Name: "r", MaxAttempts: 3, Stretch: 1.6, TargetLatency: 60 * ms}
 	s.attempt[id] = simAttempt{e, e.owner()}
 	s.submissions[id]++
 	e.run(e.incarnation, func() {
-		e.sched.Submit(s.now, Submission{Caller: simClient, Job: job, Route: route, Deadline: s.now + 1500*ms})
+		e.sched.Submit(s.now, dispatch.Submission{Caller: simClient, Job: job, Route: route, Deadline: s.now + 1500*ms})
 	})
 	attempt, waits := s.attempt[id]
 	if s.chance(0.2) && waits { // the connection breaks before an answer
 		incarnation := e.incarnation
-		s.after(Time(s.rng.IntN(200))*ms, func() {
+		s.after(dispatch.Time(s.rng.IntN(200))*ms, func() {
 			if s.attempt[id] != attempt {
 				return
 			}
@@ -607,11 +524,11 @@
 	case 0:
 		a.start() // killed and started again
 	case 1:
-		a.freeze(Time(100+s.rng.IntN(3000)) * ms)
+		a.freeze(dispatch.Time(100+s.rng.IntN(3000)) * ms)
 	case 2:
-		e.freeze(Time(100+s.rng.IntN(3000)) * ms)
+		e.freeze(dispatch.Time(100+s.rng.IntN(3000)) * ms)
 	case 3:
-		e.links[a.name].partitionedUntil = s.now + Time(100+s.rng.IntN(3000))*ms
+		e.links[a.name].partitionedUntil = s.now + dispatch.Time(100+s.rng.IntN(3000))*ms
 	case 4:
 		e.start()
 	}
@@ -620,11 +537,11 @@
 // newSim returns a simulation of started processes.
 func newSim(seed uint64, agents int) *sim {
 	s := &sim{
-		rng: rand.New(rand.NewPCG(seed, 1)), running: map[TaskRef]string{}, ended: map[result.Code]int{}, attempt: map[string]simAttempt{},
+		rng: rand.New(rand.NewPCG(seed, 1)), running: map[dispatch.TaskRef]string{}, ended: map[result.Code]int{}, attempt: map[string]simAttempt{},
 		submissions: map[string]int{}, started: map[string]bool{}, now: 10 * time.Second,
 	}
 	for i := range agents {
-		ep := &simEndpoint{s: s, name: fmt.Sprintf("e%d", i), clockRate: 1 - 0.02*s.rng.Float64(), runs: map[RunRef]bool{}, highest: map[TaskRef]int{}}
+		ep := newSimEndpoint(s, fmt.Sprintf("e%d", i))
 		s.agents = append(s.agents, &simAgent{s: s, name: fmt.Sprintf("a%d", i), endpoint: ep, links: map[string]int{}})
 	}
 	for i := range 2 {
@@ -641,11 +558,14 @@
 
 // play advances the time up to a moment, or to the first violation of a
 // guarantee.
-func (s *sim) play(until Time) {
-	for s.events.Len() > 0 && s.events[0].at < until && s.violation == "" {
-		ev := heap.Pop(&s.events).(simEvent)
-		s.now = ev.at
-		ev.do()
+func (s *sim) play(until dispatch.Time) {
+	for s.violation == "" {
+		at, do, ok := s.events.Next(until)
+		if !ok {
+			return
+		}
+		s.now = at
+		do()
 	}
 }
 
@@ -653,11 +573,11 @@
 	s := newSim(seed, 3)
 	s.faulty = faulty
 	for i := range simJobs {
-		s.after(Time(500+s.rng.IntN(8000))*ms, func() { s.submit(fmt.Sprintf("j%d", i)) })
+		s.after(dispatch.Time(500+s.rng.IntN(8000))*ms, func() { s.submit(fmt.Sprintf("j%d", i)) })
 	}
 	if faulty {
 		for range 8 {
-			s.after(Time(500+s.rng.IntN(8000))*ms, s.injectFault)
+			s.after(dispatch.Time(500+s.rng.IntN(8000))*ms, s.injectFault)
 		}
 	}
 	s.play(25 * time.Second)
@@ -693,7 +613,7 @@
 // as well.
 func TestAJobIsServedAfterAPause(t *testing.T) {
 	s := newSim(1, 1)
-	s.play(s.now + 4*PollWait)
+	s.play(s.now + 4*dispatch.PollWait)
 	s.submitAt(s.entries[0], "j")
 	s.play(s.now + 2*time.Second)
 	if s.ended[result.OK] != 1 {
