A simulation of the whole way from client to endpoint

The simulation of entries had a stand-in for agents that did not exit, and endpoints that did what they were told; that of dispatch had guards and model endpoints, but no entry between client and home. The new one plays three control states of entries before agents with real guards, which do what hosted/agent does with them, and model endpoints by the protocol, which crash and come back with a clock that starts anew. Bursts of faults that overlap: agents exit and freeze; endpoints crash, are cut off, mute, lossy, carry starts and stops out 2 to 12 s late; tasks stand still; entries are slow, lose power, and all that the simulation of entries has.

--- a/hosted/entry/sim_test.go
+++ b/hosted/entry/sim_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"container/heap"
 	"context"
 	"fmt"
 	"hash/fnv"
@@ -12,9 +11,8 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"bergamotwing.example/dispatch"
+	"bergamotwing.example/dispatch/dispatchtest"
 	"bergamotwing.example/hosted/control"
 	"bergamotwing.example/hosted/mesh"
 	"bergamotwing.example/platform"
@@ -53,35 +51,13 @@
 	simGroups       = 4 // of seeds, played at the same time
 )
 
-type simEvent struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type simQueue []simEvent
-
-func (q simQueue) Len() int { return len(q) }
-func (q simQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
-func (q *simQueue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return last
-}
-
 type sim struct {
 	options   Options // of the entries
 	rng       source
 	now       time.Duration
-	seq       int
 	seed      uint64
 	drawn     map[string]int // sources drawn, by what they are for
-	events    simQueue
+	events    dispatchtest.Queue
 	entries   []*simEntry
 	agents    []*simAgent
 	running   map[dispatch.TaskRef]string // agent and owner of a task that runs
@@ -89,11 +65,11 @@
 	violation string
 	ended     map[string]int
 	trace     []string
+	whole     *simWhole // set: hosts with real guards take the place of agents
 }
 
 func (s *sim) after(d time.Duration, do func()) {
-	s.seq++
-	heap.Push(&s.events, simEvent{s.now + d, s.seq, do})
+	s.events.Add(s.now+d, do)
 }
 
 // source draws random numbers.
@@ -117,15 +93,32 @@
 	deferred    []func()
 	waits       map[string]*simAttempt
 	links       []*simLink
+	open        []*simAttempt // of clients, in a whole simulation
+	slowUntil   time.Duration
+	slowBy      time.Duration // that each message is handled later
+	newest      time.Duration // when the newest message is handled
+	noPower     bool          // nothing refuses connections while it is down
 }
 
 // run calls do in the process that runs now or, if it is frozen, once it thaws.
 func (n *simEntry) run(incarnation int, do func()) {
+	if n.s.now < n.slowUntil || n.newest > 0 && n.s.now <= n.newest {
+		n.newest = max(n.newest, n.s.now)
+		if n.s.now < n.slowUntil {
+			n.newest = max(n.newest, n.s.now+n.slowBy)
+		}
+		n.s.after(n.newest-n.s.now, func() { n.handle(incarnation, do) })
+		return
+	}
+	n.handle(incarnation, do)
+}
+
+func (n *simEntry) handle(incarnation int, do func()) {
 	if n.e == nil || n.incarnation != incarnation {
 		return
 	}
 	if n.s.now < n.frozenUntil {
-		n.deferred = append(n.deferred, func() { n.run(incarnation, do) })
+		n.deferred = append(n.deferred, func() { n.handle(incarnation, do) })
 		return
 	}
 	do()
@@ -151,10 +144,10 @@
 func (n *simEntry) start() {
 	n.incarnation++
 	n.deferred = nil
-	n.frozenUntil = 0
+	n.frozenUntil, n.slowUntil, n.newest, n.noPower = 0, 0, 0, false
 	n.waits = map[string]*simAttempt{}
 	node := platform.Node{Name: n.hello.Name, IP: n.hello.Name, LinkPort: 1, Cores: 1, LinkMbps: 1000, ResendAfter: simResend}
-	n.e = New(node, n.s.options, control.Deps{Log: zerolog.Nop(), Metrics: simMetrics})
+	n.e = New(node, n.s.options, control.Deps{Log: n.s.logOf(n.hello.Name), Metrics: simMetrics})
 	cancelled, cancel := context.WithCancel(context.Background())
 	cancel()
 	n.e.ctx = cancelled // nothing is dialed
@@ -173,6 +166,9 @@
 	for _, a := range n.s.agents {
 		a.dial(n)
 	}
+	for _, h := range n.s.hosts() {
+		h.dial(n)
+	}
 }
 
 func (n *simEntry) tick(incarnation int) {
@@ -200,6 +196,11 @@
 	}
 	waits := n.waits
 	n.waits = map[string]*simAttempt{}
+	if n.s.whole != nil {
+		n.breakOpen()
+		n.s.after(pause, n.start)
+		return
+	}
 	for _, id := range sortedKeys(waits) {
 		waits[id].broken()
 	}
@@ -265,6 +266,8 @@
 type simEnd struct {
 	entry       *simEntry // nil: an agent
 	agent       *simAgent
+	host        *simHost // of guards
+	guards      *simGuards
 	incarnation int
 	link        *mesh.Link // as the process has it
 }
@@ -290,6 +293,9 @@
 	if l.ends[1].agent != nil {
 		return l.ends[1].agent.partitioned[l.ends[0].entry.hello.Name]
 	}
+	if l.ends[1].host != nil {
+		return l.ends[1].host.partitioned[l.ends[0].entry.hello.Name]
+	}
 	a, b := l.ends[0].entry, l.ends[1].entry
 	return l.s.partition[simPair(a, b)]
 }
@@ -306,17 +312,22 @@
 	l.newest[to] = at
 	l.s.after(at-l.s.now, func() {
 		if !l.closed {
-			l.deliver(to, func(e *simEntry, link *mesh.Link) { e.e.receive(l.s.now, control.Received{Link: link, Message: m}) }, func(a *simAgent) { a.receive(l, m) })
+			l.deliver(to, func(e *simEntry, link *mesh.Link) { e.e.receive(l.s.now, control.Received{Link: link, Message: m}) }, func(a *simAgent) { a.receive(l, m) },
+				func(a *simGuards, link *mesh.Link) { a.receive(link, m) })
 		}
 	})
 }
 
-func (l *simLink) deliver(to int, atEntry func(*simEntry, *mesh.Link), atAgent func(*simAgent)) {
+func (l *simLink) deliver(to int, atEntry func(*simEntry, *mesh.Link), atAgent func(*simAgent), atGuards func(*simGuards, *mesh.Link)) {
 	end := l.ends[to]
 	if end.entry != nil {
 		end.entry.run(end.incarnation, func() { atEntry(end.entry, end.link) })
 		return
 	}
+	if end.host != nil {
+		end.guards.run(func() { atGuards(end.guards, end.link) })
+		return
+	}
 	atAgent(end.agent)
 }
 
@@ -336,7 +347,8 @@
 			delay = max(until-l.s.now, 0) + l.rng.between(100*ms, 900*ms) // only its own timeout tells it
 		}
 		l.s.after(delay, func() {
-			l.deliver(side, func(e *simEntry, link *mesh.Link) { e.e.receive(l.s.now, control.LinkDown{Link: link}) }, func(a *simAgent) { a.linkDown(l) })
+			l.deliver(side, func(e *simEntry, link *mesh.Link) { e.e.receive(l.s.now, control.LinkDown{Link: link}) }, func(a *simAgent) { a.linkDown(l) },
+				func(a *simGuards, link *mesh.Link) { a.linkDown(link) })
 		})
 	}
 	a, b := l.ends[0], l.ends[1]
@@ -344,6 +356,10 @@
 		b.agent.dial(a.entry)
 		return
 	}
+	if b.host != nil {
+		b.host.dial(a.entry)
+		return
+	}
 	l.s.dial(a.entry, b.entry)
 }
 
@@ -355,6 +371,7 @@
 func (s *sim) dial(a, b *simEntry) {
 	s.after(s.source("dial "+a.hello.Name, b.hello.Name).between(2*ms, 40*ms), func() {
 		if a.e == nil || b.e == nil {
+			s.refuse(a, b)
 			return // the one that starts dials
 		}
 		if s.linked(a, b) {
@@ -604,6 +621,7 @@
 	reply chan dispatch.Outcome
 	tries int
 	until time.Duration // the client gives up
+	over  bool          // in a whole simulation: answered, or the client has left
 }
 
 func (s *sim) submit(id string, tries int, until time.Duration) {
@@ -619,14 +637,19 @@
 		return
 	}
 	n := up[s.rng.IntN(len(up))]
+	if s.whole != nil {
+		n = s.whole.entryFor(id, tries, up, n)
+	}
 	t := &simAttempt{s: s, id: id, entry: n, reply: make(chan dispatch.Outcome, 1), tries: tries, until: until}
 	incarnation := n.incarnation
 	s.log("%s sent to %s", id, n.hello.Name)
+	n.open = append(n.open, t)
 	n.run(incarnation, func() {
 		if old := n.waits[id]; old != nil {
 			n.takeAnswers()
 		}
 		n.waits[id] = t
+		s.log("%s handles %s", n.hello.Name, id)
 		job := dispatch.Job{ID: id, Steps: []dispatch.Step{{Count: 2, Need: dispatch.Resources{CPUMilli: 1000}, Estimate: simWork}}}
 		route := dispatch.Route{Name: "r", Service: simService, MaxAttempts: 3, Stretch: 2, TargetLatency: 500 * ms}
 		n.e.receive(s.now, submit{job: job, route: route, wait: until - s.now, deadline: until, reply: t.reply})
@@ -639,6 +662,10 @@
 // disconnect breaks the client's connection. The entry notices at once.
 func (t *simAttempt) disconnect() {
 	n := t.entry
+	if t.s.whole != nil {
+		t.leave()
+		return
+	}
 	if n.waits[t.id] != t {
 		return
 	}
@@ -662,6 +689,10 @@
 		select {
 		case out := <-t.reply:
 			delete(n.waits, id)
+			if t.over {
+				continue
+			}
+			t.over = true
 			n.s.ended[out.Code.String()]++
 			n.s.log("%s answered by %s: %v %s", id, n.hello.Name, out.Code, out.Detail)
 			if out.Code != result.OK && result.Lookup(out.Code).Ran != result.RanNo && out.Code != result.TaskFailed {
@@ -676,7 +707,8 @@
 func (s *sim) injectFault() {
 	n := s.entries[s.rng.IntN(len(s.entries))]
 	other := s.entries[s.rng.IntN(len(s.entries))]
-	a := s.agents[s.rng.IntN(len(s.agents))]
+	partitions := s.agentPartitions()
+	at := s.rng.IntN(len(partitions))
 	switch s.rng.IntN(9) {
 	case 0:
 		n.freeze(s.rng.between(100*ms, 2*time.Second))
@@ -711,17 +743,28 @@
 			s.partition[simPair(n, other)] = until
 		}
 	case 7:
-		a.partitioned[n.hello.Name] = s.now + s.rng.between(100*ms, 3*time.Second)
-		s.log("%s and %s partitioned until %v", n.hello.Name, a.name, a.partitioned[n.hello.Name])
+		partitions[at][n.hello.Name] = s.now + s.rng.between(100*ms, 3*time.Second)
+		s.log("%s and agent%d partitioned until %v", n.hello.Name, at, partitions[at][n.hello.Name])
 	case 8: // an entry loses most of its agents for a while, so that the home moves
 		until := s.now + s.rng.between(100*ms, 3*time.Second)
 		s.log("%s loses its agents until %v", n.hello.Name, until)
-		for _, a := range s.agents[1:] {
-			a.partitioned[n.hello.Name] = until
+		for _, p := range partitions[1:] {
+			p[n.hello.Name] = until
 		}
 	}
 }
 
+// agentPartitions returns the partitions of each agent from entries.
+func (s *sim) agentPartitions() (partitions []map[string]time.Duration) {
+	for _, a := range s.agents {
+		partitions = append(partitions, a.partitioned)
+	}
+	for _, h := range s.hosts() {
+		partitions = append(partitions, h.partitioned)
+	}
+	return partitions
+}
+
 var simTiming = dispatch.NewTiming(dispatch.Limits{})
 
 var simMetrics = func() *telemetry.Metrics {
@@ -735,13 +778,20 @@
 // newSim returns a simulation of started processes.
 func newSim(seed uint64) *sim { return newSimOf(seed, Options{}) }
 
-func newSimOf(seed uint64, o Options) *sim {
+func newSimOf(seed uint64, o Options) *sim { return newSimWith(seed, o, nil) }
+
+func newSimWith(seed uint64, o Options, whole *simWhole) *sim {
 	s := &sim{
+		whole:   whole,
 		options: o,
 		rng:     source{rand.New(rand.NewPCG(seed, 2))}, seed: seed, drawn: map[string]int{}, now: 10 * time.Second, running: map[dispatch.TaskRef]string{},
 		partition: map[string]time.Duration{}, ended: map[string]int{},
 	}
 	for i := range simAgents {
+		if whole != nil {
+			whole.hosts = append(whole.hosts, newSimHost(s, i))
+			continue
+		}
 		a := &simAgent{
 			s: s, name: fmt.Sprintf("agent%d", i), endpoint: dispatch.EndpointID{ID: fmt.Sprintf("endpoint%d", i), Born: 1}, links: map[string]*simAgentLink{},
 			lease: map[dispatch.Owner]time.Duration{}, runs: map[dispatch.RunRef]*simRun{}, highest: map[dispatch.TaskRef]int{}, partitioned: map[string]time.Duration{},
@@ -753,6 +803,9 @@
 	for i := range simEntries {
 		s.entries = append(s.entries, &simEntry{s: s, hello: wire.NodeHello{Name: fmt.Sprintf("entry%d", i)}})
 	}
+	if whole != nil {
+		whole.s = s
+	}
 	for _, n := range s.entries {
 		n.start()
 	}
@@ -761,10 +814,13 @@
 
 // play advances the time up to a moment, or to the first violation.
 func (s *sim) play(until time.Duration) {
-	for s.events.Len() > 0 && s.events[0].at < until && s.violation == "" {
-		ev := heap.Pop(&s.events).(simEvent)
-		s.now = ev.at
-		ev.do()
+	for s.violation == "" {
+		at, do, ok := s.events.Next(until)
+		if !ok {
+			return
+		}
+		s.now = at
+		do()
 	}
 }
 
