Runs are not over before a lease that a call for an earlier lifetime extended

A renewal that was sent to one lifetime of an endpoint can be carried out by the next one under the same id. That one's clock has begun anew, so the time lies far ahead and the endpoint shortens it to the longest lease, a second. The guard of the new lifetime counted with the leases that it had requested itself, and without an answer took the runs as lapsed while they went on.

Found by the simulation from client to endpoint: seed 1269 (task job68.0.1 starts 5 ms after its run 4 was reported as lapsed, while the endpoint lists that run), and seed 902 (a run goes on 1.3 s after its client got 502). Both fail without the change of guard.go. TestGuardLapsesNoRunUnderALeaseThatACallForAnEarlierLifetimeExtended failed first: 'reported as ended 80ms before the lease may end'.

The guard counts with the longest lease from its first answer on, as it did for runs of an earlier agent.

TestGuardReportsLapsedRunsOfAnUnreachableEndpoint starts its run a longest lease after the guard's first answers, with its bounds unchanged: in the first second, the lease that it checks is no longer the only one that may hold.

--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -551,6 +551,7 @@
 	}
 	if g.recoveryEnd == 0 {
 		g.recoveryEnd = s.Clock + recoveryTime
+		g.maxUntil = max(g.maxUntil, g.earlierUntil()) // by a call for an earlier lifetime or of an earlier agent
 	}
 	g.recovered = g.recovered || len(g.earlierRuns) == 0 && s.Clock >= g.recoveryEnd
 	if len(s.Ended) >= endsPerAnswer {
--- a/dispatch/guard_test.go
+++ b/dispatch/guard_test.go
@@ -626,6 +626,9 @@
 // clock, 2% slow at worst, is past the end of the last lease granted.
 func TestGuardReportsLapsedRunsOfAnUnreachableEndpoint(t *testing.T) {
 	g, now := newGuard(t)
+	now += testTiming.MaxLease // calls before the guard's extend the lease no longer
+	g.Polled(now, now, Snapshot{Clock: now - 5*time.Second, Born: 7})
+	g.RenewOwner(ownerA, now+testTiming.OwnerLease)
 	run := ref("j", 0, 1)
 	g.Start(now, order(ownerA, run, now))
 	g.StartAnswered(now+ms, run, CallResult{Clock: now - 5*time.Second + ms})
@@ -649,6 +652,27 @@
 	}
 }
 
+// A renewal that was sent to an earlier lifetime, or by an earlier agent, may be carried out
+// just before the guard's first poll, and its time is far in the future of a clock that
+// has begun anew: the endpoint shortens it to the longest lease.
+func TestGuardLapsesNoRunUnderALeaseThatACallForAnEarlierLifetimeExtended(t *testing.T) {
+	g, now := newGuard(t)
+	run := ref("j", 0, 1)
+	g.Start(now, order(ownerA, run, now))
+	g.TakeActions()
+	leaseEnd := now - recoveryTime + testTiming.MaxLease
+	for at := now; at < leaseEnd+200*ms; at += 5 * ms {
+		g.Tick(at)
+		if _, ended := ends(g.TakeActions())[run]; ended {
+			if at < leaseEnd {
+				t.Errorf("reported as ended %v before the lease may end", leaseEnd-at)
+			}
+			return
+		}
+	}
+	t.Error("not reported as ended")
+}
+
 // A run whose number cannot be read may be the one kept: it must not count as ended.
 func TestGuardKeepsARunThatIsListedWithoutItsNumber(t *testing.T) {
 	g, now := newGuard(t)
--- a/hosted/entry/simwhole_test.go
+++ b/hosted/entry/simwhole_test.go
@@ -339,6 +339,12 @@
 	return s
 }
 
+// wholeSeeds are seeds at which a task ran twice, or a run went on beyond its client's resend.
+var wholeSeeds = []uint64{
+	902,  // a lease that a renewal for the endpoint's earlier lifetime had extended: the run was given up as lapsed
+	1269, // the same, with the task's next run beside it
+}
+
 // No task runs twice at the same time on its way from clients over entries, homes and
 // agents to endpoints. BERGAMOTWING_SIM_SEEDS adds that many seeds to the fixed ones,
 // after BERGAMOTWING_SIM_FIRST; BERGAMOTWING_SIM_TRACE prints what happens in one seed.
@@ -356,7 +362,7 @@
 	const fixed = 24
 	more, _ := strconv.Atoi(os.Getenv("BERGAMOTWING_SIM_SEEDS")) // 0 if it is not set
 	first, _ := strconv.ParseUint(os.Getenv("BERGAMOTWING_SIM_FIRST"), 10, 64)
-	var seeds []uint64
+	seeds := slices.Clone(wholeSeeds)
 	for i := range uint64(fixed + more) {
 		seeds = append(seeds, first+i+1)
 	}
