--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -462,8 +462,12 @@
 func (g *Guard) leaseEnd(now Time) Time {
 	until := now + g.timing.MaxLease - lateMargin
 	for _, r := range g.runs {
+		if r.late && !r.listed {
+			continue // others do not wait for its stop
+		}
 		if r.late {
-			continue // it has no owner, and others do not wait for its stop
+			until = min(until, r.stopBy) // it has no owner
+			continue
 		}
 		until = min(until, g.owners[r.owner])
 		if r.stopRequested {
@@ -686,6 +690,7 @@
 	}
 	if g.recoveryEnd == 0 {
 		g.recoveryEnd = s.Clock + recoveryTime
+		g.maxUntil = max(g.maxUntil, g.earlierUntil()) // by a call for an earlier lifetime or of an earlier agent
 	}
 	g.recovered = g.recovered || len(g.earlierRuns) == 0 && s.Clock >= g.recoveryEnd
 	if len(s.Ended) >= endsPerAnswer {
