--- a/dispatch/guard_test.go
+++ b/dispatch/guard_test.go
@@ -1123,6 +1123,9 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			g, now := newGuard(t)
+			now += testTiming.MaxLease // calls before the guard's extend the lease no longer
+			g.Polled(now, now, Snapshot{Clock: now - 5*time.Second, Born: 7})
+			g.RenewOwner(ownerA, now+testTiming.OwnerLease)
 			g.Start(now, order(ownerA, run, now))
 			if test.accepted {
 				g.StartAnswered(now+ms, run, CallResult{Clock: now - 5*time.Second + ms})
