--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -286,6 +286,41 @@
 	}
 }
 
+// The earlier caller would submit its request again on a new link, and take the job back.
+func TestACallerThatIsReplacedByALaterOneIsAnswered(t *testing.T) {
+	for _, closed := range []bool{false, true} {
+		b := newBed(t, "e1")
+		submit := func(caller Owner, request uint64) {
+			b.s.Submit(b.now, Submission{
+				Caller: caller, Request: request, Job: Job{ID: "j", Steps: []Step{step(1)}}, Deadline: b.now + 2*time.Second,
+				Route: Route{Name: "r", MaxAttempts: 3, Stretch: 2, TargetLatency: 100 * ms},
+			})
+		}
+		ends := func() (ends []SchedulerAction) {
+			for _, a := range b.s.TakeActions() {
+				if a.Kind == FinishJob {
+					ends = append(ends, a)
+				}
+			}
+			return ends
+		}
+		submit(callerA, 1)
+		if closed {
+			b.s.Cancel(b.now, "j", callerA)
+			submit(callerA, 2)
+		}
+		b.s.TakeActions()
+		submit(callerA, 7) // of the same entry, which has answered its earlier request itself
+		if got := ends(); len(got) > 0 {
+			t.Errorf("closed %v: answered %+v", closed, got)
+		}
+		submit(callerB, 1)
+		if got := ends(); len(got) != 1 || got[0].Caller != callerA || got[0].Request != 7 || got[0].Outcome.Code != result.OutcomeUnknown {
+			t.Errorf("closed %v: answered %+v, want request 7 of the earlier caller", closed, got)
+		}
+	}
+}
+
 func TestTheSameJobAgainJoinsTheOneThatIsOpen(t *testing.T) {
 	b := newBed(t, "e1")
 	b.submit("j", callerA, 0, step(1))
@@ -527,15 +562,21 @@
 	}
 }
 
-func TestAnEndpointTakesOtherTasksWhileItsEarlierRunsAreStopped(t *testing.T) {
+// Other tasks would extend the lease of an earlier run that does not stop.
+func TestAnEndpointTakesOtherTasksOnceItsEarlierRunsAreOver(t *testing.T) {
 	b := newBed(t, "e")
 	b.submit("j", callerA, 0, step(2))
-	b.take()
+	old, _, _ := b.take()
 	b.replaceAgent("e", 2)
 	b.submit("wide", callerA, 0, step(4))
-	orders, _, _ := b.take()
-	if len(orders) != 2 {
-		t.Errorf("%d orders, want 2 beside two runs that may still use their capacity", len(orders))
+	for _, o := range old {
+		if orders, _, _ := b.take(); len(orders) != 0 {
+			t.Fatalf("%d orders beside an earlier run", len(orders))
+		}
+		b.s.Ended(b.now, o.Order, EndStopped, 0)
+	}
+	if orders, _, _ := b.take(); len(orders) != 4 {
+		t.Errorf("%d orders, want 4: the endpoint's capacity", len(orders))
 	}
 }
 
--- a/hosted/agent/endpoint.go
+++ b/hosted/agent/endpoint.go
@@ -51,9 +51,7 @@
 func (s *state) announced(now time.Duration, n platform.Announcement) {
 	e := s.endpoints[n.Endpoint]
 	if e == nil {
-		if s.newEndpoint(now, n) {
-			s.queueWrite(n)
-		}
+		s.announcedOther(now, n)
 		return
 	}
 	if n.Seq <= e.announced.Seq {
@@ -68,6 +66,18 @@
 	e.guard.Announced(now, n.Draining || s.stopping, n.Capacity)
 }
 
+// announcedOther handles a heartbeat of a lifetime that is not known. If another one of
+// the same id is, the heartbeat may be an earlier one's that comes late, and the time of
+// day at which a lifetime is born may have jumped back, so the endpoint is asked first.
+func (s *state) announcedOther(now time.Duration, n platform.Announcement) {
+	if !s.newEndpoint(now, n) {
+		s.unconfirmed[n.Endpoint.ID] = n
+		return
+	}
+	delete(s.unconfirmed, n.Endpoint.ID)
+	s.queueWrite(n)
+}
+
 // queueWrite queues an announcement to be written to the store, in place of an older
 // one that is not written yet.
 func (s *state) queueWrite(n platform.Announcement) {
@@ -87,25 +97,31 @@
 	}
 }
 
-// endIfUnresponsive ends a lifetime that has neither sent a heartbeat nor answered a
-// poll for longer than maxMissedHeartbeats heartbeats take.
+// endIfUnresponsive gives up a lifetime that has neither sent a heartbeat nor answered a
+// poll for longer than maxMissedHeartbeats heartbeats take. One whose id another lifetime
+// has taken over is given up only after that one: it may still carry out starts.
 func (s *state) endIfUnresponsive(now time.Duration, e *endpoint) {
 	limit := maxMissedHeartbeats * s.a.node.Heartbeat
-	if now-e.lastHeartbeat > limit && e.guard.SinceLastAnswer(now) > limit {
+	if now-e.lastHeartbeat <= limit || e.guard.SinceLastAnswer() <= limit {
+		return
+	}
+	next := s.endpoints[dispatch.EndpointID{ID: e.announced.Endpoint.ID, Born: e.guard.Born()}]
+	if next == nil || next == e {
 		e.guard.End(now)
 	}
 }
 
-// newEndpoint adds a lifetime of an endpoint, and reports false if a newer one of
-// the same id is known. An older lifetime of the same id is over; its guard is kept
-// until none of its starts can be carried out by the new one.
+// newEndpoint adds a lifetime of an endpoint. It reports false, and asks the endpoint, if
+// another one of the same id is known and no answer has said that this one has replaced
+// it. The guard of a replaced lifetime is kept until none of its starts can be carried
+// out by the new one.
 func (s *state) newEndpoint(now time.Duration, n platform.Announcement) bool {
 	for id, e := range s.endpoints {
 		if id.ID != n.Endpoint.ID {
 			continue
 		}
-		if id.Born > n.Endpoint.Born {
-			return false // delivered late, from an earlier lifetime
+		if !s.isReplacedBy(now, e, n) {
+			return false
 		}
 		e.guard.Replaced(now, n.Endpoint.Born)
 	}
@@ -127,6 +143,7 @@
 		}
 	}
 	e.guard.Announced(now, n.Draining || s.stopping, n.Capacity)
+	s.stopLateStarts(now, e)
 	s.a.deps.Log.Info().Str("event", "endpoint_found").Str("endpoint", n.Endpoint.ID).Int64("born", n.Endpoint.Born).
 		Str("addr", n.Addr).Int("cpu_milli", n.Capacity.CPUMilli).Msg("endpoint found")
 	for range watchers {
@@ -135,6 +152,29 @@
 	return true
 }
 
+// stopLateStarts stops starts of ended runs in the lifetime that has the endpoint's id, if
+// it is another than the one in which they are certain not to be carried out any more.
+func (s *state) stopLateStarts(now time.Duration, e *endpoint) {
+	for i, l := range s.lateStarts {
+		if l.endpoint == e.announced.Endpoint.ID && l.born != e.guard.Born() {
+			e.guard.StopLate(now, l.run)
+			s.lateStarts[i].born = e.guard.Born()
+		}
+	}
+}
+
+func (s *state) isReplacedBy(now time.Duration, e *endpoint, n platform.Announcement) bool {
+	known := e.guard.Born()
+	switch {
+	case known == n.Endpoint.Born:
+		return true
+	case known == 0, e.announced.Addr != n.Addr: // no answer of the new lifetime would tell
+		return known < n.Endpoint.Born
+	}
+	e.guard.Ask(now)
+	return false
+}
+
 // endpointEnded handles the message that an endpoint sends last: its lifetimes here
 // take no new tasks unless they announce themselves again.
 func (s *state) endpointEnded(now time.Duration, id string) {
@@ -174,7 +214,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	return client.Poll(ctx, until, acknowledged, wait)
+	sent := mesh.Now()
+	snapshot, err := client.Poll(ctx, until, acknowledged, wait)
+	snapshot.Sent, snapshot.Acknowledged = sent, acknowledged
+	return snapshot, err
 }
 
 func (s *state) startAnswered(now time.Duration, m startAnswered) {
@@ -207,6 +250,10 @@
 	}
 	if m.err == nil {
 		e.guard.Polled(now, m.received, m.snapshot)
+		s.stopLateStarts(now, e)
+		if n, ok := s.unconfirmed[m.endpoint.ID]; ok && n.Endpoint.Born == e.guard.Born() {
+			s.announcedOther(now, n)
+		}
 		s.countOddRuns(e, m.snapshot.Odd)
 	}
 	if m.next != nil {
@@ -261,7 +308,10 @@
 			a.actor.Send(polled{endpoint: id, received: mesh.Now(), snapshot: snapshot, err: err})
 		}()
 	case dispatch.ReportEnd:
-		s.reportEnd(now, action.Owner, wire.EndedRun{Run: action.Run, Order: action.Order, Reason: action.Reason, Age: action.Age})
+		s.reportEnd(now, action)
+		if action.MayStart {
+			s.lateStarts = append(s.lateStarts, lateStart{id.ID, action.Run, e.guard.Born(), now})
+		}
 	case dispatch.StatusChanged:
 		s.reportStatus(e)
 	case dispatch.FoundUnknown:
--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -36,6 +36,9 @@
 	Endpoints    int           `cbor:"5,keyasint,omitempty"` // number of available endpoints that the sender may place tasks on; entries only
 	Home         bool          `cbor:"6,keyasint,omitempty"` // the sender places tasks; entries only
 	Waiting      int           `cbor:"7,keyasint,omitempty"` // number of jobs with tasks that wait for capacity at the sender; entries only
+	// ReceiverHome says that the sender takes the receiver for the home of a shard, which
+	// the receiver may not know, and so expects frequent heartbeats; between entries only.
+	ReceiverHome bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Member returns the sender as a member.
@@ -75,6 +78,13 @@
 	MayHaveRun bool           `cbor:"4,keyasint,omitempty"`
 	Shard      int            `cbor:"5,keyasint,omitempty"` // of the service, from 0
 	Echo       time.Duration  `cbor:"6,keyasint,omitempty"` // newest clock reading that the sender has received from the receiver; 0: from a build that sends none
+	// Request numbers the clients' requests of the sender's incarnation, from 1. A request
+	// that is submitted again keeps its number. 0: from a build that sends none.
+	Request uint64 `cbor:"7,keyasint,omitempty"`
+	// Elsewhere is a shard, from 1, to which the job is to be submitted if the receiver does
+	// not have it, since jobs wait at the receiver and not there. 0: none.
+	Elsewhere int  `cbor:"8,keyasint,omitempty"`
+	Refused   bool `cbor:"9,keyasint,omitempty"` // another shard has refused the job, so it is not there
 }
 
 // ShardCounts holds the number of shards of each service, as the sender has it.
@@ -101,6 +111,10 @@
 	Job     string           `cbor:"1,keyasint"`
 	Outcome dispatch.Outcome `cbor:"2,keyasint"`
 	Shard   int              `cbor:"3,keyasint,omitempty"` // of the submission, from 1; 0: from a build that does not say
+	Request uint64           `cbor:"4,keyasint,omitempty"` // of the submission; 0: from a build that does not say
+	// Elsewhere is the shard, from 1, to which the job is to be submitted instead; the code
+	// is Overloaded then. 0: none.
+	Elsewhere int `cbor:"5,keyasint,omitempty"`
 }
 
 // EndpointReport reports the status of an endpoint to an entry.
