Known red: a renewal for an earlier lifetime keeps runs beside the next ones

A renewal that is carried out after the first answers to the new lifetime's guard extends the lease beyond what that guard counts with. No time that the guard could wait is long enough, as calls may be carried out seconds late.

--- a/hosted/entry/simwhole_test.go
+++ b/hosted/entry/simwhole_test.go
@@ -381,6 +381,12 @@
 	}, true)
 }
 
+// A renewal for an earlier lifetime that is carried out after the first answers to the next
+// one's guard extends the lease of the next one's runs, which are then given up too early.
+func TestNoRenewalForAnEarlierLifetimeKeepsRunsBesideTheNextOnes(t *testing.T) {
+	playWhole(t, []uint64{11400, 11609, 11848}, false) // carried out 0.7, 0.6 and 1.3 s after the lifetime began
+}
+
 // playWhole plays seeds, and logs the least gaps.
 func playWhole(t *testing.T, seeds []uint64, startsCross bool) {
 	t.Helper()
