A job that all shards have refused is tried again when it comes again

Callers: a client that came again after a refusal was refused at once, though there was room by then. TestAJobThatAllShardsHaveRefusedIsServedWhenItComesAgain failed ('0 orders, want one'); it passes. The job stays at the last shard named.

--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -91,6 +91,7 @@
 	elsewhere   int              // shard, from 1, for a job that its home does not have yet; 0: none
 	shardsTried int              // shards that have refused the job
 	shardsLeft  int              // shards that have named another one for the job
+	stays       bool             // where it is submitted: it has been refused, or all shards name each other
 	refusal     dispatch.Outcome // of the shard that would take the job the soonest
 	firstPeer   *mesh.Peer       // link on which the job was first submitted to home
 }
@@ -289,7 +290,7 @@
 func (s *state) submitTo(now time.Duration, r *request, home string) bool {
 	if home == s.e.self.Name {
 		r.home = s.e.owner()
-		if index, moved := s.moveJob(r.job.ID, r.shard, r.elsewhere, r.shardsTried > 0, r.deadline); moved {
+		if index, moved := s.moveJob(r.job.ID, r.shard, r.elsewhere, r.stays, r.deadline); moved {
 			s.jobMoved(now, r, index)
 			return true
 		}
@@ -316,7 +317,7 @@
 	}
 	_ = p.Send(&wire.JobSubmit{ // resent on the next link
 		Job: r.job, Route: r.route, Shard: r.shard.Index, Wait: r.deadline - now, MayHaveRun: r.firstPeer != p, Echo: p.Clock, Request: r.number,
-		Elsewhere: r.elsewhere, Refused: r.shardsTried > 0,
+		Elsewhere: r.elsewhere, Stays: r.stays,
 	})
 }
 
@@ -335,16 +336,15 @@
 		return
 	}
 	r.shard.Index = (r.shard.Index + 1) % count
-	r.firstPeer, r.elsewhere = nil, 0
+	r.firstPeer, r.elsewhere, r.stays = nil, 0, true
 	s.submitToHome(now, r)
 }
 
-// jobMoved submits a request to the shard that the job has gone to.
+// jobMoved submits a request to the shard that the job has gone to. If no shard has the
+// job, since each has refused it, it stays at the last one.
 func (s *state) jobMoved(now time.Duration, r *request, index int) {
-	if r.shardsLeft++; r.shardsLeft > s.shardCounts.of(r.shard.Service) {
-		s.answer(r.job.ID, soonerRefusal(r.refusal, dispatch.Outcome{Code: result.Overloaded, Detail: "refused by all shards"}))
-		return
-	}
+	r.shardsLeft++
+	r.stays = r.shardsLeft >= s.shardCounts.of(r.shard.Service)
 	r.shard.Index = index
 	r.firstPeer, r.elsewhere = nil, 0
 	s.submitToHome(now, r)
@@ -352,12 +352,11 @@
 
 // moveJob returns the shard to which a job goes that is submitted to a shard held here:
 // the one to which it has gone before, so that a job that is sent again through another
-// entry joins the first submission; or elsewhere, if it is not here. A job that another
-// shard has refused stays.
-func (s *state) moveJob(job string, shard dispatch.Shard, elsewhere int, refused bool, deadline time.Duration) (index int, moved bool) {
+// entry joins the first submission; or elsewhere, if it is not here.
+func (s *state) moveJob(job string, shard dispatch.Shard, elsewhere int, stays bool, deadline time.Duration) (index int, moved bool) {
 	key := movedJob{job, shard}
 	count := s.shardCounts.of(shard.Service)
-	if refused || s.scheduler(shard).Has(job) {
+	if stays || s.scheduler(shard).Has(job) {
 		delete(s.moved, key)
 		return 0, false
 	}
--- a/hosted/entry/elsewhere_test.go
+++ b/hosted/entry/elsewhere_test.go
@@ -179,6 +179,29 @@
 	}
 }
 
+// A client that all shards have refused may come again while they still name each other.
+func TestAJobThatAllShardsHaveRefusedIsServedWhenItComesAgain(t *testing.T) {
+	h := newTwoHomes(t)
+	id := h.jobOf(0)
+	for _, p := range h.homes {
+		h.setAvailable(p, false)
+	}
+	h.wait(time.Second) // a new scheduler admits jobs without endpoints
+	h.homes[0].wantAnswer("the client", h.submit(h.first, id), result.Overloaded)
+	for _, p := range h.homes {
+		h.setAvailable(p, true)
+	}
+	h.wait(2 * passEvery)
+	for _, p := range h.homes {
+		p.toAgent.messages = nil
+	}
+	h.submit(h.first, id)
+	h.wait(2 * passEvery)
+	if n := len(h.homes[0].toAgent.orders()) + len(h.homes[1].toAgent.orders()); n != 1 {
+		t.Errorf("%d orders, want one", n)
+	}
+}
+
 // empty has no jobs wait at a home that fill has filled.
 func (h *twoHomes) empty(p *passing) {
 	for i := range fillers {
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -283,7 +283,7 @@
 		_ = p.Send(&wire.JobEnd{Job: m.Job.ID, Outcome: dispatch.Outcome{Code: result.StartTooLate}, Shard: m.Shard + 1, Request: m.Request}) // resumed on the next link if it is lost
 		return
 	}
-	if index, moved := s.moveJob(m.Job.ID, shard, m.Elsewhere, m.Refused, now+m.Wait); moved {
+	if index, moved := s.moveJob(m.Job.ID, shard, m.Elsewhere, m.Stays, now+m.Wait); moved {
 		_ = p.Send(&wire.JobEnd{Job: m.Job.ID, Outcome: dispatch.Outcome{Code: result.Overloaded}, Shard: m.Shard + 1, Request: m.Request, Elsewhere: index + 1}) // resumed on the next link if it is lost
 		return
 	}
--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -84,7 +84,7 @@
 	// Elsewhere is a shard, from 1, to which the job is to be submitted if the receiver does
 	// not have it, since jobs wait at the receiver and not there. 0: none.
 	Elsewhere int  `cbor:"8,keyasint,omitempty"`
-	Refused   bool `cbor:"9,keyasint,omitempty"` // another shard has refused the job, so it is not there
+	Stays     bool `cbor:"9,keyasint,omitempty"` // at this shard: another one has refused it, or all name each other
 }
 
 // ShardCounts holds the number of shards of each service, as the sender has it.
