--- a/hosted/entry/simwhole_test.go
+++ b/hosted/entry/simwhole_test.go
@@ -54,8 +54,8 @@
 }
 
 type simRunAt struct {
-	agent string
-	run   dispatch.RunRef
+	agent, entry string
+	run          dispatch.RunRef
 }
 
 // simGaps are the least times between the end of a run and the task's next start
@@ -105,7 +105,7 @@
 		s.violation = fmt.Sprintf("%v: task %v starts at %v for %s while run %d of it runs at %s for %s", s.now, run, h.id, owner.Entry, o.run.Run, o.host.name, o.owner.Entry)
 	}
 	if o := w.last[run.Task]; o != nil && o.host != h {
-		at := simRunAt{o.host.name, o.run}
+		at := simRunAt{o.host.name, o.owner.Entry, o.run}
 		kind := "another home"
 		switch {
 		case o.owner != owner:
@@ -118,6 +118,9 @@
 		}
 		w.gaps.add(kind, simGap{s.now - o.ended, 1, s.seed, fmt.Sprint(run)})
 	}
+	at := simRunAt{h.name, owner.Entry, run} // an earlier submission may have had a run of this number here
+	delete(w.reported, at)
+	delete(w.presumed, at)
 	w.active[run.Task] = &simStarted{host: h, run: run, owner: owner, started: s.now}
 }
 
@@ -134,7 +137,7 @@
 
 func (s *sim) runReported(h *simHost, owner dispatch.Owner, end wire.EndedRun) {
 	s.log("%s reports %v to %s: %v", h.name, end.Run, owner.Entry, end.Reason)
-	s.whole.reported[simRunAt{h.name, end.Run}] = end.Reason.String()
+	s.whole.reported[simRunAt{h.name, owner.Entry, end.Run}] = end.Reason.String()
 }
 
 // logOf returns the logger of an entry.
@@ -161,7 +164,7 @@
 			return 0, err
 		}
 		why, _, _ := bytes.Cut([]byte(e.Reason), []byte(","))
-		l.s.whole.presumed[simRunAt{e.Agent, dispatch.RunRef{Task: dispatch.TaskRef{Job: e.Job, Step: e.Step, Index: e.Task}, Run: e.Run}}] = string(why)
+		l.s.whole.presumed[simRunAt{e.Agent, l.entry, dispatch.RunRef{Task: dispatch.TaskRef{Job: e.Job, Step: e.Step, Index: e.Task}, Run: e.Run}}] = string(why)
 	}
 	return len(line), nil
 }
