No renewal names a time before the endpoint's beginning

Callers: none seen; the platform's page does not say how such a time is answered, and an answer other than a list would hide the endpoint's runs. Cause: since a new agent that has granted nothing, and is to stop a run that was handed over, sent renewals until 0 of its own clock, which is below zero on a younger endpoint's. TestNoRenewalNamesATimeBeforeTheEndpointsBeginning failed ('a poll until -5s'); it passes: such a poll extends no lease.

--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -808,7 +808,7 @@
 	}
 	if g.hasOwnedRuns() && now >= g.nextRenew && g.sampled != 0 && !g.replaced() && !g.ended {
 		g.nextRenew = now + renewEvery
-		g.emit(GuardAction{Kind: CallPoll, Until: g.grantLease(now)})
+		g.emit(GuardAction{Kind: CallPoll, Until: max(g.grantLease(now), 0)})
 	}
 	if g.LooksForEarlierRuns() && now >= g.nextPoll {
 		g.poll(now)
--- a/dispatch/guard_handover_test.go
+++ b/dispatch/guard_handover_test.go
@@ -23,3 +23,18 @@
 		t.Errorf("got %+v, want a start once the earlier run is over", calls)
 	}
 }
+
+// A guard that has granted nothing has no lease to renew for a run that was handed over.
+func TestNoRenewalNamesATimeBeforeTheEndpointsBeginning(t *testing.T) {
+	g, now := newGuard(t)
+	g.StopEarlier(now, ownerA, ref("earlier", 0, 1), 7)
+	for at := now; at < now+time.Second; at += 25 * ms {
+		g.RenewOwner(ownerA, at+testTiming.OwnerLease)
+		g.Tick(at)
+		for _, a := range takeCalls(g) {
+			if a.Kind == CallPoll && a.Until < 0 {
+				t.Fatalf("a poll until %v", a.Until)
+			}
+		}
+	}
+}
