Review: late start runs a task twice after a machine has lost power

The agent remembers unanswered starts in memory only, and calls to the executor carry no fencing token. A start carried out in the executor's next lifetime runs beside the task's next run.

Stand-ins in review/standin.

--- /dev/null
+++ b/review/standin/cases.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Bounds of the pages.
+const (
+	cancelTime  = 3 * time.Second
+	stopTimeout = 50 * time.Millisecond
+	// checkSlack is added to bounds for the delays of this machine.
+	checkSlack = 250 * time.Millisecond
+)
+
+// waitFor polls a condition.
+func waitFor(limit time.Duration, cond func() bool) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if cond() {
+			return true
+		}
+	}
+	return cond()
+}
+
+// playCancel has a client cancel its job after the front machine of its zone was stopped
+// and started again: the job was submitted to another machine, and the cancel comes to
+// that of the zone.
+func playCancel(d *deployment, trouble bool) ([]string, error) {
+	settle()
+	home := d.fronts[0]
+	if trouble {
+		home.signal(syscall.SIGTERM)
+		if !waitFor(5*time.Second, func() bool { return !home.rotates() }) {
+			return nil, errors.New("the machine stays in rotation")
+		}
+	}
+	job, answered := newID(), make(chan answer, 1)
+	first := d.frontFor(0)
+	go func() {
+		answered <- d.call(context.Background(), first, http.MethodPost, job, jobBody(2, 9000, 6200), 14*time.Second)
+	}()
+	if !waitFor(2*time.Second, func() bool { return len(d.rec.spansOf(job)) == 2 }) {
+		return nil, errors.New("the job's tasks do not run")
+	}
+	if trouble {
+		if !home.waitExited(7 * time.Second) {
+			return nil, errors.New("the process does not end")
+		}
+		if err := home.start(); err != nil {
+			return nil, err
+		}
+		if !waitFor(6*time.Second, home.rotates) {
+			return nil, errors.New("the machine does not come back")
+		}
+	}
+	time.Sleep(2 * time.Second)
+	a := d.call(context.Background(), d.frontFor(0), http.MethodDelete, job, "", 4*time.Second)
+	acknowledged := d.rec.now()
+	if a.status != http.StatusOK && a.status != http.StatusGone {
+		return nil, fmt.Errorf("the cancel was answered %d", a.status)
+	}
+	<-answered
+	limit := acknowledged + cancelTime + stopTimeout + checkSlack
+	var breaks []string
+	for _, s := range d.rec.spansOf(job) {
+		if s.end > limit {
+			breaks = append(breaks, fmt.Sprintf("UNASKED: cancel acknowledged at %.3f s, %v, %.0f ms past the bound",
+				acknowledged.Seconds(), s, 1000*(s.end-acknowledged-cancelTime-stopTimeout).Seconds()))
+		}
+	}
+	return breaks, nil
+}
+
+func twice(found []string) []string {
+	for i, f := range found {
+		found[i] = "TWICE: " + f
+	}
+	return found
+}
+
+// playLate has a side machine lose power after its executor has left a start unanswered.
+// The executor starts again under its id, and carries the start out there.
+func playLate(d *deployment, trouble bool) ([]string, error) {
+	const (
+		lateBy    = 8 * time.Second // 2 to 12 s
+		powerless = 3 * time.Second // 3.5 s at most
+	)
+	settle()
+	stop := d.startTraffic()
+	defer stop()
+	time.Sleep(8 * time.Second) // the executor's clock is ahead of that of its next lifetime
+	job, answered := newID(), make(chan answer, 1)
+	late := make(chan *machine, 1)
+	if trouble {
+		var first sync.Once
+		for _, m := range d.sides {
+			m.executor.leaveUnanswered(func(o order) (by time.Duration) {
+				if strings.HasPrefix(o.Task, job+".") {
+					first.Do(func() {
+						by = lateBy
+						late <- m
+					})
+				}
+				return by
+			})
+		}
+	}
+	go func() {
+		answered <- d.call(context.Background(), d.frontFor(0), http.MethodPost, job, jobBody(1, 9000, 6200), 14*time.Second)
+	}()
+	if !waitFor(3*time.Second, func() bool { return len(d.rec.spansOf(job)) > 0 }) {
+		return nil, errors.New("the job's task does not run")
+	}
+	if trouble {
+		m := <-late
+		time.Sleep(time.Second)
+		m.signal(syscall.SIGKILL)
+		m.executor.crash()
+		time.Sleep(powerless)
+		if err := errors.Join(m.start(), m.executor.start()); err != nil {
+			return nil, err
+		}
+	}
+	<-answered
+	time.Sleep(500 * time.Millisecond)
+	return twice(overlaps(d.rec.allSpans())), nil
+}
