Review: a cancel is answered 404 once the job's route is dropped

serveClient answers 404 for a route that is not in force before it looks at the method, so a DELETE does not reach the job that the entry holds.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -14,6 +14,8 @@
 // Bounds of the pages.
 const (
 	cancelTime  = 3 * time.Second
+	ackTime     = 4 * time.Second
+	configApply = 2 * time.Second
 	stopTimeout = 50 * time.Millisecond
 	// checkSlack is added to bounds for the delays of this machine.
 	checkSlack = 250 * time.Millisecond
@@ -29,6 +31,17 @@
 	return cond()
 }
 
+// beyondCancel returns the runs of a job that go on for longer than its cancel allows.
+func (r *record) beyondCancel(job string, acknowledged time.Duration) []string {
+	var breaks []string
+	for _, s := range r.spansOf(job) {
+		if past := s.end - acknowledged - cancelTime - stopTimeout; past > checkSlack {
+			breaks = append(breaks, fmt.Sprintf("UNASKED: cancel counts from %.3f s, %v, %.0f ms past the bound", acknowledged.Seconds(), s, 1000*past.Seconds()))
+		}
+	}
+	return breaks
+}
+
 // playCancel has a client cancel its job after the front machine of its zone was stopped
 // and started again: the job was submitted to another machine, and the cancel comes to
 // that of the zone.
@@ -67,15 +80,7 @@
 		return nil, fmt.Errorf("the cancel was answered %d", a.status)
 	}
 	<-answered
-	limit := acknowledged + cancelTime + stopTimeout + checkSlack
-	var breaks []string
-	for _, s := range d.rec.spansOf(job) {
-		if s.end > limit {
-			breaks = append(breaks, fmt.Sprintf("UNASKED: cancel acknowledged at %.3f s, %v, %.0f ms past the bound",
-				acknowledged.Seconds(), s, 1000*(s.end-acknowledged-cancelTime-stopTimeout).Seconds()))
-		}
-	}
-	return breaks, nil
+	return d.rec.beyondCancel(job, acknowledged), nil
 }
 
 func twice(found []string) []string {
@@ -132,3 +137,34 @@
 	time.Sleep(500 * time.Millisecond)
 	return twice(overlaps(d.rec.allSpans())), nil
 }
+
+// playDropped has a client cancel its job after a desired state has dropped the job's
+// route. The client tries for AckMs, and the cancel counts from then on.
+func playDropped(d *deployment, trouble bool) ([]string, error) {
+	settle()
+	job, answered := newID(), make(chan answer, 1)
+	front := d.frontFor(0)
+	go func() {
+		answered <- d.call(context.Background(), front, http.MethodPost, job, jobBody(2, 13000, 6200), 18*time.Second)
+	}()
+	if !waitFor(2*time.Second, func() bool { return len(d.rec.spansOf(job)) == 2 }) {
+		return nil, errors.New("the job's tasks do not run")
+	}
+	time.Sleep(500 * time.Millisecond)
+	if trouble {
+		d.setConfig(9, otherRoute)
+	}
+	time.Sleep(configApply + 500*time.Millisecond)
+	began := d.rec.now()
+	acknowledged := began + ackTime
+	for d.rec.now() < began+ackTime {
+		a := d.call(context.Background(), d.frontFor(0), http.MethodDelete, job, "", ackTime)
+		if a.status == http.StatusOK || a.status == http.StatusGone {
+			acknowledged = d.rec.now()
+			break
+		}
+		time.Sleep(time.Second)
+	}
+	<-answered
+	return d.rec.beyondCancel(job, acknowledged), nil
+}
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -68,7 +68,7 @@
 	if err := d.serve(d.ip(250), platformPort, d.store); err != nil {
 		return d, err
 	}
-	d.setConfig()
+	d.setConfig(7, ownRoute, otherRoute)
 	for i, zone := range zones {
 		d.fronts = append(d.fronts, &machine{name: "front-" + zone + "-1", role: "entry", zone: zone, ip: d.ip(10 + i), d: d})
 	}
@@ -112,19 +112,32 @@
 	return nil
 }
 
-func (d *deployment) setConfig() {
-	d.store.put("op", "config", map[string]any{
-		"Version": 7,
-		"Routes": []map[string]any{{
-			"Name": "r-3hwrr6x", "Host": routeHost, "Prefix": prefix, "Kind": "unsafe", "TimeoutMs": 1500, "TargetLatencyMs": 60,
+// route is a route of the desired state.
+type route struct{ name, host, prefix string }
+
+var (
+	ownRoute   = route{"r-3hwrr6x", routeHost, prefix}
+	otherRoute = route{"r-73d3zji", "ficu95.example", "/pufi791/"}
+)
+
+// setConfig writes a desired state.
+func (d *deployment) setConfig(version int, routes ...route) {
+	var rows []map[string]any
+	for _, r := range routes {
+		rows = append(rows, map[string]any{
+			"Name": r.name, "Host": r.host, "Prefix": r.prefix, "Kind": "unsafe", "TimeoutMs": 1500, "TargetLatencyMs": 60,
 			"Priority": 0, "Service": service, "MaxAttempts": 4, "Stretch": 1.6,
-		}},
+		})
+	}
+	d.store.put("op", "config", map[string]any{
+		"Version": version, "Routes": rows,
 		"Services": []map[string]any{{
 			"Name": service, "HealthPath": "/health", "MaxConns": 64, "Protocol": "h1", "Tls": false, "ColdStartS": 0,
 			"ColdPerS": 0, "AdmissionCheck": true, "Spare": false,
 		}},
 		"Limits": map[string]int{"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 	})
+	d.rec.note("desired state %d with the routes %v", version, routes)
 }
 
 // settings returns the settings file of a machine.
--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -59,6 +59,13 @@
 	how  string
 }
 
+// Paths of the calls.
+const (
+	startPath = "/-/run-start"
+	stopPath  = "/-/run-stop"
+	holdPath  = "/-/hold"
+)
+
 // order is the body of every call.
 type order struct {
 	Task         string
@@ -188,16 +195,16 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.URL.Path == startPath && e.delayed(o) {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	switch r.URL.Path {
-	case "/-/run-start":
-		if e.delayed(o) {
-			<-r.Context().Done()
-			panic(http.ErrAbortHandler)
-		}
+	case startPath:
 		e.answer(w, o, e.begin)
-	case "/-/run-stop":
+	case stopPath:
 		e.answer(w, o, e.stop)
-	case "/-/hold":
+	case holdPath:
 		e.hold(w, r, o)
 	default:
 		w.WriteHeader(http.StatusNotFound)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,8 +26,9 @@
 	sides int
 	play  trial
 }{
-	"cancel": {11, playCancel},
-	"late":   {11, playLate},
+	"cancel":  {11, playCancel},
+	"late":    {11, playLate},
+	"dropped": {11, playDropped},
 }
 
 func main() { os.Exit(run()) }
