Review: a renewal for an earlier lifetime runs a task twice

A late renewal extends the lease of the executor's next lifetime beyond what the guard has granted there; the guard takes the runs as lapsed.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -168,3 +168,72 @@
 	<-answered
 	return d.rec.beyondCancel(job, acknowledged), nil
 }
+
+// playRenewal has an executor leave a renewal of its lease unanswered, and start again
+// under its id. It carries the renewal out there while it is cut off from its agent, in
+// the moment in which another client leaves.
+func playRenewal(d *deployment, trouble bool) ([]string, error) {
+	const (
+		down      = 500 * time.Millisecond // 4.5 s at most
+		cutAfter  = 5 * time.Second        // from the renewal
+		lateBy    = cutAfter + 350*time.Millisecond
+		cutLength = 4 * time.Second // 5.5 s at most
+		leaveTime = 250 * time.Millisecond
+		taskCPU   = 20000
+		shortMs   = 800
+		longMs    = 5000
+	)
+	settle()
+	time.Sleep(4 * time.Second) // the executor's clock is ahead of that of its next lifetime
+	e := d.sides[0].executor
+	late := make(chan time.Time, 1)
+	if trouble {
+		var first sync.Once
+		e.leaveUnanswered(func(o order) (by time.Duration) {
+			if o.Task == "" {
+				first.Do(func() {
+					by = lateBy
+					late <- time.Now()
+				})
+			}
+			return by
+		})
+	}
+	submit := func(ms int) (answered chan answer, leave func()) {
+		ctx, cancel := context.WithCancel(context.Background())
+		answered = make(chan answer, 1)
+		go func() {
+			answered <- d.call(ctx, d.frontFor(0), http.MethodPost, newID(), jobBody(len(d.sides), ms, taskCPU), 14*time.Second)
+		}()
+		return answered, cancel
+	}
+	began := time.Now()
+	first, _ := submit(shortMs)
+	if trouble {
+		select {
+		case began = <-late:
+		case <-time.After(2 * time.Second):
+			return nil, errors.New("the agent sends no renewal")
+		}
+		e.crash()
+		time.Sleep(down)
+		if err := e.start(); err != nil {
+			return nil, err
+		}
+	}
+	<-first
+	time.Sleep(time.Until(began.Add(cutAfter - time.Second)))
+	stays, _ := submit(longMs)
+	leaves, leave := submit(longMs)
+	time.Sleep(time.Until(began.Add(cutAfter)))
+	if trouble {
+		e.setCut(true)
+		time.AfterFunc(cutLength, func() { e.setCut(false) })
+	}
+	time.Sleep(leaveTime)
+	leave()
+	<-leaves
+	<-stays
+	time.Sleep(500 * time.Millisecond)
+	return twice(overlaps(d.rec.allSpans())), nil
+}
