--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -5,8 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"strings"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -16,6 +14,7 @@
 	cancelTime  = 3 * time.Second
 	ackTime     = 4 * time.Second
 	configApply = 2 * time.Second
+	contactTime = 3 * time.Second
 	stopTimeout = 50 * time.Millisecond
 	// checkSlack is added to bounds for the delays of this machine.
 	checkSlack = 250 * time.Millisecond
@@ -83,61 +82,6 @@
 	return d.rec.beyondCancel(job, acknowledged), nil
 }
 
-func twice(found []string) []string {
-	for i, f := range found {
-		found[i] = "TWICE: " + f
-	}
-	return found
-}
-
-// playLate has a side machine lose power after its executor has left a start unanswered.
-// The executor starts again under its id, and carries the start out there.
-func playLate(d *deployment, trouble bool) ([]string, error) {
-	const (
-		lateBy    = 8 * time.Second // 2 to 12 s
-		powerless = 3 * time.Second // 3.5 s at most
-	)
-	settle()
-	stop := d.startTraffic()
-	defer stop()
-	time.Sleep(8 * time.Second) // the executor's clock is ahead of that of its next lifetime
-	job, answered := newID(), make(chan answer, 1)
-	late := make(chan *machine, 1)
-	if trouble {
-		var first sync.Once
-		for _, m := range d.sides {
-			m.executor.leaveUnanswered(func(o order) (by time.Duration) {
-				if strings.HasPrefix(o.Task, job+".") {
-					first.Do(func() {
-						by = lateBy
-						late <- m
-					})
-				}
-				return by
-			})
-		}
-	}
-	go func() {
-		answered <- d.call(context.Background(), d.frontFor(0), http.MethodPost, job, jobBody(1, 9000, 6200), 14*time.Second)
-	}()
-	if !waitFor(3*time.Second, func() bool { return len(d.rec.spansOf(job)) > 0 }) {
-		return nil, errors.New("the job's task does not run")
-	}
-	if trouble {
-		m := <-late
-		time.Sleep(time.Second)
-		m.signal(syscall.SIGKILL)
-		m.executor.crash()
-		time.Sleep(powerless)
-		if err := errors.Join(m.start(), m.executor.start()); err != nil {
-			return nil, err
-		}
-	}
-	<-answered
-	time.Sleep(500 * time.Millisecond)
-	return twice(overlaps(d.rec.allSpans())), nil
-}
-
 // playDropped has a client cancel its job after a desired state has dropped the job's
 // route. The client tries for AckMs, and the cancel counts from then on.
 func playDropped(d *deployment, trouble bool) ([]string, error) {
@@ -145,7 +89,7 @@
 	job, answered := newID(), make(chan answer, 1)
 	front := d.frontFor(0)
 	go func() {
-		answered <- d.call(context.Background(), front, http.MethodPost, job, jobBody(2, 13000, 6200), 18*time.Second)
+		answered <- d.call(context.Background(), front, http.MethodPost, job, jobBody(2, 15000, 6200), 20*time.Second)
 	}()
 	if !waitFor(2*time.Second, func() bool { return len(d.rec.spansOf(job)) == 2 }) {
 		return nil, errors.New("the job's tasks do not run")
@@ -154,7 +98,7 @@
 	if trouble {
 		d.setConfig(9, otherRoute)
 	}
-	time.Sleep(configApply + 500*time.Millisecond)
+	time.Sleep(configApply + contactTime)
 	began := d.rec.now()
 	acknowledged := began + ackTime
 	for d.rec.now() < began+ackTime {
@@ -168,72 +112,3 @@
 	<-answered
 	return d.rec.beyondCancel(job, acknowledged), nil
 }
-
-// playRenewal has an executor leave a renewal of its lease unanswered, and start again
-// under its id. It carries the renewal out there while it is cut off from its agent, in
-// the moment in which another client leaves.
-func playRenewal(d *deployment, trouble bool) ([]string, error) {
-	const (
-		down      = 500 * time.Millisecond // 4.5 s at most
-		cutAfter  = 5 * time.Second        // from the renewal
-		lateBy    = cutAfter + 350*time.Millisecond
-		cutLength = 4 * time.Second // 5.5 s at most
-		leaveTime = 250 * time.Millisecond
-		taskCPU   = 20000
-		shortMs   = 800
-		longMs    = 5000
-	)
-	settle()
-	time.Sleep(4 * time.Second) // the executor's clock is ahead of that of its next lifetime
-	e := d.sides[0].executor
-	late := make(chan time.Time, 1)
-	if trouble {
-		var first sync.Once
-		e.leaveUnanswered(func(o order) (by time.Duration) {
-			if o.Task == "" {
-				first.Do(func() {
-					by = lateBy
-					late <- time.Now()
-				})
-			}
-			return by
-		})
-	}
-	submit := func(ms int) (answered chan answer, leave func()) {
-		ctx, cancel := context.WithCancel(context.Background())
-		answered = make(chan answer, 1)
-		go func() {
-			answered <- d.call(ctx, d.frontFor(0), http.MethodPost, newID(), jobBody(len(d.sides), ms, taskCPU), 14*time.Second)
-		}()
-		return answered, cancel
-	}
-	began := time.Now()
-	first, _ := submit(shortMs)
-	if trouble {
-		select {
-		case began = <-late:
-		case <-time.After(2 * time.Second):
-			return nil, errors.New("the agent sends no renewal")
-		}
-		e.crash()
-		time.Sleep(down)
-		if err := e.start(); err != nil {
-			return nil, err
-		}
-	}
-	<-first
-	time.Sleep(time.Until(began.Add(cutAfter - time.Second)))
-	stays, _ := submit(longMs)
-	leaves, leave := submit(longMs)
-	time.Sleep(time.Until(began.Add(cutAfter)))
-	if trouble {
-		e.setCut(true)
-		time.AfterFunc(cutLength, func() { e.setCut(false) })
-	}
-	time.Sleep(leaveTime)
-	leave()
-	<-leaves
-	<-stays
-	time.Sleep(500 * time.Millisecond)
-	return twice(overlaps(d.rec.allSpans())), nil
-}
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -26,8 +26,7 @@
 
 	linkPort, frontPort, readyPort, controlPort, executorPort, platformPort = 7720, 8161, 8167, 8166, 8165, 8169
 
-	probeEvery  = time.Second // of the platform's forwarder
-	resendAfter = 1300 * time.Millisecond
+	probeEvery = time.Second // of the platform's forwarder
 )
 
 var zones = []string{"gent-noord", "brugge-oost", "kortrijk-zuid"}
@@ -332,32 +331,6 @@
 	return answer{resp.StatusCode, string(text)}
 }
 
-// startTraffic has a client in each zone submit short jobs, one after the other, until
-// the returned function is called. A job without an answer or with 502 or 504 is sent
-// again after the resend time.
-func (d *deployment) startTraffic() (stop func()) {
-	ctx, cancel := context.WithCancel(context.Background())
-	var clients sync.WaitGroup
-	for zone := range d.fronts {
-		clients.Go(func() {
-			for ctx.Err() == nil {
-				job := newID()
-				for range 3 {
-					a := d.call(context.Background(), d.frontFor(zone), http.MethodPost, job, jobBody(4, 150, 6200), 3*time.Second)
-					if a.status != 0 && a.status != http.StatusBadGateway && a.status != http.StatusGatewayTimeout {
-						break
-					}
-					time.Sleep(resendAfter)
-				}
-			}
-		})
-	}
-	return func() {
-		cancel()
-		clients.Wait()
-	}
-}
-
 // jobBody returns a job of one step. The run time and the Cpu stand in its Spec.
 func jobBody(tasks, ms, cpu int) string {
 	return fmt.Sprintf(`{"Spec":"%d %d","BestEffort":true,"Steps":[{"Count":%d,"Cpu":%d,"MemMb":64,"EstimateMs":%d}]}`, ms, cpu, tasks, cpu, ms)
--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -31,7 +30,6 @@
 
 	mu       sync.Mutex
 	up       bool
-	cut      bool // receives no call and sends no answer
 	server   *http.Server
 	clock    time.Duration // of this lifetime
 	stepped  time.Time
@@ -43,9 +41,6 @@
 	endSeq   int64
 	leaseEnd time.Duration
 	fence    int64
-	// delay returns by how much a start or a renewal is carried out late, without an
-	// answer; 0: not.
-	delay func(order) time.Duration
 }
 
 type taskRun struct {
@@ -97,19 +92,6 @@
 	return nil
 }
 
-// crash ends the lifetime and all that runs, without a word.
-func (e *executor) crash() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.up = false
-	for _, r := range e.runs {
-		e.rec.rests(r.task, r.run, e.id)
-	}
-	e.runs = map[string]*taskRun{}
-	_ = e.server.Close()
-	e.rec.note("executor %s crashes", e.id)
-}
-
 // keepStepping advances the executor's time, its tasks and its lease.
 func (e *executor) keepStepping(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -165,7 +147,7 @@
 
 func (e *executor) beat(ctx context.Context) {
 	e.mu.Lock()
-	if !e.up || e.cut {
+	if !e.up {
 		e.mu.Unlock()
 		return
 	}
@@ -198,10 +180,6 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if e.isCut() || e.delayed(r.URL.Path, o) {
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
-	}
 	switch r.URL.Path {
 	case startPath:
 		e.answer(w, o, e.begin)
@@ -214,65 +192,6 @@
 	}
 }
 
-func (e *executor) isCut() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.cut
-}
-
-// setCut cuts the executor off, or ends that. It runs on meanwhile.
-func (e *executor) setCut(cut bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.cut = cut
-	e.rec.note("executor %s cut off: %v, lease left %v", e.id, cut, e.leaseEnd-e.clock)
-}
-
-// leaveUnanswered sets which starts and renewals are carried out late.
-func (e *executor) leaveUnanswered(delay func(order) time.Duration) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.delay = delay
-}
-
-// delayed takes a start or a renewal that is carried out late, by whatever lifetime is
-// there then.
-func (e *executor) delayed(path string, o order) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.delay == nil || path != startPath && (path != holdPath || o.UntilMs == 0) {
-		return false
-	}
-	late := e.delay(o)
-	if late == 0 {
-		return false
-	}
-	what := fmt.Sprintf("%s %s run %d, UntilMs %d, FencingToken %d", path, o.Task, o.Run, o.UntilMs, o.FencingToken)
-	e.rec.note("executor %s leaves a call unanswered: %s", e.id, what)
-	time.AfterFunc(late, func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		if !e.up {
-			return
-		}
-		e.step()
-		status, reason := e.carryOut(path, o)
-		e.rec.note("executor %s, born %d, carries out late: %s: %d %s, lease left %v", e.id, e.born, what, status, reason, e.leaseEnd-e.clock)
-	})
-	return true
-}
-
-func (e *executor) carryOut(path string, o order) (int, string) {
-	switch {
-	case path == startPath:
-		return e.begin(o)
-	case e.fenced(o):
-		return http.StatusConflict, "fence"
-	}
-	e.extend(o.UntilMs)
-	return http.StatusOK, ""
-}
-
 func (e *executor) answer(w http.ResponseWriter, o order, do func(order) (int, string)) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -369,12 +288,6 @@
 			return
 		}
 	}
-	if e.cut {
-		e.mu.Unlock()
-		<-r.Context().Done()
-		e.mu.Lock()
-		panic(http.ErrAbortHandler)
-	}
 	running, finished := [][]any{}, [][]any{}
 	for _, t := range e.runs {
 		running = append(running, []any{t.task, t.run, "", int(100 * (t.length - t.left) / max(t.length, 1)), t.cpu})
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,9 +27,7 @@
 	play  trial
 }{
 	"cancel":  {11, playCancel},
-	"late":    {11, playLate},
 	"dropped": {11, playDropped},
-	"renewal": {11, playRenewal},
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -56,16 +56,13 @@
 	}
 }
 
-// allSpans returns the work done for all jobs.
-func (r *record) allSpans() []span { return r.spansOf("") }
-
 // spansOf returns the work done for a job; what is still at work ends now.
 func (r *record) spansOf(job string) []span {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var spans []span
 	for _, s := range r.work {
-		if job == "" || strings.HasPrefix(s.task, job+".") {
+		if strings.HasPrefix(s.task, job+".") {
 			if s.end == 0 {
 				s.end = r.now()
 			}
@@ -75,22 +72,6 @@
 	return spans
 }
 
-// overlaps returns the pairs of runs of one task that were at work at the same time.
-func overlaps(spans []span) []string {
-	var found []string
-	for i, a := range spans {
-		for _, b := range spans[i+1:] {
-			if a.task != b.task || a.run == b.run && a.executor == b.executor {
-				continue
-			}
-			if both := min(a.end, b.end) - max(a.begin, b.begin); both > 0 {
-				found = append(found, fmt.Sprintf("%v beside %v: both for %.0f ms", a, b, float64(both.Microseconds())/1000))
-			}
-		}
-	}
-	return found
-}
-
 // save writes the record to a file.
 func (r *record) save(file string) error {
 	r.mu.Lock()
