--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -64,6 +65,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &deployment{rec: rec, store: newStore(), dir: dir, binary: binary, net: byte(os.Getpid()), cancel: cancel}
+	go d.closeOnSignal()
 	if err := d.serve(d.ip(250), platformPort, d.store); err != nil {
 		return d, err
 	}
@@ -226,6 +228,15 @@
 	}
 }
 
+// closeOnSignal ends all processes when a run is stopped early.
+func (d *deployment) closeOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	d.close(false)
+	os.Exit(couldNot)
+}
+
 // close ends all processes.
 func (d *deployment) close(keepLogs bool) {
 	d.cancel()
