Entries log requests whose clients had left before they were read

A request that waited at a frozen entry could not be told from one whose client leaves an entry that works: client_left counts from the moment at which it is read. The kernel knows that the connection is closed; net/http does once one of its goroutines has read that. drain.ClientLeft asks the kernel.

Nothing is decided by it yet.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -42,7 +42,8 @@
 	stopping bool                // connections take no further request
 }
 
-// New returns a server of the clients of a listener. It sets the server's ConnState.
+// New returns a server of the clients of a listener. It sets the server's ConnState and
+// ConnContext.
 func New(server *http.Server, l net.Listener) *Server {
 	s := &Server{
 		server: server, listener: l, accepted: make(chan struct{}), conns: map[*conn]time.Time{},
@@ -51,6 +52,7 @@
 	if s.plain {
 		s.listener = listener{l}
 		server.ConnState = s.connState
+		server.ConnContext = withConn
 	}
 	return s
 }
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -257,3 +257,33 @@
 		}
 	}
 }
+
+// The context of a request whose client has left is cancelled only by a goroutine that may
+// not have run yet.
+func TestAClientThatLeftBeforeItsRequestIsReadHasLeft(t *testing.T) {
+	left := make(chan bool, 1)
+	handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { left <- ClientLeft(r.Context()) })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := New(&http.Server{Handler: handler}, l) //nolint:gosec // the tests send whole headers or end
+	t.Cleanup(func() { _ = c.Close() })
+	gone := dial(t, c)
+	write(t, gone, getRequest)
+	if err := gone.Close(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		if err := c.Serve(); err != nil {
+			t.Error(err)
+		}
+	}()
+	if !<-left {
+		t.Error("a client that had closed its connection counts as waiting")
+	}
+	write(t, dial(t, c), getRequest)
+	if <-left {
+		t.Error("a client that waits counts as having left")
+	}
+}
--- a/hosted/entry/clients.go
+++ b/hosted/entry/clients.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bergamotwing.example/dispatch"
+	"bergamotwing.example/drain"
 	"bergamotwing.example/hosted/mesh"
 	"bergamotwing.example/platform"
 	"bergamotwing.example/result"
@@ -87,7 +88,8 @@
 	}
 	wait := waitOf(req)
 	reply := make(chan dispatch.Outcome, 1)
-	e.actor.Send(submit{job: job, route: route, wait: wait, deadline: arrived + wait, reply: reply})
+	left := func() bool { return drain.ClientLeft(r.Context()) }
+	e.actor.Send(submit{job: job, route: route, wait: wait, deadline: arrived + wait, reply: reply, left: left})
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -253,6 +253,10 @@
 		m.reply <- stopTimeoutOutcome("") // the job may have run elsewhere before
 		return
 	}
+	if m.clientLeft() {
+		s.e.deps.Metrics.Count("bergamotwing_requests_unread_total", "Requests that were read after their clients had left.", 1)
+		s.e.deps.Log.Warn().Str("event", "client_left_unread").Str("job", m.job.ID).Msg("client had left before its request was read")
+	}
 	s.lastRequest++
 	r := &request{submit: m, number: s.lastRequest, shard: s.shardOfJob(m.route.Service, m.job.ID)}
 	if index := s.chooseShard(r.shard); index != r.shard.Index {
--- a/hosted/entry/messages.go
+++ b/hosted/entry/messages.go
@@ -21,6 +21,7 @@
 		wait     time.Duration
 		deadline dispatch.Time
 		reply    chan dispatch.Outcome // buffered: one outcome
+		left     func() bool           // reports whether the client has left, as far as the kernel knows; nil: it has not
 	}
 	abandonRequest struct {
 		job   string
@@ -36,6 +37,8 @@
 	}
 )
 
+func (m submit) clientLeft() bool { return m.left != nil && m.left() }
+
 // unfinished is the work that is left before an entry may end.
 type unfinished struct {
 	jobs           int // open, of clients here or of other entries
