A request whose client has left before it is read starts nothing

Callers saw: a job that they had sent again, after an entry did not answer, was answered 502 and stopped, or ran twice at the same time.

Cause: an entry that was frozen, or has a backlog, reads requests long after their clients have left. It submitted each, since net/http tells that a client has disconnected only once a goroutine of its own has read that; the cancel came after the submission. The home gives a job to its newest caller, so the old request took it from the client that waits for it; and a home that had been replaced meanwhile, and is the home again, started the job beside the other.

The control actor now asks the kernel whether the client's connection is closed when it takes a request, and, after a pause of its own, for all open requests before it does anything else. Between this and an order there is no other message, and an order after a freeze in between echoes too old a clock reading. Tasks are held before these cancels make room, not after.

--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -140,10 +140,11 @@
 		if pause > s.timing.EntryLease && s.checkedAt > 0 {
 			s.echoAgentsFrom = now + 2*tickEvery
 		}
-		s.checkPeers(now)
 		for _, sched := range s.schedulers {
-			sched.Hold(now + 2*tickEvery)
+			sched.Hold(now + 2*tickEvery) // before cancels make room
 		}
+		s.abandonLeft(now)
+		s.checkPeers(now)
 		s.applyActions(now) // agents get the stops before their leases are renewed
 	}
 	switch m := message.(type) {
@@ -255,7 +256,9 @@
 	}
 	if m.clientLeft() {
 		s.e.deps.Metrics.Count("bergamotwing_requests_unread_total", "Requests that were read after their clients had left.", 1)
-		s.e.deps.Log.Warn().Str("event", "client_left_unread").Str("job", m.job.ID).Msg("client had left before its request was read")
+		s.e.deps.Log.Warn().Str("event", "client_left_unread").Str("job", m.job.ID).Msg("client had left before its request was read; nothing submitted")
+		m.reply <- dispatch.Outcome{Code: result.OutcomeUnknown, Detail: "client left before its request was read"} // it may have sent the job again elsewhere
+		return
 	}
 	s.lastRequest++
 	r := &request{submit: m, number: s.lastRequest, shard: s.shardOfJob(m.route.Service, m.job.ID)}
@@ -409,6 +412,16 @@
 	r.reply <- out
 }
 
+// abandonLeft cancels the jobs of all clients that have left. The goroutines that serve
+// them find that out one by one.
+func (s *state) abandonLeft(now time.Duration) {
+	for id, r := range s.requests {
+		if r.clientLeft() {
+			s.abandonRequest(now, abandonRequest{id, r.reply})
+		}
+	}
+}
+
 func (s *state) abandonRequest(now time.Duration, m abandonRequest) {
 	r := s.requests[m.job]
 	if r == nil || r.reply != m.reply {
