Soak: clients that leave an entry which does not answer, and come again elsewhere

The clients of the soak waited longer than any freeze lasts, so no request was read after its client had left. Two clients of each entry now leave after 0.5 s and send the job again to the next entry, on seeds that are not of planned work alone; their jobs run for up to 1.2 s, so most of them are cancelled as well.

--- a/integration/hosted/cluster.go
+++ b/integration/hosted/cluster.go
@@ -27,10 +27,11 @@
 	prefix    = "/q/"
 
 	endpointCPUMilli = 8000
-	clientDeadline   = 3 * time.Second // that clients state in their requests
-	clientMargin     = time.Second     // that clients wait for an answer beyond clientDeadline
-	shortTaskMs      = 220             // longest task of most clients
-	pinnedTaskMs     = 1200            // longest task of clients that use a single entry
+	clientDeadline   = 3 * time.Second        // that clients state in their requests
+	clientMargin     = time.Second            // that clients wait for an answer beyond clientDeadline
+	impatience       = 500 * time.Millisecond // that impatient clients wait for the first answer
+	shortTaskMs      = 220                    // longest task of most clients
+	pinnedTaskMs     = 1200                   // longest task of clients that use a single entry
 	readyLimit       = 15 * time.Second
 
 	proxiedPort = fake.LinkPort + 1 // link port of an entry behind a proxy
@@ -232,7 +233,12 @@
 type callFunc func(ctx context.Context, method, ip, host, path, body string, wait time.Duration) fake.Answer
 
 func submit(call callFunc, e *Host, id, body string) fake.Answer {
-	ctx, cancel := context.WithTimeout(context.Background(), clientDeadline+clientMargin)
+	return submitUntil(call, e, id, body, clientDeadline+clientMargin)
+}
+
+// submitUntil submits a job once; the client leaves if it has no answer within limit.
+func submitUntil(call callFunc, e *Host, id, body string, limit time.Duration) fake.Answer {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	return call(ctx, http.MethodPost, e.IP, routeHost, prefix+id, body, clientDeadline)
 }
@@ -299,6 +305,35 @@
 	}
 }
 
+// StartImpatient starts clients that leave an entry, ready or not, which has not answered
+// within impatience, and send the job again to the next one.
+func (tr *Traffic) StartImpatient(perEntry int, pause time.Duration) {
+	for i := range tr.c.Entries {
+		for range perEntry {
+			tr.wait.Go(func() {
+				for tr.ctx.Err() == nil {
+					tr.impatientJob(i)
+					time.Sleep(pause)
+				}
+			})
+		}
+	}
+}
+
+func (tr *Traffic) impatientJob(first int) {
+	id, tasks, body := newJob(pinnedTaskMs)
+	limit := impatience
+	for attempt := range 3 {
+		a := submitUntil(fake.Call, tr.c.Entries[(first+attempt)%len(tr.c.Entries)], id, body, limit)
+		tr.checkCompleted(id, a, tasks)
+		if !a.Retryable() {
+			return
+		}
+		limit = clientDeadline + clientMargin
+		time.Sleep(fake.ResendAfter)
+	}
+}
+
 // Stop ends the traffic and waits for the open jobs.
 func (tr *Traffic) Stop() {
 	tr.stop()
@@ -343,9 +378,7 @@
 // submit submits a job once and records the answer.
 func (tr *Traffic) submit(call callFunc, e *Host, id, body string, tasks int) fake.Answer {
 	a := submit(call, e, id, body)
-	if done := tr.c.Record.Done(id); a.Completed() && done < tasks {
-		tr.c.t.Errorf("job %s: answered as completed with %d of %d tasks done", id, done, tasks)
-	}
+	tr.checkCompleted(id, a, tasks)
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	tr.answers = append(tr.answers, answerRecord{a, e.Name, id, time.Now()})
@@ -355,6 +388,12 @@
 	return a
 }
 
+func (tr *Traffic) checkCompleted(id string, a fake.Answer, tasks int) {
+	if done := tr.c.Record.Done(id); a.Completed() && done < tasks {
+		tr.c.t.Errorf("job %s: answered as completed with %d of %d tasks done", id, done, tasks)
+	}
+}
+
 // recordRefusal records a job that was submitted once and refused as not run. A
 // job that was submitted before may have run then, so it is only logged.
 func (tr *Traffic) recordRefusal(id string, a fake.Answer, statuses []int) {
--- a/integration/hosted/soak_test.go
+++ b/integration/hosted/soak_test.go
@@ -33,13 +33,14 @@
 	soakSpan      = 8 * time.Second // in which the faults begin
 	soakRecovery  = 8 * time.Second // limit after the last fault until all entries serve jobs again
 
-	seriesSignals   = 5                      // at most, in one series
-	seriesPause     = 2 * time.Second        // longest between two signals
-	seriesBurst     = 20 * time.Millisecond  // longest between two of a burst, or after a start
-	partialWriteMax = 500 * time.Millisecond // longest time that a settings file stays half written
-	drainLimit      = 5 * time.Second        // after which a draining endpoint is replaced even if not idle
-	pinnedClients   = 2                      // pinned clients of each entry
-	lossSlack       = 200 * time.Millisecond // LossSlackMs of the platform
+	seriesSignals    = 5                      // at most, in one series
+	seriesPause      = 2 * time.Second        // longest between two signals
+	seriesBurst      = 20 * time.Millisecond  // longest between two of a burst, or after a start
+	partialWriteMax  = 500 * time.Millisecond // longest time that a settings file stays half written
+	drainLimit       = 5 * time.Second        // after which a draining endpoint is replaced even if not idle
+	pinnedClients    = 2                      // pinned clients of each entry
+	impatientClients = 2                      // of each entry, of a seed that is not of planned work alone
+	lossSlack        = 200 * time.Millisecond // LossSlackMs of the platform
 )
 
 // soakCases are the seeds that failed once, with the cause of the failure, and the
@@ -91,6 +92,9 @@
 	}
 	tr := c.StartTraffic(8, 25*time.Millisecond)
 	tr.StartPinned(pinnedClients, 25*time.Millisecond)
+	if !planned {
+		tr.StartImpatient(impatientClients, 25*time.Millisecond)
+	}
 	defer func() { // also if service does not recover
 		for _, s := range hosts {
 			s.check()
