Generation numbers on the calls to endpoints

Cause: endpoints keep the highest FencingToken of a lifetime and do nothing for a lower one, but no call carried one. A start or renewal of an earlier agent incarnation, or for an earlier lifetime under the same id, was told from today's by clocks only, and a lifetime's clock starts anew.

Change: every start, stop and poll carries a number (dispatch.Fence), in microseconds of the time of day and never below what the process used before. It rises when a lifetime is found, and when one may have begun: its heartbeat has come, nothing listens, the connection was closed, or the lease has run out without an answer. A refused start is reported as expired: it has not run, and the endpoint is not at fault. Where EnforceFencing is false, none is sent.

The simulations whose calls carry none are kept as TestNoTaskRunsTwiceWhereEndpointsCheckNoGenerationNumbers.

--- a/dispatch/dispatchtest/endpoint.go
+++ b/dispatch/dispatchtest/endpoint.go
@@ -36,6 +36,7 @@
 	highest map[dispatch.TaskRef]int // highest run that was stopped or ended here
 	ends    []dispatch.EndedRun
 	endSeq  int64
+	fence   int64 // highest generation number seen
 	crashed bool
 }
 
@@ -52,6 +53,16 @@
 	return dispatch.Time(float64(e.host.Now()-e.ClockZero) * e.ClockRate)
 }
 
+// Admit reports whether the endpoint carries out a call with a generation number: it does
+// nothing for one lower than it has seen.
+func (e *Endpoint) Admit(number int64) bool {
+	if number < e.fence {
+		return false
+	}
+	e.fence = number
+	return true
+}
+
 // Start carries out a start.
 func (e *Endpoint) Start(run dispatch.RunRef, until dispatch.Time) dispatch.CallResult {
 	if until < e.Clock() {
--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -47,6 +47,7 @@
 type CallResult struct {
 	Refusal EndReason // 0: accepted
 	Clock   Time      // endpoint's clock; 0 if not stated
+	Fence   int64     // generation number that the endpoint refused as too low; 0: it did not
 }
 
 // RunningRun is a run that an endpoint lists as running.
@@ -496,7 +497,11 @@
 	if r == nil {
 		return
 	}
-	if res.Refusal != 0 {
+	switch {
+	case res.Fence != 0:
+		g.finish(now, r, Expired, EvidenceRefused) // of an earlier generation, which says nothing about the endpoint's health
+		return
+	case res.Refusal != 0:
 		g.finish(now, r, res.Refusal, EvidenceRefused)
 		return
 	}
--- a/hosted/agent/control.go
+++ b/hosted/agent/control.go
@@ -49,6 +49,7 @@
 	ends        []keptEnd
 	// lateStarts holds the starts without an answer of runs that have ended.
 	lateStarts []lateStart
+	fence      dispatch.Fence
 	seeds      []string // addresses where entries may listen
 	stopping   bool
 	// unlinkedSince is when the agent was last found without a link to any entry.
--- a/hosted/agent/endpoint.go
+++ b/hosted/agent/endpoint.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"io"
+	"syscall"
 	"time"
 
 	"bergamotwing.example/dispatch"
@@ -71,6 +74,9 @@
 // day at which a lifetime is born may have jumped back, so the endpoint is asked first.
 func (s *state) announcedOther(now time.Duration, n platform.Announcement) {
 	if !s.newEndpoint(now, n) {
+		if s.unconfirmed[n.Endpoint.ID].Endpoint != n.Endpoint {
+			s.raiseFence() // the new lifetime may see calls whose answers are lost
+		}
 		s.unconfirmed[n.Endpoint.ID] = n
 		return
 	}
@@ -125,6 +131,7 @@
 		}
 		e.guard.Replaced(now, n.Endpoint.Born)
 	}
+	s.raiseFence()
 	ctx, cancel := context.WithCancel(s.a.ctx)
 	e := &endpoint{
 		announced:      n,
@@ -147,11 +154,27 @@
 	s.a.deps.Log.Info().Str("event", "endpoint_found").Str("endpoint", n.Endpoint.ID).Int64("born", n.Endpoint.Born).
 		Str("addr", n.Addr).Int("cpu_milli", n.Capacity.CPUMilli).Msg("endpoint found")
 	for range watchers {
-		go s.a.watch(ctx, e.client, n.Endpoint)
+		go s.a.watch(ctx, e.client, n.Endpoint, s.fence.Number())
 	}
 	return true
 }
 
+// raiseFence begins a new generation of calls, for a lifetime that was found or that may
+// have begun.
+func (s *state) raiseFence() {
+	if s.a.node.EnforceFencing {
+		s.fence.Rise(time.Now().UnixMicro())
+	}
+}
+
+// fenceRefused handles that an endpoint has refused a generation number.
+func (s *state) fenceRefused(id dispatch.EndpointID, call string, number int64) {
+	raised := s.fence.Refused(number)
+	s.a.deps.Metrics.Count("bergamotwing_fence_refusals_total", "Calls that the endpoint refused since it had seen a higher generation number.", 1)
+	s.a.deps.Log.Warn().Str("event", "fence_refused").Str("endpoint", id.ID).Str("call", call).Int64("number", number).
+		Bool("raised", raised).Msg("endpoint has seen a higher generation number")
+}
+
 // stopLateStarts stops starts of ended runs in the lifetime that has the endpoint's id, if
 // it is another than the one in which they are certain not to be carried out any more.
 func (s *state) stopLateStarts(now time.Duration, e *endpoint) {
@@ -186,21 +209,25 @@
 }
 
 // watch polls the endpoint without a break; each long poll waits for an end.
-func (a *Agent) watch(ctx context.Context, client *platform.EndpointClient, id dispatch.EndpointID) {
+func (a *Agent) watch(ctx context.Context, client *platform.EndpointClient, id dispatch.EndpointID, fence int64) {
 	defer client.Close()
-	var next nextPoll
+	next := nextPoll{fence: fence}
+	wasRefused := false
 	reply := make(chan nextPoll, 1)
 	for ctx.Err() == nil {
-		snapshot, err := a.poll(ctx, client, 0, next.acknowledge, next.wait)
+		snapshot, err := a.poll(ctx, client.WithFence(next.fence), 0, next.acknowledge, next.wait)
 		a.actor.Send(polled{endpoint: id, received: mesh.Now(), snapshot: snapshot, err: err, next: reply})
 		select {
 		case next = <-reply:
 		case <-ctx.Done():
 			return
 		}
-		if err != nil {
+		var refused *platform.FenceError
+		isRefused := errors.As(err, &refused)
+		if err != nil && (!isRefused || wasRefused) {
 			time.Sleep(pollRetryPause)
 		}
+		wasRefused = isRefused
 		if snapshot.Odd > 0 {
 			time.Sleep(oddPollPause)
 		}
@@ -232,6 +259,9 @@
 		e.guard.StartUnanswered(now, m.run)
 		return
 	}
+	if m.res.Fence != 0 {
+		s.fenceRefused(m.endpoint, "start", m.res.Fence)
+	}
 	e.guard.StartAnswered(now, m.run, m.res)
 }
 
@@ -240,6 +270,9 @@
 	if e == nil || m.err != nil || m.born != e.guard.Born() {
 		return // the guard retries
 	}
+	if m.res.Fence != 0 {
+		s.fenceRefused(m.endpoint, "stop", m.res.Fence)
+	}
 	e.guard.StopAnswered(now, m.run, m.res)
 }
 
@@ -248,8 +281,19 @@
 	if e == nil {
 		return
 	}
-	if m.err == nil {
+	var refused *platform.FenceError
+	switch {
+	case errors.As(m.err, &refused):
+		s.fenceRefused(m.endpoint, "poll", refused.Number)
+	case isGone(m.err):
+		s.raiseFence() // so that the next lifetime sees no call without it
+	case m.err == nil:
+		born := e.guard.Born()
 		e.guard.Polled(now, m.received, m.snapshot)
+		if e.guard.Born() != born {
+			s.raiseFence()
+			e.guard.Ask(now) // so that the new lifetime sees the number
+		}
 		s.stopLateStarts(now, e)
 		if n, ok := s.unconfirmed[m.endpoint.ID]; ok && n.Endpoint.Born == e.guard.Born() {
 			s.announcedOther(now, n)
@@ -257,10 +301,16 @@
 		s.countOddRuns(e, m.snapshot.Odd)
 	}
 	if m.next != nil {
-		m.next <- e.nextPoll()
+		m.next <- e.nextPoll(s.fence.Number())
 	}
 }
 
+// isGone reports whether a call failed since nothing listens at the address, or since the
+// connection was closed: the lifetime may have ended.
+func isGone(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF)
+}
+
 // countOddRuns counts and logs rows of runs that cannot be read when there are more
 // of them than before.
 func (s *state) countOddRuns(e *endpoint, odd int) {
@@ -272,12 +322,12 @@
 }
 
 // nextPoll returns the parameters of the next long poll.
-func (e *endpoint) nextPoll() nextPoll {
+func (e *endpoint) nextPoll(fence int64) nextPoll {
 	wait := dispatch.PollWait
 	if e.guard.Runs() > 0 {
 		wait = busyPollWait
 	}
-	return nextPoll{acknowledge: e.guard.Cursor(), wait: wait}
+	return nextPoll{acknowledge: e.guard.Cursor(), wait: wait, fence: fence}
 }
 
 // applyActions executes the actions that the guards decided on, and removes the
@@ -295,19 +345,22 @@
 }
 
 func (s *state) apply(now time.Duration, id dispatch.EndpointID, e *endpoint, action dispatch.GuardAction) {
-	a := s.a
+	a, client := s.a, e.client.WithFence(s.fence.Number())
 	switch action.Kind {
 	case dispatch.CallStart:
-		go a.callStart(e.client, id, action, e.startLimit(now))
+		go a.callStart(client, id, action, e.startLimit(now))
 	case dispatch.CallStop:
-		go a.callStop(e.client, id, e.guard.Born(), action.Run)
+		go a.callStop(client, id, e.guard.Born(), action.Run)
 	case dispatch.CallPoll:
 		cursor := e.guard.Cursor()
 		go func() {
-			snapshot, err := a.poll(a.ctx, e.client, action.Until, cursor, 0)
+			snapshot, err := a.poll(a.ctx, client, action.Until, cursor, 0)
 			a.actor.Send(polled{endpoint: id, received: mesh.Now(), snapshot: snapshot, err: err})
 		}()
 	case dispatch.ReportEnd:
+		if action.KnownBy == dispatch.EvidenceLease {
+			s.raiseFence() // another lifetime may have begun, whose answers are lost
+		}
 		s.reportEnd(now, action)
 		if action.MayStart {
 			s.lateStarts = append(s.lateStarts, lateStart{id.ID, action.Run, e.guard.Born(), now})
--- a/hosted/agent/messages.go
+++ b/hosted/agent/messages.go
@@ -39,5 +39,6 @@
 	nextPoll struct {
 		acknowledge int64 // sequence number of the last end received
 		wait        time.Duration
+		fence       int64 // generation number
 	}
 )
--- a/hosted/entry/simhost_test.go
+++ b/hosted/entry/simhost_test.go
@@ -49,6 +49,7 @@
 	peers       map[string]*mesh.Peer
 	endpoints   map[dispatch.EndpointID]*simGuarded
 	unconfirmed map[string]platform.Announcement
+	fence       dispatch.Fence
 	lateStarts  []simLateStart
 	ends        []simKept
 }
@@ -214,17 +215,46 @@
 	simRenew
 )
 
+// simFenced is the refusal of a generation number that is too low.
+type simFenced struct{ clock dispatch.Time }
+
+// simGone is that nothing listens at the endpoint's address.
+type simGone struct{}
+
+// raiseFence begins a new generation of calls.
+func (a *simGuards) raiseFence() {
+	if !a.s.whole.unfenced {
+		a.fence.Rise(a.s.now.Microseconds())
+	}
+}
+
 // call makes a call to the endpoint. at carries it out, and passes the answer on once
 // it is there; done gets the answer, or nil if there is none within limit.
 func (a *simGuards) call(kind simCall, id dispatch.EndpointID, limit time.Duration, at func(e *dispatchtest.Endpoint, answer func(any)), done func(answer any)) {
 	h, s := a.h, a.s
 	over := false
+	number := a.fence.Number()
 	finish := func(answer any) {
 		a.run(func() {
-			if !over {
-				over = true
-				done(answer)
+			if over {
+				return
+			}
+			over = true
+			if refused, ok := answer.(simFenced); ok {
+				s.log("%s: number %d refused", h.name, number)
+				a.fence.Refused(number)
+				answer = nil
+				if kind < simPoll {
+					answer = dispatch.CallResult{Refusal: dispatch.NotStarted, Clock: refused.clock, Fence: number}
+				}
 			}
+			if _, gone := answer.(simGone); gone {
+				answer = nil
+				if kind >= simPoll {
+					a.raiseFence()
+				}
+			}
+			done(answer)
 		})
 	}
 	delay, lost := h.rng.between(ms/5, 3*ms/2)+h.loss(), h.rng.IntN(100) == 0
@@ -247,7 +277,7 @@
 		e := h.endpoint
 		switch {
 		case e == nil:
-			finish(nil) // refused
+			finish(simGone{})
 			return
 		case e.Name != id.ID:
 			if kind >= simPoll {
@@ -260,12 +290,18 @@
 			h.id != id && kind == simRenew && !s.whole.renewalsCross && h.answered > 0 && s.now > h.answered+simRecovery:
 			return
 		}
-		at(e, func(answer any) {
+		reply := func(answer any) {
 			if lost || s.now < h.mute || s.now < h.cut {
 				return
 			}
 			s.after(h.rng.between(ms/5, 3*ms/2)+h.loss(), func() { finish(answer) })
-		})
+		}
+		if !e.Admit(number) {
+			s.log("%v does nothing for number %d", h.id, number)
+			reply(simFenced{e.Clock().Truncate(ms)})
+			return
+		}
+		at(e, reply)
 	})
 }
 
@@ -589,6 +625,9 @@
 
 func (a *simGuards) announcedOther(n platform.Announcement) {
 	if !a.newEndpoint(n) {
+		if a.unconfirmed[n.Endpoint.ID].Endpoint != n.Endpoint {
+			a.raiseFence()
+		}
 		a.unconfirmed[n.Endpoint.ID] = n
 		return
 	}
@@ -609,6 +648,7 @@
 		}
 		e.guard.Replaced(now, n.Endpoint.Born)
 	}
+	a.raiseFence()
 	e := &simGuarded{
 		announced: n, guard: dispatch.NewGuard(n.Endpoint, n.Service, n.Zone, n.Capacity, n.Labels, a.timing),
 		foundAt: now, lastHeartbeat: now, reportedOthers: map[dispatch.Owner]dispatch.Resources{},
@@ -710,7 +750,12 @@
 		e := a.endpoints[id]
 		if snap, ok := answer.(dispatch.Snapshot); ok && e != nil {
 			snap.Sent, snap.Acknowledged = sent, acknowledge
+			born := e.guard.Born()
 			e.guard.Polled(a.s.now, a.s.now, snap)
+			if e.guard.Born() != born {
+				a.raiseFence()
+				e.guard.Ask(a.s.now)
+			}
 			a.stopLateStarts(e)
 			if n, ok := a.unconfirmed[id.ID]; ok && n.Endpoint.Born == e.guard.Born() {
 				a.announcedOther(n)
@@ -789,6 +834,9 @@
 	case dispatch.CallPoll:
 		a.poll(id, action.Until, e.guard.Cursor(), 0, nil)
 	case dispatch.ReportEnd:
+		if action.KnownBy == dispatch.EvidenceLease {
+			a.raiseFence()
+		}
 		if action.MayStart {
 			a.lateStarts = append(a.lateStarts, simLateStart{id.ID, run, e.guard.Born(), now})
 		}
--- a/hosted/entry/simwhole_test.go
+++ b/hosted/entry/simwhole_test.go
@@ -41,6 +41,7 @@
 type crossing struct {
 	startsCross   bool
 	renewalsCross bool // also after that one has answered for a guard's time of recovery
+	unfenced      bool // calls carry no generation numbers
 }
 
 // simStarted is a run that an endpoint has started.
@@ -356,10 +357,11 @@
 // No task runs twice at the same time on its way from clients over entries, homes and
 // agents to endpoints. BERGAMOTWING_SIM_SEEDS adds that many seeds to the fixed ones,
 // after BERGAMOTWING_SIM_FIRST; BERGAMOTWING_SIM_TRACE prints what happens in one seed.
-// With BERGAMOTWING_SIM_CROSS, all calls may be carried out in the next lifetime.
+// With BERGAMOTWING_SIM_CROSS, all calls may be carried out in the next lifetime; with
+// BERGAMOTWING_SIM_UNFENCED, calls carry no generation numbers.
 func TestNoTaskRunsTwiceFromClientToEndpoint(t *testing.T) {
 	all := os.Getenv("BERGAMOTWING_SIM_CROSS") != ""
-	cross := crossing{all, all}
+	cross := crossing{startsCross: all, renewalsCross: all, unfenced: os.Getenv("BERGAMOTWING_SIM_UNFENCED") != ""}
 	if seed, err := strconv.ParseUint(os.Getenv("BERGAMOTWING_SIM_TRACE"), 10, 64); err == nil {
 		s := runWhole(seed, cross)
 		for _, line := range s.trace {
@@ -378,6 +380,15 @@
 	playWhole(t, seeds, cross)
 }
 
+// Endpoints of some deployments check no generation numbers, and calls carry none there.
+func TestNoTaskRunsTwiceWhereEndpointsCheckNoGenerationNumbers(t *testing.T) {
+	seeds := slices.Clone(wholeSeeds)
+	for i := range uint64(24) {
+		seeds = append(seeds, i+1)
+	}
+	playWhole(t, seeds, crossing{unfenced: true})
+}
+
 // A start that had no answer may be carried out in the lifetime that begins anew under the
 // endpoint's id, whose clock is behind the start's validity.
 func TestNoStartOfAnEarlierLifetimeRunsATaskTwice(t *testing.T) {
