A start is not sent long after its decision

Cause: the goroutine of a start that was held up, as in a frozen process, sent the start whenever it went on; the run may have counted as ended by then.

Change: it compares the time of the decision with the host's clock, which counts suspended time, right before the call, and refuses the run as expired after 100 ms.

Result: TestAStartIsNotSentLongAfterItsDecision; without the check, the start is sent.

--- a/hosted/agent/endpoint.go
+++ b/hosted/agent/endpoint.go
@@ -22,10 +22,12 @@
 	// started.
 	firstStartTimeout = 80 * time.Millisecond
 	firstCalls        = time.Second
-	stopSlack         = 10 * time.Millisecond // added to the time that a stop may take
-	pollTimeout       = 30 * time.Millisecond
-	longPollSlack     = 50 * time.Millisecond // added to the wait of a long poll, which waits for an end
-	pollRetryPause    = 20 * time.Millisecond // after a failed long poll
+	// startMaxDelay bounds the time from the decision to start a run to the call.
+	startMaxDelay  = 100 * time.Millisecond
+	stopSlack      = 10 * time.Millisecond // added to the time that a stop may take
+	pollTimeout    = 30 * time.Millisecond
+	longPollSlack  = 50 * time.Millisecond // added to the wait of a long poll, which waits for an end
+	pollRetryPause = 20 * time.Millisecond // after a failed long poll
 	// oddPollPause is the pause after an answer with rows that cannot be read: an end
 	// that cannot be acknowledged is answered again at once.
 	oddPollPause = 100 * time.Millisecond
@@ -348,7 +350,7 @@
 	a, client := s.a, e.client.WithFence(s.fence.Number())
 	switch action.Kind {
 	case dispatch.CallStart:
-		go a.callStart(client, id, action, e.startLimit(now))
+		go a.callStart(client, id, action, now, e.startLimit(now))
 	case dispatch.CallStop:
 		go a.callStop(client, id, e.guard.Born(), action.Run)
 	case dispatch.CallPoll:
@@ -382,7 +384,16 @@
 	return startTimeout
 }
 
-func (a *Agent) callStart(client *platform.EndpointClient, id dispatch.EndpointID, action dispatch.GuardAction, limit time.Duration) {
+// callStart starts a run, or refuses it if this goroutine, or the process, has been held up
+// since the decision.
+func (a *Agent) callStart(client *platform.EndpointClient, id dispatch.EndpointID, action dispatch.GuardAction, decided, limit time.Duration) {
+	if delay := mesh.Now() - decided; delay > startMaxDelay {
+		a.deps.Metrics.Count("bergamotwing_starts_held_up_total", "Starts that were not sent since the process was held up.", 1)
+		a.deps.Log.Warn().Str("event", "start_held_up").Str("job", action.Run.Task.Job).Int("task", action.Run.Task.Index).
+			Int("run", action.Run.Run).Dur("delay_ms", delay).Msg("start not sent: decided too long ago")
+		a.actor.Send(startAnswered{id, action.Run, dispatch.CallResult{Refusal: dispatch.Expired}, nil})
+		return
+	}
 	ctx, cancel := context.WithTimeout(a.ctx, limit)
 	defer cancel()
 	res, err := client.Start(ctx, action.Run, action.Payload, action.Until)
--- a/hosted/agent/fence_test.go
+++ b/hosted/agent/fence_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bergamotwing.example/dispatch"
+	"bergamotwing.example/hosted/mesh"
 	"bergamotwing.example/platform"
 )
 
@@ -81,3 +82,24 @@
 		t.Errorf("nothing listens: error %v does not count as gone", err)
 	}
 }
+
+// The process was frozen between the decision and the call: the run may count as ended, and
+// another lifetime have the id.
+func TestAStartIsNotSentLongAfterItsDecision(t *testing.T) {
+	a := newPumpedAgent(t)
+	id := a.pumpUntilAvailable(dispatch.EndpointID{})
+	client := a.state.endpoints[id].client.WithFence(a.state.fence.Number())
+	action := dispatch.GuardAction{Kind: dispatch.CallStart, Run: lateRun, Payload: "100", Until: time.Hour}
+	a.callStart(client, id, action, mesh.Now()-startMaxDelay-time.Millisecond, startTimeout)
+	for answered := false; !answered; {
+		if m, ok := (<-a.messages).(startAnswered); ok {
+			answered = true
+			if m.err != nil || m.res.Refusal != dispatch.Expired {
+				t.Errorf("answer %+v, error %v", m.res, m.err)
+			}
+		}
+	}
+	if n := a.record.Starts(lateRun.Task.Job); n != 0 {
+		t.Errorf("%d runs started", n)
+	}
+}
