--- a/hosted/agent/endpoint.go
+++ b/hosted/agent/endpoint.go
@@ -154,7 +154,7 @@
 	e.guard.Announced(now, n.Draining || s.stopping, n.Capacity)
 	s.stopLateStarts(now, e)
 	s.a.deps.Log.Info().Str("event", "endpoint_found").Str("endpoint", n.Endpoint.ID).Int64("born", n.Endpoint.Born).
-		Str("addr", n.Addr).Int("cpu_milli", n.Capacity.CPUMilli).Msg("endpoint found")
+		Str("addr", n.Addr).Int("cpu_milli", n.Capacity.CPUMilli).Int64("fence", s.fence.Number()).Msg("endpoint found")
 	for range watchers {
 		go s.a.watch(ctx, e.client, n.Endpoint, s.fence.Number())
 	}
