Links between two processes have a number

Cause: NodeHello says nothing about the order of links, so the one whose hello is handled last replaces the others, also if the other side has given it up.

Change: each process numbers the links that it makes or accepts, and sends the number in its hello.

--- a/hosted/mesh/mesh.go
+++ b/hosted/mesh/mesh.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -44,6 +45,10 @@
 	Conn
 	Hello  wire.NodeHello
 	Dialed string // address that was dialed; empty on the accepting side
+	// Number rises with the links between the two processes, and both sides have the
+	// same; 0: the other side's build numbers none.
+	Number uint64
+	Began  time.Duration // before the other side could send its hello
 }
 
 // Owner returns the incarnation of the entry on the other side, as an owner of runs.
@@ -72,6 +77,8 @@
 	obs    wire.Observer
 	log    zerolog.Logger
 
+	lastLink atomic.Uint64 // number of the newest link
+
 	mu      sync.Mutex
 	targets map[string]context.CancelFunc // dialing goroutines by address
 	linked  map[string]*openLinks         // by the address of the other side
@@ -96,12 +103,13 @@
 func (m *Mesh) Handler(ctx context.Context) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(linkPath, func(w http.ResponseWriter, r *http.Request) {
+		began := Now()
 		l, err := wire.Accept(w, r, m.obs)
 		if err != nil {
 			m.log.Warn().Err(err).Str("remote", r.RemoteAddr).Msg("link not accepted")
 			return
 		}
-		m.serve(ctx, l, "")
+		m.serve(ctx, l, "", began)
 	})
 	return mux
 }
@@ -171,6 +179,7 @@
 func (m *Mesh) dialOnce(ctx context.Context, addr string) bool {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	dialedAt := Now()
 	l, err := wire.Dial(dialCtx, addr, linkPath, "", nil, m.obs)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		m.events.Refused(addr)
@@ -179,13 +188,15 @@
 		return false
 	}
 	began := Now()
-	return m.serve(ctx, l, addr) && Now()-began >= shortLink
+	return m.serve(ctx, l, addr, dialedAt) && Now()-began >= shortLink
 }
 
 // serve exchanges hellos and passes messages on until the link ends. It reports
 // whether the other side's hello was accepted.
-func (m *Mesh) serve(ctx context.Context, l *wire.Link, dialed string) bool {
-	if err := l.Send(&m.self); err != nil {
+func (m *Mesh) serve(ctx context.Context, l *wire.Link, dialed string, began time.Duration) bool {
+	own := m.self
+	own.Link = m.lastLink.Add(1)
+	if err := l.Send(&own); err != nil {
 		return false
 	}
 	timeout := time.AfterFunc(helloTimeout, l.Close)
@@ -202,7 +213,7 @@
 			return
 		}
 		timeout.Stop()
-		link = &Link{Conn: l, Hello: *hello, Dialed: dialed}
+		link = &Link{Conn: l, Hello: *hello, Dialed: dialed, Number: linkNumber(&own, hello), Began: began}
 		m.addLinked(hello.Addr)
 		m.events.LinkUp(link)
 	})
--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -25,6 +25,7 @@
 	Cores       float64     `cbor:"6,keyasint,omitempty"` // processor time that the process may use, in cores; entries only
 	LinkMbps    float64     `cbor:"7,keyasint,omitempty"` // bandwidth of the host; entries only
 	NewestKind  Kind        `cbor:"8,keyasint,omitempty"` // highest kind of message that the sender knows; 0: as if KindShardCounts
+	Link        uint64      `cbor:"9,keyasint,omitempty"` // number of this link, which rises from 1 in each incarnation; 0: the sender's build numbers none
 }
 
 // NodeHeartbeat is the heartbeat between entries, and between entries and agents.
