A link that comes after a later one is refused

Cause: the link whose hello was handled last replaced the others. A hello and reports of an earlier link, handled after a later one had had orders, ended these runs as not kept by the agent (RunsKept), ended the runs of its endpoints (the list of lifetimes), cancelled jobs (JobsOpen), had a home or an owner taken for lost (hello of an earlier process), and had the runs of a restarted agent handed over to the one before it.

Change: entries and agents close such a link, count it and log it as link_late. The other side dials again; that link has a higher number. A link of another incarnation is refused if it began before the present one was taken, since its process may have ended first. No list of replaced incarnations is kept: one that was met in the wrong order would be refused for good. Numbers also decide between two links that both sides have dialed at once; duplicateTime and preferred remain for builds without numbers.

--- a/hosted/agent/control.go
+++ b/hosted/agent/control.go
@@ -37,7 +37,8 @@
 type state struct {
 	a         *Agent
 	timing    dispatch.Timing
-	peers     map[string]*mesh.Peer    // linked entries by name
+	peers     map[string]*mesh.Peer // linked entries by name
+	links     *mesh.Order
 	lists     map[string][]wire.Member // entries known to each linked entry, by its name
 	rows      []wire.Member            // entries registered in the store, as last read
 	addrs     map[string]string        // addresses of the known entries, by name
@@ -72,7 +73,7 @@
 
 func newState(a *Agent) *state {
 	return &state{
-		a: a, timing: control.TimingOf(a.node), seeds: mesh.SeedAddrs(a.node), peers: map[string]*mesh.Peer{}, lists: map[string][]wire.Member{}, addrs: map[string]string{},
+		a: a, links: mesh.NewOrder(), timing: control.TimingOf(a.node), seeds: mesh.SeedAddrs(a.node), peers: map[string]*mesh.Peer{}, lists: map[string][]wire.Member{}, addrs: map[string]string{},
 		endpoints: map[dispatch.EndpointID]*endpoint{}, unconfirmed: map[string]platform.Announcement{}, unlinkedSince: mesh.Now(),
 	}
 }
@@ -223,6 +224,9 @@
 		l.Close()
 		return
 	}
+	if s.a.deps.RefuseLate(now, s.links, l) {
+		return
+	}
 	if old := s.peers[name]; old != nil {
 		old.Close()
 		if old.Hello.Incarnation != l.Hello.Incarnation {
--- a/hosted/control/control.go
+++ b/hosted/control/control.go
@@ -23,6 +23,19 @@
 	Metrics *telemetry.Metrics
 }
 
+// RefuseLate closes a link that comes after a later one, or takes it and returns false.
+func (d Deps) RefuseLate(now time.Duration, order *mesh.Order, l *mesh.Link) bool {
+	why := order.Refuse(now, l)
+	if why == "" {
+		return false
+	}
+	l.Close()
+	d.Metrics.Count("bergamotwing_links_late_total", "Links that were closed since a later one to the same process had come before.", 1)
+	d.Log.Warn().Str("event", "link_late").Str("peer", l.Hello.Name).Str("reason", why).Uint64("number", l.Number).
+		Uint64("incarnation", uint64(l.Hello.Incarnation)).Dur("age_ms", now-l.Began).Msg("link closed since a later one came before")
+	return true
+}
+
 // Messages that entries and agents have in common.
 type (
 	// Tick has the actor do the work that is due.
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -44,7 +44,8 @@
 	e               *Entry
 	peers           map[string]*mesh.Peer // linked entries by name
 	agents          map[string]*mesh.Peer // linked agents by name
-	lost            map[string]lostEntry  // entries whose link is down, within their lease
+	links           *mesh.Order
+	lost            map[string]lostEntry // entries whose link is down, within their lease
 	members         map[string]mesh.MemberRow
 	unlinked        map[string]time.Duration // when a member was first found without a link
 	schedulers      map[dispatch.Shard]*dispatch.Scheduler
@@ -125,7 +126,7 @@
 
 func newState(e *Entry) *state {
 	return &state{
-		e: e, seeds: mesh.SeedAddrs(e.node), peers: map[string]*mesh.Peer{}, agents: map[string]*mesh.Peer{}, lost: map[string]lostEntry{},
+		e: e, links: mesh.NewOrder(), seeds: mesh.SeedAddrs(e.node), peers: map[string]*mesh.Peer{}, agents: map[string]*mesh.Peer{}, lost: map[string]lostEntry{},
 		members: map[string]mesh.MemberRow{}, unlinked: map[string]time.Duration{},
 		schedulers: map[dispatch.Shard]*dispatch.Scheduler{}, orders: &dispatch.OrderNumbers{}, timing: control.TimingOf(e.node), endpoints: map[dispatch.EndpointID]endpointView{},
 		agentShards: map[string]dispatch.Shard{},
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -11,6 +11,9 @@
 )
 
 func (s *state) linkUp(now time.Duration, l *mesh.Link) {
+	if s.e.deps.RefuseLate(now, s.links, l) {
+		return
+	}
 	if l.Hello.Role == wire.RoleAgent {
 		s.agentUp(now, l)
 		return
@@ -20,7 +23,7 @@
 	owner := l.Owner()
 	p := mesh.NewPeer(l, now)
 	if old := s.peers[name]; old != nil {
-		if old.Owner() == owner && now-old.ConnectedAt < duplicateTime && s.preferred(old.Link) && !s.preferred(l) {
+		if l.Number == 0 && old.Owner() == owner && now-old.ConnectedAt < duplicateTime && s.preferred(old.Link) && !s.preferred(l) {
 			l.Close()
 			return
 		}
@@ -52,7 +55,8 @@
 const duplicateTime = time.Second
 
 // preferred reports whether the side with the lower address dialed a link. If
-// both sides dialed at the same time, both keep the preferred link.
+// both sides dialed at the same time, both keep the preferred link. Links with a number
+// are ordered by it instead.
 func (s *state) preferred(l *mesh.Link) bool {
 	return (l.Dialed != "") == (s.e.self.Addr < l.Hello.Addr)
 }
--- a/hosted/entry/thaw_test.go
+++ b/hosted/entry/thaw_test.go
@@ -38,18 +38,23 @@
 // linkAgentTo links an agent with an endpoint.
 func linkAgentTo(e *Entry, now time.Duration, name string) (*mesh.Link, *sentTo) {
 	l, sent := recordedLink(name, wire.RoleAgent)
+	linkAgentBy(e, now, l)
+	return l, sent
+}
+
+// linkAgentBy links an agent with an endpoint by the given link.
+func linkAgentBy(e *Entry, now time.Duration, l *mesh.Link) {
 	e.receive(now, control.LinkUp{Link: l})
 	for _, m := range []wire.Message{
 		&wire.NodeHeartbeat{Clock: now, Echo: now},
 		&wire.RunsKept{},
 		&wire.EndpointReport{Status: dispatch.EndpointStatus{
-			Endpoint: dispatch.EndpointID{ID: "endpoint of " + name, Born: 1}, Service: "svc", Available: true,
+			Endpoint: dispatch.EndpointID{ID: "endpoint of " + l.Hello.Name, Born: 1}, Service: "svc", Available: true,
 			Capacity: dispatch.Resources{CPUMilli: 4000},
 		}},
 	} {
 		e.receive(now, control.Received{Link: l, Message: m})
 	}
-	return l, sent
 }
 
 // A link may be reset when a lifetime of an endpoint ends, so that the entry does not
