Simulations: links have numbers, and may come late

The links of both simulations have numbers, so that the order is played. New: TestNoTaskRunsTwiceBehindLinksThatComeLate. An agent gives up a third of its links at once; the entry handles their hello and reports 1 to 450 ms later.

The seeds that the environment adds come from one function for both tests of whole simulations.

--- a/hosted/entry/sim_test.go
+++ b/hosted/entry/sim_test.go
@@ -62,12 +62,18 @@
 	agents    []*simAgent
 	running   map[dispatch.TaskRef]string // agent and owner of a task that runs
 	partition map[string]time.Duration    // by pair of entries, until when
+	lastLink  uint64                      // number of the newest link
 	violation string
 	ended     map[string]int
 	trace     []string
 	whole     *simWhole // set: hosts with real guards take the place of agents
 }
 
+// newLink returns a link that is made now, as one side has it.
+func (s *sim) newLink(c mesh.Conn, hello wire.NodeHello) *mesh.Link {
+	return &mesh.Link{Conn: c, Hello: hello, Number: s.lastLink, Began: s.now}
+}
+
 func (s *sim) after(d time.Duration, do func()) {
 	s.events.Add(s.now+d, do)
 }
@@ -386,8 +392,9 @@
 			l.ends[i] = simEnd{entry: n, incarnation: n.incarnation}
 			n.links = append(n.links, l)
 		}
-		l.ends[0].link = &mesh.Link{Conn: conn{l, 0}, Hello: b.hello, Dialed: "x"}
-		l.ends[1].link = &mesh.Link{Conn: conn{l, 1}, Hello: a.hello}
+		s.lastLink++
+		l.ends[0].link, l.ends[1].link = s.newLink(conn{l, 0}, b.hello), s.newLink(conn{l, 1}, a.hello)
+		l.ends[0].link.Dialed = "x"
 		a.receive(control.LinkUp{Link: l.ends[0].link})
 		b.receive(control.LinkUp{Link: l.ends[1].link})
 	})
@@ -444,7 +451,8 @@
 		l.ends[0] = simEnd{entry: n, incarnation: n.incarnation}
 		l.ends[1] = simEnd{agent: a}
 		hello := wire.NodeHello{Name: a.name, Incarnation: 1, Role: wire.RoleAgent}
-		l.ends[0].link = &mesh.Link{Conn: conn{l, 0}, Hello: hello}
+		a.s.lastLink++
+		l.ends[0].link = a.s.newLink(conn{l, 0}, hello)
 		n.links = append(n.links, l)
 		n.receive(control.LinkUp{Link: l.ends[0].link})
 		a.linkUp(n, l)
--- a/hosted/entry/simhost_test.go
+++ b/hosted/entry/simhost_test.go
@@ -370,14 +370,36 @@
 			return
 		}
 		l := &simLink{s: h.s, rng: h.s.source(h.name, n.hello.Name)}
-		l.ends[0] = simEnd{entry: n, incarnation: n.incarnation, link: &mesh.Link{Conn: conn{l, 0}, Hello: a.hello}}
-		l.ends[1] = simEnd{host: h, guards: a, link: &mesh.Link{Conn: conn{l, 1}, Hello: n.hello}}
+		if h.s.whole.lateLinks && l.rng.IntN(3) == 0 {
+			h.linkLate(n, l.rng)
+		}
+		h.s.lastLink++
+		l.ends[0] = simEnd{entry: n, incarnation: n.incarnation, link: h.s.newLink(conn{l, 0}, a.hello)}
+		l.ends[1] = simEnd{host: h, guards: a, link: h.s.newLink(conn{l, 1}, n.hello)}
 		n.links = append(n.links, l)
 		n.receive(control.LinkUp{Link: l.ends[0].link})
 		a.run(func() { a.linkUp(l.ends[1].link) })
 	})
 }
 
+// linkLate makes a link that the agent gives up at once. The entry handles it late.
+func (h *simHost) linkLate(n *simEntry, rng source) {
+	a, incarnation, atAgent := h.agent, n.incarnation, &sentTo{}
+	h.s.lastLink++
+	dialed, accepted := h.s.newLink(atAgent, n.hello), h.s.newLink(&sentTo{}, a.hello)
+	a.linkUp(dialed)
+	a.linkDown(dialed)
+	h.s.after(rng.between(ms, 450*ms), func() {
+		n.run(incarnation, func() {
+			n.e.receive(h.s.now, control.LinkUp{Link: accepted})
+			for _, m := range atAgent.messages {
+				n.e.receive(h.s.now, control.Received{Link: accepted, Message: m})
+			}
+			n.e.receive(h.s.now, control.LinkDown{Link: accepted})
+		})
+	})
+}
+
 func (a *simGuards) linkUp(l *mesh.Link) {
 	now, name := a.s.now, l.Hello.Name
 	if old := a.peers[name]; old != nil {
--- a/hosted/entry/simwhole_test.go
+++ b/hosted/entry/simwhole_test.go
@@ -37,10 +37,11 @@
 }
 
 // crossing is which calls that were sent to one lifetime of an endpoint may be carried out by
-// the next one under the same id.
+// the next one under the same id, and whether links of agents may come late.
 type crossing struct {
 	startsCross   bool
 	renewalsCross bool // also after that one has answered for a guard's time of recovery
+	lateLinks     bool // an entry may handle a link that its agent has given up after a later one
 }
 
 // simStarted is a run that an endpoint has started.
@@ -359,7 +360,7 @@
 // With BERGAMOTWING_SIM_CROSS, all calls may be carried out in the next lifetime.
 func TestNoTaskRunsTwiceFromClientToEndpoint(t *testing.T) {
 	all := os.Getenv("BERGAMOTWING_SIM_CROSS") != ""
-	cross := crossing{all, all}
+	cross := crossing{startsCross: all, renewalsCross: all}
 	if seed, err := strconv.ParseUint(os.Getenv("BERGAMOTWING_SIM_TRACE"), 10, 64); err == nil {
 		s := runWhole(seed, cross)
 		for _, line := range s.trace {
@@ -369,13 +370,23 @@
 		return
 	}
 	const fixed = 24
+	playWhole(t, append(slices.Clone(wholeSeeds), seedsOf(fixed)...), cross)
+}
+
+// seedsOf returns the fixed seeds and those that the environment adds.
+func seedsOf(fixed int) (seeds []uint64) {
 	more, _ := strconv.Atoi(os.Getenv("BERGAMOTWING_SIM_SEEDS")) // 0 if it is not set
 	first, _ := strconv.ParseUint(os.Getenv("BERGAMOTWING_SIM_FIRST"), 10, 64)
-	seeds := slices.Clone(wholeSeeds)
-	for i := range uint64(fixed + more) {
+	for i := range uint64(fixed + more) { //nolint:gosec // not negative
 		seeds = append(seeds, first+i+1)
 	}
-	playWhole(t, seeds, cross)
+	return seeds
+}
+
+// A report on an earlier link that an entry handles late ends no run ordered on a later one.
+func TestNoTaskRunsTwiceBehindLinksThatComeLate(t *testing.T) {
+	const fixed = 12
+	playWhole(t, seedsOf(fixed), crossing{lateLinks: true})
 }
 
 // A start that had no answer may be carried out in the lifetime that begins anew under the
