--- a/hosted/entry/stalelink_test.go
+++ b/hosted/entry/stalelink_test.go
@@ -150,3 +150,22 @@
 		t.Error("the process that was started again is not linked")
 	}
 }
+
+// Two entries that dial each other at once and keep different links have none.
+func TestOfTwoLinksMadeAtOnceBothSidesKeepTheSame(t *testing.T) {
+	for _, dialed := range [][2]string{{"x", ""}, {"", "x"}} {
+		for _, order := range [][2]int{{0, 1}, {1, 0}} {
+			e := newTestState(t).e
+			now := mesh.Now()
+			var conns [2]*closable
+			for _, i := range order {
+				l, conn := numberedLink(other.Entry, wire.RoleEntry, 1, uint64(i+1), now) //nolint:gosec // 1 or 2
+				l.Dialed, conns[i] = dialed[i], conn
+				receiveAll(e, now+time.Millisecond, l)
+			}
+			if !conns[0].closed || conns[1].closed {
+				t.Errorf("dialed %q, in the order %v: closed %v and %v, want the first", dialed, order, conns[0].closed, conns[1].closed)
+			}
+		}
+	}
+}
