A DELETE at any entry cancels the job

Cause: an entry looked for the job of a DELETE only among the requests of its own clients. At another entry than the job's POST, the home among them, it was answered 410 and cancelled nothing. And a job that was cancelled by DELETE was answered 502 to its POST, after which clients send it again: it ran after its cancel had been acknowledged.

Change: the entry passes the DELETE on to all linked entries that know the message (JobDelete). Each cancels the job whoever submitted it, answers its own client, and keeps the id for four resend times (20,000 ids at most), in which submissions of the job are answered as cancelled. The DELETE is answered 200 at the first entry that had the job, 410 once none had it or after 1 s. A cancelled job's POST is answered 200 with State cancelled.

--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -253,6 +253,23 @@
 	}
 }
 
+// Delete answers a job that its client has cancelled, whichever caller waits for it, and
+// stops its runs. It reports whether a caller waited.
+func (s *Scheduler) Delete(now Time, id string, out Outcome) bool {
+	j := s.jobs[id]
+	if j == nil {
+		return false
+	}
+	waited := !j.closed || j.resubmitted != nil
+	if j.resubmitted != nil {
+		s.answer(*j.resubmitted, out)
+		j.resubmitted = nil
+	}
+	s.endJob(now, j, out)
+	s.place(now)
+	return waited
+}
+
 // CancelOthers cancels the jobs of a caller other than those that it waits for, and
 // returns how many they are.
 func (s *Scheduler) CancelOthers(now Time, caller Owner, waitsFor []string) int {
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -321,6 +321,39 @@
 	}
 }
 
+// A DELETE may come to another entry than the submissions.
+func TestADeleteEndsAJobForAllCallers(t *testing.T) {
+	for _, closed := range []bool{false, true} { // by the first caller, before the second submission
+		b := newBed(t, "e1")
+		b.submit("j", callerA, 0, step(1))
+		orders, _, _ := b.take()
+		if closed {
+			b.s.Cancel(b.now, "j", callerA)
+		}
+		b.submit("j", callerB, 0, step(1))
+		b.s.TakeActions()
+		if !b.s.Delete(b.now, "j", Outcome{Code: result.Cancelled}) || b.s.Delete(b.now, "j", Outcome{Code: result.Cancelled}) {
+			t.Errorf("closed %v: the job is not reported as open once", closed)
+		}
+		stops := 0
+		for _, a := range b.s.TakeActions() {
+			switch {
+			case a.Kind == CancelRun:
+				stops++
+			case a.Kind == FinishJob && (a.Caller != callerB || a.Outcome.Code != result.Cancelled):
+				t.Errorf("closed %v: caller %v is answered %v", closed, a.Caller, a.Outcome.Code)
+			}
+		}
+		if stops == 0 && !closed {
+			t.Error("the run is not stopped")
+		}
+		b.end(orders[0], EndStopped)
+		if again, _, _ := b.take(); len(again) > 0 || b.s.Jobs() > 0 {
+			t.Errorf("closed %v: the job goes on: %+v", closed, again)
+		}
+	}
+}
+
 func TestTheSameJobAgainJoinsTheOneThatIsOpen(t *testing.T) {
 	b := newBed(t, "e1")
 	b.submit("j", callerA, 0, step(1))
--- a/hosted/entry/clients.go
+++ b/hosted/entry/clients.go
@@ -125,6 +125,8 @@
 		platform.WriteJobState(w, platform.JobCompleted)
 	case result.TaskFailed:
 		platform.WriteJobState(w, platform.JobFailed)
+	case result.Cancelled: // a client does not send the job again after a 200
+		platform.WriteJobState(w, platform.JobCancelled)
 	default:
 		e.deps.Metrics.Refused(out.Code)
 		writeRefusal(w, out.Code, out.RetryAfter, out.Detail)
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -56,6 +56,9 @@
 	lastRequest     uint64 // number of the newest request
 	recent          map[submittedJob]recentEnd
 	moved           map[movedJob]movedTo
+	deletes         map[uint64]*pendingDelete // by number
+	lastDelete      uint64                    // number of the newest request to delete a job
+	deleted         deletedJobs
 	home            map[dispatch.Shard]string // entry that holds the shard's queue
 	shardCounts     shardCounts
 	peerShardCounts map[string]shardCounts // as sent by other entries, by name
@@ -129,7 +132,7 @@
 		members: map[string]mesh.MemberRow{}, unlinked: map[string]time.Duration{},
 		schedulers: map[dispatch.Shard]*dispatch.Scheduler{}, orders: &dispatch.OrderNumbers{}, timing: control.TimingOf(e.node), endpoints: map[dispatch.EndpointID]endpointView{},
 		agentShards: map[string]dispatch.Shard{},
-		requests:    map[string]*request{}, recent: map[submittedJob]recentEnd{}, moved: map[movedJob]movedTo{}, home: map[dispatch.Shard]string{},
+		requests:    map[string]*request{}, recent: map[submittedJob]recentEnd{}, moved: map[movedJob]movedTo{}, deletes: map[uint64]*pendingDelete{}, home: map[dispatch.Shard]string{},
 		shardCounts: shardCounts{}, peerShardCounts: map[string]shardCounts{},
 	}
 }
@@ -227,6 +230,7 @@
 			delete(s.recent, id)
 		}
 	}
+	s.expireDeletes(now)
 	maps.DeleteFunc(s.moved, func(_ movedJob, m movedTo) bool { return now > m.until })
 	s.e.ready.Store(s.isReady())
 	s.e.actor.TickAfter(tickEvery)
@@ -254,6 +258,10 @@
 		m.reply <- stopTimeoutOutcome("") // the job may have run elsewhere before
 		return
 	}
+	if s.wasDeleted(now, m.job.ID) {
+		m.reply <- deletedOutcome
+		return
+	}
 	if m.clientLeft() {
 		s.e.deps.Metrics.Count("bergamotwing_requests_unread_total", "Requests that were read after their clients had left.", 1)
 		s.e.deps.Log.Warn().Str("event", "client_left_unread").Str("job", m.job.ID).Msg("client had left before its request was read; nothing submitted")
@@ -450,6 +458,9 @@
 // runs, since clients resubmit jobs that may have run.
 func (s *state) endRequests(now time.Duration) {
 	s.stopTimedOut = true
+	for number, d := range s.deletes {
+		s.endDelete(number, d, false)
+	}
 	for id, r := range s.requests {
 		if r.home == s.e.owner() {
 			s.scheduler(r.shard).EndEarly(now, id, r.home, dispatch.Outcome{Code: result.Stopping, RetryAfter: notReadyRetry, Detail: stopTimeoutDetail})
@@ -472,17 +483,6 @@
 	return dispatch.Outcome{Code: result.OutcomeUnknown, Detail: stopTimeoutDetail + more}
 }
 
-// deleteJob cancels a job on its client's request.
-func (s *state) deleteJob(now time.Duration, m deleteJob) {
-	r := s.requests[m.job]
-	m.known <- r != nil
-	if r == nil {
-		return
-	}
-	s.cancelAtHome(now, r)
-	s.answer(m.job, dispatch.Outcome{Code: result.Cancelled})
-}
-
 // applyActions executes the actions that the schedulers decided on, also those that
 // follow when a job goes from one of them to the next.
 func (s *state) applyActions(now time.Duration) {
--- /dev/null
+++ b/hosted/entry/deletes_test.go
@@ -0,0 +1,177 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"bergamotwing.example/dispatch"
+	"bergamotwing.example/hosted/control"
+	"bergamotwing.example/hosted/mesh"
+	"bergamotwing.example/result"
+	"bergamotwing.example/wire"
+)
+
+// sendDelete has a client delete a job at an entry.
+func (p *passing) sendDelete(e *Entry, id string) <-chan bool {
+	known := make(chan bool, 1)
+	e.receive(p.now, deleteJob{job: id, known: known})
+	p.pass()
+	return known
+}
+
+// wantDelete checks the answer to a DELETE.
+func (p *passing) wantDelete(known <-chan bool, want bool) {
+	p.t.Helper()
+	if len(known) == 0 {
+		p.t.Errorf("the DELETE is not answered, want %v", want)
+	} else if got := <-known; got != want {
+		p.t.Errorf("the DELETE is answered %v, want %v", got, want)
+	}
+}
+
+// running returns a home with a running job that was submitted at its first entry.
+func running(t *testing.T, entries int) (p *passing, run wire.OrderedRun, reply <-chan dispatch.Outcome) {
+	t.Helper()
+	p = newPassing(t, entries)
+	reply = p.submit(p.entries[0], "j")
+	p.pass()
+	return p, p.ordered(), reply
+}
+
+// The platform takes a new connection of the same client to another entry.
+func TestADeleteAtAnotherEntryThanTheSubmissionCancelsTheJob(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		at   func(p *passing) *Entry
+	}{
+		{"at another entry", func(p *passing) *Entry { return p.entries[1] }},
+		{"at the home", func(p *passing) *Entry { return p.home }},
+		{"at an entry that has become the home", func(p *passing) *Entry {
+			p.entries[1].state.home[dispatch.Shard{Service: "svc"}] = p.entries[1].self.Name
+			return p.entries[1]
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p, _, reply := running(t, 2)
+			known := p.sendDelete(tc.at(p), "j")
+			if len(sentOf[*wire.RunStop](p.toAgent)) != 1 {
+				t.Error("the run is not stopped")
+			}
+			p.wantDelete(known, true)
+			p.wantAnswer("the client", reply, result.Cancelled)
+		})
+	}
+}
+
+// A submission may be on its way at another entry when the job is deleted.
+func TestAJobThatIsSubmittedAfterItsDeleteIsNotStarted(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		known bool // the job was submitted before
+		at    func(p *passing) *Entry
+	}{
+		{"at the entry of the first submission", true, func(p *passing) *Entry { return p.entries[0] }},
+		{"at the entry of the DELETE", true, func(p *passing) *Entry { return p.entries[1] }},
+		{"at the home", true, func(p *passing) *Entry { return p.home }},
+		{"on its way", false, func(p *passing) *Entry { return p.entries[0] }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPassing(t, 2)
+			var run wire.OrderedRun
+			if tc.known {
+				p, run, _ = running(t, 2)
+			}
+			p.wantDelete(p.sendDelete(p.entries[1], "j"), tc.known)
+			if tc.known {
+				p.end(run, dispatch.EndStopped)
+			}
+			reply := p.submit(tc.at(p), "j")
+			p.pass()
+			if n := len(p.toAgent.orders()); n > 0 {
+				t.Errorf("%d orders", n)
+			}
+			p.wantAnswer("the client", reply, result.Cancelled)
+		})
+	}
+}
+
+// A link that is made anew has the entry submit its request again.
+func TestARequestThatIsResumedAfterItsJobWasDeletedIsNotStarted(t *testing.T) {
+	p, run, reply := running(t, 2)
+	p.cut(p.entries[0])
+	p.wantDelete(p.sendDelete(p.entries[1], "j"), true)
+	p.end(run, dispatch.EndStopped)
+	p.toAgent.messages = nil
+	p.link(p.entries[0])
+	if n := len(p.toAgent.orders()); n > 0 {
+		t.Errorf("%d orders", n)
+	}
+	p.wantAnswer("the client", reply, result.Cancelled)
+}
+
+// Clients send a job again after a 502.
+func TestADeletedJobIsNotAnsweredSoThatItComesAgain(t *testing.T) {
+	w := httptest.NewRecorder()
+	newEntry(t).answer(w, "j", testRoute, &dispatch.OperatorState{}, dispatch.Outcome{Code: result.Cancelled}, 0, 0)
+	if w.Code != http.StatusOK || w.Body.String() != `{"State":"cancelled"}` {
+		t.Errorf("answered %d %s", w.Code, w.Body)
+	}
+}
+
+// An entry that is frozen does not answer.
+func TestADeleteIsAnsweredInTimeWithoutTheOtherEntries(t *testing.T) {
+	p, _, _ := running(t, 2)
+	p.silent = []*Entry{p.home}
+	known := p.sendDelete(p.entries[1], "j")
+	began := p.now
+	for len(known) == 0 && p.now < began+2*deleteTimeout {
+		p.now += tickEvery
+		p.entries[1].receive(p.now, control.Tick{})
+	}
+	if took := p.now - began; took > deleteTimeout+tickEvery {
+		t.Errorf("answered after %v", took)
+	}
+	p.wantDelete(known, false)
+}
+
+// Clients choose ids at random, so a kept one is of use for as long as the job may come again.
+func TestDeletedJobsAreKeptForALimitedTimeAndNumber(t *testing.T) {
+	e := newEntry(t)
+	s := e.state
+	now := mesh.Now()
+	s.deleteHere(now, "first")
+	s.deleteHere(now+1, "first")
+	resends := now + 2*s.timing.ResendAfter
+	if !s.wasDeleted(resends, "first") {
+		t.Error("a job that was deleted is forgotten before its second resend")
+	}
+	for i := range maxDeleted {
+		s.deleteHere(now+2, fmt.Sprint(i))
+	}
+	if n := len(s.deleted.until); n > maxDeleted || s.wasDeleted(now, "first") || !s.wasDeleted(now, "0") {
+		t.Errorf("%d jobs kept, the first one: %v, the second one: %v", n, s.wasDeleted(now, "first"), s.wasDeleted(now, "0"))
+	}
+	s.expireDeletes(now + time.Minute)
+	if n := len(s.deleted.until) + len(s.deleted.order); n > 0 {
+		t.Errorf("%d jobs kept for a minute", n)
+	}
+}
+
+// A link ends at a message of an unknown kind.
+func TestAnEntryThatDoesNotKnowJobDeleteIsNotSentIt(t *testing.T) {
+	for newest, want := range map[wire.Kind]int{wire.KindOperatorRequest: 0, wire.KindJobDelete: 1} {
+		e := newEntry(t)
+		now := mesh.Now()
+		l, sent := recordedLink(other.Entry, wire.RoleEntry)
+		l.Hello.NewestKind = newest
+		e.receive(now, control.LinkUp{Link: l})
+		known := make(chan bool, 1)
+		e.receive(now, deleteJob{job: "j", known: known})
+		if n := len(sentOf[*wire.JobDelete](sent)); n != want || len(known) == want {
+			t.Errorf("newest kind %d: sent %d, want %d; answered at once: %v", newest, n, want, len(known) == 1)
+		}
+	}
+}
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -221,6 +221,10 @@
 		for _, sched := range s.schedulers {
 			sched.Cancel(now, m.Job, owner)
 		}
+	case *wire.JobDelete:
+		_ = p.Send(&wire.JobDeleted{Number: m.Number, Cancelled: s.deleteHere(now, m.Job)}) // the sender does not wait for it for long
+	case *wire.JobDeleted:
+		s.deleteAnswered(owner, m)
 	case *wire.JobsOpen:
 		s.reconcile(now, owner, m.Jobs)
 	case *wire.JobEnd:
@@ -276,6 +280,10 @@
 		_ = p.Send(&wire.JobEnd{Job: m.Job.ID, Outcome: r.outcome, Shard: m.Shard + 1, Request: m.Request}) // resent on the next link
 		return
 	}
+	if s.wasDeleted(now, m.Job.ID) {
+		_ = p.Send(&wire.JobEnd{Job: m.Job.ID, Outcome: deletedOutcome, Shard: m.Shard + 1, Request: m.Request}) // resumed on the next link if it is lost
+		return
+	}
 	if age := now - m.Echo; m.Echo > 0 && age > s.timing.EntryLease {
 		s.e.deps.Metrics.Count("bergamotwing_submissions_stale_total", "Submissions of other entries that came too late.", 1)
 		s.e.deps.Log.Warn().Str("event", "submission_stale").Str("job", m.Job.ID).Str("entry", owner.Entry).Dur("age_ms", age).Msg("submission refused: it came too late")
--- /dev/null
+++ b/integration/hosted/deleted_test.go
@@ -0,0 +1,57 @@
+package hosted
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"bergamotwing.example/integration/harness"
+	"bergamotwing.example/platform/fake"
+)
+
+const deleteLimit = time.Second // from a DELETE until it is answered, and until the runs are over
+
+// wantDeleted has a client delete a job of abandonedTasks tasks that run, at an entry, and
+// send it again there. answer is that of the job's submission.
+func wantDeleted(t *testing.T, c *Cluster, e *Host, id string, answer <-chan fake.Answer) {
+	t.Helper()
+	harness.Eventually(t, 2*time.Second, "the tasks run", func() bool { return c.Record.Running() == abandonedTasks })
+	starts := c.Record.Starts(id)
+	sent := time.Now()
+	if a := call(t.Context(), http.MethodDelete, e, prefix+id, ""); a.Status != http.StatusOK || time.Since(sent) > deleteLimit {
+		t.Errorf("the DELETE is answered %+v after %v", a, time.Since(sent))
+	}
+	harness.Eventually(t, deleteLimit, "the runs are over", func() bool { return c.Record.Running() == 0 })
+	if a := <-answer; !isCancelled(a) {
+		t.Errorf("the submission is answered %+v", a)
+	}
+	if a := c.Submit(e, id, fake.Tasks(abandonedTasks, 10)); !isCancelled(a) || c.Record.Starts(id) != starts {
+		t.Errorf("sent again, the job is answered %+v, %d runs started", a, c.Record.Starts(id)-starts)
+	}
+}
+
+func isCancelled(a fake.Answer) bool {
+	return a.Status == http.StatusOK && strings.Contains(a.Body, `"State":"cancelled"`)
+}
+
+// The platform takes a new connection of the same client to another entry.
+func TestADeleteAtAnyEntryCancelsTheJob(t *testing.T) {
+	c := New(t, 3, 2)
+	home, others := homeAndOthers(t, c)
+	for _, tc := range []struct {
+		name               string
+		submitted, deleted *Host
+	}{
+		{"at the job's entry", others[0], others[0]},
+		{"at another entry", others[0], others[1]},
+		{"at the home", others[0], home},
+		{"submitted at the home", home, others[0]},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			id := NewJobID()
+			_, answer := submitInBackground(t, c, tc.submitted, id)
+			wantDeleted(t, c, tc.deleted, id, answer)
+		})
+	}
+}
--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -117,6 +117,19 @@
 	Elsewhere int `cbor:"5,keyasint,omitempty"`
 }
 
+// JobDelete cancels a job for its client, whichever entry has submitted it. The receiver
+// answers later submissions of the job as cancelled.
+type JobDelete struct {
+	Job    string `cbor:"1,keyasint"`
+	Number uint64 `cbor:"2,keyasint"` // of the sender's incarnation, repeated in the answer
+}
+
+// JobDeleted answers a JobDelete.
+type JobDeleted struct {
+	Number    uint64 `cbor:"1,keyasint"`
+	Cancelled bool   `cbor:"2,keyasint,omitempty"` // the job was open at the sender
+}
+
 // EndpointReport reports the status of an endpoint to an entry.
 type EndpointReport struct {
 	Status dispatch.EndpointStatus `cbor:"1,keyasint"`
