A DELETE cancels a job whose route was removed

Cause: a request for which no route is in force was answered 404 (400 below a route of a shorter prefix) before its method was looked at. Open jobs of a removed route go on, and could not be cancelled.

Change: a DELETE without a route cancels the open job of the id with which its path ends, if its host and path are those of the route with which the job was submitted, at whichever entry that was. Else it is refused as before.

--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -139,6 +139,15 @@
 // Has reports whether a job is open, or closed with runs that have not ended.
 func (s *Scheduler) Has(job string) bool { return s.jobs[job] != nil }
 
+// RouteOf returns the route with which a job that the scheduler has was submitted, or the
+// zero route.
+func (s *Scheduler) RouteOf(job string) Route {
+	if j := s.jobs[job]; j != nil {
+		return j.sub.Route
+	}
+	return Route{}
+}
+
 // Jobs returns how many jobs are open.
 func (s *Scheduler) Jobs() int { return len(s.jobs) }
 
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -66,6 +66,11 @@
 	PlacedByPolicy bool `cbor:"10,keyasint,omitempty"`
 }
 
+// NamesJob reports whether a request's host and path name a job of the route.
+func (r *Route) NamesJob(host, path, job string) bool {
+	return strings.EqualFold(r.Host, host) && path == r.Prefix+job
+}
+
 // Service is a pool of endpoints.
 type Service struct {
 	Name    string `cbor:"1,keyasint"`
--- a/hosted/entry/clients.go
+++ b/hosted/entry/clients.go
@@ -29,13 +29,13 @@
 	}
 	route, ok := operator.Config.Match(hostName(r.Host), r.URL.Path)
 	if !ok {
-		e.refuse(w, "", result.NotFound, 0, "no route for "+r.Host+r.URL.Path)
+		e.refuseUnlessDeleted(w, r, result.NotFound, "no route for "+r.Host+r.URL.Path)
 		return
 	}
 	req, ok := platform.ParseJobRequest(r, route.Prefix)
 	switch {
 	case !ok:
-		e.refuse(w, "", result.BadRequest, 0, "malformed job id")
+		e.refuseUnlessDeleted(w, r, result.BadRequest, "malformed job id")
 	case req.ID == "" && r.Method == http.MethodGet:
 		e.serveWaiting(w, r, route)
 	case req.ID == "":
@@ -157,12 +157,31 @@
 	platform.WriteError(w, status, code.String()+": "+detail, retryAfter)
 }
 
+// refuseUnlessDeleted refuses a request for which there is no route, unless it is a DELETE
+// of a job that is open: jobs of a route that was removed go on.
+func (e *Entry) refuseUnlessDeleted(w http.ResponseWriter, r *http.Request, code result.Code, detail string) {
+	if id, ok := platform.JobIDOf(r.URL.Path); ok && r.Method == http.MethodDelete {
+		known := make(chan bool, 1)
+		e.actor.Send(deleteJob{job: id, known: known, host: hostName(r.Host), path: r.URL.Path})
+		select {
+		case <-r.Context().Done():
+			return
+		case cancelled := <-known:
+			if cancelled {
+				platform.WriteJobState(w, platform.JobCancelled)
+				return
+			}
+		}
+	}
+	e.refuse(w, "", code, 0, detail)
+}
+
 // serveJobByID cancels a job, for a GET too. A DELETE is answered with whether the
 // job was open, a GET always that there is no such job. Jobs that have ended are not
 // kept.
 func (e *Entry) serveJobByID(w http.ResponseWriter, r *http.Request, id string) {
 	known := make(chan bool, 1)
-	e.actor.Send(deleteJob{id, known})
+	e.actor.Send(deleteJob{job: id, known: known})
 	if r.Method == http.MethodGet {
 		platform.WriteError(w, http.StatusGone, "no such job", 0)
 		return
--- a/hosted/entry/deletes.go
+++ b/hosted/entry/deletes.go
@@ -67,11 +67,15 @@
 // deleteJob cancels a job on its client's request, here and at all linked entries: its
 // home or shard may have changed, and any of them may get a submission that is on its way.
 func (s *state) deleteJob(now time.Duration, m deleteJob) {
-	cancelled := s.deleteHere(now, m.job)
 	s.lastDelete++
+	request := &wire.JobDelete{Job: m.job, Number: s.lastDelete, Host: m.host, Path: m.path}
+	cancelled := s.deleteHere(now, request)
+	if cancelled {
+		request.Host, request.Path = "", "" // they named the job
+	}
 	d := &pendingDelete{m, map[dispatch.Owner]bool{}, now + deleteTimeout}
 	for _, p := range s.peers {
-		if p.Hello.NewestKind >= wire.KindJobDelete && p.Send(&wire.JobDelete{Job: m.job, Number: s.lastDelete}) == nil {
+		if p.Hello.NewestKind >= wire.KindJobDelete && p.Send(request) == nil {
 			d.waitsFor[p.Owner()] = true
 		}
 	}
@@ -83,17 +87,21 @@
 
 // deleteHere cancels a job of any entry in the schedulers here, and of a client that waits
 // here. It reports whether there was one.
-func (s *state) deleteHere(now time.Duration, job string) bool {
-	s.deleted.add(job, now+deletedResends*s.timing.ResendAfter)
+func (s *state) deleteHere(now time.Duration, m *wire.JobDelete) bool {
+	job := m.Job
+	named := func(r dispatch.Route) bool { return m.Path == "" || r.NamesJob(m.Host, m.Path, job) }
 	cancelled := false
 	for _, sched := range s.schedulers {
-		cancelled = sched.Delete(now, job, deletedOutcome) || cancelled
+		cancelled = named(sched.RouteOf(job)) && sched.Delete(now, job, deletedOutcome) || cancelled
 	}
-	if r := s.requests[job]; r != nil {
+	if r := s.requests[job]; r != nil && named(r.route) {
 		cancelled = true
 		s.cancelAtHome(now, r)
 		s.answer(job, deletedOutcome)
 	}
+	if cancelled || m.Path == "" {
+		s.deleted.add(job, now+deletedResends*s.timing.ResendAfter)
+	}
 	if cancelled {
 		s.e.deps.Log.Info().Str("event", "job_deleted").Str("job", job).Msg("job cancelled on its client's request")
 	}
@@ -110,7 +118,7 @@
 	return true
 }
 
-func (s *state) deleteAnswered(by dispatch.Owner, m *wire.JobDeleted) {
+func (s *state) deleteAnswered(now time.Duration, by dispatch.Owner, m *wire.JobDeleted) {
 	d := s.deletes[m.Number]
 	if d == nil {
 		return
@@ -119,6 +127,9 @@
 	if m.Cancelled || len(d.waitsFor) == 0 {
 		s.endDelete(m.Number, d, m.Cancelled)
 	}
+	if m.Cancelled && d.path != "" { // host and path named the job, so all entries are to refuse it
+		s.deleteJob(now, deleteJob{job: d.job, known: make(chan bool, 1)})
+	}
 }
 
 func (s *state) endDelete(number uint64, d *pendingDelete, cancelled bool) {
--- a/hosted/entry/deletes_test.go
+++ b/hosted/entry/deletes_test.go
@@ -142,14 +142,14 @@
 	e := newEntry(t)
 	s := e.state
 	now := mesh.Now()
-	s.deleteHere(now, "first")
-	s.deleteHere(now+1, "first")
+	s.deleteHere(now, &wire.JobDelete{Job: "first"})
+	s.deleteHere(now+1, &wire.JobDelete{Job: "first"})
 	resends := now + 2*s.timing.ResendAfter
 	if !s.wasDeleted(resends, "first") {
 		t.Error("a job that was deleted is forgotten before its second resend")
 	}
 	for i := range maxDeleted {
-		s.deleteHere(now+2, fmt.Sprint(i))
+		s.deleteHere(now+2, &wire.JobDelete{Job: fmt.Sprint(i)})
 	}
 	if n := len(s.deleted.until); n > maxDeleted || s.wasDeleted(now, "first") || !s.wasDeleted(now, "0") {
 		t.Errorf("%d jobs kept, the first one: %v, the second one: %v", n, s.wasDeleted(now, "first"), s.wasDeleted(now, "0"))
@@ -175,3 +175,39 @@
 		}
 	}
 }
+
+// An id alone may name a job of another route.
+func TestADeleteWithoutARouteCancelsOnlyAJobSubmittedUnderItsPath(t *testing.T) {
+	route := testRoute
+	route.Host, route.Prefix = "jobs.example", "/q/"
+	for _, tc := range []struct {
+		host, path string
+		want       bool
+	}{
+		{"jobs.example", "/q/j", true},
+		{"JOBS.example", "/q/j", true},
+		{"jobs.example", "/r/j", false},
+		{"other.example", "/q/j", false},
+	} {
+		for at := range 3 { // the job's entry, another one, the home
+			p := newPassing(t, 2)
+			reply := make(chan dispatch.Outcome, 1)
+			p.entries[0].receive(p.now, submit{job: job("j"), route: route, deadline: p.now + time.Minute, reply: reply})
+			p.pass()
+			p.ordered()
+			known := make(chan bool, 1)
+			deleter := append(p.entries, p.home)[at]
+			deleter.receive(p.now, deleteJob{job: "j", known: known, host: tc.host, path: tc.path})
+			p.pass()
+			p.wantDelete(known, tc.want)
+			if stopped := len(sentOf[*wire.RunStop](p.toAgent)) > 0; stopped != tc.want || len(reply) > 0 != tc.want {
+				t.Errorf("%s%s: stopped %v, the client is answered: %v", tc.host, tc.path, stopped, len(reply) > 0)
+			}
+			for _, e := range []*Entry{deleter, p.home} {
+				if e.state.wasDeleted(p.now, "j") != tc.want {
+					t.Errorf("%s%s, entry %s: submissions are answered as deleted: %v", tc.host, tc.path, e.self.Name, !tc.want)
+				}
+			}
+		}
+	}
+}
--- a/hosted/entry/messages.go
+++ b/hosted/entry/messages.go
@@ -28,8 +28,9 @@
 		reply chan dispatch.Outcome // of the submission that the client has given up
 	}
 	deleteJob struct {
-		job   string
-		known chan bool
+		job        string
+		known      chan bool
+		host, path string // of the request if no route in force names the job
 	}
 	askWaiting struct {
 		route dispatch.Route
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -222,9 +222,9 @@
 			sched.Cancel(now, m.Job, owner)
 		}
 	case *wire.JobDelete:
-		_ = p.Send(&wire.JobDeleted{Number: m.Number, Cancelled: s.deleteHere(now, m.Job)}) // the sender does not wait for it for long
+		_ = p.Send(&wire.JobDeleted{Number: m.Number, Cancelled: s.deleteHere(now, m)}) // the sender does not wait for it for long
 	case *wire.JobDeleted:
-		s.deleteAnswered(owner, m)
+		s.deleteAnswered(now, owner, m)
 	case *wire.JobsOpen:
 		s.reconcile(now, owner, m.Jobs)
 	case *wire.JobEnd:
--- a/integration/hosted/deleted_test.go
+++ b/integration/hosted/deleted_test.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -55,3 +56,52 @@
 		})
 	}
 }
+
+// Jobs of a route that an operator removes go on.
+func TestADeleteCancelsAJobWhoseRouteWasRemoved(t *testing.T) {
+	c := New(t, 3, 2)
+	home, others := homeAndOthers(t, c)
+	version := 1
+	setPrefix := func(pathPrefix string) {
+		version++
+		c.SetConfig(version, pathPrefix)
+		harness.Eventually(t, 2*time.Second, "the configuration is in force at all entries", func() bool {
+			for _, e := range c.Entries {
+				if !strings.Contains(e.Log(), fmt.Sprintf(`"config":%d,"evacuated"`, version)) {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	for _, tc := range []struct {
+		name, left string // the prefix of the route that is left
+		unknown    int    // status of a DELETE of an unknown job
+		deleted    *Host
+	}{
+		{"at the job's entry", "/other/", http.StatusNotFound, others[0]},
+		{"at another entry", "/other/", http.StatusNotFound, others[1]},
+		{"at the home", "/other/", http.StatusNotFound, home},
+		{"with a route of a shorter prefix", "/", http.StatusBadRequest, others[1]},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			setPrefix(prefix)
+			id := NewJobID()
+			_, answer := submitInBackground(t, c, others[0], id)
+			harness.Eventually(t, 2*time.Second, "the tasks run", func() bool { return c.Record.Running() == abandonedTasks })
+			setPrefix(tc.left)
+			for _, path := range []string{"/not/" + id, prefix + NewJobID()} {
+				if a := call(t.Context(), http.MethodDelete, tc.deleted, path, ""); a.Status != tc.unknown || c.Record.Running() != abandonedTasks {
+					t.Errorf("the DELETE of %s is answered %+v, %d tasks run", path, a, c.Record.Running())
+				}
+			}
+			if a := call(t.Context(), http.MethodDelete, tc.deleted, prefix+id, ""); a.Status != http.StatusOK {
+				t.Errorf("the DELETE is answered %+v", a)
+			}
+			harness.Eventually(t, deleteLimit, "the runs are over", func() bool { return c.Record.Running() == 0 })
+			if a := <-answer; !isCancelled(a) {
+				t.Errorf("the submission is answered %+v", a)
+			}
+		})
+	}
+}
--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -122,6 +122,10 @@
 type JobDelete struct {
 	Job    string `cbor:"1,keyasint"`
 	Number uint64 `cbor:"2,keyasint"` // of the sender's incarnation, repeated in the answer
+	// Host and Path are those of the client's request if the sender has no route for it.
+	// They have to be those of the route with which the job was submitted.
+	Host string `cbor:"3,keyasint,omitempty"`
+	Path string `cbor:"4,keyasint,omitempty"`
 }
 
 // JobDeleted answers a JobDelete.
