A GET of a job does not cancel it

Cause: GET and DELETE of a job went the same way, so a GET at the job's own entry cancelled it.

Change: a GET is answered 410 as before and does nothing else. A DELETE's answer says what was done: State cancelled with 200, "no such job" with 410 (both said "cancelled").

Before: TestAGetCancelsNoJob failed (the submission was answered cancelled after 56 ms). After: passes.

--- a/hosted/entry/clients.go
+++ b/hosted/entry/clients.go
@@ -17,6 +17,7 @@
 const (
 	defaultWait   = 30 * time.Second // of a client that names no deadline
 	notReadyRetry = time.Second      // shortest Retry-After of a 503
+	noSuchJob     = "no such job"
 )
 
 // serveClient answers one request of a client.
@@ -42,8 +43,10 @@
 		e.refuse(w, "", result.MethodNotAllowed, 0, r.Method)
 	case r.Method == http.MethodPost:
 		e.serveJob(w, r, req, route, operator)
-	case r.Method == http.MethodGet, r.Method == http.MethodDelete:
-		e.serveJobByID(w, r, req.ID)
+	case r.Method == http.MethodDelete:
+		e.serveDelete(w, r, req.ID)
+	case r.Method == http.MethodGet: // of jobs that are answered at their end, no state is kept
+		platform.WriteError(w, http.StatusGone, noSuchJob, 0)
 	default:
 		e.refuse(w, req.ID, result.MethodNotAllowed, 0, r.Method)
 	}
@@ -176,23 +179,17 @@
 	e.refuse(w, "", code, 0, detail)
 }
 
-// serveJobByID cancels a job, for a GET too. A DELETE is answered with whether the
-// job was open, a GET always that there is no such job. Jobs that have ended are not
-// kept.
-func (e *Entry) serveJobByID(w http.ResponseWriter, r *http.Request, id string) {
+// serveDelete cancels a job, and answers whether it was open.
+func (e *Entry) serveDelete(w http.ResponseWriter, r *http.Request, id string) {
 	known := make(chan bool, 1)
 	e.actor.Send(deleteJob{job: id, known: known})
-	if r.Method == http.MethodGet {
-		platform.WriteError(w, http.StatusGone, "no such job", 0)
-		return
-	}
 	select {
-	case ok := <-known:
-		status := http.StatusGone
-		if ok {
-			status = http.StatusOK
+	case cancelled := <-known:
+		if cancelled {
+			platform.WriteJobState(w, platform.JobCancelled)
+			return
 		}
-		platform.WriteError(w, status, "cancelled", 0)
+		platform.WriteError(w, http.StatusGone, noSuchJob, 0)
 	case <-r.Context().Done():
 	}
 }
--- a/integration/hosted/deleted_test.go
+++ b/integration/hosted/deleted_test.go
@@ -105,3 +105,15 @@
 		})
 	}
 }
+
+// Clients may read a job's state at any time.
+func TestAGetCancelsNoJob(t *testing.T) {
+	c := New(t, 1, 2)
+	id := NewJobID()
+	_, answer := submitInBackground(t, c, c.Entries[0], id)
+	harness.Eventually(t, 2*time.Second, "the tasks run", func() bool { return c.Record.Running() == abandonedTasks })
+	call(t.Context(), http.MethodGet, c.Entries[0], prefix+id, "")
+	if a := <-answer; !a.Completed() || c.Record.Starts(id) != abandonedTasks {
+		t.Errorf("the submission is answered %+v, %d runs", a, c.Record.Starts(id))
+	}
+}
