Tests with real processes: the store tells hosts apart

The stand-in of the store decides by the calling host's address how it treats a call. Over loopback all processes call from 127.0.0.1, so a fault for one host met nobody: TestAnEvacuatedZoneGetsNoNewTasksEvenWhereTheStoreIsOut and TestAConfigurationReachesAnEntryThatTheStoreTurnsAway ran with a store that served everybody. Each host now gets an address of the store of its own.

--- a/integration/hosted/cluster.go
+++ b/integration/hosted/cluster.go
@@ -34,11 +34,11 @@
 	readyLimit       = 15 * time.Second
 
 	proxiedPort = fake.LinkPort + 1 // link port of an entry behind a proxy
+	storePort   = 8169              // of the store, at each host's address
 
 	// Last bytes of the hosts' addresses.
 	firstEntry = 10
 	firstAgent = 30
-	storeHost  = 250
 )
 
 // Zones of the hosts, assigned in turn.
@@ -100,7 +100,6 @@
 		o.Services = []string{service}
 	}
 	c := &Cluster{Store: fake.NewStore(), Record: fake.NewRecord(), options: o, t: t, dir: t.TempDir()}
-	serve(t, c.storeAddr(), c.Store)
 	c.SetConfig(1, prefix)
 	if o.Prepare != nil {
 		o.Prepare(c.Store)
@@ -124,7 +123,16 @@
 	return net.IPv4(127, 128|byte(pid>>8), byte(pid), byte(n)).String() //nolint:gosec // the low bytes are meant
 }
 
-func (c *Cluster) storeAddr() string { return net.JoinHostPort(address(storeHost), "8169") }
+// serveStore serves the store to one host, at an address of its own: on loopback, all
+// hosts call from the same address, and the store's faults go by the calling host.
+func (c *Cluster) serveStore(ip string) (addr string) {
+	addr = fake.Addr(ip, storePort)
+	serve(c.t, addr, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.RemoteAddr = addr
+		c.Store.ServeHTTP(w, r)
+	}))
+	return addr
+}
 
 // SetConfig writes the operator's configuration with one route at pathPrefix.
 func (c *Cluster) SetConfig(version int, pathPrefix string) {
@@ -140,7 +148,7 @@
 	name := fmt.Sprintf("%s-%d", role, index)
 	zone := c.options.Zones[index%len(c.options.Zones)]
 	node := fake.Node{
-		Name: name, IP: ip, Zone: zone, Bounds: c.options.Bounds, StoreAddr: c.storeAddr(), Seeds: []string{address(firstEntry), address(firstEntry + 1)},
+		Name: name, IP: ip, Zone: zone, Bounds: c.options.Bounds, StoreAddr: c.serveStore(ip), Seeds: []string{address(firstEntry), address(firstEntry + 1)},
 	}
 	if role == "agent" {
 		node.Service = c.options.Services[index%len(c.options.Services)]
