Agents read the operator's rows while the store serves no entry

Cause: only entries read the operator's rows, and agents learn the zones out of service from them. While the store turns all entries away, tasks are started in an evacuated zone without limit, and no configuration arrives, though agents reach the store.

Change: heartbeats between entries say whether the sender's store call has failed. An entry whose calls have failed for 0.5 s (at once if it has no state), without a linked entry that is served, asks one linked agent after the other to read the changes after its version (OperatorRead, OperatorRows). It applies them like rows of its own; older reads change nothing. Agents of earlier builds and draining ones are not asked.

--- a/hosted/agent/agent.go
+++ b/hosted/agent/agent.go
@@ -51,7 +51,7 @@
 func New(node platform.Node, deps control.Deps) *Agent {
 	a := &Agent{actor: control.NewActor(), node: node, deps: deps, store: platform.NewStore(node.StoreAddr), odd: control.NewOddRows(deps), toWrite: make(chan platform.Announcement, 1), idle: make(chan struct{}), running: make(chan struct{})}
 	hello := wire.NodeHello{
-		Name: node.Name, Incarnation: control.NewIncarnation(), Role: wire.RoleAgent, Zone: node.Zone,
+		Name: node.Name, Incarnation: control.NewIncarnation(), Role: wire.RoleAgent, Zone: node.Zone, NewestKind: wire.NewestKind,
 	}
 	a.mesh = mesh.New(hello, a.actor, wire.Count(deps.Metrics), deps.Log)
 	a.state = newState(a)
--- a/hosted/agent/control.go
+++ b/hosted/agent/control.go
@@ -46,7 +46,9 @@
 	// which the endpoint's answer is awaited.
 	unconfirmed map[string]platform.Announcement
 	operator    dispatch.OperatorState
-	ends        []keptEnd
+	// operatorReads holds the entries for which the operator's rows are being read.
+	operatorReads map[string]bool
+	ends          []keptEnd
 	// lateStarts holds the starts without an answer of runs that have ended.
 	lateStarts []lateStart
 	seeds      []string // addresses where entries may listen
@@ -73,7 +75,7 @@
 func newState(a *Agent) *state {
 	return &state{
 		a: a, timing: control.TimingOf(a.node), seeds: mesh.SeedAddrs(a.node), peers: map[string]*mesh.Peer{}, lists: map[string][]wire.Member{}, addrs: map[string]string{},
-		endpoints: map[dispatch.EndpointID]*endpoint{}, unconfirmed: map[string]platform.Announcement{}, unlinkedSince: mesh.Now(),
+		endpoints: map[dispatch.EndpointID]*endpoint{}, unconfirmed: map[string]platform.Announcement{}, operatorReads: map[string]bool{}, unlinkedSince: mesh.Now(),
 	}
 }
 
@@ -106,6 +108,8 @@
 		s.endpointRead(now, m.n)
 	case endpointEnded:
 		s.endpointEnded(now, m.id)
+	case operatorRowsRead:
+		s.operatorRowsRead(m)
 	case startAnswered:
 		s.startAnswered(now, m)
 	case stopAnswered:
@@ -382,6 +386,8 @@
 		s.entryHeartbeat(now, p, m)
 	case *wire.OperatorUpdate:
 		s.adopt(now, p, m.State)
+	case *wire.OperatorRead:
+		s.readOperator(p, m)
 	case *wire.Members:
 		s.setList(l.Hello.Name, m.Entries)
 	case *wire.RunOrder:
--- a/hosted/agent/messages.go
+++ b/hosted/agent/messages.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"bergamotwing.example/dispatch"
+	"bergamotwing.example/hosted/mesh"
 	"bergamotwing.example/platform"
+	"bergamotwing.example/wire"
 )
 
 // Messages of the control actor.
@@ -14,8 +16,12 @@
 		n    platform.Announcement
 		done chan struct{}
 	}
-	endpointRead  struct{ n platform.Announcement }
-	endpointEnded struct{ id string }
+	endpointRead     struct{ n platform.Announcement }
+	endpointEnded    struct{ id string }
+	operatorRowsRead struct {
+		link *mesh.Link // of the entry that has asked
+		rows *wire.OperatorRows
+	}
 	startAnswered struct {
 		endpoint dispatch.EndpointID
 		run      dispatch.RunRef
--- a/hosted/entry/agents.go
+++ b/hosted/entry/agents.go
@@ -72,7 +72,7 @@
 		return
 	}
 	agent.HeartbeatDue = false
-	b.Home, b.Waiting = s.isHomeOf(agent), 0
+	b.Home, b.Waiting, b.StoreLost = s.isHomeOf(agent), 0, false
 	agent.SendHeartbeat(now, b)
 }
 
@@ -152,6 +152,8 @@
 		for _, sched := range s.schedulers {
 			sched.EndpointGone(now, id, m.Endpoint)
 		}
+	case *wire.OperatorRows:
+		s.operatorRows(now, p, m)
 	case *wire.RunEnd:
 		for _, end := range m.Ends {
 			s.runEnded(now, end)
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -64,8 +64,9 @@
 	nextMembersAt   time.Duration          // earliest time of the next list to agents
 	behindSince     time.Duration          // since when another entry has a newer version of the operator's state; 0: none has
 	catchUps        int                    // requests for it since then
-	checkedAt       time.Duration          // when the leases of the other entries were last checked
-	echoAgentsFrom  time.Duration          // no agent's lease is renewed before
+	agentReads      agentReads
+	checkedAt       time.Duration // when the leases of the other entries were last checked
+	echoAgentsFrom  time.Duration // no agent's lease is renewed before
 	stopping        bool
 	stopTimedOut    bool // the time to stop is over: requests are answered without the ends of their jobs
 }
@@ -173,6 +174,8 @@
 		s.setMembers(now, m.Members)
 	case operatorRead:
 		s.operatorRead(now, m)
+	case storeServes:
+		s.storeServes(now, m.ok)
 	case submit:
 		s.submit(now, m)
 	case abandonRequest:
@@ -217,6 +220,7 @@
 	s.checkPeers(now)
 	s.checkAgents(now)
 	s.catchUp(now)
+	s.readByAgents(now)
 	s.chooseHomes(now)
 	s.sendMembers(now)
 	for _, sched := range s.schedulers {
--- a/hosted/entry/entry.go
+++ b/hosted/entry/entry.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -56,8 +57,14 @@
 	odd   *control.OddRows
 	ctx   context.Context //nolint:containedctx // of the process; ends its background work
 
-	running  chan struct{} // closed once Run has used the settings
-	state    *state
+	running    chan struct{} // closed once Run has used the settings
+	state      *state
+	rowsMu     sync.Mutex
+	rows       *operatorRows // as read from the store, here or by an agent; nil: none yet
+	rowsReadAt atomic.Uint64 // readAt of rows
+
+	storeFailing bool // the latest call of watchOperator has failed
+
 	operator atomic.Pointer[dispatch.OperatorState] // newest state, also read by the handlers of client requests; nil: none yet
 	ready    atomic.Bool
 	stopping atomic.Bool
--- a/hosted/entry/messages.go
+++ b/hosted/entry/messages.go
@@ -15,7 +15,8 @@
 		hasConfig bool   // state has a configuration
 		readAt    uint64 // version of the store when it was read
 	}
-	submit struct {
+	storeServes struct{ ok bool } // whether the store answers has changed
+	submit      struct {
 		job      dispatch.Job
 		route    dispatch.Route
 		wait     time.Duration
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -164,7 +164,7 @@
 }
 
 func (s *state) heartbeat() wire.NodeHeartbeat {
-	b := wire.NodeHeartbeat{Draining: s.stopping, Home: s.isHome(), StoreVersion: s.storeVersion(), Waiting: s.waitingJobs()}
+	b := wire.NodeHeartbeat{Draining: s.stopping, Home: s.isHome(), StoreVersion: s.storeVersion(), Waiting: s.waitingJobs(), StoreLost: s.agentReads.lostAt > 0}
 	for _, v := range s.endpoints {
 		if v.status.Available {
 			b.Endpoints++
--- a/hosted/entry/store.go
+++ b/hosted/entry/store.go
@@ -26,14 +26,13 @@
 // watchOperator keeps the operator's state up to date.
 func (e *Entry) watchOperator(ctx context.Context) {
 	pause := storePause
-	failing := false
 	for ctx.Err() == nil {
 		err := e.readAndWatch(ctx)
 		if err == nil {
-			pause, failing = storePause, e.logStore(failing, nil)
+			pause = storePause
 			continue
 		}
-		failing = e.logStore(failing, err)
+		e.storeCalled(err)
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause):
@@ -45,9 +44,14 @@
 	}
 }
 
-// logStore logs when the store stops and starts to answer, and returns whether it
-// is failing now.
-func (e *Entry) logStore(failing bool, err error) bool {
+// storeCalled logs when the store stops and starts to answer, and tells the control
+// actor. Only watchOperator's goroutine calls it.
+func (e *Entry) storeCalled(err error) {
+	failing := e.storeFailing
+	e.storeFailing = err != nil
+	if e.storeFailing != failing {
+		e.actor.Send(storeServes{!e.storeFailing})
+	}
 	switch {
 	case err != nil && !failing:
 		e.deps.Metrics.Count("bergamotwing_store_losses_total", "Times the store was lost.", 1)
@@ -55,32 +59,29 @@
 	case err == nil && failing:
 		e.deps.Log.Info().Str("event", "store_back").Msg("store answers again")
 	}
-	return err != nil
 }
 
 // readAndWatch reads the whole state, then follows its changes for rereadEvery. It
 // returns nil when the state is to be read again.
 func (e *Entry) readAndWatch(ctx context.Context) error {
-	rows, err := e.readOperator(ctx)
-	if err != nil {
+	if err := e.readOperator(ctx); err != nil {
 		return err
 	}
 	for until := time.Now().Add(rereadEvery); time.Now().Before(until); {
-		changes, err := e.watchOnce(ctx, rows.readAt, e.node.ConfigApply/watchDivisor)
+		after := e.rowsReadAt.Load()
+		changes, err := e.watchOnce(ctx, after, e.node.ConfigApply/watchDivisor)
 		if errors.Is(err, platform.ErrHistoryLost) {
-			e.deps.Log.Info().Str("event", "store_history_lost").Uint64("after", rows.readAt).Msg("reading the operator's state anew")
+			e.deps.Log.Info().Str("event", "store_history_lost").Uint64("after", after).Msg("reading the operator's state anew")
 			return nil
 		}
 		if err != nil {
 			return err
 		}
+		e.storeCalled(nil)
 		if len(changes.Odd) > 0 || slices.ContainsFunc(changes.Rows, func(r platform.Row) bool { return r.Err != nil }) {
 			return nil
 		}
-		rows.apply(changes)
-		if len(changes.Rows) > 0 {
-			e.sendOperatorRead(rows)
-		}
+		e.applyChanges(after, changes)
 	}
 	return nil
 }
@@ -91,17 +92,46 @@
 	return e.store.Watch(ctx, platform.OperatorTable, after, wait)
 }
 
-func (e *Entry) readOperator(ctx context.Context) (*operatorRows, error) {
+func (e *Entry) readOperator(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	read, err := e.store.Get(ctx, platform.OperatorTable)
 	if err != nil {
-		return nil, err
+		return err
 	}
+	e.storeCalled(nil)
 	e.odd.Report(read.Odd...)
-	rows := newOperatorRows(read)
-	e.sendOperatorRead(rows)
-	return rows, nil
+	e.applyWhole(read)
+	return nil
+}
+
+// applyWhole replaces the operator's rows by those of a read, unless they are newer.
+func (e *Entry) applyWhole(read platform.Rows) {
+	e.rowsMu.Lock()
+	defer e.rowsMu.Unlock()
+	if e.rows != nil && read.Version < e.rows.readAt {
+		return
+	}
+	e.rows = newOperatorRows(read)
+	e.rowsReadAt.Store(e.rows.readAt)
+	e.sendOperatorRead(e.rows)
+}
+
+// applyChanges adds all changes of the operator's rows after a version. Those that were
+// applied already, from an agent's read or an own one, are left out.
+func (e *Entry) applyChanges(after uint64, changes platform.Rows) {
+	e.rowsMu.Lock()
+	defer e.rowsMu.Unlock()
+	if e.rows == nil || after > e.rows.readAt {
+		return
+	}
+	known := e.rows.readAt
+	changes.Rows = slices.DeleteFunc(changes.Rows, func(r platform.Row) bool { return r.Version <= known })
+	e.rows.apply(changes)
+	e.rowsReadAt.Store(e.rows.readAt)
+	if len(changes.Rows) > 0 {
+		e.sendOperatorRead(e.rows)
+	}
 }
 
 // sendOperatorRead passes the state that rows hold to the control actor.
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -56,6 +56,8 @@
 	KindShardCounts:     messages[ShardCounts](),
 	KindJobsOpen:        messages[JobsOpen](),
 	KindOperatorRequest: messages[OperatorRequest](),
+	KindOperatorRead:    messages[OperatorRead](),
+	KindOperatorRows:    messages[OperatorRows](),
 }
 
 func messages[T any, P interface {
--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -39,6 +39,9 @@
 	// ReceiverHome says that the sender takes the receiver for the home of a shard, which
 	// the receiver may not know, and so expects frequent heartbeats; between entries only.
 	ReceiverHome bool `cbor:"8,keyasint,omitempty"`
+	// StoreLost says that the sender's latest call of the store has failed; between entries
+	// only. Builds that do not send it leave it false.
+	StoreLost bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Member returns the sender as a member.
@@ -56,6 +59,30 @@
 // OperatorUpdate.
 type OperatorRequest struct{}
 
+// OperatorRead asks an agent to read the changes of the operator's rows from the store
+// for an entry that the store does not serve. The agent answers with OperatorRows.
+type OperatorRead struct {
+	After uint64        `cbor:"1,keyasint"` // version of the store after which changes are wanted; 0: all rows
+	Wait  time.Duration `cbor:"2,keyasint"` // for a change, if there is none yet
+}
+
+// OperatorRows answers an OperatorRead.
+type OperatorRows struct {
+	After   uint64     `cbor:"1,keyasint"`           // of the request
+	Version uint64     `cbor:"2,keyasint"`           // of the store when it was read
+	Whole   bool       `cbor:"3,keyasint,omitempty"` // Rows are all rows, not changes
+	Failed  bool       `cbor:"4,keyasint,omitempty"` // nothing was read
+	Rows    []StoreRow `cbor:"5,keyasint,omitempty"` // at most one for each key
+}
+
+// StoreRow is a row of the operator's table as the store holds it.
+type StoreRow struct {
+	Key     string `cbor:"1,keyasint"`
+	Value   []byte `cbor:"2,keyasint,omitempty"`
+	Version uint64 `cbor:"3,keyasint"`
+	Removed bool   `cbor:"4,keyasint,omitempty"`
+}
+
 // Member is an entry as the other processes know it. The entry's row in the store is
 // JSON under the same field names.
 type Member struct {
--- a/wire/kinds.go
+++ b/wire/kinds.go
@@ -47,10 +47,12 @@
 	KindShardCounts     Kind = 43
 	KindJobsOpen        Kind = 44
 	KindOperatorRequest Kind = 45
+	KindOperatorRead    Kind = 46
+	KindOperatorRows    Kind = 47
 
 	// NewestKind is the highest kind that this build knows. A link ends at a message of
 	// an unknown kind.
-	NewestKind = KindOperatorRequest
+	NewestKind = KindOperatorRows
 )
 
 func (*AgentHello) kind() Kind     { return KindAgentHello }
@@ -85,6 +87,8 @@
 func (*ShardCounts) kind() Kind     { return KindShardCounts }
 func (*JobsOpen) kind() Kind        { return KindJobsOpen }
 func (*OperatorRequest) kind() Kind { return KindOperatorRequest }
+func (*OperatorRead) kind() Kind    { return KindOperatorRead }
+func (*OperatorRows) kind() Kind    { return KindOperatorRows }
 func (*Members) kind() Kind         { return KindMembers }
 func (*JobSubmit) kind() Kind       { return KindJobSubmit }
 func (*JobCancel) kind() Kind       { return KindJobCancel }
@@ -181,6 +185,10 @@
 		return &JobsOpen{}
 	case KindOperatorRequest:
 		return &OperatorRequest{}
+	case KindOperatorRead:
+		return &OperatorRead{}
+	case KindOperatorRows:
+		return &OperatorRows{}
 	default:
 		return nil
 	}
@@ -274,6 +282,10 @@
 		return "jobs_open"
 	case KindOperatorRequest:
 		return "operator_request"
+	case KindOperatorRead:
+		return "operator_read"
+	case KindOperatorRows:
+		return "operator_rows"
 	default:
 		return "unknown"
 	}
