--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -58,6 +58,8 @@
 	KindOperatorRequest: messages[OperatorRequest](),
 	KindJobDelete:       messages[JobDelete](),
 	KindJobDeleted:      messages[JobDeleted](),
+	KindOperatorRead:    messages[OperatorRead](),
+	KindOperatorRows:    messages[OperatorRows](),
 }
 
 func messages[T any, P interface {
--- a/wire/kinds.go
+++ b/wire/kinds.go
@@ -49,10 +49,12 @@
 	KindOperatorRequest Kind = 45
 	KindJobDelete       Kind = 46
 	KindJobDeleted      Kind = 47
+	KindOperatorRead    Kind = 48
+	KindOperatorRows    Kind = 49
 
 	// NewestKind is the highest kind that this build knows. A link ends at a message of
 	// an unknown kind.
-	NewestKind = KindJobDeleted
+	NewestKind = KindOperatorRows
 )
 
 func (*AgentHello) kind() Kind     { return KindAgentHello }
@@ -89,6 +91,8 @@
 func (*OperatorRequest) kind() Kind { return KindOperatorRequest }
 func (*JobDelete) kind() Kind       { return KindJobDelete }
 func (*JobDeleted) kind() Kind      { return KindJobDeleted }
+func (*OperatorRead) kind() Kind    { return KindOperatorRead }
+func (*OperatorRows) kind() Kind    { return KindOperatorRows }
 func (*Members) kind() Kind         { return KindMembers }
 func (*JobSubmit) kind() Kind       { return KindJobSubmit }
 func (*JobCancel) kind() Kind       { return KindJobCancel }
@@ -189,6 +193,10 @@
 		return &JobDelete{}
 	case KindJobDeleted:
 		return &JobDeleted{}
+	case KindOperatorRead:
+		return &OperatorRead{}
+	case KindOperatorRows:
+		return &OperatorRows{}
 	default:
 		return nil
 	}
@@ -286,6 +294,10 @@
 		return "job_delete"
 	case KindJobDeleted:
 		return "job_deleted"
+	case KindOperatorRead:
+		return "operator_read"
+	case KindOperatorRows:
+		return "operator_rows"
 	default:
 		return "unknown"
 	}
