--- a/integration/harness/proxy.go
+++ b/integration/harness/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -31,6 +32,7 @@
 	conns  map[*proxyConn]struct{}
 	faults map[string]*faults // by source; those of the empty source apply to all connections
 	closed bool
+	lag    atomic.Int64 // nanoseconds
 	wg     sync.WaitGroup
 }
 
@@ -80,6 +82,13 @@
 	p.update(sources, func(f *faults) { f.delay = d })
 }
 
+// Lag has connections that are made from now on carry bytes to the target by d later.
+func (p *Proxy) Lag(d time.Duration) { p.lag.Store(int64(d)) }
+
+// LoseClients closes the clients' side of the open connections. What was sent on them
+// still arrives, as on a path that is slow and not broken.
+func (p *Proxy) LoseClients() { p.each((*proxyConn).loseIn) }
+
 // Heal ends Disconnect and DropDirection. Connections that lost bytes are closed,
 // since their streams are no longer complete.
 func (p *Proxy) Heal(sources ...string) {
--- a/integration/harness/proxy_test.go
+++ b/integration/harness/proxy_test.go
@@ -129,6 +129,38 @@
 	}
 }
 
+func TestWhatALostClientHasSentArrives(t *testing.T) {
+	const lag = 50 * time.Millisecond
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	p := StartProxy(t, "127.0.0.1:0", l.Addr().String())
+	p.Lag(lag)
+	c := dialTest(t, p.Addr)
+	target, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = target.Close() })
+	start := time.Now()
+	if _, err := c.Write([]byte{'a'}); err != nil {
+		t.Fatal(err)
+	}
+	if arrives(target, 'a', lag/5) {
+		t.Error("arrived without the lag")
+	}
+	p.LoseClients()
+	if _, err := target.Write([]byte{'b'}); err != nil {
+		t.Errorf("the target's side was closed: %v", err)
+	}
+	if !arrives(target, 'a', testTimeout) || time.Since(start) < lag {
+		t.Errorf("not arrived, or %v after it was sent", time.Since(start))
+	}
+	Eventually(t, testTimeout, "the connection is closed", func() bool { return p.Connections() == 0 })
+}
+
 // discard is a wire.Observer that counts nothing.
 type discard struct{}
 
--- a/integration/harness/proxyconn.go
+++ b/integration/harness/proxyconn.go
@@ -21,10 +21,12 @@
 // proxyConn is one connection through a Proxy.
 type proxyConn struct {
 	proxy    *Proxy
-	in       net.Conn // from the client
-	out      net.Conn // to the target
+	in       net.Conn      // from the client
+	out      net.Conn      // to the target
+	lag      time.Duration // of bytes to the target
 	sourceID atomic.Pointer[string]
 	lossy    atomic.Bool // bytes were dropped
+	inLost   atomic.Bool // the client's side was closed by loseIn
 
 	mu   sync.Mutex
 	held chan struct{} // not nil while answers are held back; closed by hold(false)
@@ -33,7 +35,7 @@
 }
 
 func newProxyConn(p *Proxy, in, out net.Conn) *proxyConn {
-	return &proxyConn{proxy: p, in: in, out: out, done: make(chan struct{})}
+	return &proxyConn{proxy: p, in: in, out: out, lag: time.Duration(p.lag.Load()), done: make(chan struct{})}
 }
 
 // source returns the id of the process that dialled, or an empty string while it is
@@ -53,6 +55,12 @@
 	})
 }
 
+// loseIn closes the client's side. The target gets what the client has sent.
+func (c *proxyConn) loseIn() {
+	c.inLost.Store(true)
+	_ = c.in.Close()
+}
+
 // run forwards both directions until one ends, which closes the connection.
 func (c *proxyConn) run() {
 	var wg sync.WaitGroup
@@ -104,8 +112,12 @@
 		c.lossy.Store(true)
 		return true
 	}
+	due := time.Now().Add(f.delay)
+	if d == ToTarget {
+		due = due.Add(c.lag)
+	}
 	select {
-	case queue <- chunk{data: data, due: time.Now().Add(f.delay)}:
+	case queue <- chunk{data: data, due: due}:
 		return true
 	case <-c.done:
 		return false
@@ -122,7 +134,7 @@
 		if !c.waitUntil(ch.due) || d == FromTarget && !c.waitReleased() {
 			return
 		}
-		if _, err := dst.Write(ch.data); err != nil {
+		if _, err := dst.Write(ch.data); err != nil && (d == ToTarget || !c.inLost.Load()) {
 			return
 		}
 	}
