--- a/hosted/agent/operator_test.go
+++ b/hosted/agent/operator_test.go
@@ -67,8 +67,8 @@
 	a.ctx = t.Context()
 	a.actor.Start(a.receive)
 	t.Cleanup(a.actor.Shutdown)
-	var links []*mesh.Link
 	answers := []sentRows{make(sentRows, 10), make(sentRows, 10)}
+	links := make([]*mesh.Link, 0, len(answers))
 	for i, name := range []string{"e", "f"} {
 		links = append(links, &mesh.Link{Conn: answers[i], Hello: wire.NodeHello{Name: name, Role: wire.RoleEntry, Incarnation: 1}})
 		a.actor.Send(control.LinkUp{Link: links[i]})
--- a/hosted/entry/relay_test.go
+++ b/hosted/entry/relay_test.go
@@ -151,7 +151,7 @@
 	if len(first) != 1 {
 		t.Fatalf("%v asked at once", first)
 	}
-	asked := append(first, r.run(5*agentReadSlack, nil)...) // nobody answers
+	asked := slices.Concat(first, r.run(5*agentReadSlack, nil)) // nobody answers
 	if len(asked) < 3 || asked[0] == asked[1] || asked[1] == asked[2] || asked[0] == asked[2] {
 		t.Errorf("asked %v, want another one each time", asked)
 	}
