A DELETE is answered 410 only if the job is certain not to be open

Callers would have seen: a job goes on, or starts again, after its DELETE was answered 410.

Cause: an entry whose link to the job's home is down, or whose home is frozen, answered as if all had said that they do not have the job; a home that thaws drops the link on which the message waits.

Change: a DELETE has three results. What an entry that may have the job has not answered is 502, so that the client repeats it; and on each new link the deleted jobs are sent again for as long as they are kept.

The two new tests fail before.

--- a/hosted/entry/answers_test.go
+++ b/hosted/entry/answers_test.go
@@ -20,7 +20,7 @@
 		answer func(p *passing, c client)
 	}{
 		{"its deadline is over", func(p *passing, c client) { c.e.receive(p.now, abandonRequest{"j", c.reply}) }},
-		{"it was deleted", func(p *passing, c client) { c.e.receive(p.now, deleteJob{job: "j", known: make(chan bool, 1)}) }},
+		{"it was deleted", func(p *passing, c client) { c.e.receive(p.now, deleteJob{job: "j", known: make(chan deleteResult, 1)}) }},
 		{"the entry's time to stop is over", func(p *passing, c client) {
 			c.e.receive(p.now, control.Stop{})
 			c.e.receive(p.now, endRequests{})
--- a/hosted/entry/clients.go
+++ b/hosted/entry/clients.go
@@ -164,14 +164,14 @@
 // of a job that is open: jobs of a route that was removed go on.
 func (e *Entry) refuseUnlessDeleted(w http.ResponseWriter, r *http.Request, code result.Code, detail string) {
 	if id, ok := platform.JobIDOf(r.URL.Path); ok && r.Method == http.MethodDelete {
-		known := make(chan bool, 1)
+		known := make(chan deleteResult, 1)
 		e.actor.Send(deleteJob{job: id, known: known, host: hostName(r.Host), path: r.URL.Path})
 		select {
 		case <-r.Context().Done():
 			return
-		case cancelled := <-known:
-			if cancelled {
-				platform.WriteJobState(w, platform.JobCancelled)
+		case found := <-known:
+			if found != deleteNotOpen {
+				e.answerDelete(w, id, found)
 				return
 			}
 		}
@@ -181,19 +181,26 @@
 
 // serveDelete cancels a job, and answers whether it was open.
 func (e *Entry) serveDelete(w http.ResponseWriter, r *http.Request, id string) {
-	known := make(chan bool, 1)
+	known := make(chan deleteResult, 1)
 	e.actor.Send(deleteJob{job: id, known: known})
 	select {
-	case cancelled := <-known:
-		if cancelled {
-			platform.WriteJobState(w, platform.JobCancelled)
-			return
-		}
-		platform.WriteError(w, http.StatusGone, noSuchJob, 0)
+	case found := <-known:
+		e.answerDelete(w, id, found)
 	case <-r.Context().Done():
 	}
 }
 
+func (e *Entry) answerDelete(w http.ResponseWriter, id string, found deleteResult) {
+	switch found {
+	case deleteCancelled:
+		platform.WriteJobState(w, platform.JobCancelled)
+	case deleteNotOpen:
+		platform.WriteError(w, http.StatusGone, noSuchJob, 0)
+	default: // neither of these answers may be given before it is known to be true
+		e.refuse(w, id, result.OutcomeUnknown, notReadyRetry, "an entry that may have the job has not answered")
+	}
+}
+
 func (e *Entry) serveWaiting(w http.ResponseWriter, r *http.Request, route dispatch.Route) {
 	reply := make(chan int, 1)
 	e.actor.Send(askWaiting{route, reply})
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -464,7 +464,7 @@
 func (s *state) endRequests(now time.Duration) {
 	s.stopTimedOut = true
 	for number, d := range s.deletes {
-		s.endDelete(number, d, false)
+		s.endDelete(number, d, deleteUnanswered)
 	}
 	for id, r := range s.requests {
 		if r.home == s.e.owner() {
--- a/hosted/entry/deletes.go
+++ b/hosted/entry/deletes.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bergamotwing.example/dispatch"
+	"bergamotwing.example/hosted/mesh"
 	"bergamotwing.example/result"
 	"bergamotwing.example/wire"
 )
@@ -19,6 +20,15 @@
 	maxDeleted = 20_000
 )
 
+// deleteResult is what is known of a job whose client has cancelled it.
+type deleteResult uint8
+
+const (
+	deleteCancelled  deleteResult = iota + 1 // it was open
+	deleteNotOpen                            // no entry that may have it has it
+	deleteUnanswered                         // an entry that may have it has not answered
+)
+
 // deletedOutcome answers all submissions of a deleted job.
 var deletedOutcome = dispatch.Outcome{Code: result.Cancelled, Detail: "deleted by its client"}
 
@@ -27,6 +37,7 @@
 	deleteJob
 	waitsFor map[dispatch.Owner]bool
 	until    time.Duration
+	found    deleteResult // once all of them have answered that they do not have the job
 }
 
 // deletedJobs holds the ids of deleted jobs for a time.
@@ -69,19 +80,23 @@
 func (s *state) deleteJob(now time.Duration, m deleteJob) {
 	s.lastDelete++
 	request := &wire.JobDelete{Job: m.job, Number: s.lastDelete, Host: m.host, Path: m.path}
-	cancelled := s.deleteHere(now, request)
-	if cancelled {
+	found := deleteNotOpen
+	if s.stopTimedOut || len(s.lost) > 0 {
+		found = deleteUnanswered
+	}
+	if s.deleteHere(now, request) {
+		found = deleteCancelled
 		request.Host, request.Path = "", "" // they named the job
 	}
-	d := &pendingDelete{m, map[dispatch.Owner]bool{}, now + deleteTimeout}
+	d := &pendingDelete{m, map[dispatch.Owner]bool{}, now + deleteTimeout, found}
 	for _, p := range s.peers {
 		if p.Hello.NewestKind >= wire.KindJobDelete && p.Send(request) == nil {
 			d.waitsFor[p.Owner()] = true
 		}
 	}
 	s.deletes[s.lastDelete] = d
-	if cancelled || s.stopTimedOut || len(d.waitsFor) == 0 {
-		s.endDelete(s.lastDelete, d, cancelled)
+	if found == deleteCancelled || s.stopTimedOut || len(d.waitsFor) == 0 {
+		s.endDelete(s.lastDelete, d, found)
 	}
 }
 
@@ -100,7 +115,11 @@
 		s.answer(job, deletedOutcome)
 	}
 	if cancelled || m.Path == "" {
-		s.deleted.add(job, now+deletedResends*s.timing.ResendAfter)
+		keep := deletedResends * s.timing.ResendAfter
+		if m.Keep > 0 {
+			keep = min(keep, m.Keep)
+		}
+		s.deleted.add(job, now+keep)
 	}
 	if cancelled {
 		s.e.deps.Log.Info().Str("event", "job_deleted").Str("job", job).Msg("job cancelled on its client's request")
@@ -124,17 +143,33 @@
 		return
 	}
 	delete(d.waitsFor, by)
-	if m.Cancelled || len(d.waitsFor) == 0 {
-		s.endDelete(m.Number, d, m.Cancelled)
+	switch {
+	case m.Cancelled:
+		s.endDelete(m.Number, d, deleteCancelled)
+	case len(d.waitsFor) == 0:
+		s.endDelete(m.Number, d, d.found)
 	}
 	if m.Cancelled && d.path != "" { // host and path named the job, so all entries are to refuse it
-		s.deleteJob(now, deleteJob{job: d.job, known: make(chan bool, 1)})
+		s.deleteJob(now, deleteJob{job: d.job, known: make(chan deleteResult, 1)})
 	}
 }
 
-func (s *state) endDelete(number uint64, d *pendingDelete, cancelled bool) {
+func (s *state) endDelete(number uint64, d *pendingDelete, found deleteResult) {
 	delete(s.deletes, number)
-	d.known <- cancelled
+	d.known <- found
+}
+
+// resendDeletes sends, on a new link, the jobs that were deleted while it was down or that
+// the other side may not have read of.
+func (s *state) resendDeletes(now time.Duration, p *mesh.Peer) {
+	if p.Hello.NewestKind < wire.KindJobDelete {
+		return
+	}
+	for _, d := range s.deleted.order {
+		if keep := d.until - now; keep > 0 {
+			_ = p.Send(&wire.JobDelete{Job: d.job, Keep: keep}) // a closed link is reported as down
+		}
+	}
 }
 
 // expireDeletes answers the requests to delete a job that have waited for too long, and
@@ -145,7 +180,7 @@
 		if now > d.until {
 			s.e.deps.Metrics.Count("bergamotwing_deletes_unanswered_total", "Requests to delete a job that another entry did not answer in time.", 1)
 			s.e.deps.Log.Warn().Str("event", "delete_unanswered").Str("job", d.job).Int("entries", len(d.waitsFor)).Msg("entries did not answer in time whether they had the job")
-			s.endDelete(number, d, false)
+			s.endDelete(number, d, deleteUnanswered)
 		}
 	}
 }
--- a/hosted/entry/deletes_test.go
+++ b/hosted/entry/deletes_test.go
@@ -15,15 +15,15 @@
 )
 
 // sendDelete has a client delete a job at an entry.
-func (p *passing) sendDelete(e *Entry, id string) <-chan bool {
-	known := make(chan bool, 1)
+func (p *passing) sendDelete(e *Entry, id string) <-chan deleteResult {
+	known := make(chan deleteResult, 1)
 	e.receive(p.now, deleteJob{job: id, known: known})
 	p.pass()
 	return known
 }
 
 // wantDelete checks the answer to a DELETE.
-func (p *passing) wantDelete(known <-chan bool, want bool) {
+func (p *passing) wantDelete(known <-chan deleteResult, want deleteResult) {
 	p.t.Helper()
 	if len(known) == 0 {
 		p.t.Errorf("the DELETE is not answered, want %v", want)
@@ -60,7 +60,7 @@
 			if len(sentOf[*wire.RunStop](p.toAgent)) != 1 {
 				t.Error("the run is not stopped")
 			}
-			p.wantDelete(known, true)
+			p.wantDelete(known, deleteCancelled)
 			p.wantAnswer("the client", reply, result.Cancelled)
 		})
 	}
@@ -84,7 +84,7 @@
 			if tc.known {
 				p, run, _ = running(t, 2)
 			}
-			p.wantDelete(p.sendDelete(p.entries[1], "j"), tc.known)
+			p.wantDelete(p.sendDelete(p.entries[1], "j"), resultOf(tc.known))
 			if tc.known {
 				p.end(run, dispatch.EndStopped)
 			}
@@ -102,7 +102,7 @@
 func TestARequestThatIsResumedAfterItsJobWasDeletedIsNotStarted(t *testing.T) {
 	p, run, reply := running(t, 2)
 	p.cut(p.entries[0])
-	p.wantDelete(p.sendDelete(p.entries[1], "j"), true)
+	p.wantDelete(p.sendDelete(p.entries[1], "j"), deleteCancelled)
 	p.end(run, dispatch.EndStopped)
 	p.toAgent.messages = nil
 	p.link(p.entries[0])
@@ -134,7 +134,7 @@
 	if took := p.now - began; took > deleteTimeout+tickEvery {
 		t.Errorf("answered after %v", took)
 	}
-	p.wantDelete(known, false)
+	p.wantDelete(known, deleteUnanswered)
 }
 
 // Clients choose ids at random, so a kept one is of use for as long as the job may come again.
@@ -168,7 +168,7 @@
 		l, sent := recordedLink(other.Entry, wire.RoleEntry)
 		l.Hello.NewestKind = newest
 		e.receive(now, control.LinkUp{Link: l})
-		known := make(chan bool, 1)
+		known := make(chan deleteResult, 1)
 		e.receive(now, deleteJob{job: "j", known: known})
 		if n := len(sentOf[*wire.JobDelete](sent)); n != want || len(known) == want {
 			t.Errorf("newest kind %d: sent %d, want %d; answered at once: %v", newest, n, want, len(known) == 1)
@@ -195,11 +195,11 @@
 			p.entries[0].receive(p.now, submit{job: job("j"), route: route, deadline: p.now + time.Minute, reply: reply})
 			p.pass()
 			p.ordered()
-			known := make(chan bool, 1)
+			known := make(chan deleteResult, 1)
 			deleter := append(p.entries, p.home)[at]
 			deleter.receive(p.now, deleteJob{job: "j", known: known, host: tc.host, path: tc.path})
 			p.pass()
-			p.wantDelete(known, tc.want)
+			p.wantDelete(known, resultOf(tc.want))
 			if stopped := len(sentOf[*wire.RunStop](p.toAgent)) > 0; stopped != tc.want || len(reply) > 0 != tc.want {
 				t.Errorf("%s%s: stopped %v, the client is answered: %v", tc.host, tc.path, stopped, len(reply) > 0)
 			}
@@ -211,3 +211,50 @@
 		}
 	}
 }
+
+func resultOf(cancelled bool) deleteResult {
+	if cancelled {
+		return deleteCancelled
+	}
+	return deleteNotOpen
+}
+
+// The link to the home is made anew within the lease, and the job goes on until then.
+func TestADeleteWhileALinkIsDownIsNotAnsweredAndCancelsTheJobOnTheNextLink(t *testing.T) {
+	p := newPassing(t, 2)
+	reply := p.submit(p.home, "j")
+	p.pass()
+	run := p.ordered()
+	p.cut(p.entries[1])
+	p.wantDelete(p.sendDelete(p.entries[1], "j"), deleteUnanswered)
+	p.link(p.entries[1])
+	p.wait(200 * time.Millisecond)
+	p.end(run, dispatch.EndStopped)
+	p.wait(200 * time.Millisecond)
+	if n := len(p.toAgent.orders()); n > 0 || len(reply) == 0 {
+		t.Errorf("%d orders after the DELETE; its client is answered: %v", n, len(reply) > 0)
+	}
+}
+
+// A home that thaws drops the link on which it has not read the message.
+func TestADeleteThatItsHomeHasNotReadCancelsTheJobOnTheNextLink(t *testing.T) {
+	p := newPassing(t, 2)
+	reply := p.submit(p.home, "j")
+	p.pass()
+	p.ordered()
+	p.silent = append(p.silent, p.home)
+	known := p.sendDelete(p.entries[1], "j")
+	for began := p.now; len(known) == 0 && p.now < began+2*deleteTimeout; {
+		p.now += tickEvery
+		p.entries[1].receive(p.now, control.Tick{})
+	}
+	p.wantDelete(known, deleteUnanswered)
+	p.silent = nil
+	p.home.receive(p.now, control.Tick{})
+	p.cut(p.entries[1])
+	p.link(p.entries[1])
+	p.wait(200 * time.Millisecond)
+	if len(reply) == 0 || !p.home.state.wasDeleted(p.now, "j") {
+		t.Errorf("its client is answered: %v", len(reply) > 0)
+	}
+}
--- a/hosted/entry/elsewhere_test.go
+++ b/hosted/entry/elsewhere_test.go
@@ -205,7 +205,7 @@
 // empty has no jobs wait at a home that fill has filled.
 func (h *twoHomes) empty(p *passing) {
 	for i := range fillers {
-		p.home.receive(p.now, deleteJob{job: fmt.Sprintf("filler%d", i), known: make(chan bool, 1)})
+		p.home.receive(p.now, deleteJob{job: fmt.Sprintf("filler%d", i), known: make(chan deleteResult, 1)})
 	}
 	for order := range uint64(2 * fillers) {
 		p.home.receive(p.now, control.Received{Link: p.agent, Message: &wire.RunEnd{Ends: []wire.EndedRun{{Order: order, Reason: dispatch.EndStopped}}}})
--- a/hosted/entry/messages.go
+++ b/hosted/entry/messages.go
@@ -30,7 +30,7 @@
 	}
 	deleteJob struct {
 		job        string
-		known      chan bool
+		known      chan deleteResult
 		host, path string // of the request if no route in force names the job
 	}
 	askWaiting struct {
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -64,6 +64,7 @@
 // resume resends the requests that a broken link may have lost, and lists them, so
 // that the other side cancels the jobs whose cancels were lost.
 func (s *state) resume(now time.Duration, p *mesh.Peer) {
+	s.resendDeletes(now, p)
 	open := &wire.JobsOpen{}
 	for id, r := range s.requests {
 		if r.home == p.Owner() {
--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -152,8 +152,9 @@
 	Number uint64 `cbor:"2,keyasint"` // of the sender's incarnation, repeated in the answer
 	// Host and Path are those of the client's request if the sender has no route for it.
 	// They have to be those of the route with which the job was submitted.
-	Host string `cbor:"3,keyasint,omitempty"`
-	Path string `cbor:"4,keyasint,omitempty"`
+	Host string        `cbor:"3,keyasint,omitempty"`
+	Path string        `cbor:"4,keyasint,omitempty"`
+	Keep time.Duration `cbor:"5,keyasint,omitempty"` // how long submissions of the job are answered as cancelled; 0: the receiver's usual time
 }
 
 // JobDeleted answers a JobDelete.
