--- a/dispatch/fence_test.go
+++ b/dispatch/fence_test.go
@@ -7,7 +7,7 @@
 	var f Fence
 	last := f.Number()
 	for _, unixMicro := range []int64{5_000_000, 5_000_000, 3_000_000, 9_000_000} {
-		f.Rise(unixMicro)
+		f.Raise(unixMicro)
 		if f.Number() <= last || f.Number() < unixMicro {
 			t.Errorf("number %d at %d, after %d", f.Number(), unixMicro, last)
 		}
@@ -19,7 +19,7 @@
 // was raised says nothing about the one in use.
 func TestARefusedGenerationNumberIsRaisedOnce(t *testing.T) {
 	var f Fence
-	f.Rise(5_000_000)
+	f.Raise(5_000_000)
 	if !f.Refused(5_000_000) || f.Number() != 5_000_000+fenceStep {
 		t.Errorf("number %d after a refusal", f.Number())
 	}
--- a/hosted/agent/endpoint.go
+++ b/hosted/agent/endpoint.go
@@ -165,7 +165,7 @@
 // have begun.
 func (s *state) raiseFence() {
 	if s.a.node.EnforceFencing {
-		s.fence.Rise(time.Now().UnixMicro())
+		s.fence.Raise(time.Now().UnixMicro())
 	}
 }
 
--- a/hosted/entry/clients.go
+++ b/hosted/entry/clients.go
@@ -30,13 +30,13 @@
 	}
 	route, ok := operator.Config.Match(hostName(r.Host), r.URL.Path)
 	if !ok {
-		e.refuseUnlessDeleted(w, r, result.NotFound, "no route for "+r.Host+r.URL.Path)
+		e.deleteOrRefuse(w, r, result.NotFound, "no route for "+r.Host+r.URL.Path)
 		return
 	}
 	req, ok := platform.ParseJobRequest(r, route.Prefix)
 	switch {
 	case !ok:
-		e.refuseUnlessDeleted(w, r, result.BadRequest, "malformed job id")
+		e.deleteOrRefuse(w, r, result.BadRequest, "malformed job id")
 	case req.ID == "" && r.Method == http.MethodGet:
 		e.serveWaiting(w, r, route)
 	case req.ID == "":
@@ -160,9 +160,9 @@
 	platform.WriteError(w, status, code.String()+": "+detail, retryAfter)
 }
 
-// refuseUnlessDeleted refuses a request for which there is no route, unless it is a DELETE
+// deleteOrRefuse refuses a request for which there is no route, unless it is a DELETE
 // of a job that is open: jobs of a route that was removed go on.
-func (e *Entry) refuseUnlessDeleted(w http.ResponseWriter, r *http.Request, code result.Code, detail string) {
+func (e *Entry) deleteOrRefuse(w http.ResponseWriter, r *http.Request, code result.Code, detail string) {
 	if id, ok := platform.JobIDOf(r.URL.Path); ok && r.Method == http.MethodDelete {
 		known := make(chan deleteResult, 1)
 		e.actor.Send(deleteJob{job: id, known: known, host: hostName(r.Host), path: r.URL.Path})
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -430,6 +430,7 @@
 func (s *state) abandonLeft(now time.Duration) {
 	for id, r := range s.requests {
 		if r.clientLeft() {
+			s.e.deps.Metrics.Count("bergamotwing_clients_left_while_stopped_total", "Clients that were found to have left after a pause of the process.", 1)
 			s.abandonRequest(now, abandonRequest{id, r.reply})
 		}
 	}
--- a/hosted/entry/relay.go
+++ b/hosted/entry/relay.go
@@ -14,9 +14,9 @@
 	// askAgentsAfter is how long this entry's calls of the store fail before it asks
 	// agents to read for it: longer than the pause until the next own call.
 	askAgentsAfter = 500 * time.Millisecond
-	// storeWordTime is how long a heartbeat of another entry counts as word of its store:
+	// storeReportMaxAge is how long a heartbeat of another entry says whether the store serves it:
 	// two idle heartbeats.
-	storeWordTime = 2 * idleHeartbeatEvery
+	storeReportMaxAge = 2 * idleHeartbeatEvery
 	// agentReadDivisor makes the wait of an agent's call ConfigApply / agentReadDivisor.
 	agentReadDivisor = 4
 	// agentReadSlack is the time without an answer, beyond the wait for a change, after
@@ -80,7 +80,7 @@
 // otherEntryReads reports whether a linked entry is served by the store, as far as is known.
 func (s *state) otherEntryReads(now time.Duration) bool {
 	for _, p := range s.peers {
-		if p.Clock > 0 && !p.LastHeartbeat.StoreLost && now-p.LastReceived < storeWordTime {
+		if p.Clock > 0 && !p.LastHeartbeat.StoreLost && now-p.LastReceived < storeReportMaxAge {
 			return true
 		}
 	}
--- a/hosted/entry/relay_test.go
+++ b/hosted/entry/relay_test.go
@@ -105,7 +105,7 @@
 		t.Errorf("%v asked though another entry reads the store again", asked)
 	}
 	r.peerSilent = true
-	if asked := r.run(storeWordTime+time.Second, failedRead); len(asked) == 0 {
+	if asked := r.run(storeReportMaxAge+time.Second, failedRead); len(asked) == 0 {
 		t.Error("no agent asked after the entry that reads the store fell silent")
 	}
 	r.receive(r.now, storeServes{true})
--- a/hosted/entry/simhost_test.go
+++ b/hosted/entry/simhost_test.go
@@ -224,7 +224,7 @@
 // raiseFence begins a new generation of calls.
 func (a *simGuards) raiseFence() {
 	if !a.s.whole.unfenced {
-		a.fence.Rise(a.s.now.Microseconds())
+		a.fence.Raise(a.s.now.Microseconds())
 	}
 }
 
