--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -139,6 +139,15 @@
 // Has reports whether a job is open, or closed with runs that have not ended.
 func (s *Scheduler) Has(job string) bool { return s.jobs[job] != nil }
 
+// RouteOf returns the route with which a job that the scheduler has was submitted, or the
+// zero route.
+func (s *Scheduler) RouteOf(job string) Route {
+	if j := s.jobs[job]; j != nil {
+		return j.sub.Route
+	}
+	return Route{}
+}
+
 // Jobs returns how many jobs are open.
 func (s *Scheduler) Jobs() int { return len(s.jobs) }
 
@@ -253,6 +262,23 @@
 	}
 }
 
+// Delete answers a job that its client has cancelled, whichever caller waits for it, and
+// stops its runs. It reports whether a caller waited.
+func (s *Scheduler) Delete(now Time, id string, out Outcome) bool {
+	j := s.jobs[id]
+	if j == nil {
+		return false
+	}
+	waited := !j.closed || j.resubmitted != nil
+	if j.resubmitted != nil {
+		s.answer(*j.resubmitted, out)
+		j.resubmitted = nil
+	}
+	s.endJob(now, j, out)
+	s.place(now)
+	return waited
+}
+
 // CancelOthers cancels the jobs of a caller other than those that it waits for, and
 // returns how many they are.
 func (s *Scheduler) CancelOthers(now Time, caller Owner, waitsFor []string) int {
--- a/hosted/agent/control.go
+++ b/hosted/agent/control.go
@@ -37,7 +37,8 @@
 type state struct {
 	a         *Agent
 	timing    dispatch.Timing
-	peers     map[string]*mesh.Peer    // linked entries by name
+	peers     map[string]*mesh.Peer // linked entries by name
+	links     *mesh.Order
 	lists     map[string][]wire.Member // entries known to each linked entry, by its name
 	rows      []wire.Member            // entries registered in the store, as last read
 	addrs     map[string]string        // addresses of the known entries, by name
@@ -46,9 +47,12 @@
 	// which the endpoint's answer is awaited.
 	unconfirmed map[string]platform.Announcement
 	operator    dispatch.OperatorState
-	ends        []keptEnd
+	// operatorReads holds the entries for which the operator's rows are being read.
+	operatorReads map[string]bool
+	ends          []keptEnd
 	// lateStarts holds the starts without an answer of runs that have ended.
 	lateStarts []lateStart
+	fence      dispatch.Fence
 	seeds      []string // addresses where entries may listen
 	stopping   bool
 	// unlinkedSince is when the agent was last found without a link to any entry.
@@ -72,8 +76,8 @@
 
 func newState(a *Agent) *state {
 	return &state{
-		a: a, timing: control.TimingOf(a.node), seeds: mesh.SeedAddrs(a.node), peers: map[string]*mesh.Peer{}, lists: map[string][]wire.Member{}, addrs: map[string]string{},
-		endpoints: map[dispatch.EndpointID]*endpoint{}, unconfirmed: map[string]platform.Announcement{}, unlinkedSince: mesh.Now(),
+		a: a, links: mesh.NewOrder(), timing: control.TimingOf(a.node), seeds: mesh.SeedAddrs(a.node), peers: map[string]*mesh.Peer{}, lists: map[string][]wire.Member{}, addrs: map[string]string{},
+		endpoints: map[dispatch.EndpointID]*endpoint{}, unconfirmed: map[string]platform.Announcement{}, operatorReads: map[string]bool{}, unlinkedSince: mesh.Now(),
 	}
 }
 
@@ -106,6 +110,8 @@
 		s.endpointRead(now, m.n)
 	case endpointEnded:
 		s.endpointEnded(now, m.id)
+	case operatorRowsRead:
+		s.operatorRowsRead(m)
 	case startAnswered:
 		s.startAnswered(now, m)
 	case stopAnswered:
@@ -223,6 +229,9 @@
 		l.Close()
 		return
 	}
+	if s.a.deps.RefuseLate(now, s.links, l) {
+		return
+	}
 	if old := s.peers[name]; old != nil {
 		old.Close()
 		if old.Hello.Incarnation != l.Hello.Incarnation {
@@ -382,6 +391,8 @@
 		s.entryHeartbeat(now, p, m)
 	case *wire.OperatorUpdate:
 		s.adopt(now, p, m.State)
+	case *wire.OperatorRead:
+		s.readOperator(p, m)
 	case *wire.Members:
 		s.setList(l.Hello.Name, m.Entries)
 	case *wire.RunOrder:
--- a/hosted/entry/clients.go
+++ b/hosted/entry/clients.go
@@ -17,6 +17,7 @@
 const (
 	defaultWait   = 30 * time.Second // of a client that names no deadline
 	notReadyRetry = time.Second      // shortest Retry-After of a 503
+	noSuchJob     = "no such job"
 )
 
 // serveClient answers one request of a client.
@@ -29,21 +30,23 @@
 	}
 	route, ok := operator.Config.Match(hostName(r.Host), r.URL.Path)
 	if !ok {
-		e.refuse(w, "", result.NotFound, 0, "no route for "+r.Host+r.URL.Path)
+		e.deleteOrRefuse(w, r, result.NotFound, "no route for "+r.Host+r.URL.Path)
 		return
 	}
 	req, ok := platform.ParseJobRequest(r, route.Prefix)
 	switch {
 	case !ok:
-		e.refuse(w, "", result.BadRequest, 0, "malformed job id")
+		e.deleteOrRefuse(w, r, result.BadRequest, "malformed job id")
 	case req.ID == "" && r.Method == http.MethodGet:
 		e.serveWaiting(w, r, route)
 	case req.ID == "":
 		e.refuse(w, "", result.MethodNotAllowed, 0, r.Method)
 	case r.Method == http.MethodPost:
 		e.serveJob(w, r, req, route, operator)
-	case r.Method == http.MethodGet, r.Method == http.MethodDelete:
-		e.serveJobByID(w, r, req.ID)
+	case r.Method == http.MethodDelete:
+		e.serveDelete(w, r, req.ID)
+	case r.Method == http.MethodGet: // of jobs that are answered at their end, no state is kept
+		platform.WriteError(w, http.StatusGone, noSuchJob, 0)
 	default:
 		e.refuse(w, req.ID, result.MethodNotAllowed, 0, r.Method)
 	}
@@ -125,6 +128,8 @@
 		platform.WriteJobState(w, platform.JobCompleted)
 	case result.TaskFailed:
 		platform.WriteJobState(w, platform.JobFailed)
+	case result.Cancelled: // a client does not send the job again after a 200
+		platform.WriteJobState(w, platform.JobCancelled)
 	default:
 		e.deps.Metrics.Refused(out.Code)
 		writeRefusal(w, out.Code, out.RetryAfter, out.Detail)
@@ -155,27 +160,47 @@
 	platform.WriteError(w, status, code.String()+": "+detail, retryAfter)
 }
 
-// serveJobByID cancels a job, for a GET too. A DELETE is answered with whether the
-// job was open, a GET always that there is no such job. Jobs that have ended are not
-// kept.
-func (e *Entry) serveJobByID(w http.ResponseWriter, r *http.Request, id string) {
-	known := make(chan bool, 1)
-	e.actor.Send(deleteJob{id, known})
-	if r.Method == http.MethodGet {
-		platform.WriteError(w, http.StatusGone, "no such job", 0)
-		return
+// deleteOrRefuse refuses a request for which there is no route, unless it is a DELETE
+// of a job that is open: jobs of a route that was removed go on.
+func (e *Entry) deleteOrRefuse(w http.ResponseWriter, r *http.Request, code result.Code, detail string) {
+	if id, ok := platform.JobIDOf(r.URL.Path); ok && r.Method == http.MethodDelete {
+		known := make(chan deleteResult, 1)
+		e.actor.Send(deleteJob{job: id, known: known, host: hostName(r.Host), path: r.URL.Path})
+		select {
+		case <-r.Context().Done():
+			return
+		case found := <-known:
+			if found != deleteNotOpen {
+				e.answerDelete(w, id, found)
+				return
+			}
+		}
 	}
+	e.refuse(w, "", code, 0, detail)
+}
+
+// serveDelete cancels a job, and answers whether it was open.
+func (e *Entry) serveDelete(w http.ResponseWriter, r *http.Request, id string) {
+	known := make(chan deleteResult, 1)
+	e.actor.Send(deleteJob{job: id, known: known})
 	select {
-	case ok := <-known:
-		status := http.StatusGone
-		if ok {
-			status = http.StatusOK
-		}
-		platform.WriteError(w, status, "cancelled", 0)
+	case found := <-known:
+		e.answerDelete(w, id, found)
 	case <-r.Context().Done():
 	}
 }
 
+func (e *Entry) answerDelete(w http.ResponseWriter, id string, found deleteResult) {
+	switch found {
+	case deleteCancelled:
+		platform.WriteJobState(w, platform.JobCancelled)
+	case deleteNotOpen:
+		platform.WriteError(w, http.StatusGone, noSuchJob, 0)
+	default: // neither of these answers may be given before it is known to be true
+		e.refuse(w, id, result.OutcomeUnknown, notReadyRetry, "an entry that may have the job has not answered")
+	}
+}
+
 func (e *Entry) serveWaiting(w http.ResponseWriter, r *http.Request, route dispatch.Route) {
 	reply := make(chan int, 1)
 	e.actor.Send(askWaiting{route, reply})
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -44,7 +44,8 @@
 	e               *Entry
 	peers           map[string]*mesh.Peer // linked entries by name
 	agents          map[string]*mesh.Peer // linked agents by name
-	lost            map[string]lostEntry  // entries whose link is down, within their lease
+	links           *mesh.Order
+	lost            map[string]lostEntry // entries whose link is down, within their lease
 	members         map[string]mesh.MemberRow
 	unlinked        map[string]time.Duration // when a member was first found without a link
 	schedulers      map[dispatch.Shard]*dispatch.Scheduler
@@ -56,6 +57,9 @@
 	lastRequest     uint64 // number of the newest request
 	recent          map[submittedJob]recentEnd
 	moved           map[movedJob]movedTo
+	deletes         map[uint64]*pendingDelete // by number
+	lastDelete      uint64                    // number of the newest request to delete a job
+	deleted         deletedJobs
 	home            map[dispatch.Shard]string // entry that holds the shard's queue
 	shardCounts     shardCounts
 	peerShardCounts map[string]shardCounts // as sent by other entries, by name
@@ -64,8 +68,9 @@
 	nextMembersAt   time.Duration          // earliest time of the next list to agents
 	behindSince     time.Duration          // since when another entry has a newer version of the operator's state; 0: none has
 	catchUps        int                    // requests for it since then
-	checkedAt       time.Duration          // when the leases of the other entries were last checked
-	echoAgentsFrom  time.Duration          // no agent's lease is renewed before
+	agentReads      agentReads
+	checkedAt       time.Duration // when the leases of the other entries were last checked
+	echoAgentsFrom  time.Duration // no agent's lease is renewed before
 	stopping        bool
 	stopTimedOut    bool // the time to stop is over: requests are answered without the ends of their jobs
 }
@@ -125,11 +130,11 @@
 
 func newState(e *Entry) *state {
 	return &state{
-		e: e, seeds: mesh.SeedAddrs(e.node), peers: map[string]*mesh.Peer{}, agents: map[string]*mesh.Peer{}, lost: map[string]lostEntry{},
+		e: e, links: mesh.NewOrder(), seeds: mesh.SeedAddrs(e.node), peers: map[string]*mesh.Peer{}, agents: map[string]*mesh.Peer{}, lost: map[string]lostEntry{},
 		members: map[string]mesh.MemberRow{}, unlinked: map[string]time.Duration{},
 		schedulers: map[dispatch.Shard]*dispatch.Scheduler{}, orders: &dispatch.OrderNumbers{}, timing: control.TimingOf(e.node), endpoints: map[dispatch.EndpointID]endpointView{},
 		agentShards: map[string]dispatch.Shard{},
-		requests:    map[string]*request{}, recent: map[submittedJob]recentEnd{}, moved: map[movedJob]movedTo{}, home: map[dispatch.Shard]string{},
+		requests:    map[string]*request{}, recent: map[submittedJob]recentEnd{}, moved: map[movedJob]movedTo{}, deletes: map[uint64]*pendingDelete{}, home: map[dispatch.Shard]string{},
 		shardCounts: shardCounts{}, peerShardCounts: map[string]shardCounts{},
 	}
 }
@@ -173,6 +178,8 @@
 		s.setMembers(now, m.Members)
 	case operatorRead:
 		s.operatorRead(now, m)
+	case storeServes:
+		s.storeServes(now, m.ok)
 	case submit:
 		s.submit(now, m)
 	case abandonRequest:
@@ -217,6 +224,7 @@
 	s.checkPeers(now)
 	s.checkAgents(now)
 	s.catchUp(now)
+	s.readByAgents(now)
 	s.chooseHomes(now)
 	s.sendMembers(now)
 	for _, sched := range s.schedulers {
@@ -227,6 +235,7 @@
 			delete(s.recent, id)
 		}
 	}
+	s.expireDeletes(now)
 	maps.DeleteFunc(s.moved, func(_ movedJob, m movedTo) bool { return now > m.until })
 	s.e.ready.Store(s.isReady())
 	s.e.actor.TickAfter(tickEvery)
@@ -254,6 +263,10 @@
 		m.reply <- stopTimeoutOutcome("") // the job may have run elsewhere before
 		return
 	}
+	if s.wasDeleted(now, m.job.ID) {
+		m.reply <- deletedOutcome
+		return
+	}
 	if m.clientLeft() {
 		s.e.deps.Metrics.Count("bergamotwing_requests_unread_total", "Requests that were read after their clients had left.", 1)
 		s.e.deps.Log.Warn().Str("event", "client_left_unread").Str("job", m.job.ID).Msg("client had left before its request was read; nothing submitted")
@@ -417,6 +430,7 @@
 func (s *state) abandonLeft(now time.Duration) {
 	for id, r := range s.requests {
 		if r.clientLeft() {
+			s.e.deps.Metrics.Count("bergamotwing_clients_left_while_stopped_total", "Clients that were found to have left after a pause of the process.", 1)
 			s.abandonRequest(now, abandonRequest{id, r.reply})
 		}
 	}
@@ -450,6 +464,9 @@
 // runs, since clients resubmit jobs that may have run.
 func (s *state) endRequests(now time.Duration) {
 	s.stopTimedOut = true
+	for number, d := range s.deletes {
+		s.endDelete(number, d, deleteUnanswered)
+	}
 	for id, r := range s.requests {
 		if r.home == s.e.owner() {
 			s.scheduler(r.shard).EndEarly(now, id, r.home, dispatch.Outcome{Code: result.Stopping, RetryAfter: notReadyRetry, Detail: stopTimeoutDetail})
@@ -472,17 +489,6 @@
 	return dispatch.Outcome{Code: result.OutcomeUnknown, Detail: stopTimeoutDetail + more}
 }
 
-// deleteJob cancels a job on its client's request.
-func (s *state) deleteJob(now time.Duration, m deleteJob) {
-	r := s.requests[m.job]
-	m.known <- r != nil
-	if r == nil {
-		return
-	}
-	s.cancelAtHome(now, r)
-	s.answer(m.job, dispatch.Outcome{Code: result.Cancelled})
-}
-
 // applyActions executes the actions that the schedulers decided on, also those that
 // follow when a job goes from one of them to the next.
 func (s *state) applyActions(now time.Duration) {
--- a/hosted/entry/messages.go
+++ b/hosted/entry/messages.go
@@ -15,7 +15,8 @@
 		hasConfig bool   // state has a configuration
 		readAt    uint64 // version of the store when it was read
 	}
-	submit struct {
+	storeServes struct{ ok bool } // whether the store answers has changed
+	submit      struct {
 		job      dispatch.Job
 		route    dispatch.Route
 		wait     time.Duration
@@ -28,8 +29,9 @@
 		reply chan dispatch.Outcome // of the submission that the client has given up
 	}
 	deleteJob struct {
-		job   string
-		known chan bool
+		job        string
+		known      chan deleteResult
+		host, path string // of the request if no route in force names the job
 	}
 	askWaiting struct {
 		route dispatch.Route
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -11,6 +11,9 @@
 )
 
 func (s *state) linkUp(now time.Duration, l *mesh.Link) {
+	if s.e.deps.RefuseLate(now, s.links, l) {
+		return
+	}
 	if l.Hello.Role == wire.RoleAgent {
 		s.agentUp(now, l)
 		return
@@ -20,7 +23,7 @@
 	owner := l.Owner()
 	p := mesh.NewPeer(l, now)
 	if old := s.peers[name]; old != nil {
-		if old.Owner() == owner && now-old.ConnectedAt < duplicateTime && s.preferred(old.Link) && !s.preferred(l) {
+		if l.Number == 0 && old.Owner() == owner && now-old.ConnectedAt < duplicateTime && s.preferred(old.Link) && !s.preferred(l) {
 			l.Close()
 			return
 		}
@@ -52,7 +55,8 @@
 const duplicateTime = time.Second
 
 // preferred reports whether the side with the lower address dialed a link. If
-// both sides dialed at the same time, both keep the preferred link.
+// both sides dialed at the same time, both keep the preferred link. Links with a number
+// are ordered by it instead.
 func (s *state) preferred(l *mesh.Link) bool {
 	return (l.Dialed != "") == (s.e.self.Addr < l.Hello.Addr)
 }
@@ -60,6 +64,7 @@
 // resume resends the requests that a broken link may have lost, and lists them, so
 // that the other side cancels the jobs whose cancels were lost.
 func (s *state) resume(now time.Duration, p *mesh.Peer) {
+	s.resendDeletes(now, p)
 	open := &wire.JobsOpen{}
 	for id, r := range s.requests {
 		if r.home == p.Owner() {
@@ -164,7 +169,7 @@
 }
 
 func (s *state) heartbeat() wire.NodeHeartbeat {
-	b := wire.NodeHeartbeat{Draining: s.stopping, Home: s.isHome(), StoreVersion: s.storeVersion(), Waiting: s.waitingJobs()}
+	b := wire.NodeHeartbeat{Draining: s.stopping, Home: s.isHome(), StoreVersion: s.storeVersion(), Waiting: s.waitingJobs(), StoreLost: s.agentReads.lostAt > 0}
 	for _, v := range s.endpoints {
 		if v.status.Available {
 			b.Endpoints++
@@ -221,6 +226,10 @@
 		for _, sched := range s.schedulers {
 			sched.Cancel(now, m.Job, owner)
 		}
+	case *wire.JobDelete:
+		_ = p.Send(&wire.JobDeleted{Number: m.Number, Cancelled: s.deleteHere(now, m)}) // the sender does not wait for it for long
+	case *wire.JobDeleted:
+		s.deleteAnswered(now, owner, m)
 	case *wire.JobsOpen:
 		s.reconcile(now, owner, m.Jobs)
 	case *wire.JobEnd:
@@ -276,6 +285,10 @@
 		_ = p.Send(&wire.JobEnd{Job: m.Job.ID, Outcome: r.outcome, Shard: m.Shard + 1, Request: m.Request}) // resent on the next link
 		return
 	}
+	if s.wasDeleted(now, m.Job.ID) {
+		_ = p.Send(&wire.JobEnd{Job: m.Job.ID, Outcome: deletedOutcome, Shard: m.Shard + 1, Request: m.Request}) // resumed on the next link if it is lost
+		return
+	}
 	if age := now - m.Echo; m.Echo > 0 && age > s.timing.EntryLease {
 		s.e.deps.Metrics.Count("bergamotwing_submissions_stale_total", "Submissions of other entries that came too late.", 1)
 		s.e.deps.Log.Warn().Str("event", "submission_stale").Str("job", m.Job.ID).Str("entry", owner.Entry).Dur("age_ms", age).Msg("submission refused: it came too late")
--- a/hosted/entry/simhost_test.go
+++ b/hosted/entry/simhost_test.go
@@ -49,6 +49,7 @@
 	peers       map[string]*mesh.Peer
 	endpoints   map[dispatch.EndpointID]*simGuarded
 	unconfirmed map[string]platform.Announcement
+	fence       dispatch.Fence
 	lateStarts  []simLateStart
 	ends        []simKept
 }
@@ -214,17 +215,46 @@
 	simRenew
 )
 
+// simFenced is the refusal of a generation number that is too low.
+type simFenced struct{ clock dispatch.Time }
+
+// simGone is that nothing listens at the endpoint's address.
+type simGone struct{}
+
+// raiseFence begins a new generation of calls.
+func (a *simGuards) raiseFence() {
+	if !a.s.whole.unfenced {
+		a.fence.Raise(a.s.now.Microseconds())
+	}
+}
+
 // call makes a call to the endpoint. at carries it out, and passes the answer on once
 // it is there; done gets the answer, or nil if there is none within limit.
 func (a *simGuards) call(kind simCall, id dispatch.EndpointID, limit time.Duration, at func(e *dispatchtest.Endpoint, answer func(any)), done func(answer any)) {
 	h, s := a.h, a.s
 	over := false
+	number := a.fence.Number()
 	finish := func(answer any) {
 		a.run(func() {
-			if !over {
-				over = true
-				done(answer)
+			if over {
+				return
 			}
+			over = true
+			if refused, ok := answer.(simFenced); ok {
+				s.log("%s: number %d refused", h.name, number)
+				a.fence.Refused(number)
+				answer = nil
+				if kind < simPoll {
+					answer = dispatch.CallResult{Refusal: dispatch.NotStarted, Clock: refused.clock, Fence: number}
+				}
+			}
+			if _, gone := answer.(simGone); gone {
+				answer = nil
+				if kind >= simPoll {
+					a.raiseFence()
+				}
+			}
+			done(answer)
 		})
 	}
 	delay, lost := h.rng.between(ms/5, 3*ms/2)+h.loss(), h.rng.IntN(100) == 0
@@ -247,7 +277,7 @@
 		e := h.endpoint
 		switch {
 		case e == nil:
-			finish(nil) // refused
+			finish(simGone{})
 			return
 		case e.Name != id.ID:
 			if kind >= simPoll {
@@ -260,12 +290,18 @@
 			h.id != id && kind == simRenew && !s.whole.renewalsCross && h.answered > 0 && s.now > h.answered+simRecovery:
 			return
 		}
-		at(e, func(answer any) {
+		reply := func(answer any) {
 			if lost || s.now < h.mute || s.now < h.cut {
 				return
 			}
 			s.after(h.rng.between(ms/5, 3*ms/2)+h.loss(), func() { finish(answer) })
-		})
+		}
+		if !e.Admit(number) {
+			s.log("%v does nothing for number %d", h.id, number)
+			reply(simFenced{e.Clock().Truncate(ms)})
+			return
+		}
+		at(e, reply)
 	})
 }
 
@@ -370,14 +406,36 @@
 			return
 		}
 		l := &simLink{s: h.s, rng: h.s.source(h.name, n.hello.Name)}
-		l.ends[0] = simEnd{entry: n, incarnation: n.incarnation, link: &mesh.Link{Conn: conn{l, 0}, Hello: a.hello}}
-		l.ends[1] = simEnd{host: h, guards: a, link: &mesh.Link{Conn: conn{l, 1}, Hello: n.hello}}
+		if h.s.whole.lateLinks && l.rng.IntN(3) == 0 {
+			h.linkLate(n, l.rng)
+		}
+		h.s.lastLink++
+		l.ends[0] = simEnd{entry: n, incarnation: n.incarnation, link: h.s.newLink(conn{l, 0}, a.hello)}
+		l.ends[1] = simEnd{host: h, guards: a, link: h.s.newLink(conn{l, 1}, n.hello)}
 		n.links = append(n.links, l)
 		n.receive(control.LinkUp{Link: l.ends[0].link})
 		a.run(func() { a.linkUp(l.ends[1].link) })
 	})
 }
 
+// linkLate makes a link that the agent gives up at once. The entry handles it late.
+func (h *simHost) linkLate(n *simEntry, rng source) {
+	a, incarnation, atAgent := h.agent, n.incarnation, &sentTo{}
+	h.s.lastLink++
+	dialed, accepted := h.s.newLink(atAgent, n.hello), h.s.newLink(&sentTo{}, a.hello)
+	a.linkUp(dialed)
+	a.linkDown(dialed)
+	h.s.after(rng.between(ms, 450*ms), func() {
+		n.run(incarnation, func() {
+			n.e.receive(h.s.now, control.LinkUp{Link: accepted})
+			for _, m := range atAgent.messages {
+				n.e.receive(h.s.now, control.Received{Link: accepted, Message: m})
+			}
+			n.e.receive(h.s.now, control.LinkDown{Link: accepted})
+		})
+	})
+}
+
 func (a *simGuards) linkUp(l *mesh.Link) {
 	now, name := a.s.now, l.Hello.Name
 	if old := a.peers[name]; old != nil {
@@ -589,6 +647,9 @@
 
 func (a *simGuards) announcedOther(n platform.Announcement) {
 	if !a.newEndpoint(n) {
+		if a.unconfirmed[n.Endpoint.ID].Endpoint != n.Endpoint {
+			a.raiseFence()
+		}
 		a.unconfirmed[n.Endpoint.ID] = n
 		return
 	}
@@ -609,6 +670,7 @@
 		}
 		e.guard.Replaced(now, n.Endpoint.Born)
 	}
+	a.raiseFence()
 	e := &simGuarded{
 		announced: n, guard: dispatch.NewGuard(n.Endpoint, n.Service, n.Zone, n.Capacity, n.Labels, a.timing),
 		foundAt: now, lastHeartbeat: now, reportedOthers: map[dispatch.Owner]dispatch.Resources{},
@@ -710,7 +772,12 @@
 		e := a.endpoints[id]
 		if snap, ok := answer.(dispatch.Snapshot); ok && e != nil {
 			snap.Sent, snap.Acknowledged = sent, acknowledge
+			born := e.guard.Born()
 			e.guard.Polled(a.s.now, a.s.now, snap)
+			if e.guard.Born() != born {
+				a.raiseFence()
+				e.guard.Ask(a.s.now)
+			}
 			a.stopLateStarts(e)
 			if n, ok := a.unconfirmed[id.ID]; ok && n.Endpoint.Born == e.guard.Born() {
 				a.announcedOther(n)
@@ -789,6 +856,9 @@
 	case dispatch.CallPoll:
 		a.poll(id, action.Until, e.guard.Cursor(), 0, nil)
 	case dispatch.ReportEnd:
+		if action.KnownBy == dispatch.EvidenceLease {
+			a.raiseFence()
+		}
 		if action.MayStart {
 			a.lateStarts = append(a.lateStarts, simLateStart{id.ID, run, e.guard.Born(), now})
 		}
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -56,6 +56,10 @@
 	KindShardCounts:     messages[ShardCounts](),
 	KindJobsOpen:        messages[JobsOpen](),
 	KindOperatorRequest: messages[OperatorRequest](),
+	KindJobDelete:       messages[JobDelete](),
+	KindJobDeleted:      messages[JobDeleted](),
+	KindOperatorRead:    messages[OperatorRead](),
+	KindOperatorRows:    messages[OperatorRows](),
 }
 
 func messages[T any, P interface {
--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -25,6 +25,7 @@
 	Cores       float64     `cbor:"6,keyasint,omitempty"` // processor time that the process may use, in cores; entries only
 	LinkMbps    float64     `cbor:"7,keyasint,omitempty"` // bandwidth of the host; entries only
 	NewestKind  Kind        `cbor:"8,keyasint,omitempty"` // highest kind of message that the sender knows; 0: as if KindShardCounts
+	Link        uint64      `cbor:"9,keyasint,omitempty"` // number of this link, which rises from 1 in each incarnation; 0: the sender's build numbers none
 }
 
 // NodeHeartbeat is the heartbeat between entries, and between entries and agents.
@@ -39,6 +40,9 @@
 	// ReceiverHome says that the sender takes the receiver for the home of a shard, which
 	// the receiver may not know, and so expects frequent heartbeats; between entries only.
 	ReceiverHome bool `cbor:"8,keyasint,omitempty"`
+	// StoreLost says that the sender's latest call of the store has failed; between entries
+	// only. Builds that do not send it leave it false.
+	StoreLost bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Member returns the sender as a member.
@@ -56,6 +60,30 @@
 // OperatorUpdate.
 type OperatorRequest struct{}
 
+// OperatorRead asks an agent to read the changes of the operator's rows from the store
+// for an entry that the store does not serve. The agent answers with OperatorRows.
+type OperatorRead struct {
+	After uint64        `cbor:"1,keyasint"` // version of the store after which changes are wanted; 0: all rows
+	Wait  time.Duration `cbor:"2,keyasint"` // for a change, if there is none yet
+}
+
+// OperatorRows answers an OperatorRead.
+type OperatorRows struct {
+	After   uint64     `cbor:"1,keyasint"`           // of the request
+	Version uint64     `cbor:"2,keyasint"`           // of the store when it was read
+	Whole   bool       `cbor:"3,keyasint,omitempty"` // Rows are all rows, not changes
+	Failed  bool       `cbor:"4,keyasint,omitempty"` // nothing was read
+	Rows    []StoreRow `cbor:"5,keyasint,omitempty"` // at most one for each key
+}
+
+// StoreRow is a row of the operator's table as the store holds it.
+type StoreRow struct {
+	Key     string `cbor:"1,keyasint"`
+	Value   []byte `cbor:"2,keyasint,omitempty"`
+	Version uint64 `cbor:"3,keyasint"`
+	Removed bool   `cbor:"4,keyasint,omitempty"`
+}
+
 // Member is an entry as the other processes know it. The entry's row in the store is
 // JSON under the same field names.
 type Member struct {
@@ -117,6 +145,24 @@
 	Elsewhere int `cbor:"5,keyasint,omitempty"`
 }
 
+// JobDelete cancels a job for its client, whichever entry has submitted it. The receiver
+// answers later submissions of the job as cancelled.
+type JobDelete struct {
+	Job    string `cbor:"1,keyasint"`
+	Number uint64 `cbor:"2,keyasint"` // of the sender's incarnation, repeated in the answer
+	// Host and Path are those of the client's request if the sender has no route for it.
+	// They have to be those of the route with which the job was submitted.
+	Host string        `cbor:"3,keyasint,omitempty"`
+	Path string        `cbor:"4,keyasint,omitempty"`
+	Keep time.Duration `cbor:"5,keyasint,omitempty"` // how long submissions of the job are answered as cancelled; 0: the receiver's usual time
+}
+
+// JobDeleted answers a JobDelete.
+type JobDeleted struct {
+	Number    uint64 `cbor:"1,keyasint"`
+	Cancelled bool   `cbor:"2,keyasint,omitempty"` // the job was open at the sender
+}
+
 // EndpointReport reports the status of an endpoint to an entry.
 type EndpointReport struct {
 	Status dispatch.EndpointStatus `cbor:"1,keyasint"`
