Review case 6: a home that wakes places its clients' jobs again beside the next home

An entry that was frozen for 4 s keeps the jobs of its own clients and places their tasks again 53 ms after it wakes, unless it has seen that the clients have left. A client that has sent its job again elsewhere has each task run twice at the same time (TWICE).

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -29,6 +29,7 @@
 	"late-duplicate": {false, lateDuplicate},
 	"cut-entry":      {true, cutEntry},
 	"killed-entries": {false, killedEntries},
+	"frozen-home":    {false, frozenHome},
 }
 
 func main() {
--- a/review/standin-2/record.go
+++ b/review/standin-2/record.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 	"sync"
 	"time"
 )
@@ -13,6 +14,7 @@
 	file   *os.File
 	began  time.Time
 	starts []start
+	ends   []start
 	told   []told
 }
 
@@ -65,7 +67,35 @@
 
 // ended records the end of a run.
 func (r *record) ended(executor, task string, run int, how string) {
-	r.note("end      %s run %d at %s: %s", task, run, executor, how)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at := r.noteLocked("end      %s run %d at %s: %s", task, run, executor, how)
+	r.ends = append(r.ends, start{at, executor, task, run})
+}
+
+// overlaps describes the runs of a job's tasks that began while another run of the same task
+// had not ended.
+func (r *record) overlaps(job string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	endOf := func(s start) time.Duration {
+		for _, e := range r.ends {
+			if e.task == s.task && e.run == s.run && e.executor == s.executor && e.at >= s.at {
+				return e.at
+			}
+		}
+		return r.now()
+	}
+	var found []string
+	for _, a := range r.starts {
+		for _, b := range r.starts {
+			if strings.HasPrefix(a.task, job+".") && a.task == b.task && a != b && a.at <= b.at && b.at < endOf(a) {
+				found = append(found, fmt.Sprintf("%s has two runs from %.3f s to %.3f s: run %d at %s and run %d at %s",
+					a.task, b.at.Seconds(), min(endOf(a), endOf(b)).Seconds(), a.run, a.executor, b.run, b.executor))
+			}
+		}
+	}
+	return found
 }
 
 // startsOf returns the starts of a job's tasks.
