--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -32,7 +32,7 @@
 var zones = []string{"gwent", "ceredigion", "powys"}
 
 // ports are the same on all machines.
-type ports struct{ front, ready, control, app, link, forwarded int }
+type ports struct{ front, ready, control, app, link, forwarded, store int }
 
 type machine struct {
 	name, role, ip, zone, file string
@@ -59,8 +59,11 @@
 // newDeployment starts a deployment and waits until it serves. forwarded puts a proxy in
 // front of the links to entries.
 func newDeployment(rec *record, root string, forwarded bool) (*deployment, error) {
-	d := &deployment{rec: rec, root: root, store: newStore(), ports: ports{8161, 8167, 8166, 8165, 7720, 7731}}
+	d := &deployment{rec: rec, root: root, store: newStore()}
 	var err error
+	if d.ports, err = choosePorts(); err != nil {
+		return d, err
+	}
 	if d.dir, err = os.MkdirTemp("", "review2-"); err != nil {
 		return d, err
 	}
@@ -79,7 +82,7 @@
 	for i := range agents {
 		d.agents = append(d.agents, &machine{name: fmt.Sprintf("side-%d", i), role: "agent", ip: address(30 + i), zone: zones[i%3]})
 	}
-	if _, err := serve(address(7)+":8169", d.store); err != nil {
+	if _, err := serve(d.storeAddr(), d.store); err != nil {
 		return d, err
 	}
 	for i, m := range d.agents {
@@ -117,6 +120,23 @@
 	return fmt.Sprintf("127.%d.%d.%d", 64+(pid>>8)%64, pid%256, n)
 }
 
+// choosePorts returns ports that are free on all loopback addresses.
+func choosePorts() (ports, error) {
+	for base := 20000 + os.Getpid()%1000*10; base < 32000; base += 20 {
+		free := true
+		for port := base; port < base+20 && free; port++ {
+			l, err := net.Listen("tcp", fmt.Sprintf(":%d", port))
+			if free = err == nil; free {
+				_ = l.Close()
+			}
+		}
+		if free {
+			return ports{base, base + 1, base + 2, base + 3, base + 4, base + 15, base + 16}, nil
+		}
+	}
+	return ports{}, fmt.Errorf("no free ports")
+}
+
 // commands returns the words of the deploy file's run lines, by role.
 func commands(path string) (map[string][]string, error) {
 	text, err := os.ReadFile(path)
@@ -183,7 +203,7 @@
 			"finish_s": 14, "status_s": 120, "FarFactor": 1.5, "EnforceFencing": true, "LeaseMs": 3000, "ThawSlackMs": 300, "ResendMs": 1300,
 		},
 		"Orders":   "rpc",
-		"platform": map[string]any{"Address": address(7) + ":8169", "form": "table", "WritesPerS": 800, "ReadsPerS": 2000, "HistoryS": 20},
+		"platform": map[string]any{"Address": d.storeAddr(), "form": "table", "WritesPerS": 800, "ReadsPerS": 2000, "HistoryS": 20},
 	}
 	if m.role == "agent" {
 		s["MachineClass"], s["Serves"], s["app"], s["Service"] = "side", []string{"side"}, m.addr(d.ports.app), service
@@ -318,3 +338,5 @@
 func (d *deployment) cancel(m *machine, id string) answer {
 	return d.call(m, http.MethodDelete, routePath+id, "", 3*time.Second)
 }
+
+func (d *deployment) storeAddr() string { return fmt.Sprintf("%s:%d", address(7), d.ports.store) }
