dispatch: tasks that slow each other down are noticed and kept apart

Some kinds of tasks slow others down at the same endpoint beyond what its capacity counts, and nothing saw that. A scheduler now compares run times at the same endpoint by the share that each route's tasks had there at the start. A pair of routes is noticed when the slowdown beyond that by other kinds at the same load holds over eight windows; then endpoints with room are ordered by the end expected beside what runs there. No task waits because of it. Off unless set.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -41,7 +41,7 @@
 		if cost > expected && now+cost > j.objective && now < j.usefulUntil && s.anotherHealthy(e) {
 			continue
 		}
-		cost = time.Duration(float64(cost) * e.health.expectedAttempts())
+		cost = time.Duration(float64(cost) * e.health.expectedAttempts() * s.interference.slowdown(now, e, j.sub.Route.Name, st.Need, expected))
 		if cost <= expected {
 			unpenalized++
 		}
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -85,6 +85,7 @@
 	switch reason {
 	case EndDone:
 		s.recordRunTime(r, age)
+		s.recordInterference(now, r, age)
 		if e.health.countGoodRun(r.ordered) {
 			s.logEndpoint(e, "endpoint_restored", "tasks end well")
 		}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -36,17 +36,18 @@
 
 // run is an ordered run that is not known to have ended.
 type run struct {
-	order    uint64
-	ref      RunRef
-	job      *job
-	task     *task
-	endpoint *endpoint
-	need     Resources
-	ordered  Time
-	expected Time
-	stopping bool
-	stuck    bool
-	endBy    Time // if handed over: certain to have ended by then; else 0
+	order      uint64
+	ref        RunRef
+	job        *job
+	task       *task
+	endpoint   *endpoint
+	need       Resources
+	ordered    Time
+	expected   Time
+	stopping   bool
+	stuck      bool
+	neighbours *neighbours // nil: not kept
+	endBy      Time        // if handed over: certain to have ended by then; else 0
 }
 
 // handedOver reports whether the run was ordered from an earlier incarnation of
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -81,6 +81,11 @@
 	shards     int                              // of the service; 0: one
 	byHash     bool                             // jobs stay at the shard that their id names
 	lost       func(endpoint int, at Time) bool // which endpoints take no tasks; nil: none
+
+	interference InterferenceMode
+	coRun        coRunFactor // nil: run times do not depend on what else runs
+	coRunEnded   func(kind string, work, took, at Time)
+	logged       func(at Time, a SchedulerAction)
 }
 
 const (
@@ -171,6 +176,7 @@
 	shards := make([]*Scheduler, max(p.shards, 1))
 	for i := range shards {
 		shards[i] = NewScheduler("svc", testTiming, orders, -time.Minute)
+		shards[i].SetInterference(p.interference)
 	}
 	waiting := make([]int, len(shards))
 	res := &loadResult{offered: map[int]float64{}, achieved: map[int]float64{}, starts: map[string][]Time{}}
@@ -208,6 +214,7 @@
 			}
 		})
 	}
+	coRuns := newCoRuns(&p, func() Time { return now }, after)
 	open := map[string]*openJob{}
 	caller := Owner{Entry: "c", Incarnation: 1}
 	var submit func(j *openJob)
@@ -247,11 +254,19 @@
 				if rng.Float64() < p.fails(index, now) {
 					reason = EndFailed
 				}
-				afterUnlessLost(runTime+2*ms, func() {
-					s.Ended(now, a.Order, reason, runTime)
+				ended := func(took Time) {
+					s.Ended(now, a.Order, reason, took)
 					carryOut()
-				})
+				}
+				if p.coRun != nil {
+					coRuns.start(index, j.class.route.Name, runTime, ended)
+					continue
+				}
+				afterUnlessLost(runTime+2*ms, func() { ended(runTime) })
 			case LogDecision:
+				if p.logged != nil {
+					p.logged(now, a)
+				}
 				if a.Event == "endpoint_ejected" {
 					res.ejections++
 				}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -78,6 +78,7 @@
 	r := &run{
 		order: s.orders.next(), ref: RunRef{Task: t.ref, Run: t.nextRun}, job: j, task: t, endpoint: e, need: st.Need,
 		ordered: now, expected: s.estimateOf(j.sub.Route.Name).apply(st.Estimate),
+		neighbours: s.interference.neighboursAt(e, j.sub.Route.Name),
 	}
 	t.run = r
 	j.begun++
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -93,11 +93,11 @@
 	recent         map[string]recentRuns
 	out            []SchedulerAction
 	nextCheck      Time
-	started        Time
 
-	holdUntil  Time // no task is placed before
-	searchFrom int  // index of the endpoint at which the next search for capacity begins
-	maxFreeCPU int  // upper bound of the free processors at any usable endpoint, in thousandths of a core
+	started, holdUntil Time          // no task is placed before holdUntil
+	interference       *interference // nil: off
+	searchFrom         int           // index of the endpoint at which the next search for capacity begins
+	maxFreeCPU         int           // upper bound of the free processors at any usable endpoint, in thousandths of a core
 }
 
 // OrderNumbers numbers the orders of one process, whose schedulers share it.
