--- a/command/hosted.go
+++ b/command/hosted.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"bergamotwing.example/command/internal/signals"
+	"bergamotwing.example/dispatch"
 	hostedagent "bergamotwing.example/hosted/agent"
 	"bergamotwing.example/hosted/control"
 	hostedentry "bergamotwing.example/hosted/entry"
@@ -50,6 +51,7 @@
 
 	LinkListen     string `long:"link-listen" value-name:"IP:PORT" description:"accept links here, where a forwarder has the address that others dial"`
 	ShardEndpoints int    `long:"shard-endpoints" value-name:"N" default:"0" description:"endpoints of a service on which one entry places tasks; 0 takes the built-in number"`
+	Interference   string `long:"interference" value-name:"MODE" choice:"off" choice:"notice" choice:"keep-apart" default:"off" description:"tasks that slow each other down at one endpoint: off, notice (log which kinds do), keep-apart (and place them apart where there is room)"`
 }
 
 // Execute runs the entry until a signal.
@@ -58,7 +60,9 @@
 		return usagef("--shard-endpoints %d is negative", c.ShardEndpoints)
 	}
 	return c.run("entry", func(node platform.Node, p *hostedProcess) runner {
-		return hostedentry.New(node, hostedentry.Options{LinkListen: c.LinkListen, ShardEndpoints: c.ShardEndpoints}, control.Deps{Log: p.log, Metrics: p.metrics})
+		return hostedentry.New(node, hostedentry.Options{
+			LinkListen: c.LinkListen, ShardEndpoints: c.ShardEndpoints, Interference: dispatch.InterferenceMode(c.Interference),
+		}, control.Deps{Log: p.log, Metrics: p.metrics})
 	})
 }
 
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -69,6 +69,7 @@
 	behindSince     time.Duration          // since when another entry has a newer version of the operator's state; 0: none has
 	catchUps        int                    // requests for it since then
 	agentReads      agentReads
+	interference    interferenceMetrics
 	checkedAt       time.Duration // when the leases of the other entries were last checked
 	echoAgentsFrom  time.Duration // no agent's lease is renewed before
 	stopping        bool
@@ -230,6 +231,7 @@
 	for _, sched := range s.schedulers {
 		sched.Tick(now)
 	}
+	s.interference.update(s)
 	for id, r := range s.recent {
 		if now-r.at > outcomeRetention {
 			delete(s.recent, id)
--- a/hosted/entry/entry.go
+++ b/hosted/entry/entry.go
@@ -42,6 +42,9 @@
 	// ShardEndpoints is the most endpoints of a service that one entry places
 	// tasks on. 0: dispatch.ShardEndpoints.
 	ShardEndpoints int
+	// Interference says what the entry does about tasks that slow each other down.
+	// Empty: nothing.
+	Interference dispatch.InterferenceMode
 }
 
 // Entry is one incarnation of the process.
@@ -86,6 +89,7 @@
 	}
 	e.mesh = mesh.New(e.self, e.actor, wire.Count(deps.Metrics), deps.Log)
 	e.state = newState(e)
+	e.state.interference.register(deps.Metrics)
 	return e
 }
 
--- a/hosted/entry/shards.go
+++ b/hosted/entry/shards.go
@@ -203,6 +203,7 @@
 	sched := s.schedulers[shard]
 	if sched == nil {
 		sched = dispatch.NewScheduler(shard.Service, s.timing, s.orders, mesh.Now())
+		sched.SetInterference(s.e.opts.Interference)
 		s.schedulers[shard] = sched
 		if op := s.e.operator.Load(); op != nil {
 			sched.SetEvacuated(mesh.Now(), op.Evacuated)
