A test of crowds at each listener, with processes of their own

Clients that do not stay inside the limits can take all memory and descriptors of an entry or an agent, at any listener. 400 connections of ten kinds at eight listeners, on a machine that the settings give 128 MB and 512 descriptors (200 of them for files).

--- a/integration/hosted/cluster.go
+++ b/integration/hosted/cluster.go
@@ -81,6 +81,10 @@
 	Zones, Services []string
 	// Bounds replace those of the stand-ins.
 	Bounds map[string]int
+	// MemoryMb and MaxFds limit each process; 0: not stated.
+	MemoryMb, MaxFds int
+	// MetricsPort is where each process serves metrics; 0: none does.
+	MetricsPort int
 	// Prepare is called before the processes start; nil: nothing is.
 	Prepare func(*fake.Store)
 }
@@ -150,6 +154,7 @@
 	zone := c.options.Zones[index%len(c.options.Zones)]
 	node := fake.Node{
 		Name: name, IP: ip, Zone: zone, Bounds: c.options.Bounds, StoreAddr: c.serveStore(ip), Seeds: []string{address(firstEntry), address(firstEntry + 1)},
+		MemoryMb: c.options.MemoryMb, MaxFds: c.options.MaxFds,
 	}
 	if role == "agent" {
 		node.Service = c.options.Services[index%len(c.options.Services)]
@@ -163,7 +168,7 @@
 		c.t.Fatal(err)
 	}
 	h := &Host{IP: ip, Zone: zone, node: node}
-	args := []string{"hosted", role, "--node-file", file}
+	args := []string{"hosted", role, "--node-file", file, "--metrics-port", strconv.Itoa(c.options.MetricsPort)}
 	if role == "entry" {
 		args = append(args, "--shard-endpoints", strconv.Itoa(c.options.ShardEndpoints))
 	}
