Entries and agents bound what the clients of all their listeners hold

The listeners of clients, probes, links, endpoints and metrics go through hosted/door; drain keeps the hooks of the server that it is given. A job for which no memory is left is answered with 502 outcome_unknown, since it may have been sent elsewhere before.

--- a/command/hosted.go
+++ b/command/hosted.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"runtime/debug"
+	"time"
 
 	"github.com/rotisserie/eris"
 
 	"bergamotwing.example/command/internal/signals"
 	hostedagent "bergamotwing.example/hosted/agent"
-	"bergamotwing.example/hosted/control"
+	"bergamotwing.example/hosted/door"
 	hostedentry "bergamotwing.example/hosted/entry"
 	"bergamotwing.example/platform"
 )
@@ -41,15 +42,19 @@
 
 type hostedOptions struct {
 	out         *output
-	MetricsPort int    `long:"metrics-port" value-name:"PORT" description:"serve metrics at this port; 0 serves none"`
-	NodeFile    string `long:"node-file" value-name:"FILE" description:"settings file of the platform; otherwise as its environment variable says"`
+	MetricsPort int           `long:"metrics-port" value-name:"PORT" description:"serve metrics at this port; 0 serves none"`
+	HeldMB      int           `long:"held-mb" value-name:"MB" default:"0" description:"memory that requests and jobs of clients may hold until they are answered; 0: a sixth of the machine's"`
+	BodyTime    time.Duration `long:"body-time" value-name:"DURATION" default:"0" description:"for a client to send a request's body; 0: 10s"`
+	NodeFile    string        `long:"node-file" value-name:"FILE" description:"settings file of the platform; otherwise as its environment variable says"`
 }
 
 type hostedEntryCommand struct {
 	hostedOptions
 
-	LinkListen     string `long:"link-listen" value-name:"IP:PORT" description:"accept links here, where a forwarder has the address that others dial"`
-	ShardEndpoints int    `long:"shard-endpoints" value-name:"N" default:"0" description:"endpoints of a service on which one entry places tasks; 0 takes the built-in number"`
+	LinkListen        string `long:"link-listen" value-name:"IP:PORT" description:"accept links here, where a forwarder has the address that others dial"`
+	ClientConnections int    `long:"client-connections" value-name:"N" default:"0" description:"connections of clients; 0: as the machine's memory and descriptors allow"`
+	MaxLinks          int    `long:"links" value-name:"N" default:"0" description:"links that other processes open; 0: a quarter of the machine's descriptors"`
+	ShardEndpoints    int    `long:"shard-endpoints" value-name:"N" default:"0" description:"endpoints of a service on which one entry places tasks; 0 takes the built-in number"`
 }
 
 // Execute runs the entry until a signal.
@@ -57,8 +62,14 @@
 	if c.ShardEndpoints < 0 {
 		return usagef("--shard-endpoints %d is negative", c.ShardEndpoints)
 	}
-	return c.run("entry", func(node platform.Node, p *hostedProcess) runner {
-		return hostedentry.New(node, hostedentry.Options{LinkListen: c.LinkListen, ShardEndpoints: c.ShardEndpoints}, control.Deps{Log: p.log, Metrics: p.metrics})
+	if c.ClientConnections < 0 {
+		return usagef("--client-connections %d is negative", c.ClientConnections)
+	}
+	if c.MaxLinks < 0 {
+		return usagef("--links %d is negative", c.MaxLinks)
+	}
+	return c.run("entry", door.Options{Clients: c.ClientConnections, Links: c.MaxLinks}, func(node platform.Node, p *hostedProcess) runner {
+		return hostedentry.New(node, hostedentry.Options{LinkListen: c.LinkListen, ShardEndpoints: c.ShardEndpoints}, p.deps())
 	})
 }
 
@@ -66,8 +77,8 @@
 
 // Execute runs the agent until a signal.
 func (c *hostedAgentCommand) Execute([]string) error {
-	return c.run("agent", func(node platform.Node, p *hostedProcess) runner {
-		return hostedagent.New(node, control.Deps{Log: p.log, Metrics: p.metrics})
+	return c.run("agent", door.Options{}, func(node platform.Node, p *hostedProcess) runner {
+		return hostedagent.New(node, p.deps())
 	})
 }
 
@@ -77,7 +88,14 @@
 	Reload(node platform.Node)
 }
 
-func (o *hostedOptions) run(role string, build func(platform.Node, *hostedProcess) runner) error {
+func (o *hostedOptions) run(role string, bounds door.Options, build func(platform.Node, *hostedProcess) runner) error {
+	if o.HeldMB < 0 {
+		return usagef("--held-mb %d is negative", o.HeldMB)
+	}
+	if o.BodyTime < 0 {
+		return usagef("--body-time %v is negative", o.BodyTime)
+	}
+	bounds.HeldBytes, bounds.BodyTime = int64(o.HeldMB)<<20, o.BodyTime
 	file := o.NodeFile
 	if file == "" {
 		file = platform.NodeFile()
@@ -87,7 +105,10 @@
 		return err
 	}
 	debug.SetGCPercent(hostedGCPercent)
-	p, err := newHostedProcess(o.out, role, node)
+	if node.MemoryMB > 0 {
+		debug.SetMemoryLimit(door.MemoryLimit(node.MemoryMB))
+	}
+	p, err := newHostedProcess(o.out, role, node, bounds)
 	if err != nil {
 		return err
 	}
--- a/command/hosted_test.go
+++ b/command/hosted_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -130,3 +131,23 @@
 		t.Error(diff)
 	}
 }
+
+func TestBoundsThatTheMachineDoesNotHaveStopTheStart(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "entry")
+	writeSettings(t, file, fake.Node{Name: "host", IP: testPeer, Zone: "z", StoreAddr: testStore, MemoryMb: 184, MaxFds: 4100})
+	for _, tc := range []struct{ role, option, value, want string }{
+		{"entry", "--client-connections", "-1", "negative"},
+		{"entry", "--client-connections", "4000", "descriptors"},
+		{"entry", "--links", "-1", "negative"},
+		{"entry", "--links", "4000", "descriptors"},
+		{"entry", "--held-mb", "-1", "negative"},
+		{"entry", "--held-mb", "93", "half of the machine's 184 MB"},
+		{"agent", "--held-mb", "93", "half of the machine's 184 MB"},
+		{"agent", "--body-time", "-1s", "negative"},
+	} {
+		code, _, stderr := run("hosted", tc.role, "--node-file", file, tc.option+"="+tc.value)
+		if code != ExitUsage || !strings.Contains(stderr, tc.want) {
+			t.Errorf("%s %s=%s: exit code %d, %q; want %d, %q", tc.role, tc.option, tc.value, code, stderr, ExitUsage, tc.want)
+		}
+	}
+}
--- a/command/hostedprocess.go
+++ b/command/hostedprocess.go
@@ -9,9 +9,10 @@
 	"strconv"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"bergamotwing.example/hosted/control"
+	"bergamotwing.example/hosted/door"
 	"bergamotwing.example/hosted/logs"
 	"bergamotwing.example/platform"
 	"bergamotwing.example/telemetry"
@@ -32,10 +33,15 @@
 type hostedProcess struct {
 	log     zerolog.Logger
 	metrics *telemetry.Metrics
-	flush   func() // writes the log lines that are still buffered
+	door    *door.Door // bounds what clients of the listeners hold
+	flush   func()     // writes the log lines that are still buffered
 }
 
-func newHostedProcess(out *output, role string, node platform.Node) (*hostedProcess, error) {
+func newHostedProcess(out *output, role string, node platform.Node, bounds door.Options) (*hostedProcess, error) {
+	limits, err := door.LimitsOf(node.MemoryMB, node.Descriptors, bounds)
+	if err != nil {
+		return nil, usagef("%v", err)
+	}
 	metrics, err := telemetry.NewMetrics()
 	if err != nil {
 		return nil, err
@@ -43,18 +49,26 @@
 	log, flush := logs.New(out.stdout, role, node.Name, node.Zone, func(n int) {
 		metrics.Count("bergamotwing_log_lines_dropped_total", "Log lines dropped because the reader was too slow or gone.", int64(n))
 	})
-	return &hostedProcess{log: log, metrics: metrics, flush: flush}, nil
+	p := &hostedProcess{log: log, metrics: metrics, flush: flush}
+	p.door = door.New(limits, control.NewDoorReport(p.deps()).Closed)
+	metrics.Gauge("bergamotwing_door_held_bytes", "Bytes that clients of all listeners hold.", func() float64 { return float64(p.door.Held()) })
+	metrics.Gauge("bergamotwing_door_connections", "Open connections of all listeners.", func() float64 { return float64(p.door.Count()) })
+	return p, nil
+}
+
+func (p *hostedProcess) deps() control.Deps {
+	return control.Deps{Log: p.log, Metrics: p.metrics, Door: p.door}
 }
 
 func (p *hostedProcess) serveMetrics(ip string, port int) error {
 	if port == 0 {
 		return nil
 	}
-	listener, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port)))
+	listener, err := p.door.Listen(context.Background(), net.JoinHostPort(ip, strconv.Itoa(port)), p.door.Service("metrics"))
 	if err != nil {
-		return eris.Wrap(err, "listen for metrics")
+		return err
 	}
-	server := &http.Server{Handler: p.metrics.Handler(), ReadHeaderTimeout: metricsTimeout}
+	server := p.door.Server(p.metrics.Handler(), metricsTimeout)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			p.log.Error().Err(err).Msg("metrics listener ended")
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -42,8 +42,8 @@
 	stopping bool                // connections take no further request
 }
 
-// New returns a server of the clients of a listener. It sets the server's ConnState and
-// ConnContext.
+// New returns a server of the clients of a listener. The server's ConnState and ConnContext
+// are called with the connections that the listener has accepted.
 func New(server *http.Server, l net.Listener) *Server {
 	s := &Server{
 		server: server, listener: l, accepted: make(chan struct{}), conns: map[*conn]time.Time{},
@@ -51,8 +51,19 @@
 	}
 	if s.plain {
 		s.listener = listener{l}
-		server.ConnState = s.connState
-		server.ConnContext = withConn
+		state, connContext := server.ConnState, server.ConnContext
+		server.ConnState = func(c net.Conn, now http.ConnState) {
+			if client, ok := c.(*conn); ok && state != nil {
+				state(client.Conn, now)
+			}
+			s.connState(c, now)
+		}
+		server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+			if client, ok := c.(*conn); ok && connContext != nil {
+				ctx = connContext(ctx, client.Conn)
+			}
+			return withConn(ctx, c)
+		}
 	}
 	return s
 }
--- a/hosted/agent/agent.go
+++ b/hosted/agent/agent.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -49,6 +48,7 @@
 
 // New returns an agent that Run starts.
 func New(node platform.Node, deps control.Deps) *Agent {
+	deps = deps.WithDoor(node)
 	a := &Agent{actor: control.NewActor(), node: node, deps: deps, store: platform.NewStore(node.StoreAddr), odd: control.NewOddRows(deps), toWrite: make(chan platform.Announcement, 1), idle: make(chan struct{}), running: make(chan struct{})}
 	hello := wire.NodeHello{
 		Name: node.Name, Incarnation: control.NewIncarnation(), Role: wire.RoleAgent, Zone: node.Zone, NewestKind: wire.NewestKind,
@@ -109,15 +109,12 @@
 }
 
 func (a *Agent) listen(ctx context.Context) (*http.Server, error) {
-	var lc net.ListenConfig
-	listener, err := lc.Listen(ctx, "tcp", a.node.ControlAddr)
+	bounds := a.deps.Door
+	listener, err := bounds.Listen(ctx, a.node.ControlAddr, bounds.Service("control"))
 	if err != nil {
-		return nil, eris.Wrap(err, "listen for the endpoint")
-	}
-	server := &http.Server{
-		Handler:           platform.ControlHandler(a, a.badAnnouncement),
-		ReadHeaderTimeout: headerTimeout,
+		return nil, err
 	}
+	server := bounds.Server(platform.ControlHandler(a, a.badAnnouncement), headerTimeout)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			a.deps.Log.Error().Err(err).Msg("control listener ended")
--- a/hosted/control/control.go
+++ b/hosted/control/control.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"bergamotwing.example/dispatch"
+	"bergamotwing.example/hosted/door"
 	"bergamotwing.example/hosted/mesh"
 	"bergamotwing.example/platform"
 	"bergamotwing.example/telemetry"
@@ -21,6 +22,16 @@
 type Deps struct {
 	Log     zerolog.Logger
 	Metrics *telemetry.Metrics
+	Door    *door.Door // of the process's listeners; nil: one with the bounds that follow from the settings
+}
+
+// WithDoor returns d with a door.
+func (d Deps) WithDoor(node platform.Node) Deps {
+	if d.Door == nil {
+		limits, _ := door.LimitsOf(node.MemoryMB, node.Descriptors, door.Options{}) // no error without options
+		d.Door = door.New(limits, NewDoorReport(d).Closed)
+	}
+	return d
 }
 
 // RefuseLate closes a link that comes after a later one, or takes it and returns false.
--- a/hosted/entry/clients.go
+++ b/hosted/entry/clients.go
@@ -9,6 +9,7 @@
 
 	"bergamotwing.example/dispatch"
 	"bergamotwing.example/drain"
+	"bergamotwing.example/hosted/door"
 	"bergamotwing.example/hosted/mesh"
 	"bergamotwing.example/platform"
 	"bergamotwing.example/result"
@@ -18,6 +19,9 @@
 	defaultWait   = 30 * time.Second // of a client that names no deadline
 	notReadyRetry = time.Second      // shortest Retry-After of a 503
 	noSuchJob     = "no such job"
+	// smallBody is the length in bytes of a body that net/http reads to its end although
+	// nobody needs it, to keep the connection; most come with the header.
+	smallBody = 4 << 10
 )
 
 // serveClient answers one request of a client.
@@ -69,6 +73,10 @@
 func (e *Entry) serveJob(w http.ResponseWriter, r *http.Request, req platform.JobRequest, route dispatch.Route, operator *dispatch.OperatorState) {
 	arrived := mesh.Now()
 	body, err := platform.ReadBody(w, r, operator.Config.MaxBodyBytes)
+	if errors.Is(err, door.ErrClosed) || errors.Is(err, net.ErrClosed) {
+		e.refuse(w, req.ID, result.OutcomeUnknown, 0, "the connection was closed before the request was read to its end")
+		return
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) { // only interrupt sets that deadline; the job may have run elsewhere before
 		e.refuse(w, req.ID, result.OutcomeUnknown, 0, stopTimeoutDetail+", the request was not read to its end in "+(mesh.Now()-arrived).String())
 		return
@@ -77,6 +85,11 @@
 		e.refuse(w, req.ID, result.BadRequest, 0, err.Error())
 		return
 	}
+	if !door.Hold(r.Context(), platform.JobMemory(body)) { // the job may have run elsewhere before
+		w.Header().Set("Connection", "close")
+		e.refuse(w, req.ID, result.OutcomeUnknown, notReadyRetry, "no memory is left for the job")
+		return
+	}
 	job, unsupported, err := platform.DecodeJob(req.ID, body)
 	if err != nil {
 		e.refuse(w, req.ID, result.BadRequest, 0, err.Error())
@@ -163,6 +176,9 @@
 // deleteOrRefuse refuses a request for which there is no route, unless it is a DELETE
 // of a job that is open: jobs of a route that was removed go on.
 func (e *Entry) deleteOrRefuse(w http.ResponseWriter, r *http.Request, code result.Code, detail string) {
+	if r.ContentLength < 0 || r.ContentLength > smallBody {
+		w.Header().Set("Connection", "close")
+	}
 	if id, ok := platform.JobIDOf(r.URL.Path); ok && r.Method == http.MethodDelete {
 		known := make(chan deleteResult, 1)
 		e.actor.Send(deleteJob{job: id, known: known, host: hostName(r.Host), path: r.URL.Path})
--- a/hosted/entry/entry.go
+++ b/hosted/entry/entry.go
@@ -72,6 +72,7 @@
 
 // New returns an entry that Run starts.
 func New(node platform.Node, opts Options, deps control.Deps) *Entry {
+	deps = deps.WithDoor(node)
 	e := &Entry{actor: control.NewActor(), node: node, opts: opts, deps: deps, store: platform.NewStore(node.StoreAddr), odd: control.NewOddRows(deps), running: make(chan struct{})}
 	e.self = wire.NodeHello{
 		Name: node.Name, Incarnation: control.NewIncarnation(), Role: wire.RoleEntry, Zone: node.Zone,
@@ -186,27 +187,31 @@
 }
 
 func (e *Entry) listenAll(ctx context.Context) (*drain.Server, error) {
-	links, err := mesh.Listen(ctx, e.opts.LinkListen)
+	bounds := e.deps.Door
+	links, err := bounds.Listen(ctx, e.opts.LinkListen, bounds.Links(e.mesh.Knows))
 	if err != nil {
 		return nil, err
 	}
 	e.serve(links, e.mesh.Handler(ctx), "links")
 	control := http.NotFoundHandler() // only endpoints call this address, to reach the agents on their hosts
-	for addr, h := range map[string]http.Handler{e.node.ReadyAddr: platform.ReadyHandler(e.ready.Load), e.node.ControlAddr: control} {
-		if addr == "" {
+	for _, service := range []struct {
+		name, addr string
+		handler    http.Handler
+	}{{"ready", e.node.ReadyAddr, platform.ReadyHandler(e.ready.Load)}, {"control", e.node.ControlAddr, control}} {
+		if service.addr == "" {
 			continue
 		}
-		l, err := mesh.Listen(ctx, addr)
+		l, err := bounds.Listen(ctx, service.addr, bounds.Service(service.name))
 		if err != nil {
 			return nil, err
 		}
-		e.serve(l, h, addr)
+		e.serve(l, service.handler, service.name)
 	}
-	l, err := mesh.Listen(ctx, e.node.ClientAddr)
+	l, err := bounds.Listen(ctx, e.node.ClientAddr, bounds.Clients())
 	if err != nil {
 		return nil, err
 	}
-	clients := drain.New(&http.Server{Handler: http.HandlerFunc(e.serveClient), ReadHeaderTimeout: headerTimeout}, l)
+	clients := drain.New(bounds.Server(http.HandlerFunc(e.serveClient), headerTimeout), l)
 	go func() {
 		if err := clients.Serve(); err != nil {
 			e.deps.Log.Error().Err(err).Msg("listener ended")
@@ -216,7 +221,7 @@
 }
 
 func (e *Entry) serve(l net.Listener, h http.Handler, name string) {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	server := e.deps.Door.Server(h, headerTimeout)
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			e.deps.Log.Error().Err(eris.Wrap(err, name)).Msg("listener ended")
--- a/hosted/mesh/mesh.go
+++ b/hosted/mesh/mesh.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"bergamotwing.example/dispatch"
+	"bergamotwing.example/hosted/door"
 	"bergamotwing.example/platform"
 	"bergamotwing.example/wire"
 )
@@ -30,6 +31,7 @@
 	// requests that rest on the link go on for less than a second.
 	soonPauseMax  = 100 * time.Millisecond
 	soonTime      = time.Second
+	maxHosts      = 4096                   // from which links came; more than a deployment has
 	shortLink     = 100 * time.Millisecond // a link that ends sooner counts as a failed dial
 	acceptorDelay = 300 * time.Millisecond // how long an entry leaves the first dialing to a new target with a lower address
 )
@@ -82,6 +84,7 @@
 	mu      sync.Mutex
 	targets map[string]context.CancelFunc // dialing goroutines by address
 	linked  map[string]*openLinks         // by the address of the other side
+	hosts   map[string]struct{}           // from which links came
 	wait    sync.WaitGroup
 }
 
@@ -95,7 +98,7 @@
 func New(self wire.NodeHello, events Events, obs wire.Observer, log zerolog.Logger) *Mesh {
 	return &Mesh{
 		self: self, events: events, obs: obs, log: log,
-		targets: map[string]context.CancelFunc{}, linked: map[string]*openLinks{},
+		targets: map[string]context.CancelFunc{}, linked: map[string]*openLinks{}, hosts: map[string]struct{}{},
 	}
 }
 
@@ -109,7 +112,11 @@
 			m.log.Warn().Err(err).Str("remote", r.RemoteAddr).Msg("link not accepted")
 			return
 		}
-		m.serve(ctx, l, "", began)
+		host, _, _ := net.SplitHostPort(r.RemoteAddr)
+		m.serve(ctx, l, "", began, func() {
+			m.remember(host)
+			door.Linked(r.Context())
+		})
 	})
 	return mux
 }
@@ -188,12 +195,12 @@
 		return false
 	}
 	began := Now()
-	return m.serve(ctx, l, addr, dialedAt) && Now()-began >= shortLink
+	return m.serve(ctx, l, addr, dialedAt, func() {}) && Now()-began >= shortLink
 }
 
-// serve exchanges hellos and passes messages on until the link ends. It reports
-// whether the other side's hello was accepted.
-func (m *Mesh) serve(ctx context.Context, l *wire.Link, dialed string, began time.Duration) bool {
+// serve exchanges hellos, calls linked and passes messages on until the link ends. It
+// reports whether the other side's hello was accepted.
+func (m *Mesh) serve(ctx context.Context, l *wire.Link, dialed string, began time.Duration, linked func()) bool {
 	own := m.self
 	own.Link = m.lastLink.Add(1)
 	if err := l.Send(&own); err != nil {
@@ -213,6 +220,7 @@
 			return
 		}
 		timeout.Stop()
+		linked()
 		link = &Link{Conn: l, Hello: *hello, Dialed: dialed, Number: linkNumber(&own, hello), Began: began}
 		m.addLinked(hello.Addr)
 		m.events.LinkUp(link)
@@ -226,6 +234,31 @@
 	return true
 }
 
+// remember notes that a link came from a host.
+func (m *Mesh) remember(host string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.hosts) >= maxHosts {
+		clear(m.hosts)
+	}
+	m.hosts[host] = struct{}{}
+}
+
+// Knows reports whether a link came from a host before, or one is dialed there.
+func (m *Mesh) Knows(host string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, ok := m.hosts[host]; ok {
+		return true
+	}
+	for addr := range m.targets {
+		if dialed, _, err := net.SplitHostPort(addr); err == nil && dialed == host {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *Mesh) addLinked(addr string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -272,13 +305,6 @@
 	}
 }
 
-// Listen listens for links at addr.
-func Listen(ctx context.Context, addr string) (net.Listener, error) {
-	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp", addr)
-	return l, eris.Wrapf(err, "listen for links at %s", addr)
-}
-
 // SeedAddrs returns the addresses at which the settings say that entries may listen.
 func SeedAddrs(node platform.Node) []string {
 	addrs := make([]string, 0, len(node.SeedHosts))
--- a/integration/hosted/door_test.go
+++ b/integration/hosted/door_test.go
@@ -65,9 +65,10 @@
 		return parts
 	}},
 	{"bodies in chunks that stop short", func(path string) [][]byte {
-		parts := [][]byte{[]byte(requestLine("POST", path, "Transfer-Encoding: chunked\r\n\r\n"))}
-		for range crowdBody/smallPiece - 1 {
-			parts = append(parts, fmt.Appendf(nil, "%x\r\n%s\r\n", smallPiece, strings.Repeat(" ", smallPiece)))
+		parts := make([][]byte, crowdBody/smallPiece)
+		parts[0] = []byte(requestLine("POST", path, "Transfer-Encoding: chunked\r\n\r\n"))
+		for i := range parts[1:] {
+			parts[i+1] = fmt.Appendf(nil, "%x\r\n%s\r\n", smallPiece, strings.Repeat(" ", smallPiece))
 		}
 		return parts
 	}},
