Runs that a leaving endpoint will cut off are placed elsewhere at once

Cause: an endpoint that drains says how long it stays; nothing read it, so what was to run longer was lost at the end and placed only then.

Change: the agent reports when its endpoint leaves, and the home weighs for each run there whether its task ends sooner if it is stopped now (dispatch/leaving.go). A task is moved once, only where there is room now, and starts again once its run has ended. Ends there other than done are no evidence against the endpoint. Nothing is placed on it, as before.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -23,7 +23,8 @@
 	if now < t.notBefore || st.Need.CPUMilli > s.maxFreeCPU {
 		return nil
 	}
-	expected := s.estimateOf(j.sub.Route.Name).apply(st.Estimate)
+	est := s.estimateOf(j.sub.Route.Name)
+	expected := est.apply(st.Estimate)
 	var best *endpoint
 	var bestCost Time
 	unpenalized, maxFreeCPU, n := 0, 0, len(s.endpoints)
@@ -38,6 +39,9 @@
 			continue
 		}
 		cost := time.Duration(float64(expected) * s.penalty(st, e))
+		if e.cutsOff(now, cost, est.spread) {
+			continue
+		}
 		if cost > expected && now+cost > j.objective && now < j.usefulUntil && s.anotherHealthy(e) {
 			continue
 		}
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -34,6 +34,7 @@
 	released    bool   // another scheduler has the endpoint
 	runsEndBy   Time   // if lost: the runs have ended by then
 	pausedUntil Time   // gets no task before
+	leavesAt    Time   // earliest time at which the endpoint leaves; 0: it does not, or the time is not known
 
 	slow    float64 // moving average of run times as a multiple of the expected ones
 	overdue int     // runs that take much longer than expected
@@ -82,6 +83,9 @@
 	if r.stuck {
 		e.overdue = max(e.overdue-1, 0)
 	}
+	if e.leaves() && reason != EndDone {
+		return // its end says nothing about the tasks before
+	}
 	switch reason {
 	case EndDone:
 		s.recordRunTime(r, age)
@@ -163,6 +167,7 @@
 			s.stopStuck(now, e)
 		}
 	}
+	s.moveLeaving(now)
 }
 
 // countOverdue counts the runs that take much longer than expected.
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -32,6 +32,7 @@
 	failures  int
 	failedAt  []EndpointID
 	notBefore Time
+	moved     bool // from an endpoint that leaves
 }
 
 // run is an ordered run that is not known to have ended.
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -78,9 +78,10 @@
 	unanswered float64                             // share of the orders without an answer
 	fails      func(endpoint int, at Time) float64 // share of the tasks that fail
 	outage     outage
-	shards     int                              // of the service; 0: one
-	byHash     bool                             // jobs stay at the shard that their id names
-	lost       func(endpoint int, at Time) bool // which endpoints take no tasks; nil: none
+	shards     int                                     // of the service; 0: one
+	byHash     bool                                    // jobs stay at the shard that their id names
+	lost       func(endpoint int, at Time) bool        // which endpoints take no tasks; nil: none
+	lifetime   func(endpoint int, at Time) simLifetime // of an endpoint, and then stops are carried out; nil: all stay
 }
 
 const (
@@ -103,7 +104,8 @@
 	refusedLate                    int // refused after more than a quarter of the objective
 	starts                         map[string][]Time
 	ejections                      int
-	mostEjected                    int // endpoints at the same time
+	events                         map[string]int // decisions that were logged
+	mostEjected                    int            // endpoints at the same time
 }
 
 // startsAt counts the runs ordered at an endpoint from one time to another, as
@@ -173,7 +175,7 @@
 		shards[i] = NewScheduler("svc", testTiming, orders, -time.Minute)
 	}
 	waiting := make([]int, len(shards))
-	res := &loadResult{offered: map[int]float64{}, achieved: map[int]float64{}, starts: map[string][]Time{}}
+	res := &loadResult{offered: map[int]float64{}, achieved: map[int]float64{}, starts: map[string][]Time{}, events: map[string]int{}}
 	if p.fails == nil {
 		p.fails = neverFails
 	}
@@ -185,18 +187,18 @@
 	}
 	report := func() {
 		for i := range p.endpoints {
-			capacity := p.capacity
-			if i%3 == 2 {
-				capacity += capacity / 2
+			if p.lifetime != nil {
+				continue // reported as it changes
 			}
 			id := fmt.Sprintf("e%02d", i)
 			shards[ShardIndex(id, len(shards))].Report(now, AgentID{Name: fmt.Sprintf("a%02d", i), Incarnation: 1}, EndpointStatus{
 				Endpoint: EndpointID{ID: id}, Service: "svc", Available: p.lost == nil || !p.lost(i, now),
-				Capacity: Resources{CPUMilli: capacity, MemoryMB: 1 << 20},
+				Capacity: Resources{CPUMilli: simCapacity(p, i), MemoryMB: 1 << 20},
 			})
 		}
 	}
 	report()
+	lifetimes := simLifetimes{}
 	incarnation, down := 0, false
 	// afterUnlessLost is after, but does nothing if the processes are lost
 	// meanwhile.
@@ -251,7 +253,15 @@
 					s.Ended(now, a.Order, reason, runTime)
 					carryOut()
 				})
+			case CancelRun:
+				if order, s := orderOf(shards, a.Run); p.lifetime != nil {
+					afterUnlessLost(testTiming.StopTime, func() {
+						s.Ended(now, order, EndStopped, 0)
+						carryOut()
+					})
+				}
 			case LogDecision:
+				res.events[a.Event]++
 				if a.Event == "endpoint_ejected" {
 					res.ejections++
 				}
@@ -366,6 +376,9 @@
 			if p.lost != nil {
 				report()
 			}
+			if p.lifetime != nil {
+				lifetimes.report(now, shards, p)
+			}
 			for _, s := range shards {
 				s.Tick(now)
 			}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -384,7 +384,7 @@
 				cmp.Compare(a.id.Born, b.id.Born), cmp.Compare(a.agent.Incarnation, b.agent.Incarnation))
 		})
 	}
-	e.status = status
+	e.setStatus(now, status)
 	e.lost, e.released = false, false
 	s.raiseMaxFreeCPU(nil)
 	s.takeOver(now, e)
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -155,6 +155,9 @@
 	Labels    []string   `cbor:"5,keyasint,omitempty"`
 	Available bool       `cbor:"6,keyasint"` // takes new tasks
 	Others    Resources  `cbor:"7,keyasint"` // in use by runs of other owners
+	// LeavesIn is how long an endpoint that drains stays at least, from the report on. 0: it
+	// does not drain, or does not say, or the agent's build does not.
+	LeavesIn time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
 // EndReason is how a run ended, or why it never began.
--- a/hosted/agent/control.go
+++ b/hosted/agent/control.go
@@ -251,7 +251,7 @@
 	}
 	_ = p.Send(kept) // a closed link is reported as down
 	for _, e := range s.endpoints {
-		_ = p.Send(&wire.EndpointReport{Status: e.guard.Status(owner)})
+		s.report(now, p, e)
 	}
 	s.a.deps.Log.Info().Str("event", "entry_linked").Str("entry", name).Int("runs", len(kept.Orders)).Msg("entry linked")
 }
--- a/hosted/agent/endpoint.go
+++ b/hosted/agent/endpoint.go
@@ -34,6 +34,9 @@
 	// maxMissedHeartbeats is how many heartbeats a lifetime may miss before it is
 	// taken as ended.
 	maxMissedHeartbeats = 4
+	// leavesShift is the change of the time at which an endpoint leaves that is reported: less
+	// decides nothing, and heartbeats are delayed by some of it.
+	leavesShift = 200 * time.Millisecond
 	// watchers is how many long polls wait for an end at the same time, so that one
 	// lost answer delays no end.
 	watchers = 2
@@ -51,6 +54,8 @@
 	lastHeartbeat  time.Duration                         // when the last heartbeat came
 	reportedOthers map[dispatch.Owner]dispatch.Resources // resources taken by runs of others, as last reported to each owner
 	oddRuns        int                                   // rows of the newest answer that cannot be read
+	leavesAt       time.Duration                         // earliest time at which the endpoint leaves; 0: not known
+	reportedLeaves time.Duration                         // leavesAt as last reported
 }
 
 func (s *state) announced(now time.Duration, n platform.Announcement) {
@@ -68,9 +73,26 @@
 	}
 	e.announced = n
 	e.lastHeartbeat = now
+	e.noteLeaving(now, n)
 	e.guard.Announced(now, n.Draining || s.stopping, n.Capacity)
 }
 
+// noteLeaving notes when a draining endpoint leaves.
+func (e *endpoint) noteLeaving(now time.Duration, n platform.Announcement) {
+	e.leavesAt = 0
+	if n.Remaining > 0 {
+		e.leavesAt = now + n.Remaining
+	}
+}
+
+// leavesIn returns how long the endpoint stays at least, as it is reported.
+func (e *endpoint) leavesIn(now time.Duration) time.Duration {
+	if e.leavesAt == 0 {
+		return 0
+	}
+	return max(e.leavesAt-now, time.Millisecond) // 0 would say that it is not known
+}
+
 // announcedOther handles a heartbeat of a lifetime that is not known. If another one of
 // the same id is, the heartbeat may be an earlier one's that comes late, and the time of
 // day at which a lifetime is born may have jumped back, so the endpoint is asked first.
@@ -144,6 +166,7 @@
 		lastHeartbeat:  now,
 		reportedOthers: map[dispatch.Owner]dispatch.Resources{},
 	}
+	e.noteLeaving(now, n)
 	s.endpoints[n.Endpoint] = e
 	e.guard.SetEvacuated(now, s.operator.ZoneEvacuated(n.Zone))
 	for _, p := range s.peers {
@@ -339,7 +362,8 @@
 		for _, action := range e.guard.TakeActions() {
 			s.apply(now, id, e, action)
 		}
-		s.reportOthers(e)
+		s.reportLeaving(now, e)
+		s.reportOthers(now, e)
 		if e.guard.Ended() {
 			s.removeEndpoint(id, e)
 		}
@@ -368,7 +392,7 @@
 			s.lateStarts = append(s.lateStarts, lateStart{id.ID, action.Run, e.guard.Born(), now})
 		}
 	case dispatch.StatusChanged:
-		s.reportStatus(e)
+		s.reportStatus(now, e)
 	case dispatch.FoundUnknown:
 		a.deps.Metrics.Count("bergamotwing_unknown_runs_total", "Runs that the endpoint listed and nobody had ordered here.", 1)
 		a.deps.Log.Warn().Str("event", "unknown_run").Str("endpoint", id.ID).Str("job", action.Run.Task.Job).Int("step", action.Run.Task.Step).
@@ -407,32 +431,42 @@
 	a.actor.Send(stopAnswered{id, born, run, res, err})
 }
 
-func (s *state) reportStatus(e *endpoint) {
+func (s *state) reportStatus(now time.Duration, e *endpoint) {
 	status := e.guard.Status(dispatch.Owner{})
 	s.a.deps.Log.Info().Str("event", "endpoint_status").Str("endpoint", status.Endpoint.ID).
-		Bool("available", status.Available).Int("runs", e.guard.Runs()).Msg("endpoint status changed")
+		Bool("available", status.Available).Int("runs", e.guard.Runs()).Dur("leaves_in_ms", e.leavesIn(now)).Msg("endpoint status changed")
+	e.reportedLeaves = e.leavesAt
 	for _, p := range s.peers {
-		s.report(p, e)
+		s.report(now, p, e)
+	}
+}
+
+// reportLeaving reports that the time at which the endpoint leaves has changed: it was not
+// known, or a later heartbeat names another one.
+func (s *state) reportLeaving(now time.Duration, e *endpoint) {
+	if (e.leavesAt - e.reportedLeaves).Abs() > leavesShift {
+		s.reportStatus(now, e)
 	}
 }
 
-func (s *state) report(p *mesh.Peer, e *endpoint) {
+func (s *state) report(now time.Duration, p *mesh.Peer, e *endpoint) {
 	owner := p.Owner()
 	status := e.guard.Status(owner)
+	status.LeavesIn = e.leavesIn(now)
 	e.reportedOthers[owner] = status.Others
 	_ = p.Send(&wire.EndpointReport{Status: status}) // resent on the next link
 }
 
 // reportOthers sends a report to homes and to owners with runs here when the resources
 // taken by the runs of others have changed.
-func (s *state) reportOthers(e *endpoint) {
+func (s *state) reportOthers(now time.Duration, e *endpoint) {
 	for _, p := range s.peers {
 		owner := p.Owner()
 		if !p.LastHeartbeat.Home && !e.guard.HasRunsOf(owner) {
 			continue
 		}
 		if e.guard.Status(owner).Others != e.reportedOthers[owner] {
-			s.report(p, e)
+			s.report(now, p, e)
 		}
 	}
 }
