What a home knows of endpoints survives the loss of the home

Cause: shares of failed runs and unanswered orders, ejections with their probes, and slowness lived at the home alone. The next home placed tasks on endpoints that were known to be slow or to fail, and learned it anew. The same was lost when an agent was replaced, and when an endpoint moved to another shard.

What is inherited is checked, counts less the older it is, gives way to what the home has seen since, and ejects no more endpoints than the limit. A record goes on under the next incarnation of an agent. Agents of older builds are told nothing.

--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -39,6 +39,10 @@
 	slow    float64 // moving average of run times as a multiple of the expected ones
 	overdue int     // runs that take much longer than expected
 	health  health
+
+	judgedAt Time             // when a run last ended here, or as of when evidence was taken over; 0: nothing is known
+	shared   EndpointEvidence // as the agent has it
+	sharedAt Time             // as of when
 }
 
 // free returns the capacity that is not in use.
@@ -76,6 +80,15 @@
 	return slow
 }
 
+func (s *Scheduler) find(agent AgentID, id EndpointID) *endpoint {
+	for _, e := range s.endpoints {
+		if e.agent == agent && e.id == id {
+			return e
+		}
+	}
+	return nil
+}
+
 // recordEnd updates the health of a run's endpoint and the estimates by how the
 // run ended.
 func (s *Scheduler) recordEnd(now Time, r *run, reason EndReason, age Time) {
@@ -86,6 +99,7 @@
 	if e.leaves() && reason != EndDone {
 		return // its end says nothing about the tasks before
 	}
+	e.judgedAt = now
 	switch reason {
 	case EndDone:
 		s.recordRunTime(r, age)
@@ -168,6 +182,7 @@
 		}
 	}
 	s.moveLeaving(now)
+	s.shareEvidence(now)
 }
 
 // countOverdue counts the runs that take much longer than expected.
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -78,6 +78,7 @@
 	unanswered float64                             // share of the orders without an answer
 	fails      func(endpoint int, at Time) float64 // share of the tasks that fail
 	outage     outage
+	inherits   bool                                    // the schedulers after the outage get the evidence that those before it have shared
 	shards     int                                     // of the service; 0: one
 	byHash     bool                                    // jobs stay at the shard that their id names
 	lost       func(endpoint int, at Time) bool        // which endpoints take no tasks; nil: none
@@ -104,6 +105,7 @@
 	refusedLate                    int // refused after more than a quarter of the objective
 	starts                         map[string][]Time
 	ejections                      int
+	shared                         int            // words about endpoints
 	events                         map[string]int // decisions that were logged
 	mostEjected                    int            // endpoints at the same time
 }
@@ -198,7 +200,7 @@
 		}
 	}
 	report()
-	lifetimes := simLifetimes{}
+	lifetimes, shared := simLifetimes{}, map[EndpointID]sharedEvidence{}
 	incarnation, down := 0, false
 	// afterUnlessLost is after, but does nothing if the processes are lost
 	// meanwhile.
@@ -260,6 +262,9 @@
 						carryOut()
 					})
 				}
+			case ShareEvidence:
+				shared[a.Endpoint] = sharedEvidence{a.Agent, a.Evidence, now}
+				res.shared++
 			case LogDecision:
 				res.events[a.Event]++
 				if a.Event == "endpoint_ejected" {
@@ -331,6 +336,9 @@
 				shards[i] = NewScheduler("svc", testTiming, orders, now)
 			}
 			report()
+			if p.inherits {
+				inherit(now, shards, shared)
+			}
 		})
 	}
 	lognormal := func(sigma float64) float64 { return math.Exp(sigma*rng.NormFloat64() - sigma*sigma/2) }
--- a/dispatch/load_uneven_test.go
+++ b/dispatch/load_uneven_test.go
@@ -121,3 +121,59 @@
 		return next
 	}
 }
+
+// sharedEvidence is the last word about an endpoint, as its agent keeps it.
+type sharedEvidence struct {
+	agent AgentID
+	word  EndpointEvidence
+	at    Time
+}
+
+// inherit passes the words that the agents keep to new schedulers.
+func inherit(now Time, shards []*Scheduler, shared map[EndpointID]sharedEvidence) {
+	for id, v := range shared {
+		for _, s := range shards {
+			s.Inherit(now, v.agent, id, v.word, now-v.at)
+		}
+	}
+}
+
+// The home is lost while two of eleven endpoints are slow, or fail most of their tasks. The
+// next home serves more of the jobs of its first two seconds if it knows which.
+func TestTheNextHomeKnowsWhichEndpointsAreInTrouble(t *testing.T) {
+	const seeds = 6
+	for name, trouble := range map[string]func(*loadPattern){
+		"slow": func(p *loadPattern) { p.slow = slowFirst(2, 6, 4*time.Second, 12*time.Second) },
+		"fail": func(p *loadPattern) {
+			p.fails = func(endpoint int, at Time) float64 {
+				return 0.8 * (slowFirst(2, 2, 4*time.Second, 12*time.Second)(endpoint, at) - 1)
+			}
+		},
+	} {
+		var served [2]float64
+		words := 0
+		for inherits := range 2 {
+			for seed := range uint64(seeds) {
+				p := bannerstroomLoad(seed, burst(0.6, 1))
+				trouble(&p)
+				p.outage = outage{from: 7900 * ms, until: 8 * time.Second}
+				p.inherits = inherits == 1
+				res := playLoad(p)
+				served[inherits] += res.window(8*time.Second) / seeds
+				words += res.shared
+				if most := int(ejectMaxShare * float64(p.endpoints)); res.mostEjected > most {
+					t.Errorf("%s, seed %d: %d endpoints ejected at the same time", name, seed, res.mostEjected)
+				}
+			}
+		}
+		perSecond := float64(words) / (2 * seeds * 16)
+		t.Logf("%s: served %.3f, with evidence %.3f; %.2f words a second", name, served[0], served[1], perSecond)
+		if served[1] <= served[0] || served[1] < ordinaryAim || perSecond > maxWords {
+			t.Errorf("%s: served %.3f, with evidence %.3f; %.2f words a second", name, served[0], served[1], perSecond)
+		}
+	}
+}
+
+// maxWords is how many words about two endpoints in trouble a home may send in a second:
+// what the shortest time between two allows.
+const maxWords = 2 * float64(time.Second/shareEvery)
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -45,6 +45,7 @@
 	CancelRun
 	FinishJob
 	LogDecision
+	ShareEvidence // with the agent
 )
 
 // SchedulerAction is an action for the caller of a Scheduler.
@@ -61,6 +62,7 @@
 	Request  uint64 // of FinishJob
 	Deadline Time   // of FinishJob
 	Outcome  Outcome
+	Evidence EndpointEvidence
 	Event    string // of LogDecision
 	Reason   string
 }
@@ -400,7 +402,7 @@
 			for _, r := range slices.Clone(old.runs) {
 				s.handOver(now, r, e)
 			}
-			s.endpoints = slices.DeleteFunc(s.endpoints, func(o *endpoint) bool { return o == old })
+			s.replaceBy(old, e)
 		}
 	}
 }
@@ -491,8 +493,7 @@
 func (s *Scheduler) AgentLost(now Time, agent AgentID, runsEndBy Time) {
 	for _, e := range s.endpoints {
 		if e.agent == agent && !e.lost {
-			e.lost = true
-			e.runsEndBy = runsEndBy
+			e.lose(runsEndBy)
 		}
 	}
 	s.place(now)
@@ -546,15 +547,6 @@
 	s.place(now)
 }
 
-func (s *Scheduler) find(agent AgentID, id EndpointID) *endpoint {
-	for _, e := range s.endpoints {
-		if e.agent == agent && e.id == id {
-			return e
-		}
-	}
-	return nil
-}
-
 // Ended processes the end of an ordered run, which is certain not to be running.
 // age is the time from the order to the end, as measured by the agent.
 func (s *Scheduler) Ended(now Time, order uint64, reason EndReason, age Time) {
--- a/hosted/agent/control.go
+++ b/hosted/agent/control.go
@@ -399,6 +399,8 @@
 		s.order(now, owner, m)
 	case *wire.RunStop:
 		s.stopRuns(now, owner, m)
+	case *wire.EndpointEvidence:
+		s.keepEvidence(now, owner, m)
 	}
 }
 
@@ -429,6 +431,7 @@
 	}
 	if becameHome {
 		s.sendHeartbeat(now, p)
+		s.passEvidence(now, p)
 	}
 }
 
--- a/hosted/agent/endpoint.go
+++ b/hosted/agent/endpoint.go
@@ -56,6 +56,7 @@
 	oddRuns        int                                   // rows of the newest answer that cannot be read
 	leavesAt       time.Duration                         // earliest time at which the endpoint leaves; 0: not known
 	reportedLeaves time.Duration                         // leavesAt as last reported
+	evidence       evidence
 }
 
 func (s *state) announced(now time.Duration, n platform.Announcement) {
@@ -454,7 +455,9 @@
 	status := e.guard.Status(owner)
 	status.LeavesIn = e.leavesIn(now)
 	e.reportedOthers[owner] = status.Others
-	_ = p.Send(&wire.EndpointReport{Status: status}) // resent on the next link
+	m := &wire.EndpointReport{Status: status}
+	e.evidence.addTo(now, m)
+	_ = p.Send(m) // resent on the next link
 }
 
 // reportOthers sends a report to homes and to owners with runs here when the resources
--- a/hosted/entry/agents.go
+++ b/hosted/entry/agents.go
@@ -146,7 +146,7 @@
 			}
 		}
 	case *wire.EndpointReport:
-		s.report(now, id, m.Status)
+		s.report(now, id, m)
 	case *wire.EndpointGone:
 		delete(s.endpoints, m.Endpoint)
 		for _, sched := range s.schedulers {
@@ -161,11 +161,22 @@
 	}
 }
 
-func (s *state) report(now time.Duration, id dispatch.AgentID, status dispatch.EndpointStatus) {
+func (s *state) report(now time.Duration, id dispatch.AgentID, m *wire.EndpointReport) {
+	status := m.Status
 	shard := s.shardOfEndpoint(status.Service, status.Endpoint)
 	s.endpoints[status.Endpoint] = endpointView{agent: id, status: status, shard: shard}
 	s.agentShards[id.Name] = shard
 	s.scheduler(shard).Report(now, id, status)
+	if m.Evidence != nil {
+		s.scheduler(shard).Inherit(now, id, status.Endpoint, *m.Evidence, m.EvidenceAge)
+	}
+}
+
+// sendEvidence sends an agent what this home knows of its endpoint.
+func (s *state) sendEvidence(a dispatch.SchedulerAction) {
+	if p := s.agentOf(a.Agent); p != nil && p.Hello.NewestKind >= wire.KindEndpointEvidence {
+		_ = p.Send(&wire.EndpointEvidence{Endpoint: a.Endpoint, Evidence: a.Evidence}) // sent again after the loss of the link
+	}
 }
 
 func (s *state) runEnded(now time.Duration, end wire.EndedRun) {
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -521,6 +521,8 @@
 		}
 	case dispatch.FinishJob:
 		s.finish(now, shard, first)
+	case dispatch.ShareEvidence:
+		s.sendEvidence(first)
 	case dispatch.LogDecision:
 		s.e.deps.Metrics.Count("bergamotwing_"+first.Event+"_total", "Decisions of the scheduler.", 1)
 		s.e.deps.Log.Info().Str("event", first.Event).Str("agent", first.Agent.Name).Str("endpoint", first.Endpoint.ID).
--- a/hosted/entry/shards.go
+++ b/hosted/entry/shards.go
@@ -94,8 +94,12 @@
 		if v.status.Service != service || v.shard == shard {
 			continue
 		}
+		evidence, notable := s.scheduler(v.shard).Evidence(v.agent, id)
 		s.scheduler(v.shard).ReleaseEndpoint(v.agent, id)
 		s.scheduler(shard).Report(now, v.agent, v.status)
+		if notable {
+			s.scheduler(shard).Inherit(now, v.agent, id, evidence, 0)
+		}
 		v.shard = shard
 		s.endpoints[id] = v
 		s.agentShards[v.agent.Name] = shard
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -60,6 +60,8 @@
 	KindJobDeleted:      messages[JobDeleted](),
 	KindOperatorRead:    messages[OperatorRead](),
 	KindOperatorRows:    messages[OperatorRows](),
+
+	KindEndpointEvidence: messages[EndpointEvidence](),
 }
 
 func messages[T any, P interface {
--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -166,6 +166,18 @@
 // EndpointReport reports the status of an endpoint to an entry.
 type EndpointReport struct {
 	Status dispatch.EndpointStatus `cbor:"1,keyasint"`
+	// Evidence is the last word of a home about this lifetime of the endpoint, and
+	// EvidenceAge how old it is. Nil: there is none, or it is of no use any more, or the
+	// sender's build keeps none.
+	Evidence    *dispatch.EndpointEvidence `cbor:"2,keyasint,omitempty"`
+	EvidenceAge time.Duration              `cbor:"3,keyasint,omitempty"`
+}
+
+// EndpointEvidence tells an agent what a home knows of its endpoint, for the agent to repeat
+// to the next home.
+type EndpointEvidence struct {
+	Endpoint dispatch.EndpointID       `cbor:"1,keyasint"`
+	Evidence dispatch.EndpointEvidence `cbor:"2,keyasint"`
 }
 
 // EndpointGone reports to an entry that a lifetime of an endpoint is over.
--- a/wire/kinds.go
+++ b/wire/kinds.go
@@ -52,9 +52,11 @@
 	KindOperatorRead    Kind = 48
 	KindOperatorRows    Kind = 49
 
+	KindEndpointEvidence Kind = 50
+
 	// NewestKind is the highest kind that this build knows. A link ends at a message of
 	// an unknown kind.
-	NewestKind = KindOperatorRows
+	NewestKind = KindEndpointEvidence
 )
 
 func (*AgentHello) kind() Kind     { return KindAgentHello }
@@ -104,6 +106,8 @@
 func (*RunStop) kind() Kind         { return KindRunStop }
 func (*RunEnd) kind() Kind          { return KindRunEnd }
 
+func (*EndpointEvidence) kind() Kind { return KindEndpointEvidence }
+
 // newMessage returns an empty message of a kind, or nil for an unknown kind.
 func newMessage(k Kind) Message {
 	switch k {
@@ -197,6 +201,8 @@
 		return &OperatorRead{}
 	case KindOperatorRows:
 		return &OperatorRows{}
+	case KindEndpointEvidence:
+		return &EndpointEvidence{}
 	default:
 		return nil
 	}
@@ -298,6 +304,8 @@
 		return "operator_read"
 	case KindOperatorRows:
 		return "operator_rows"
+	case KindEndpointEvidence:
+		return "endpoint_evidence"
 	default:
 		return "unknown"
 	}
