--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -78,9 +78,11 @@
 	unanswered float64                             // share of the orders without an answer
 	fails      func(endpoint int, at Time) float64 // share of the tasks that fail
 	outage     outage
-	shards     int                              // of the service; 0: one
-	byHash     bool                             // jobs stay at the shard that their id names
-	lost       func(endpoint int, at Time) bool // which endpoints take no tasks; nil: none
+	inherits   bool                                    // the schedulers after the outage get the evidence that those before it have shared
+	shards     int                                     // of the service; 0: one
+	byHash     bool                                    // jobs stay at the shard that their id names
+	lost       func(endpoint int, at Time) bool        // which endpoints take no tasks; nil: none
+	lifetime   func(endpoint int, at Time) simLifetime // of an endpoint, and then stops are carried out; nil: all stay
 
 	interference InterferenceMode
 	coRun        coRunFactor // nil: run times do not depend on what else runs
@@ -108,7 +110,9 @@
 	refusedLate                    int // refused after more than a quarter of the objective
 	starts                         map[string][]Time
 	ejections                      int
-	mostEjected                    int // endpoints at the same time
+	shared                         int            // words about endpoints
+	events                         map[string]int // decisions that were logged
+	mostEjected                    int            // endpoints at the same time
 }
 
 // startsAt counts the runs ordered at an endpoint from one time to another, as
@@ -179,7 +183,7 @@
 		shards[i].SetInterference(p.interference)
 	}
 	waiting := make([]int, len(shards))
-	res := &loadResult{offered: map[int]float64{}, achieved: map[int]float64{}, starts: map[string][]Time{}}
+	res := &loadResult{offered: map[int]float64{}, achieved: map[int]float64{}, starts: map[string][]Time{}, events: map[string]int{}}
 	if p.fails == nil {
 		p.fails = neverFails
 	}
@@ -191,18 +195,18 @@
 	}
 	report := func() {
 		for i := range p.endpoints {
-			capacity := p.capacity
-			if i%3 == 2 {
-				capacity += capacity / 2
+			if p.lifetime != nil {
+				continue // reported as it changes
 			}
 			id := fmt.Sprintf("e%02d", i)
 			shards[ShardIndex(id, len(shards))].Report(now, AgentID{Name: fmt.Sprintf("a%02d", i), Incarnation: 1}, EndpointStatus{
 				Endpoint: EndpointID{ID: id}, Service: "svc", Available: p.lost == nil || !p.lost(i, now),
-				Capacity: Resources{CPUMilli: capacity, MemoryMB: 1 << 20},
+				Capacity: Resources{CPUMilli: simCapacity(p, i), MemoryMB: 1 << 20},
 			})
 		}
 	}
 	report()
+	lifetimes, shared := simLifetimes{}, map[EndpointID]sharedEvidence{}
 	incarnation, down := 0, false
 	// afterUnlessLost is after, but does nothing if the processes are lost
 	// meanwhile.
@@ -263,7 +267,18 @@
 					continue
 				}
 				afterUnlessLost(runTime+2*ms, func() { ended(runTime) })
+			case CancelRun:
+				if order, s := orderOf(shards, a.Run); p.lifetime != nil {
+					afterUnlessLost(testTiming.StopTime, func() {
+						s.Ended(now, order, EndStopped, 0)
+						carryOut()
+					})
+				}
+			case ShareEvidence:
+				shared[a.Endpoint] = sharedEvidence{a.Agent, a.Evidence, now}
+				res.shared++
 			case LogDecision:
+				res.events[a.Event]++
 				if p.logged != nil {
 					p.logged(now, a)
 				}
@@ -336,6 +351,9 @@
 				shards[i] = NewScheduler("svc", testTiming, orders, now)
 			}
 			report()
+			if p.inherits {
+				inherit(now, shards, shared)
+			}
 		})
 	}
 	lognormal := func(sigma float64) float64 { return math.Exp(sigma*rng.NormFloat64() - sigma*sigma/2) }
@@ -381,6 +399,9 @@
 			if p.lost != nil {
 				report()
 			}
+			if p.lifetime != nil {
+				lifetimes.report(now, shards, p)
+			}
 			for _, s := range shards {
 				s.Tick(now)
 			}
--- /dev/null
+++ b/dispatch/load_uneven_test.go
@@ -0,0 +1,179 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// simLifetime is how an endpoint is at a moment of a replay.
+type simLifetime struct {
+	born     int64 // names the lifetime; the runs of an earlier one are lost
+	down     bool
+	drains   bool
+	leavesIn Time // after which it leaves; 0: not known
+}
+
+// simLifetimes holds the lifetimes that the schedulers of a replay were told of.
+type simLifetimes map[int]simLifetime
+
+// report tells the schedulers what has changed. A replay with lifetimes has one shard.
+func (l simLifetimes) report(now Time, shards []*Scheduler, p loadPattern) {
+	s := shards[0]
+	for i := range p.endpoints {
+		old, known := l[i]
+		next := p.lifetime(i, now)
+		l[i] = next
+		agent := AgentID{Name: fmt.Sprintf("a%02d", i), Incarnation: 1}
+		id := func(born int64) EndpointID { return EndpointID{ID: fmt.Sprintf("e%02d", i), Born: born} }
+		if known && !old.down && (next.down || next.born != old.born) {
+			s.EndpointGone(now, agent, id(old.born))
+		}
+		if next.down || known && !old.down && next.born == old.born && next.drains == old.drains {
+			continue
+		}
+		s.Report(now, agent, EndpointStatus{
+			Endpoint: id(next.born), Service: "svc", Available: !next.drains, LeavesIn: next.leavesIn,
+			Capacity: Resources{CPUMilli: simCapacity(p, i), MemoryMB: 1 << 20},
+		})
+	}
+}
+
+// simCapacity returns the processors of an endpoint: those of each third are larger by half.
+func simCapacity(p loadPattern, endpoint int) int {
+	if endpoint%3 == 2 {
+		return p.capacity + p.capacity/2
+	}
+	return p.capacity
+}
+
+// orderOf returns the order of a run and the scheduler that has it.
+func orderOf(shards []*Scheduler, run RunRef) (uint64, *Scheduler) {
+	for _, s := range shards {
+		for order, r := range s.runs {
+			if r.ref == run {
+				return order, s
+			}
+		}
+	}
+	return 0, shards[0]
+}
+
+// leavingAt returns the lifetimes of a service of which the first n endpoints are
+// given notice at a time.
+func leavingAt(n int, at, notice Time) func(int, Time) simLifetime {
+	return func(endpoint int, now Time) simLifetime {
+		switch {
+		case endpoint >= n || now < at:
+			return simLifetime{born: 1}
+		case now < at+notice:
+			return simLifetime{born: 1, drains: true, leavesIn: at + notice - now}
+		default:
+			return simLifetime{born: 1, down: true}
+		}
+	}
+}
+
+// Three of eleven endpoints, which have turned slow just before, leave after a notice that
+// is shorter than many runs. The homes that are told when they leave serve more of the jobs
+// of those seconds, and lose few runs.
+func TestRunsThatALeavingEndpointWouldCutOffArePlacedElsewhereAtOnce(t *testing.T) {
+	const seeds = 6
+	for _, notice := range []Time{600 * ms, time.Second} {
+		var window [2]float64
+		var lost [2]int
+		for told := range 2 {
+			for seed := range uint64(seeds) {
+				p := bannerstroomLoad(seed, burst(0.7, 1))
+				p.slow = slowFirst(3, 5, 4*time.Second, 8*time.Second)
+				p.lifetime = leavingAt(3, 4500*ms, notice)
+				if told == 0 {
+					p.lifetime = withoutNotice(p.lifetime)
+				}
+				res := playLoad(p)
+				window[told] += res.window(4*time.Second) / seeds
+				lost[told] += res.events["run_presumed_ended"]
+			}
+		}
+		t.Logf("notice of %v: served in the two seconds %.3f, told %.3f; runs lost %d, told %d", notice, window[0], window[1], lost[0], lost[1])
+		if window[1] <= window[0] || lost[1] > lost[0]/4 {
+			t.Errorf("notice of %v: served in the two seconds %.3f, told %.3f; runs lost %d, told %d", notice, window[0], window[1], lost[0], lost[1])
+		}
+	}
+}
+
+// slowFirst returns the factor by which the first n endpoints are slow for a time.
+func slowFirst(n int, factor float64, from, until Time) func(int, Time) float64 {
+	return func(endpoint int, at Time) float64 {
+		if endpoint < n && at > from && at < until {
+			return factor
+		}
+		return 1
+	}
+}
+
+// withoutNotice returns the lifetimes of endpoints that drain without saying how long they
+// stay.
+func withoutNotice(l func(int, Time) simLifetime) func(int, Time) simLifetime {
+	return func(endpoint int, at Time) simLifetime {
+		next := l(endpoint, at)
+		next.leavesIn = 0
+		return next
+	}
+}
+
+// sharedEvidence is the last word about an endpoint, as its agent keeps it.
+type sharedEvidence struct {
+	agent AgentID
+	word  EndpointEvidence
+	at    Time
+}
+
+// inherit passes the words that the agents keep to new schedulers.
+func inherit(now Time, shards []*Scheduler, shared map[EndpointID]sharedEvidence) {
+	for id, v := range shared {
+		for _, s := range shards {
+			s.Inherit(now, v.agent, id, v.word, now-v.at)
+		}
+	}
+}
+
+// The home is lost while two of eleven endpoints are slow, or fail most of their tasks. The
+// next home serves more of the jobs of its first two seconds if it knows which.
+func TestTheNextHomeKnowsWhichEndpointsAreInTrouble(t *testing.T) {
+	const seeds = 6
+	for name, trouble := range map[string]func(*loadPattern){
+		"slow": func(p *loadPattern) { p.slow = slowFirst(2, 6, 4*time.Second, 12*time.Second) },
+		"fail": func(p *loadPattern) {
+			p.fails = func(endpoint int, at Time) float64 {
+				return 0.8 * (slowFirst(2, 2, 4*time.Second, 12*time.Second)(endpoint, at) - 1)
+			}
+		},
+	} {
+		var served [2]float64
+		words := 0
+		for inherits := range 2 {
+			for seed := range uint64(seeds) {
+				p := bannerstroomLoad(seed, burst(0.6, 1))
+				trouble(&p)
+				p.outage = outage{from: 7900 * ms, until: 8 * time.Second}
+				p.inherits = inherits == 1
+				res := playLoad(p)
+				served[inherits] += res.window(8*time.Second) / seeds
+				words += res.shared
+				if most := int(ejectMaxShare * float64(p.endpoints)); res.mostEjected > most {
+					t.Errorf("%s, seed %d: %d endpoints ejected at the same time", name, seed, res.mostEjected)
+				}
+			}
+		}
+		perSecond := float64(words) / (2 * seeds * 16)
+		t.Logf("%s: served %.3f, with evidence %.3f; %.2f words a second", name, served[0], served[1], perSecond)
+		if served[1] <= served[0] || served[1] < ordinaryAim || perSecond > maxWords {
+			t.Errorf("%s: served %.3f, with evidence %.3f; %.2f words a second", name, served[0], served[1], perSecond)
+		}
+	}
+}
+
+// maxWords is how many words about two endpoints in trouble a home may send in a second:
+// what the shortest time between two allows.
+const maxWords = 2 * float64(time.Second/shareEvery)
--- a/hosted/agent/control.go
+++ b/hosted/agent/control.go
@@ -251,7 +251,7 @@
 	}
 	_ = p.Send(kept) // a closed link is reported as down
 	for _, e := range s.endpoints {
-		_ = p.Send(&wire.EndpointReport{Status: e.guard.Status(owner)})
+		s.report(now, p, e)
 	}
 	s.a.deps.Log.Info().Str("event", "entry_linked").Str("entry", name).Int("runs", len(kept.Orders)).Msg("entry linked")
 }
@@ -399,6 +399,8 @@
 		s.order(now, owner, m)
 	case *wire.RunStop:
 		s.stopRuns(now, owner, m)
+	case *wire.EndpointEvidence:
+		s.keepEvidence(now, owner, m)
 	}
 }
 
@@ -429,6 +431,7 @@
 	}
 	if becameHome {
 		s.sendHeartbeat(now, p)
+		s.passEvidence(now, p)
 	}
 }
 
