hosted check: a configuration is checked before it is sent

The platform takes a configuration as soon as it is valid, also where a route can never match or a service has no route. The command reports such entries, errors and limits that contradict each other with file, line and key, and what differs from the version in force, as a file or as the store has it. Unknown keys are errors, so that a misspelt limit is seen.

--- a/command/hosted.go
+++ b/command/hosted.go
@@ -37,6 +37,7 @@
 	return []spec{
 		{name: "entry", short: "Run an entry on the hosting platform", long: hostedEntryHelp, run: &hostedEntryCommand{hostedOptions: hostedOptions{out: out}}},
 		{name: "agent", short: "Run an agent on the hosting platform", long: hostedAgentHelp, run: &hostedAgentCommand{hostedOptions{out: out}}},
+		{name: "check", short: "Check a configuration before it is sent", long: hostedCheckHelp, run: &hostedCheckCommand{out: out}},
 	}
 }
 
