--- a/dispatch/load_interference_test.go
+++ b/dispatch/load_interference_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -116,12 +117,14 @@
 	return p
 }
 
-// shortBesideLong slows short tasks beside long ones by 1.8.
-func shortBesideLong(_ int, kind string, beside []string, _ Time) float64 {
-	if kind == "short" && slices.Contains(beside, "long") {
-		return 1.8
+// shortBesideLong slows short tasks beside long ones.
+func shortBesideLong(factor float64) coRunFactor {
+	return func(_ int, kind string, beside []string, _ Time) float64 {
+		if kind == "short" && slices.Contains(beside, "long") {
+			return factor
+		}
+		return 1
 	}
-	return 1
 }
 
 // playNoticed replays a pattern and returns when pairs were noticed, as "slowed by
@@ -152,24 +155,28 @@
 // shortest known days last.
 const noticeWithin = 12 * time.Second
 
-// One kind slows another from the start.
+// One kind slows another from the start, so that much of it is late.
 func TestInterferenceIsNoticedAndTasksAreKeptApart(t *testing.T) {
 	for seed := range uint64(1) {
-		slowed := map[InterferenceMode]float64{}
+		slowed, since := map[InterferenceMode]float64{}, map[InterferenceMode]float64{}
 		for _, mode := range []InterferenceMode{InterferenceNotice, InterferenceKeepApart} {
-			p := manyEndpointsLoad(seed, shortBesideLong)
+			p := manyEndpointsLoad(seed, shortBesideLong(2.5))
 			p.interference = mode
 			var meter coRunMeter
 			p.coRunEnded = meter.record("short", noticeWithin)
 			res, noticed, _ := playNoticed(t, p)
 			slowed[mode] = meter.mean()
-			t.Logf("seed %d, %s: short tasks take %.3f of their time alone; %v", seed, mode, meter.mean(), res)
+			since[mode] = (res.window(12*time.Second) + res.window(14*time.Second) + res.window(16*time.Second) + res.window(18*time.Second)) / 4
+			t.Logf("seed %d, %s: from %v on short tasks take %.3f of their time alone, share %.3f; %v", seed, mode, noticeWithin, meter.mean(), since[mode], res)
 			if at, ok := noticed["short by long"]; !ok || at > noticeWithin || len(noticed) > 1 {
 				t.Errorf("seed %d, %s: noticed %v, want short by long alone within %v", seed, mode, noticed, noticeWithin)
 			}
 		}
-		if slowed[InterferenceKeepApart] > slowed[InterferenceNotice]-0.1 {
-			t.Errorf("seed %d: %v", seed, slowed)
+		if since[InterferenceKeepApart] < ordinaryAim || since[InterferenceNotice] >= ordinaryAim {
+			t.Errorf("seed %d: share of the value %v, want less than %.2f only where the tasks are not kept apart", seed, since, ordinaryAim)
+		}
+		if slowed[InterferenceKeepApart] > math.Exp(noticeEffect) {
+			t.Errorf("seed %d: short tasks take %v of their time alone", seed, slowed)
 		}
 	}
 }
@@ -183,7 +190,7 @@
 		if at > stops {
 			return 1
 		}
-		return shortBesideLong(endpoint, kind, beside, at)
+		return shortBesideLong(1.8)(endpoint, kind, beside, at)
 	}
 	_, noticed, forgotten := playNoticed(t, p)
 	if at, ok := forgotten["short by long"]; len(noticed) != 1 || !ok || at < stops {
