dispatch: admission is reconsidered while jobs wait, kinds have shares, refused clients return in turn

Cause: a job that was admitted waited until its time was out, so the least urgent kind paid for every burst and was refused late; room at slow endpoints counted as room. All refused clients were sent the same time to return. Change: one forecast for the whole queue at each check refuses the jobs that are not expected to be in time, with the work that is expected to arrive ahead of them counted; routes have protected shares of the room while tasks wait; Retry-After is a place in a queue of returns.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -9,14 +9,12 @@
 
 const (
 	// admitShare is the share of its slack for which a job may wait. The rest
-	// covers wrong estimates.
-	admitShare = 0.5
+	// covers wrong estimates, and arrivals that go ahead.
+	admitShare = 0.75
 	// startGrace is how long a new scheduler admits jobs while it knows no
 	// endpoint: after a restart of all processes, agents connect within this
 	// time.
 	startGrace = 600 * time.Millisecond
-	// minRetryAfter is the shortest time after which a refused client may retry.
-	minRetryAfter = time.Second
 )
 
 // admit decides on arrival whether a job is admitted. It handles bursts: a job
@@ -35,8 +33,8 @@
 		}
 	}
 	limit := Time(admitShare * float64(j.slack(now)))
-	if wait := s.predictWait(now, j, limit); wait > 0 && wait > limit {
-		return Outcome{Code: result.Overloaded, RetryAfter: max(wait, minRetryAfter), Detail: "last task would wait " + wait.String()}, true
+	if wait := s.predictWait(now, j, limit); wait > 0 && wait > limit && !s.fitsNow(now, j) {
+		return s.refusal(now, j, wait), true
 	}
 	return Outcome{}, false
 }
@@ -55,6 +53,41 @@
 	})
 }
 
+// fitsNow reports whether all tasks with which a job begins would be placed now. A job
+// is not refused while there is room that fits.
+func (s *Scheduler) fitsNow(now Time, j *job) bool {
+	for i := range j.sub.Job.Steps {
+		if st := &j.sub.Job.Steps[i]; len(st.After) == 0 && s.fittingNow(now, j, st) < st.Count {
+			return false
+		}
+	}
+	return true
+}
+
+// fittingNow returns how many tasks of a step would be placed now, as choose decides.
+func (s *Scheduler) fittingNow(now Time, j *job, st *Step) int {
+	expected := s.estimateOf(j.sub.Route.Name).apply(st.Estimate)
+	n := 0
+	for _, e := range s.endpoints {
+		if !e.usable(now, s.evacuated) || st.RequiredLabel != "" && !slices.Contains(e.status.Labels, st.RequiredLabel) {
+			continue
+		}
+		cost := Time(float64(expected) * s.penalty(st, e))
+		if cost > expected && now+cost > j.objective && now < j.usefulUntil && s.anotherHealthy(e) {
+			continue
+		}
+		here := st.Count
+		if st.MaxPerEndpoint > 0 {
+			here = min(here, st.MaxPerEndpoint)
+		}
+		for free := e.free(); here > 0 && st.Need.Fits(free); here-- {
+			free = free.Sub(st.Need)
+			n++
+		}
+	}
+	return n
+}
+
 // expireJobs answers the jobs that can no longer end in time. This matters after
 // a loss of all endpoints, when jobs that were admitted before would wait in
 // vain.
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -8,6 +8,7 @@
 // job is an open job, or a closed one with runs left.
 type job struct {
 	sub             Submission
+	load            *routeLoad
 	submitted       Time // first submission, as far as known
 	objective       Time // latest end that meets the latency objective
 	usefulUntil     Time // latest end at which the outcome is of use
@@ -18,6 +19,7 @@
 	remaining       int
 	waiting         []*task
 	queued          bool
+	inShare         bool // goes ahead of jobs outside of their route's share; set by queueOrder
 	begun           int  // runs that were ordered and not refused, so that a task may have started
 	closed          bool // answered or cancelled; some runs may not have ended
 	resubmitted     *Submission
@@ -154,3 +156,16 @@
 	}
 	return j.usefulUntil - j.criticalPath - now
 }
+
+// recentRetention is how long the run numbers of a job are kept after its end:
+// twice the time after which clients resend a job, plus the length of an
+// attempt.
+const recentRetention = 5 * time.Second
+
+// recentRuns is what is kept of a closed job. A resubmission needs higher run
+// numbers, since endpoints refuse the ones that they have seen.
+type recentRuns struct {
+	highest   int
+	submitted Time // time of the first submission
+	endedAt   Time // when the job was closed and none of its runs was left
+}
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -74,6 +74,7 @@
 	capacity   int
 	classes    []jobClass
 	rate       func(at Time) float64
+	classRate  func(route string, at Time) float64 // multiple of rate for one class; nil: 1
 	slow       func(endpoint int, at Time) float64 // factor by which run times are longer
 	unanswered float64                             // share of the orders without an answer
 	fails      func(endpoint int, at Time) float64 // share of the tasks that fail
@@ -100,7 +101,9 @@
 type loadResult struct {
 	offered, achieved              map[int]float64
 	inTime, late, refused, givenUp int
-	refusedLate                    int // refused after more than a quarter of the objective
+	refusedLate                    int                     // refused after more than a quarter of the objective
+	untried, untriedInTime         int                     // unserved jobs of which no task was ordered; those that were refused within a quarter of the objective
+	classes                        map[string]*classResult // by route
 	starts                         map[string][]Time
 	ejections                      int
 	mostEjected                    int // endpoints at the same time
@@ -153,6 +156,30 @@
 		r.share(), r.worst(), r.inTime, r.late, r.refused, r.refusedLate, r.givenUp)
 }
 
+// classResult is what became of the jobs of one class.
+type classResult struct {
+	offered, achieved                       float64
+	offeredIn, achievedIn                   map[int]float64 // by window, as in loadResult
+	jobs, inTime, late, refused, unanswered int
+}
+
+func (c *classResult) share() float64 { return c.achieved / c.offered }
+
+// between returns the achieved share of the value offered in the windows from one time to
+// another.
+func (c *classResult) between(from, to Time) float64 {
+	var offered, achieved float64
+	for w := int(from / (2 * time.Second)); w < int(to/(2*time.Second)); w++ {
+		offered += c.offeredIn[w]
+		achieved += c.achievedIn[w]
+	}
+	return achieved / offered
+}
+
+func (c *classResult) String() string {
+	return fmt.Sprintf("share %.3f of %d jobs, in time %d, late %d, refused %d, given up %d", c.share(), c.jobs, c.inTime, c.late, c.refused, c.unanswered)
+}
+
 type openJob struct {
 	class     jobClass
 	arrived   Time
@@ -162,6 +189,7 @@
 	sub       Submission
 	shard     int // that has the job
 	tried     int // shards that have refused it
+	ordered   bool
 }
 
 // playLoad replays a pattern.
@@ -173,7 +201,10 @@
 		shards[i] = NewScheduler("svc", testTiming, orders, -time.Minute)
 	}
 	waiting := make([]int, len(shards))
-	res := &loadResult{offered: map[int]float64{}, achieved: map[int]float64{}, starts: map[string][]Time{}}
+	res := &loadResult{offered: map[int]float64{}, achieved: map[int]float64{}, starts: map[string][]Time{}, classes: map[string]*classResult{}}
+	for _, c := range p.classes {
+		res.classes[c.route.Name] = &classResult{offeredIn: map[int]float64{}, achievedIn: map[int]float64{}}
+	}
 	if p.fails == nil {
 		p.fails = neverFails
 	}
@@ -228,6 +259,7 @@
 			switch a.Kind {
 			case OrderRun:
 				j := open[a.Run.Task.Job]
+				j.ordered = true
 				s := shards[j.shard]
 				runTime := j.actual[a.Run.Task.Index]
 				var index int
@@ -265,22 +297,39 @@
 				delete(open, a.Job)
 				took := now - j.arrived
 				window := int(j.arrived / (2 * time.Second))
+				c := res.classes[j.class.route.Name]
+				early := took <= (j.objective-j.arrived)/4
+				if a.Outcome.Code != result.OK && !j.ordered {
+					res.untried++
+					if early {
+						res.untriedInTime++
+					}
+				}
 				switch {
 				case a.Outcome.Code != result.OK && result.Lookup(a.Outcome.Code).Ran == result.RanNo:
 					res.refused++
-					if took > (j.objective-j.arrived)/4 {
+					c.refused++
+					if !early {
 						res.refusedLate++
 					}
 				case a.Outcome.Code != result.OK:
 					res.givenUp++
+					c.unanswered++
 				case now <= j.objective:
 					res.inTime++
+					c.inTime++
 					res.achieved[window] += j.class.value
+					c.achieved += j.class.value
+					c.achievedIn[window] += j.class.value
 				case now <= j.arrived+3*(j.objective-j.arrived):
 					res.late++
+					c.late++
 					res.achieved[window] += j.class.value / 5
+					c.achieved += j.class.value / 5
+					c.achievedIn[window] += j.class.value / 5
 				default:
 					res.givenUp++
+					c.unanswered++
 				}
 			}
 		}
@@ -345,6 +394,9 @@
 				return
 			}
 			res.offered[int(now/(2*time.Second))] += c.value
+			res.classes[c.route.Name].offered += c.value
+			res.classes[c.route.Name].offeredIn[int(now/(2*time.Second))] += c.value
+			res.classes[c.route.Name].jobs++
 			oj.deadline = now + 1500*ms + 3*(oj.objective-now)
 			oj.sub = Submission{
 				Caller: caller, Route: c.route, Deadline: oj.deadline,
@@ -354,7 +406,11 @@
 				}}},
 			}
 			send(oj)
-			if rate := c.perSecond * p.rate(now); rate > 0 {
+			rate := c.perSecond * p.rate(now)
+			if p.classRate != nil {
+				rate *= p.classRate(c.route.Name, now)
+			}
+			if rate > 0 {
 				after(Time(rng.ExpFloat64()/rate*float64(time.Second)), arrive)
 			}
 		}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -50,7 +50,7 @@
 }
 
 func (s *Scheduler) sortQueue(now Time) {
-	slices.SortFunc(s.queue, func(a, b *job) int { return compareJobs(now, a, b) })
+	s.queueOrder(now, s.queue)
 }
 
 // placeJob places a job's waiting tasks and returns how many fitted nowhere; it
@@ -81,6 +81,7 @@
 	}
 	t.run = r
 	j.begun++
+	j.load.running += st.Need.CPUMilli
 	e.used = e.used.Add(st.Need)
 	e.runs = append(e.runs, r)
 	s.runs[r.order] = r
--- /dev/null
+++ b/dispatch/reconsider.go
@@ -0,0 +1,75 @@
+package dispatch
+
+import "bergamotwing.example/result"
+
+const (
+	// reconsiderTasks is how many waiting tasks one check looks at, which bounds its
+	// processor time. Those behind them wait for the next check.
+	reconsiderTasks = 4096
+	// decideShare of its objective is the age of a job from which no error of the forecast
+	// is allowed for. It leaves time for later checks before the quarter of the objective in
+	// which callers that can't be served are to be told.
+	decideShare = 0.15
+	// forecastError is the share by which a forecast of a long wait may be too long.
+	forecastError = 1.0
+)
+
+// reconsider refuses the jobs that wait and are not expected to be of use to their
+// callers. It handles loads that grow after jobs were admitted, and room that is lost.
+func (s *Scheduler) reconsider(now Time) {
+	if len(s.queue) == 0 {
+		return
+	}
+	tasks, cpu := 0, 0
+	for _, j := range s.queue {
+		for _, t := range j.waiting {
+			tasks++
+			cpu += j.sub.Job.Steps[t.step].Need.CPUMilli
+		}
+	}
+	f, healthy := s.forecast(now, cpu/max(tasks, 1))
+	if !healthy {
+		return // the jobs' tasks are the probes
+	}
+	f.flows = s.flows(now)
+	var refused []*job
+	var waits []Time
+	tasks = 0
+	for _, j := range s.queueOrder(now, s.queue) {
+		if tasks += len(j.waiting); tasks > reconsiderTasks {
+			break
+		}
+		f.goAhead(now, j)
+		if j.hasBegun() || j.sub.MayHaveRun {
+			f.startOf(s.waitingDemand(j), slotCount)
+			continue
+		}
+		limit := j.mayWait(now)
+		if slot := f.startOf(s.waitingDemand(j), slotOf(limit)); slot > slotOf(limit) && !s.fitsNow(now, j) {
+			f.withdraw()
+			refused = append(refused, j)
+			waits = append(waits, Time(slot)*slotLength)
+		}
+	}
+	for i, j := range refused {
+		out := s.refusal(now, j, waits[i])
+		s.emit(SchedulerAction{Kind: LogDecision, Job: j.sub.Job.ID, Event: "job_refused_waiting", Reason: out.Detail})
+		s.endJob(now, j, out)
+	}
+}
+
+// mayWait returns how much longer a job's last task may be expected to wait. A young job
+// may wait longer than it has time, since a forecast may be wrong and the job holds no room;
+// a job is to be refused in a part of its objective, so this ends before that.
+func (j *job) mayWait(now Time) Time {
+	age := float64(now-j.submitted) / float64(j.objective-j.submitted) / decideShare
+	return Time((1 + forecastError*max(1-age, 0)) * float64(max(j.slack(now), 0)))
+}
+
+// refusal is the outcome of a job for which there is no room in time.
+func (s *Scheduler) refusal(now Time, j *job, wait Time) Outcome {
+	return Outcome{
+		Code: result.Overloaded, RetryAfter: s.returnAfter(now, j, wait),
+		Detail: "last task would wait " + wait.String(),
+	}
+}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -65,19 +65,6 @@
 	Reason   string
 }
 
-// recentRetention is how long the run numbers of a job are kept after its end:
-// twice the time after which clients resend a job, plus the length of an
-// attempt.
-const recentRetention = 5 * time.Second
-
-// recentRuns is what is kept of a closed job. A resubmission needs higher run
-// numbers, since endpoints refuse the ones that they have seen.
-type recentRuns struct {
-	highest   int
-	submitted Time // time of the first submission
-	endedAt   Time // when the job was closed and none of its runs was left
-}
-
 // Scheduler holds one service's queue and decides what runs where.
 type Scheduler struct {
 	service        string
@@ -87,6 +74,7 @@
 	queue          []*job // with waiting tasks
 	estimates      map[string]*estimate
 	slackEstimates map[string]*slackEstimate // by route
+	loads          map[string]*routeLoad     // by route
 	timing         Timing
 	runs           map[uint64]*run // by order
 	orders         *OrderNumbers
@@ -117,6 +105,7 @@
 		jobs:           map[string]*job{},
 		estimates:      map[string]*estimate{},
 		slackEstimates: map[string]*slackEstimate{},
+		loads:          map[string]*routeLoad{},
 		timing:         timing,
 		runs:           map[uint64]*run{},
 		recent:         map[string]recentRuns{},
@@ -181,6 +170,7 @@
 			Reason: fmt.Sprintf("first submitted %v ago, the client waits for %v", age, sub.Deadline-now),
 		})
 	}
+	s.countOffered(now, j)
 	if out, refused := s.admit(now, j); refused {
 		s.answer(j.sub, out)
 		return
@@ -565,6 +555,7 @@
 	delete(s.runs, order)
 	e, j, t := r.endpoint, r.job, r.task
 	e.used = e.used.Sub(r.need)
+	j.load.running -= r.need.CPUMilli
 	e.runs = slices.DeleteFunc(e.runs, func(o *run) bool { return o == r })
 	s.dropIfReleased(e)
 	s.raiseMaxFreeCPU(e)
@@ -671,6 +662,9 @@
 		s.nextCheck = now + checkEvery
 		s.expireJobs(now)
 		s.checkEndpoints(now)
+		s.place(now) // before jobs are refused for lack of room
+		s.learnShares(now, checkEvery)
+		s.reconsider(now)
 		maps.DeleteFunc(s.recent, func(_ string, r recentRuns) bool { return now-r.endedAt > recentRetention })
 	}
 	s.place(now)
