Ids of cancelled jobs are kept for as long as the platform keeps jobs

Of more than 20,000 ids the oldest was dropped, though its DELETE had been acknowledged. An id that comes again takes no more room. The test of the limits asserted the old time and that the oldest id is dropped; its successors check the time to the nanosecond, and that none is dropped.

--- a/hosted/entry/deletes.go
+++ b/hosted/entry/deletes.go
@@ -5,20 +5,14 @@
 
 	"bergamotwing.example/dispatch"
 	"bergamotwing.example/hosted/mesh"
+	"bergamotwing.example/platform"
 	"bergamotwing.example/result"
 	"bergamotwing.example/wire"
 )
 
-const (
-	// deleteTimeout is how long a DELETE waits for the answers of the other entries:
-	// three times as long as it takes to notice that one of them is lost.
-	deleteTimeout = time.Second
-	// deletedResends is for how many resend times of the platform submissions of a
-	// deleted job are answered as cancelled. Two resends may be on their way.
-	deletedResends = 4
-	// maxDeleted is how many deleted jobs are kept; the oldest is dropped first.
-	maxDeleted = 20_000
-)
+// deleteTimeout is how long a DELETE waits for the answers of the other entries:
+// three times as long as it takes to notice that one of them is lost.
+const deleteTimeout = time.Second
 
 // deleteResult is what is known of a job whose client has cancelled it.
 type deleteResult uint8
@@ -40,41 +34,6 @@
 	found    deleteResult // once all of them have answered that they do not have the job
 }
 
-// deletedJobs holds the ids of deleted jobs for a time.
-type deletedJobs struct {
-	until map[string]time.Duration
-	order []deletedID // oldest first
-}
-
-type deletedID struct {
-	job   string
-	until time.Duration
-}
-
-func (d *deletedJobs) add(job string, until time.Duration) {
-	if d.until == nil {
-		d.until = map[string]time.Duration{}
-	}
-	d.until[job] = until
-	d.order = append(d.order, deletedID{job, until})
-	if len(d.order) > maxDeleted {
-		d.dropOldest()
-	}
-}
-
-func (d *deletedJobs) dropOldest() {
-	if oldest := d.order[0]; d.until[oldest.job] == oldest.until { // else it was deleted again
-		delete(d.until, oldest.job)
-	}
-	d.order = d.order[1:]
-}
-
-func (d *deletedJobs) expire(now time.Duration) {
-	for len(d.order) > 0 && now > d.order[0].until {
-		d.dropOldest()
-	}
-}
-
 // deleteJob cancels a job on its client's request, here and at all linked entries: its
 // home or shard may have changed, and any of them may get a submission that is on its way.
 func (s *state) deleteJob(now time.Duration, m deleteJob) {
@@ -84,10 +43,14 @@
 	if s.stopTimedOut || len(s.lost) > 0 {
 		found = deleteUnanswered
 	}
-	if s.deleteHere(now, request) {
+	cancelled, kept := s.deleteHere(now, request)
+	if cancelled {
 		found = deleteCancelled
 		request.Host, request.Path = "", "" // they named the job
 	}
+	if !kept {
+		found = deleteUnanswered
+	}
 	d := &pendingDelete{m, map[dispatch.Owner]bool{}, now + deleteTimeout, found}
 	for _, p := range s.peers {
 		if p.Hello.NewestKind >= wire.KindJobDelete && p.Send(request) == nil {
@@ -101,11 +64,12 @@
 }
 
 // deleteHere cancels a job of any entry in the schedulers here, and of a client that waits
-// here. It reports whether there was one.
-func (s *state) deleteHere(now time.Duration, m *wire.JobDelete) bool {
+// here. It reports whether there was one, and whether later submissions of the job are
+// refused, unless host and path did not name it.
+func (s *state) deleteHere(now time.Duration, m *wire.JobDelete) (cancelled, kept bool) {
 	job := m.Job
 	named := func(r dispatch.Route) bool { return m.Path == "" || r.NamesJob(m.Host, m.Path, job) }
-	cancelled := false
+	kept = true
 	for _, sched := range s.schedulers {
 		cancelled = named(sched.RouteOf(job)) && sched.Delete(now, job, deletedOutcome) || cancelled
 	}
@@ -115,21 +79,32 @@
 		s.answer(job, deletedOutcome)
 	}
 	if cancelled || m.Path == "" {
-		keep := deletedResends * s.timing.ResendAfter
+		keep := s.e.jobRetention()
 		if m.Keep > 0 {
 			keep = min(keep, m.Keep)
 		}
-		s.deleted.add(job, now+keep)
+		kept = s.deleted.add(job, now+keep)
+	}
+	if !kept {
+		s.e.deps.Metrics.Count("bergamotwing_deletes_full_total", "DELETEs of which no id was kept, for lack of room.", 1)
 	}
 	if cancelled {
 		s.e.deps.Log.Info().Str("event", "job_deleted").Str("job", job).Msg("job cancelled on its client's request")
 	}
-	return cancelled
+	return cancelled, kept
+}
+
+// jobRetention is how long a job's submission may arrive after its DELETE.
+func (e *Entry) jobRetention() time.Duration {
+	if e.node.JobRetention <= 0 {
+		return platform.DefaultJobRetention
+	}
+	return e.node.JobRetention
 }
 
 // wasDeleted reports whether a submission comes after its job was deleted, and counts it.
 func (s *state) wasDeleted(now time.Duration, job string) bool {
-	if now > s.deleted.until[job] {
+	if !s.deleted.has(now, job) {
 		return false
 	}
 	s.e.deps.Metrics.Count("bergamotwing_submissions_deleted_total", "Submissions of jobs that had been deleted.", 1)
@@ -166,8 +141,8 @@
 		return
 	}
 	for _, d := range s.deleted.order {
-		if keep := d.until - now; keep > 0 {
-			_ = p.Send(&wire.JobDelete{Job: d.job, Keep: keep}) // a closed link is reported as down
+		if keep := s.deleted.until[d.job] - now; keep > 0 {
+			_ = p.Send(&wire.JobDelete{Job: d.job.String(), Keep: keep}) // a closed link is reported as down
 		}
 	}
 }
--- a/hosted/entry/deletes_test.go
+++ b/hosted/entry/deletes_test.go
@@ -10,6 +10,7 @@
 	"bergamotwing.example/dispatch"
 	"bergamotwing.example/hosted/control"
 	"bergamotwing.example/hosted/mesh"
+	"bergamotwing.example/platform"
 	"bergamotwing.example/result"
 	"bergamotwing.example/wire"
 )
@@ -137,26 +138,69 @@
 	p.wantDelete(known, deleteUnanswered)
 }
 
-// Clients choose ids at random, so a kept one is of use for as long as the job may come again.
-func TestDeletedJobsAreKeptForALimitedTimeAndNumber(t *testing.T) {
-	e := newEntry(t)
-	s := e.state
-	now := mesh.Now()
-	s.deleteHere(now, &wire.JobDelete{Job: "first"})
-	s.deleteHere(now+1, &wire.JobDelete{Job: "first"})
-	resends := now + 2*s.timing.ResendAfter
-	if !s.wasDeleted(resends, "first") {
-		t.Error("a job that was deleted is forgotten before its second resend")
+// A POST may arrive again for as long as the platform keeps the job's state: longer than
+// its resends take.
+func TestADeletedJobIsKeptForAsLongAsItsSubmissionMayArrive(t *testing.T) {
+	for _, retention := range []time.Duration{0, 45 * time.Second} {
+		e := newEntry(t)
+		e.node.JobRetention = retention
+		want := retention
+		if retention == 0 {
+			want = platform.DefaultJobRetention
+		}
+		s := e.state
+		now := mesh.Now()
+		s.deleteHere(now, &wire.JobDelete{Job: "first"})
+		s.deleteHere(now+time.Second, &wire.JobDelete{Job: "first"})
+		s.deleteHere(now+time.Second, &wire.JobDelete{Job: "second", Keep: 5 * time.Second}) // by another entry, whose client asked before
+		if !s.wasDeleted(now+want+time.Second, "first") || s.wasDeleted(now+want+time.Second+1, "first") {
+			t.Errorf("kept for %v: %v; for longer: %v", want, s.wasDeleted(now+want+time.Second, "first"), s.wasDeleted(now+want+time.Second+1, "first"))
+		}
+		if !s.wasDeleted(now+6*time.Second, "second") || s.wasDeleted(now+6*time.Second+1, "second") {
+			t.Error("an id is not kept for as long as another entry keeps it")
+		}
+		s.expireDeletes(now + want + time.Second)
+		if !s.wasDeleted(now+want, "first") {
+			t.Error("an id is dropped at the time of its first DELETE, not its last")
+		}
+		s.expireDeletes(now + want + time.Second + 1)
+		if n := len(s.deleted.until) + len(s.deleted.order); n > 0 {
+			t.Errorf("%d ids kept after their time", n)
+		}
 	}
+}
+
+// The DELETE of an id that is dropped for lack of room may have been acknowledged.
+func TestADeleteIsNotAcknowledgedOnceThereIsNoRoomForItsID(t *testing.T) {
+	p := newPassing(t, 2)
+	s := p.home.state
 	for i := range maxDeleted {
-		s.deleteHere(now+2, &wire.JobDelete{Job: fmt.Sprint(i)})
+		s.deleteHere(p.now, &wire.JobDelete{Job: fmt.Sprint(i)})
+	}
+	p.wantDelete(p.sendDelete(p.home, "0"), deleteNotOpen) // an id that is kept already
+	known := p.sendDelete(p.entries[1], "j")
+	for began := p.now; len(known) == 0 && p.now < began+2*deleteTimeout; {
+		p.wait(passEvery)
+		p.entries[1].receive(p.now, control.Tick{})
 	}
-	if n := len(s.deleted.until); n > maxDeleted || s.wasDeleted(now, "first") || !s.wasDeleted(now, "0") {
-		t.Errorf("%d jobs kept, the first one: %v, the second one: %v", n, s.wasDeleted(now, "first"), s.wasDeleted(now, "0"))
+	p.wantDelete(known, deleteUnanswered)
+	p.wantDelete(p.sendDelete(p.home, "k"), deleteUnanswered)
+	if n := len(s.deleted.until); n != maxDeleted || len(s.deleted.order) != maxDeleted || !s.wasDeleted(p.now, "0") || !s.wasDeleted(p.now, "1") {
+		t.Errorf("%d ids kept, the first ones: %v, %v", n, s.wasDeleted(p.now, "0"), s.wasDeleted(p.now, "1"))
+	}
+	s.expireDeletes(p.now + time.Hour)
+	p.wantDelete(p.sendDelete(p.home, "k"), deleteNotOpen)
+}
+
+// Each new link brings the ids that the other side keeps.
+func TestIDsThatComeAgainTakeNoRoom(t *testing.T) {
+	s := newEntry(t).state
+	now := mesh.Now()
+	for i := range 1000 {
+		s.deleteHere(now+time.Duration(i), &wire.JobDelete{Job: "j", Keep: time.Minute})
 	}
-	s.expireDeletes(now + time.Minute)
-	if n := len(s.deleted.until) + len(s.deleted.order); n > 0 {
-		t.Errorf("%d jobs kept for a minute", n)
+	if n := len(s.deleted.order); n != 1 {
+		t.Errorf("%d entries for one id", n)
 	}
 }
 
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -227,7 +227,9 @@
 			sched.Cancel(now, m.Job, owner)
 		}
 	case *wire.JobDelete:
-		_ = p.Send(&wire.JobDeleted{Number: m.Number, Cancelled: s.deleteHere(now, m)}) // the sender does not wait for it for long
+		if cancelled, kept := s.deleteHere(now, m); kept { // else the DELETE may not be acknowledged
+			_ = p.Send(&wire.JobDeleted{Number: m.Number, Cancelled: cancelled}) // the sender does not wait for it for long
+		}
 	case *wire.JobDeleted:
 		s.deleteAnswered(now, owner, m)
 	case *wire.JobsOpen:
