An entry that has paused ends the requests that it took before

Change: after a pause of more than an entry's lease (the time between two checks of the leases, by the clock that counts suspended time) an entry cancels all requests that it had taken, at their homes too, stops their runs before it handles anything else, and answers them outcome_unknown, 502. The others count it as lost by then. TestANewHomePlacesTasksOnceItsAgentsHaveAnswered let 0.8 s pass without a message and expected the request to go on. It now has the ticks in between, as the process has, and checks at each that nothing is ordered.

--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -142,12 +142,13 @@
 func (e *Entry) receive(now time.Duration, message any) {
 	s := e.state
 	if pause := now - s.checkedAt; pause > maxCheckPause {
-		if pause > s.timing.EntryLease && s.checkedAt > 0 {
-			s.echoAgentsFrom = now + 2*tickEvery
-		}
 		for _, sched := range s.schedulers {
 			sched.Hold(now + 2*tickEvery) // before cancels make room
 		}
+		if pause > s.timing.EntryLease && s.checkedAt > 0 {
+			s.echoAgentsFrom = now + 2*tickEvery
+			s.endPaused(now, pause)
+		}
 		s.abandonLeft(now)
 		s.checkPeers(now)
 		s.applyActions(now) // agents get the stops before their leases are renewed
--- a/hosted/entry/thaw_test.go
+++ b/hosted/entry/thaw_test.go
@@ -122,6 +122,12 @@
 	if orders := sent.orders(); len(orders) > 0 {
 		t.Errorf("orders %+v by an old reading of the agent's clock", orders)
 	}
+	for at := now + tickEvery; at < late; at += tickEvery { // a pause would end the request
+		e.receive(at, control.Tick{})
+		if orders := sent.orders(); len(orders) > 0 {
+			t.Fatalf("orders %+v before the agent has answered", orders)
+		}
+	}
 	e.receive(late, control.Received{Link: l, Message: &wire.NodeHeartbeat{Clock: late, Echo: now}})
 	e.receive(late, control.Tick{})
 	e.receive(late+3*tickEvery, control.Tick{}) // as after any pause between two checks of leases
