A DELETE is acknowledged once every registered entry has answered and the store has it

Change: 200 and 410 need the answers of all linked entries, no registered entry without a link (unless its address has just refused a dial: no process runs there, and one that starts reads the table), and a row in the table bergamotwing-cancelled, written in batches of up to 100, one write at a time and at most ten a second for each entry. Else the answer is 502 within 1 s; the cancel takes effect in memory all the same. Rows are removed by their writer after the retention. An entry reads the table at its start, after it has registered, and takes jobs once it has, or once a linked entry that knows all cancels has sent them (JobsOpen.CancelsKnown). A DELETE of a job whose route was removed, had at another entry, is answered once all entries refuse the job.

--- a/hosted/entry/clients.go
+++ b/hosted/entry/clients.go
@@ -28,6 +28,10 @@
 		e.refuse(w, "", result.NoVersion, notReadyRetry, "no configuration yet")
 		return
 	}
+	if !e.cancelsKnown.Load() {
+		e.refuse(w, "", result.NoVersion, notReadyRetry, "cancelled jobs not known yet")
+		return
+	}
 	route, ok := operator.Config.Match(hostName(r.Host), r.URL.Path)
 	if !ok {
 		e.deleteOrRefuse(w, r, result.NotFound, "no route for "+r.Host+r.URL.Path)
@@ -196,6 +200,8 @@
 		platform.WriteJobState(w, platform.JobCancelled)
 	case deleteNotOpen:
 		platform.WriteError(w, http.StatusGone, noSuchJob, 0)
+	case deleteNotStored:
+		e.refuse(w, id, result.OutcomeUnknown, notReadyRetry, "the store has not taken the cancelling")
 	default: // neither of these answers may be given before it is known to be true
 		e.refuse(w, id, result.OutcomeUnknown, notReadyRetry, "an entry that may have the job has not answered")
 	}
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -60,7 +60,10 @@
 	deletes         map[uint64]*pendingDelete // by number
 	lastDelete      uint64                    // number of the newest request to delete a job
 	deleted         deletedJobs
-	home            map[dispatch.Shard]string // entry that holds the shard's queue
+	cancels         cancelWrites
+	storeCancels    func(set, remove []string) // writes rows of cancelled jobs, and sends cancelsWritten; nil: there is no store
+	refusedAt       map[string]time.Duration   // when a dial of an entry's address was last refused, by the address
+	home            map[dispatch.Shard]string  // entry that holds the shard's queue
 	shardCounts     shardCounts
 	peerShardCounts map[string]shardCounts // as sent by other entries, by name
 	seeds           []string               // addresses where entries may listen
@@ -135,7 +138,7 @@
 		schedulers: map[dispatch.Shard]*dispatch.Scheduler{}, orders: &dispatch.OrderNumbers{}, timing: control.TimingOf(e.node), endpoints: map[dispatch.EndpointID]endpointView{},
 		agentShards: map[string]dispatch.Shard{},
 		requests:    map[string]*request{}, recent: map[submittedJob]recentEnd{}, moved: map[movedJob]movedTo{}, deletes: map[uint64]*pendingDelete{}, home: map[dispatch.Shard]string{},
-		shardCounts: shardCounts{}, peerShardCounts: map[string]shardCounts{},
+		shardCounts: shardCounts{}, peerShardCounts: map[string]shardCounts{}, refusedAt: map[string]time.Duration{},
 	}
 }
 
@@ -148,6 +151,7 @@
 		if pause > s.timing.EntryLease && s.checkedAt > 0 {
 			s.echoAgentsFrom = now + 2*tickEvery
 			s.endPaused(now, pause)
+			s.doubtCancels(pause)
 		}
 		s.abandonLeft(now)
 		s.checkPeers(now)
@@ -187,6 +191,10 @@
 		s.abandonRequest(now, m)
 	case deleteJob:
 		s.deleteJob(now, m)
+	case cancelsWritten:
+		s.cancelsWritten(now, m)
+	case cancelsRead:
+		s.cancelsRead(now, m)
 	case askWaiting:
 		m.reply <- s.waiting(m.route.Name)
 	}
@@ -237,15 +245,16 @@
 		}
 	}
 	s.expireDeletes(now)
+	s.writeCancels(now)
 	maps.DeleteFunc(s.moved, func(_ movedJob, m movedTo) bool { return now > m.until })
 	s.e.ready.Store(s.isReady())
 	s.e.actor.TickAfter(tickEvery)
 }
 
-// isReady reports whether clients can be served: there is a configuration, and
-// this entry or another one has endpoints.
+// isReady reports whether clients can be served: there is a configuration, the cancelled
+// jobs are known, and this entry or another one has endpoints.
 func (s *state) isReady() bool {
-	return !s.stopping && s.e.operator.Load() != nil && (len(s.endpoints) > 0 || s.peersHaveEndpoints())
+	return !s.stopping && s.e.operator.Load() != nil && s.e.cancelsKnown.Load() && (len(s.endpoints) > 0 || s.peersHaveEndpoints())
 }
 
 func (s *state) peersHaveEndpoints() bool {
--- a/hosted/entry/deletes.go
+++ b/hosted/entry/deletes.go
@@ -10,9 +10,14 @@
 	"bergamotwing.example/wire"
 )
 
-// deleteTimeout is how long a DELETE waits for the answers of the other entries:
-// three times as long as it takes to notice that one of them is lost.
-const deleteTimeout = time.Second
+const (
+	// deleteTimeout is how long a DELETE waits for the answers of the other entries and of
+	// the store: three times as long as it takes to notice that an entry is lost.
+	deleteTimeout = time.Second
+	// refusedFor is how long a refused dial says that no process runs at an entry's address:
+	// two pauses between dials. One that starts meanwhile reads the cancelled jobs first.
+	refusedFor = time.Second
+)
 
 // deleteResult is what is known of a job whose client has cancelled it.
 type deleteResult uint8
@@ -20,46 +25,73 @@
 const (
 	deleteCancelled  deleteResult = iota + 1 // it was open
 	deleteNotOpen                            // no entry that may have it has it
-	deleteUnanswered                         // an entry that may have it has not answered
+	deleteUnanswered                         // an entry that may have it, or may get it, has not answered
+	deleteNotStored                          // entries that restart together may not learn of it
 )
 
 // deletedOutcome answers all submissions of a deleted job.
 var deletedOutcome = dispatch.Outcome{Code: result.Cancelled, Detail: "deleted by its client"}
 
-// pendingDelete is a client's DELETE that other entries have not answered.
+// pendingDelete is a client's DELETE that is not acknowledged yet.
 type pendingDelete struct {
 	deleteJob
-	waitsFor map[dispatch.Owner]bool
+	waitsFor map[dispatch.Owner]bool // entries that have not answered
+	storing  bool                    // the store has not taken its row yet
 	until    time.Duration
-	found    deleteResult // once all of them have answered that they do not have the job
+	found    deleteResult // once nothing is awaited
 }
 
 // deleteJob cancels a job on its client's request, here and at all linked entries: its
 // home or shard may have changed, and any of them may get a submission that is on its way.
-func (s *state) deleteJob(now time.Duration, m deleteJob) {
+func (s *state) deleteJob(now time.Duration, m deleteJob) { s.startDelete(now, m, deleteNotOpen) }
+
+// startDelete is deleteJob where another entry may have had the job already.
+func (s *state) startDelete(now time.Duration, m deleteJob, found deleteResult) {
 	s.lastDelete++
-	request := &wire.JobDelete{Job: m.job, Number: s.lastDelete, Host: m.host, Path: m.path}
-	found := deleteNotOpen
-	if s.stopTimedOut || len(s.lost) > 0 {
-		found = deleteUnanswered
-	}
+	number := s.lastDelete
+	request := &wire.JobDelete{Job: m.job, Number: number, Host: m.host, Path: m.path}
 	cancelled, kept := s.deleteHere(now, request)
 	if cancelled {
 		found = deleteCancelled
 		request.Host, request.Path = "", "" // they named the job
+		m.host, m.path = "", ""
 	}
-	if !kept {
-		found = deleteUnanswered
-	}
-	d := &pendingDelete{m, map[dispatch.Owner]bool{}, now + deleteTimeout, found}
+	d := &pendingDelete{deleteJob: m, waitsFor: map[dispatch.Owner]bool{}, until: now + deleteTimeout, found: found}
+	s.deletes[number] = d
 	for _, p := range s.peers {
 		if p.Hello.NewestKind >= wire.KindJobDelete && p.Send(request) == nil {
 			d.waitsFor[p.Owner()] = true
 		}
 	}
-	s.deletes[s.lastDelete] = d
-	if found == deleteCancelled || s.stopTimedOut || len(d.waitsFor) == 0 {
-		s.endDelete(s.lastDelete, d, found)
+	if !kept || s.stopTimedOut || s.anyEntryMissing(now) {
+		s.endDelete(number, d, deleteUnanswered)
+		return
+	}
+	if m.path == "" { // else it is not known whether they name the job
+		d.storing = true
+		s.storeCancel(now, number)
+	}
+	s.endIfAnswered(number, d)
+}
+
+// anyEntryMissing reports whether there may be an entry without a link that runs: one whose
+// link is down within its lease, or that is registered.
+func (s *state) anyEntryMissing(now time.Duration) bool {
+	if len(s.lost) > 0 {
+		return true
+	}
+	for name, m := range s.members {
+		if at, refused := s.refusedAt[m.Addr]; s.peers[name] == nil && (!refused || now-at > refusedFor) {
+			return true
+		}
+	}
+	return false
+}
+
+// endIfAnswered answers a DELETE for which nothing is awaited any more.
+func (s *state) endIfAnswered(number uint64, d *pendingDelete) {
+	if s.deletes[number] == d && len(d.waitsFor) == 0 && !d.storing {
+		s.endDelete(number, d, d.found)
 	}
 }
 
@@ -118,15 +150,15 @@
 		return
 	}
 	delete(d.waitsFor, by)
-	switch {
-	case m.Cancelled:
-		s.endDelete(m.Number, d, deleteCancelled)
-	case len(d.waitsFor) == 0:
-		s.endDelete(m.Number, d, d.found)
-	}
 	if m.Cancelled && d.path != "" { // host and path named the job, so all entries are to refuse it
-		s.deleteJob(now, deleteJob{job: d.job, known: make(chan deleteResult, 1)})
+		delete(s.deletes, m.Number)
+		s.startDelete(now, deleteJob{job: d.job, known: d.known}, deleteCancelled)
+		return
 	}
+	if m.Cancelled {
+		d.found = deleteCancelled
+	}
+	s.endIfAnswered(m.Number, d)
 }
 
 func (s *state) endDelete(number uint64, d *pendingDelete, found deleteResult) {
@@ -152,10 +184,16 @@
 func (s *state) expireDeletes(now time.Duration) {
 	s.deleted.expire(now)
 	for number, d := range s.deletes {
-		if now > d.until {
-			s.e.deps.Metrics.Count("bergamotwing_deletes_unanswered_total", "Requests to delete a job that another entry did not answer in time.", 1)
-			s.e.deps.Log.Warn().Str("event", "delete_unanswered").Str("job", d.job).Int("entries", len(d.waitsFor)).Msg("entries did not answer in time whether they had the job")
-			s.endDelete(number, d, deleteUnanswered)
+		if now <= d.until {
+			continue
+		}
+		if len(d.waitsFor) == 0 {
+			s.cancelNotStored(d.job, "unanswered")
+			s.endDelete(number, d, deleteNotStored)
+			continue
 		}
+		s.e.deps.Metrics.Count("bergamotwing_deletes_unanswered_total", "Requests to delete a job that another entry did not answer in time.", 1)
+		s.e.deps.Log.Warn().Str("event", "delete_unanswered").Str("job", d.job).Int("entries", len(d.waitsFor)).Msg("entries did not answer in time whether they had the job")
+		s.endDelete(number, d, deleteUnanswered)
 	}
 }
--- a/hosted/entry/entry.go
+++ b/hosted/entry/entry.go
@@ -68,6 +68,10 @@
 	operator atomic.Pointer[dispatch.OperatorState] // newest state, also read by the handlers of client requests; nil: none yet
 	ready    atomic.Bool
 	stopping atomic.Bool
+
+	cancelsKnown atomic.Bool  // all acknowledged cancels are known here; jobs are taken only then
+	cancelsStale atomic.Bool  // the table of cancelled jobs is to be read
+	storeClock   atomic.Int64 // nanoseconds from this host's clock to that of the store; 0: not known
 }
 
 // New returns an entry that Run starts.
@@ -86,6 +90,12 @@
 	}
 	e.mesh = mesh.New(e.self, e.actor, wire.Count(deps.Metrics), deps.Log)
 	e.state = newState(e)
+	if node.StoreAddr == "" {
+		e.cancelsKnown.Store(true)
+	} else {
+		e.cancelsStale.Store(true)
+		e.state.storeCancels = func(set, remove []string) { go e.writeCancels(set, remove) }
+	}
 	return e
 }
 
--- a/hosted/entry/messages.go
+++ b/hosted/entry/messages.go
@@ -33,7 +33,12 @@
 		known      chan deleteResult
 		host, path string // of the request if no route in force names the job
 	}
-	askWaiting struct {
+	cancelsWritten struct {
+		set, remove []string // job ids
+		err         error
+	}
+	cancelsRead struct{ jobs []keptCancel }
+	askWaiting  struct {
 		route dispatch.Route
 		reply chan int
 	}
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -65,7 +66,7 @@
 // that the other side cancels the jobs whose cancels were lost.
 func (s *state) resume(now time.Duration, p *mesh.Peer) {
 	s.resendDeletes(now, p)
-	open := &wire.JobsOpen{}
+	open := &wire.JobsOpen{CancelsKnown: s.e.cancelsKnown.Load()}
 	for id, r := range s.requests {
 		if r.home == p.Owner() {
 			open.Jobs = append(open.Jobs, id)
@@ -100,6 +101,7 @@
 // refused declares the entries at an address lost: no process listens there. Only
 // entries whose link is down are concerned.
 func (s *state) refused(now time.Duration, addr string) {
+	s.refusedAt[addr] = now
 	for name, lost := range s.lost {
 		if s.members[name].Addr == addr {
 			delete(s.lost, name)
@@ -234,6 +236,9 @@
 		s.deleteAnswered(now, owner, m)
 	case *wire.JobsOpen:
 		s.reconcile(now, owner, m.Jobs)
+		if m.CancelsKnown { // their ids came before this message
+			s.knowCancels(now, l.Hello.Name)
+		}
 	case *wire.JobEnd:
 		switch r := s.requests[m.Job]; {
 		case r == nil, r.home != owner, m.Shard > 0 && m.Shard != r.shard.Index+1, m.Request > 0 && m.Request != r.number:
@@ -334,6 +339,7 @@
 		}
 	}
 	s.members = next
+	maps.DeleteFunc(s.refusedAt, func(_ string, at time.Duration) bool { return now-at > refusedFor })
 	s.retarget()
 }
 
--- a/hosted/entry/store.go
+++ b/hosted/entry/store.go
@@ -100,6 +100,7 @@
 		return err
 	}
 	e.storeCalled(nil)
+	e.noteStoreClock(read)
 	e.odd.Report(read.Odd...)
 	e.applyWhole(read)
 	return nil
@@ -154,9 +155,13 @@
 		found, ok := e.readMembers(ctx)
 		if written && ok && !containsMember(found, e.self.Member()) {
 			written = false // removed by an entry that could not reach this one, or written by another writer
+			e.cancelsStale.Store(true)
+		}
+		if written && e.cancelsStale.Load() && e.readCancels(ctx) { // an entry that acknowledges a DELETE now waits for this one
+			e.cancelsStale.Store(false)
 		}
 		pause := membersEvery
-		if !written {
+		if !written || e.cancelsStale.Load() {
 			pause = storePause
 		}
 		select {
--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -131,6 +131,9 @@
 // the receiver. The receiver cancels the sender's other jobs.
 type JobsOpen struct {
 	Jobs []string `cbor:"1,keyasint"`
+	// CancelsKnown says that the sender knows all acknowledged cancels, and has sent those
+	// that it keeps before this message.
+	CancelsKnown bool `cbor:"2,keyasint,omitempty"`
 }
 
 // JobEnd answers a JobSubmit. The code StartTooLate says that this submission came too
