Agents read the cancelled jobs for an entry that the store turns away

An entry that starts takes no jobs before it knows the cancelled ones; where the store turned all entries away and served agents, it got the configuration through an agent and stayed unready (TestAConfigurationIsInForceWhileTheStoreTurnsAllEntriesAway, 'not within 15s: the new entry is ready'). Change: OperatorRead.Cancelled asks an agent for the table of cancelled jobs.

--- a/hosted/agent/operator.go
+++ b/hosted/agent/operator.go
@@ -43,8 +43,16 @@
 }
 
 func (a *Agent) readOperatorRows(m wire.OperatorRead) *wire.OperatorRows {
-	answer := &wire.OperatorRows{After: m.After}
-	read, whole, err := a.operatorChanges(m.After, min(max(m.Wait, 0), operatorWaitMax))
+	answer := &wire.OperatorRows{After: m.After, Cancelled: m.Cancelled}
+	var read platform.Rows
+	var whole bool
+	var err error
+	if m.Cancelled {
+		read, err = a.cancelledJobs()
+		whole, answer.Now = true, read.Now
+	} else {
+		read, whole, err = a.operatorChanges(m.After, min(max(m.Wait, 0), operatorWaitMax))
+	}
 	if err == nil {
 		answer.Rows, err = storeRows(read.Rows)
 	}
@@ -77,6 +85,15 @@
 	return read, true, err
 }
 
+// cancelledJobs returns the table of cancelled jobs.
+func (a *Agent) cancelledJobs() (platform.Rows, error) {
+	ctx, cancel := context.WithTimeout(a.ctx, storeTimeout)
+	defer cancel()
+	read, err := a.store.Get(ctx, platform.CancelledTable)
+	a.odd.Report(read.Odd...)
+	return read, eris.Wrap(err, "read cancelled jobs")
+}
+
 // storeRows returns the newest of the rows for each key, in their order.
 func storeRows(rows []platform.Row) ([]wire.StoreRow, error) {
 	newest := map[string]int{}
--- a/hosted/agent/operator_test.go
+++ b/hosted/agent/operator_test.go
@@ -100,3 +100,21 @@
 		t.Error("an entry's wait is not bounded")
 	}
 }
+
+// The store may turn all entries away when they start.
+func TestAnAgentReadsTheCancelledJobsForAnEntry(t *testing.T) {
+	server, addr := startStore(t)
+	a := newTestAgent(t, testNode(t, addr))
+	a.ctx = t.Context()
+	server.PutBytes(platform.OperatorTable, "config", []byte("first"))
+	row := platform.CancelledRow(platform.CancelledJob{Job: "0011223344556677", Entry: "e", At: time.Second})
+	server.PutBytes(platform.CancelledTable, row.Key, row.Value)
+	got := a.readOperatorRows(wire.OperatorRead{Cancelled: true})
+	if got.Failed || !got.Cancelled || !got.Whole || len(got.Rows) != 1 || got.Rows[0].Key != row.Key || string(got.Rows[0].Value) != string(row.Value) {
+		t.Errorf("read %+v", got)
+	}
+	server.SetFault(func(string) fake.StoreFault { return fake.StoreBusy })
+	if got := a.readOperatorRows(wire.OperatorRead{Cancelled: true}); !got.Failed || !got.Cancelled {
+		t.Errorf("while the store refuses: %+v", got)
+	}
+}
--- a/hosted/entry/relay.go
+++ b/hosted/entry/relay.go
@@ -63,8 +63,10 @@
 	if len(agents) == 0 {
 		return
 	}
-	var wait time.Duration // none until it is known that the store serves agents
-	if r.served {
+	request := &wire.OperatorRead{After: s.e.rowsReadAt.Load()}
+	request.Cancelled = s.e.operator.Load() != nil && !s.e.cancelsKnown.Load() // jobs are taken once both are known
+	var wait time.Duration                                                     // none until it is known that the store serves agents
+	if r.served && !request.Cancelled {
 		wait = s.e.node.ConfigApply / agentReadDivisor
 	}
 	r.asked = agents[r.count%len(agents)]
@@ -74,7 +76,8 @@
 			Msg("the store serves no linked entry; agents are asked to read the operator's state")
 	}
 	s.e.deps.Metrics.Count("bergamotwing_agent_reads_total", "Requests to an agent to read the operator's state.", 1)
-	_ = r.asked.Send(&wire.OperatorRead{After: s.e.rowsReadAt.Load(), Wait: wait}) // another agent is asked if this is lost
+	request.Wait = wait
+	_ = r.asked.Send(request) // another agent is asked if this is lost
 }
 
 // otherEntryReads reports whether a linked entry is served by the store, as far as is known.
@@ -125,6 +128,10 @@
 		if r.asked == p {
 			r.asked, r.pause, r.served = nil, 0, true
 		}
+		if m.Cancelled {
+			go s.e.applyAgentCancels(m)
+			return
+		}
 		go s.e.applyAgentRead(m) // decodes the configuration
 	}
 }
@@ -140,3 +147,14 @@
 		e.applyChanges(m.After, read)
 	}
 }
+
+// applyAgentCancels applies the cancelled jobs that an agent has read.
+func (e *Entry) applyAgentCancels(m *wire.OperatorRows) {
+	read := platform.Rows{Now: m.Now}
+	for _, r := range m.Rows {
+		read.Rows = append(read.Rows, platform.Row{Table: platform.CancelledTable, Key: r.Key, Value: r.Value, Version: r.Version})
+	}
+	jobs, _, odd := cancelsOf(read, e.self.Name, e.jobRetention()) // the store takes no removal of this entry
+	e.odd.Report(odd...)
+	e.actor.Send(cancelsRead{jobs})
+}
--- a/hosted/entry/relay_test.go
+++ b/hosted/entry/relay_test.go
@@ -8,8 +8,10 @@
 	"github.com/google/go-cmp/cmp"
 
 	"bergamotwing.example/dispatch"
+	"bergamotwing.example/drain/draintest"
 	"bergamotwing.example/hosted/control"
 	"bergamotwing.example/hosted/mesh"
+	"bergamotwing.example/platform"
 	"bergamotwing.example/wire"
 )
 
@@ -34,17 +36,21 @@
 	// peerLost is what the other entry says of its store, unless it is silent.
 	peerLost, peerSilent bool
 	read                 chan any // what goroutines send the control actor
+	cancels              chan any // cancelled jobs among it
 }
 
 func newRelayed(t *testing.T, agents ...string) *relayed {
 	t.Helper()
-	r := &relayed{Entry: newEntry(t), now: mesh.Now(), agents: map[string]*mesh.Link{}, sent: map[string]*sentTo{}, read: make(chan any, 100)}
+	r := &relayed{Entry: newEntry(t), now: mesh.Now(), agents: map[string]*mesh.Link{}, sent: map[string]*sentTo{}, read: make(chan any, 100), cancels: make(chan any, 100)}
 	r.node.ConfigApply = 2 * time.Second
 	r.ctx = t.Context()
 	r.actor.Start(func(_ time.Duration, m any) {
 		if _, ok := m.(operatorRead); ok {
 			r.read <- m
 		}
+		if _, ok := m.(cancelsRead); ok {
+			r.cancels <- m
+		}
 	})
 	t.Cleanup(r.actor.Shutdown)
 	r.receive(r.now, operatorRead{state: dispatch.OperatorState{StoreVersion: 1, Config: dispatch.Config{Version: 1}}, hasConfig: true})
@@ -231,3 +237,37 @@
 		t.Errorf("%d states more", len(r.read))
 	}
 }
+
+// The store turns all entries away, also one that has just started.
+func TestAgentsReadTheCancelledJobsForAnEntryThatDoesNotKnowThem(t *testing.T) {
+	r := newRelayed(t, "a", "b")
+	r.peerLost = true
+	r.cancelsKnown.Store(false)
+	r.receive(r.now, storeServes{false})
+	row := platform.CancelledRow(platform.CancelledJob{Job: "0011223344556677", Entry: "gone", At: time.Minute})
+	asked := 0
+	r.run(2*time.Second, func(m *wire.OperatorRead) *wire.OperatorRows {
+		if !m.Cancelled || m.Wait > 0 {
+			t.Errorf("asked for %+v", m)
+		}
+		if asked++; asked < 3 {
+			return &wire.OperatorRows{Cancelled: true, Failed: true}
+		}
+		return &wire.OperatorRows{Cancelled: true, Whole: true, Now: time.Minute, Rows: []wire.StoreRow{{Key: row.Key, Value: row.Value}, {Key: "odd"}}}
+	})
+	select {
+	case m := <-r.cancels:
+		r.receive(r.now, m)
+	case <-time.After(draintest.Timeout):
+		t.Fatal("nothing is read")
+	}
+	if !r.cancelsKnown.Load() || !r.state.wasDeleted(r.now, "0011223344556677") {
+		t.Errorf("knows the cancelled jobs: %v, the one that was read: %v", r.cancelsKnown.Load(), r.state.wasDeleted(r.now, "0011223344556677"))
+	}
+	r.run(2*time.Second, func(m *wire.OperatorRead) *wire.OperatorRows {
+		if m.Cancelled {
+			t.Error("asked for the cancelled jobs once they were known")
+		}
+		return failedRead(m)
+	})
+}
--- a/hosted/entry/store.go
+++ b/hosted/entry/store.go
@@ -147,7 +147,7 @@
 
 // register keeps this entry's row in the store and reads the rows of the others.
 func (e *Entry) register(ctx context.Context) {
-	written := false
+	written, stalePause := false, storePause
 	for ctx.Err() == nil {
 		if !written {
 			written = e.writeMember(ctx)
@@ -159,10 +159,15 @@
 		}
 		if written && e.cancelsStale.Load() && e.readCancels(ctx) { // an entry that acknowledges a DELETE now waits for this one
 			e.cancelsStale.Store(false)
+			stalePause = storePause
 		}
 		pause := membersEvery
-		if !written || e.cancelsStale.Load() {
+		switch {
+		case !written:
 			pause = storePause
+		case e.cancelsStale.Load():
+			pause = stalePause
+			stalePause = min(2*stalePause, storePauseMax)
 		}
 		select {
 		case <-ctx.Done():
--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -65,6 +65,8 @@
 type OperatorRead struct {
 	After uint64        `cbor:"1,keyasint"` // version of the store after which changes are wanted; 0: all rows
 	Wait  time.Duration `cbor:"2,keyasint"` // for a change, if there is none yet
+	// Cancelled asks for all rows of the table of cancelled jobs instead.
+	Cancelled bool `cbor:"3,keyasint,omitempty"`
 }
 
 // OperatorRows answers an OperatorRead.
@@ -74,9 +76,12 @@
 	Whole   bool       `cbor:"3,keyasint,omitempty"` // Rows are all rows, not changes
 	Failed  bool       `cbor:"4,keyasint,omitempty"` // nothing was read
 	Rows    []StoreRow `cbor:"5,keyasint,omitempty"` // at most one for each key
+
+	Cancelled bool          `cbor:"6,keyasint,omitempty"` // the rows are those of the table of cancelled jobs
+	Now       time.Duration `cbor:"7,keyasint,omitempty"` // by the store's clock, for cancelled jobs
 }
 
-// StoreRow is a row of the operator's table as the store holds it.
+// StoreRow is a row as the store holds it.
 type StoreRow struct {
 	Key     string `cbor:"1,keyasint"`
 	Value   []byte `cbor:"2,keyasint,omitempty"`
