--- a/hosted/entry/store.go
+++ b/hosted/entry/store.go
@@ -100,6 +100,7 @@
 		return err
 	}
 	e.storeCalled(nil)
+	e.noteStoreClock(read)
 	e.odd.Report(read.Odd...)
 	e.applyWhole(read)
 	return nil
@@ -146,7 +147,7 @@
 
 // register keeps this entry's row in the store and reads the rows of the others.
 func (e *Entry) register(ctx context.Context) {
-	written := false
+	written, stalePause := false, storePause
 	for ctx.Err() == nil {
 		if !written {
 			written = e.writeMember(ctx)
@@ -154,10 +155,19 @@
 		found, ok := e.readMembers(ctx)
 		if written && ok && !containsMember(found, e.self.Member()) {
 			written = false // removed by an entry that could not reach this one, or written by another writer
+			e.cancelsStale.Store(true)
+		}
+		if written && e.cancelsStale.Load() && e.readCancels(ctx) { // an entry that acknowledges a DELETE now waits for this one
+			e.cancelsStale.Store(false)
+			stalePause = storePause
 		}
 		pause := membersEvery
-		if !written {
+		switch {
+		case !written:
 			pause = storePause
+		case e.cancelsStale.Load():
+			pause = stalePause
+			stalePause = min(2*stalePause, storePauseMax)
 		}
 		select {
 		case <-ctx.Done():
