--- a/dispatch/reconsider.go
+++ b/dispatch/reconsider.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "bergamotwing.example/result"
+import (
+	"fmt"
+
+	"bergamotwing.example/result"
+)
 
 const (
 	// reconsiderTasks is how many waiting tasks one check looks at, which bounds its
@@ -53,6 +57,7 @@
 	}
 	for i, j := range refused {
 		out := s.refusal(now, j, waits[i])
+		out.Detail = fmt.Sprintf("after %v of waiting, last task would wait %v more", now-j.submitted, waits[i])
 		s.emit(SchedulerAction{Kind: LogDecision, Job: j.sub.Job.ID, Event: "job_refused_waiting", Reason: out.Detail})
 		s.endJob(now, j, out)
 	}
