Links: the frame with a hello has at most 1 MB; crowds that begin links

A side that has upgraded to a link and sends a first message without end was read up to 64 MB for 0.5 s.

A second test has clients that come back whenever they are disconnected fill the listener of clients, or of links: probes are answered, an agent that starts anew links, and a job is served.

--- a/hosted/mesh/mesh.go
+++ b/hosted/mesh/mesh.go
@@ -23,6 +23,7 @@
 
 const (
 	linkPath       = "/link/node"
+	helloFrame     = 1 << 20                // bytes of the frame with a new link's hello; other messages may follow in it
 	helloTimeout   = 500 * time.Millisecond // for the hello of a new link
 	dialTimeout    = 300 * time.Millisecond // ten times a round trip between regions
 	redialPause    = 20 * time.Millisecond  // pause after the first failed dial
@@ -112,8 +113,10 @@
 			m.log.Warn().Err(err).Str("remote", r.RemoteAddr).Msg("link not accepted")
 			return
 		}
+		l.LimitFrames(helloFrame)
 		host, _, _ := net.SplitHostPort(r.RemoteAddr)
 		m.serve(ctx, l, "", began, func() {
+			l.LimitFrames(wire.MaxFrameBytes)
 			m.remember(host)
 			door.Linked(r.Context())
 		})
--- a/integration/hosted/door_test.go
+++ b/integration/hosted/door_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
 	"net"
 	"os"
@@ -31,6 +32,8 @@
 	crowdSaid   = 1 << 30   // length that a body far over the limit announces
 	smallPiece  = 16 << 10
 
+	crowdSaidFrame = 8 << 20 // length that a message on a link announces
+
 	crowdWriteTime = 2 * time.Second        // a client gives up writing after it
 	crowdStays     = 300 * time.Millisecond // clients stay after all have written
 	crowdSample    = 10 * time.Millisecond
@@ -97,6 +100,12 @@
 	{"requests that stop half-way", func(path string) [][]byte {
 		return [][]byte{[]byte(requestLine("GET", path, "X-Half"))}
 	}},
+	{"links whose first message does not end", func(path string) [][]byte {
+		upgrade := requestLine("GET", path, "Connection: Upgrade\r\nUpgrade: websocket\r\nSec-WebSocket-Version: 13\r\nSec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n")
+		// A masked binary frame of crowdSaidFrame bytes, with a mask of zeros.
+		frame := binary.BigEndian.AppendUint64([]byte{0x82, 0xff}, crowdSaidFrame)
+		return [][]byte{[]byte(upgrade), append(append(frame, 0, 0, 0, 0), make([]byte, crowdFar)...)}
+	}},
 	{"connections without a request", func(string) [][]byte { return nil }},
 }
 
@@ -217,3 +226,69 @@
 		}
 	}
 }
+
+const (
+	redialing   = 100 // clients that come back whenever their connection is closed
+	redialPause = 10 * time.Millisecond
+)
+
+// keepComing has clients stop half-way in a request, and come back whenever they are
+// disconnected, until the test ends.
+func keepComing(t *testing.T, host *Host, port int) {
+	t.Helper()
+	var clients sync.WaitGroup
+	leave := make(chan struct{})
+	t.Cleanup(func() { close(leave); clients.Wait() })
+	for range redialing {
+		clients.Go(func() {
+			for {
+				if conn, err := net.DialTimeout("tcp", fake.Addr(host.IP, port), crowdWriteTime); err == nil {
+					stay(conn, leave)
+				}
+				select {
+				case <-leave:
+					return
+				case <-time.After(redialPause):
+				}
+			}
+		})
+	}
+}
+
+// stay sends half a request and keeps the connection until the other side closes it or
+// the client is to leave.
+func stay(conn net.Conn, leave <-chan struct{}) {
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		_, _ = conn.Read(make([]byte, 1))
+	}()
+	sendParts(conn, [][]byte{[]byte(requestLine("POST", "/", "Content-Length: 9\r\n\r\n"))})
+	select {
+	case <-leave:
+	case <-closed:
+	}
+	_ = conn.Close()
+	<-closed
+}
+
+// While a crowd fills the listener of clients, probes are answered and links are made.
+// While one fills the listener of links, an agent links again.
+func TestOtherListenersServeBesideACrowd(t *testing.T) {
+	for _, crowd := range []struct {
+		name string
+		port int
+	}{{"clients", fake.ClientPort}, {"links", fake.LinkPort}} {
+		t.Run(crowd.name, func(t *testing.T) {
+			c := Start(t, Options{Entries: 1, Agents: 1, MemoryMb: crowdMemoryMb, MaxFds: crowdMaxFds})
+			keepComing(t, c.Entries[0], crowd.port)
+			c.Agents[0].Restart(t)
+			harness.Eventually(t, afterCrowd, "a job is served", func() bool {
+				return c.Entries[0].Ready() && c.Submit(c.Entries[0], NewJobID(), fake.Tasks(2, 20)).Completed()
+			})
+			if u := usageOf(c.Entries[0].PID()); u.fds > crowdMaxFds-reservedFds {
+				t.Errorf("%d descriptors", u.fds)
+			}
+		})
+	}
+}
--- a/wire/link.go
+++ b/wire/link.go
@@ -65,6 +65,10 @@
 	}
 }
 
+// LimitFrames has the link end at a frame of more bytes, from the next frame on; without
+// it, MaxFrameBytes is the limit.
+func (l *Link) LimitFrames(bytes int64) { l.conn.SetReadLimit(bytes) }
+
 // Remote returns the other side's address.
 func (l *Link) Remote() string { return l.remote }
 
