An endpoint that is often interrupted is used where no other has room

Cause: a long task waited for another endpoint if it would miss its objective by the expected number of its runs, so room stayed idle beside a job that fits while the load was at its worst.

Change: the expected number of runs only orders the endpoints.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -38,14 +38,14 @@
 		if !st.Need.Fits(free) || !s.allowed(j, t, st, e) {
 			continue
 		}
-		cost := time.Duration(float64(expected) * s.penalty(st, e) * e.presence.expectedRuns(now, expected))
+		cost := time.Duration(float64(expected) * s.penalty(st, e))
 		if e.cutsOff(now, cost, est.spread) {
 			continue
 		}
 		if cost > expected && now+cost > j.objective && now < j.usefulUntil && s.anotherHealthy(e) {
 			continue
 		}
-		cost = time.Duration(float64(cost) * e.health.expectedAttempts())
+		cost = time.Duration(float64(cost) * e.health.expectedAttempts() * e.presence.expectedRuns(now, expected))
 		if cost <= expected {
 			unpenalized++
 		}
