An endpoint that was slow is used again after its recovery

Cause: the slowness of an endpoint changed only with the ends of its runs. One that was known to be slow by more than its jobs' objectives allow got no more runs, and so stayed slow for good.

--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 )
@@ -90,6 +91,14 @@
 	return nil
 }
 
+// decaySlowness reduces the slowness with time, so that an endpoint that got no tasks
+// because of it is tried again.
+func (e *endpoint) decaySlowness(elapsed Time) {
+	if e.slow > 1 {
+		e.slow = 1 + (e.slow-1)*math.Exp2(-float64(elapsed)/float64(halfLife))
+	}
+}
+
 // recordEnd updates the health of a run's endpoint and the estimates by how the
 // run ended.
 func (s *Scheduler) recordEnd(now Time, r *run, reason EndReason, age Time) {
@@ -174,6 +183,7 @@
 func (s *Scheduler) checkEndpoints(now Time) {
 	for _, e := range s.endpoints {
 		e.health.decay(checkEvery)
+		e.decaySlowness(checkEvery)
 		if e.health.ejected() && e.health.restoreIfNoWorse(s.limitsFor(e)) {
 			s.logEndpoint(e, "endpoint_restored", "the others are no better")
 		}
--- a/dispatch/load_uneven_test.go
+++ b/dispatch/load_uneven_test.go
@@ -228,6 +228,25 @@
 	}
 }
 
+func TestAnEndpointThatWasSlowIsBackInUse2sAfterItsRecovery(t *testing.T) {
+	const recovered = 10 * time.Second
+	var before, after float64
+	for _, load := range []float64{0.6, 0.8, 0.95} {
+		for seed := range uint64(4) {
+			p := bannerstroomLoad(seed, burst(load, 1))
+			p.slow = slowFirst(2, 7, 4*time.Second, recovered)
+			p.lifetime = allStay
+			res := playLoad(p)
+			before += res.startsAt("e00", 0, 4*time.Second)
+			after += res.startsAt("e00", recovered+returnAim, p.length)
+		}
+	}
+	t.Logf("share of the tasks: %.3f before, %.3f from 2 s after its recovery on", before/12, after/12)
+	if after < before/2 {
+		t.Errorf("share of the tasks: %.3f before, %.3f from 2 s after its recovery on", before/12, after/12)
+	}
+}
+
 // Run times differ from the estimates on healthy endpoints too.
 func TestHardlyAnyRunIsMovedWhileAllEndpointsAreOfNormalSpeed(t *testing.T) {
 	for _, load := range []float64{0.6, 1, 1.2} {
