--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -45,7 +45,8 @@
 		if cost > expected && now+cost > j.objective && now < j.usefulUntil && s.anotherHealthy(e) {
 			continue
 		}
-		cost = time.Duration(float64(cost) * e.health.expectedAttempts() * s.interference.slowdown(now, e, j.sub.Route.Name, st.Need, expected))
+		cost = time.Duration(float64(cost) * e.health.expectedAttempts() * e.presence.expectedRuns(now, expected))
+		cost = time.Duration(float64(cost) * s.interference.slowdown(now, e, j.sub.Route.Name, st.Need, expected))
 		if cost <= expected {
 			unpenalized++
 		}
