--- a/command/hosted_test.go
+++ b/command/hosted_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -130,3 +131,9 @@
 		t.Error(diff)
 	}
 }
+
+func TestAnUnknownInterferenceModeIsAUsageError(t *testing.T) {
+	if code, _, stderr := run("hosted", "entry", "--interference", "apart"); code != ExitUsage || !strings.Contains(stderr, "keep-apart") {
+		t.Errorf("exit code %d, %s", code, stderr)
+	}
+}
