--- a/command/hosted_test.go
+++ b/command/hosted_test.go
@@ -151,3 +151,9 @@
 		}
 	}
 }
+
+func TestAnUnknownInterferenceModeIsAUsageError(t *testing.T) {
+	if code, _, stderr := run("hosted", "entry", "--interference", "apart"); code != ExitUsage || !strings.Contains(stderr, "keep-apart") {
+		t.Errorf("exit code %d, %s", code, stderr)
+	}
+}
