--- a/dispatch/load_uneven_test.go
+++ b/dispatch/load_uneven_test.go
@@ -15,7 +15,7 @@
 	leavesIn Time // after which it leaves; 0: not known
 }
 
-// simLifetimes holds the lifetimes that the schedulers of a replay were told of.
+// simLifetimes holds the lifetimes that were reported to the schedulers of a replay.
 type simLifetimes map[int]simLifetime
 
 // report tells the schedulers what has changed. A replay with lifetimes has one shard.
@@ -76,13 +76,13 @@
 }
 
 // Three of eleven endpoints leave after a notice that is shorter than many runs. The homes
-// that are told when they leave serve more of the jobs of those seconds, and lose few runs.
+// that know when they leave serve more of the jobs of those seconds, and lose few runs.
 func TestRunsThatALeavingEndpointWouldCutOffArePlacedElsewhereAtOnce(t *testing.T) {
 	for _, notice := range []Time{300 * ms, 600 * ms} {
-		untold, told := playLeaving(0.9, notice, 1)
-		t.Logf("notice of %v: %v, told %v", notice, untold, told)
-		if told.served <= untold.served || told.lost > untold.lost/2 {
-			t.Errorf("notice of %v: %v, told %v", notice, untold, told)
+		without, with := playLeaving(0.9, notice, 1)
+		t.Logf("notice of %v: unknown %v, known %v", notice, without, with)
+		if with.served <= without.served || with.lost > without.lost/2 {
+			t.Errorf("notice of %v: unknown %v, known %v", notice, without, with)
 		}
 	}
 }
@@ -91,10 +91,10 @@
 // cut off.
 func TestRunsThatASlowLeavingEndpointWouldCutOffArePlacedElsewhereAtOnce(t *testing.T) {
 	for _, notice := range []Time{600 * ms, time.Second} {
-		untold, told := playLeaving(0.7, notice, 5)
-		t.Logf("notice of %v: %v, told %v", notice, untold, told)
-		if told.served < ordinaryAim || told.lost > untold.lost/4 {
-			t.Errorf("notice of %v: %v, told %v", notice, untold, told)
+		without, with := playLeaving(0.7, notice, 5)
+		t.Logf("notice of %v: unknown %v, known %v", notice, without, with)
+		if with.served < ordinaryAim || with.lost > without.lost/4 {
+			t.Errorf("notice of %v: unknown %v, known %v", notice, without, with)
 		}
 	}
 }
@@ -110,9 +110,9 @@
 	return fmt.Sprintf("served %.3f, %d runs lost", r.served, r.lost)
 }
 
-// playLeaving replays three leaving endpoints that are slow by a factor, with homes that are
-// not told when they leave, and with homes that are.
-func playLeaving(load float64, notice Time, slow float64) (untold, told leavingResult) {
+// playLeaving replays three leaving endpoints that are slow by a factor, with homes that do
+// not know when they leave, and with homes that do.
+func playLeaving(load float64, notice Time, slow float64) (without, with leavingResult) {
 	const seeds = 8
 	for seed := range uint64(seeds) {
 		p := bannerstroomLoad(seed, burst(load, 1))
@@ -123,11 +123,11 @@
 			r.served += res.window(4*time.Second) / seeds
 			r.lost += res.events["run_presumed_ended"]
 		}
-		count(&told, p)
+		count(&with, p)
 		p.lifetime = withoutNotice(p.lifetime)
-		count(&untold, p)
+		count(&without, p)
 	}
-	return untold, told
+	return without, with
 }
 
 // slowFirst returns the factor by which the first n endpoints are slow for a time.
