--- a/dispatch/forecast_test.go
+++ b/dispatch/forecast_test.go
@@ -93,3 +93,20 @@
 		t.Errorf("shares %.0f and %.0f of 15000", a, b)
 	}
 }
+
+// Declared run times that are off both ways give the right work of many tasks.
+func TestTheWorkOfManyTasksIsExpectedRight(t *testing.T) {
+	e := &estimate{factor: 1, spread: firstSpread}
+	var expected, actual Time
+	for i := range 2000 {
+		declared := []Time{50 * ms, 200 * ms}[i%2]
+		e.observe(declared, 100*ms)
+		if i >= 1000 {
+			expected += e.apply(declared)
+			actual += 100 * ms
+		}
+	}
+	if off := float64(expected)/float64(actual) - 1; off < -0.05 || off > 0.05 {
+		t.Errorf("expected work is off by %.2f", off)
+	}
+}
