dispatch: a job that waits may need half of its slack after a fifth of its objective

Change: the part of its slack for which a job may wait on falls from all to half, at a fifth of its objective.

--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -161,6 +161,7 @@
 	offered, achieved                       float64
 	offeredIn, achievedIn                   map[int]float64 // by window, as in loadResult
 	jobs, inTime, late, refused, unanswered int
+	untried, untriedInTime                  int // as in loadResult
 }
 
 func (c *classResult) share() float64 { return c.achieved / c.offered }
@@ -301,8 +302,10 @@
 				early := took <= (j.objective-j.arrived)/4
 				if a.Outcome.Code != result.OK && !j.ordered {
 					res.untried++
+					c.untried++
 					if early {
 						res.untriedInTime++
+						c.untriedInTime++
 					}
 				}
 				switch {
--- a/dispatch/reconsider.go
+++ b/dispatch/reconsider.go
@@ -10,12 +10,12 @@
 	// reconsiderTasks is how many waiting tasks one check looks at, which bounds its
 	// processor time. Those behind them wait for the next check.
 	reconsiderTasks = 4096
-	// decideShare of its objective is the age of a job from which no error of the forecast
-	// is allowed for. It leaves time for later checks before the quarter of the objective in
-	// which callers that can't be served are to be told.
-	decideShare = 0.15
-	// forecastError is the share by which a forecast of a long wait may be too long.
-	forecastError = 1.0
+	// decidedAfter is the share of its objective after which a job waits on only if it
+	// needs at most decidedShare of its slack. It leaves time for checks before the quarter
+	// of the objective in which callers that can't be served are to be told.
+	decidedAfter = 0.2
+	// decidedShare covers the error of forecasts, as admitShare does on arrival.
+	decidedShare = 0.5
 )
 
 // reconsider refuses the jobs that wait and are not expected to be of use to their
@@ -63,12 +63,12 @@
 	}
 }
 
-// mayWait returns how much longer a job's last task may be expected to wait. A young job
-// may wait longer than it has time, since a forecast may be wrong and the job holds no room;
-// a job is to be refused in a part of its objective, so this ends before that.
+// mayWait returns how much longer a job's last task may be expected to wait: all of its
+// slack at first, since the job holds no room and the forecast may be too long.
 func (j *job) mayWait(now Time) Time {
-	age := float64(now-j.submitted) / float64(j.objective-j.submitted) / decideShare
-	return Time((1 + forecastError*max(1-age, 0)) * float64(max(j.slack(now), 0)))
+	age := float64(now-j.submitted) / (decidedAfter * float64(j.objective-j.submitted))
+	share := 1 - (1-decidedShare)*min(age, 1)
+	return Time(share * float64(max(j.slack(now), 0)))
 }
 
 // refusal is the outcome of a job for which there is no room in time.
