--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -34,10 +34,15 @@
 	released    bool   // another scheduler has the endpoint
 	runsEndBy   Time   // if lost: the runs have ended by then
 	pausedUntil Time   // gets no task before
+	leavesAt    Time   // earliest time at which the endpoint leaves; 0: it does not, or the time is not known
 
 	slow    float64 // moving average of run times as a multiple of the expected ones
 	overdue int     // runs that take much longer than expected
 	health  health
+
+	judgedAt Time             // when a run last ended here, or as of when evidence was taken over; 0: nothing is known
+	shared   EndpointEvidence // as the agent has it
+	sharedAt Time             // as of when
 }
 
 // free returns the capacity that is not in use.
@@ -75,6 +80,15 @@
 	return slow
 }
 
+func (s *Scheduler) find(agent AgentID, id EndpointID) *endpoint {
+	for _, e := range s.endpoints {
+		if e.agent == agent && e.id == id {
+			return e
+		}
+	}
+	return nil
+}
+
 // recordEnd updates the health of a run's endpoint and the estimates by how the
 // run ended.
 func (s *Scheduler) recordEnd(now Time, r *run, reason EndReason, age Time) {
@@ -82,9 +96,14 @@
 	if r.stuck {
 		e.overdue = max(e.overdue-1, 0)
 	}
+	if e.leaves() && reason != EndDone {
+		return // its end says nothing about the tasks before
+	}
+	e.judgedAt = now
 	switch reason {
 	case EndDone:
 		s.recordRunTime(r, age)
+		s.recordInterference(now, r, age)
 		if e.health.countGoodRun(r.ordered) {
 			s.logEndpoint(e, "endpoint_restored", "tasks end well")
 		}
@@ -163,6 +182,8 @@
 			s.stopStuck(now, e)
 		}
 	}
+	s.moveRuns(now)
+	s.shareEvidence(now)
 }
 
 // countOverdue counts the runs that take much longer than expected.
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -45,6 +45,7 @@
 	CancelRun
 	FinishJob
 	LogDecision
+	ShareEvidence // with the agent
 )
 
 // SchedulerAction is an action for the caller of a Scheduler.
@@ -61,6 +62,7 @@
 	Request  uint64 // of FinishJob
 	Deadline Time   // of FinishJob
 	Outcome  Outcome
+	Evidence EndpointEvidence
 	Event    string // of LogDecision
 	Reason   string
 }
@@ -81,11 +83,11 @@
 	recent         map[string]recentRuns
 	out            []SchedulerAction
 	nextCheck      Time
-	started        Time
 
-	holdUntil  Time // no task is placed before
-	searchFrom int  // index of the endpoint at which the next search for capacity begins
-	maxFreeCPU int  // upper bound of the free processors at any usable endpoint, in thousandths of a core
+	started, holdUntil Time          // no task is placed before holdUntil
+	interference       *interference // nil: off
+	searchFrom         int           // index of the endpoint at which the next search for capacity begins
+	maxFreeCPU         int           // upper bound of the free processors at any usable endpoint, in thousandths of a core
 }
 
 // OrderNumbers numbers the orders of one process, whose schedulers share it.
@@ -374,7 +376,7 @@
 				cmp.Compare(a.id.Born, b.id.Born), cmp.Compare(a.agent.Incarnation, b.agent.Incarnation))
 		})
 	}
-	e.status = status
+	e.setStatus(now, status)
 	e.lost, e.released = false, false
 	s.raiseMaxFreeCPU(nil)
 	s.takeOver(now, e)
@@ -390,7 +392,7 @@
 			for _, r := range slices.Clone(old.runs) {
 				s.handOver(now, r, e)
 			}
-			s.endpoints = slices.DeleteFunc(s.endpoints, func(o *endpoint) bool { return o == old })
+			s.replaceBy(old, e)
 		}
 	}
 }
@@ -481,8 +483,7 @@
 func (s *Scheduler) AgentLost(now Time, agent AgentID, runsEndBy Time) {
 	for _, e := range s.endpoints {
 		if e.agent == agent && !e.lost {
-			e.lost = true
-			e.runsEndBy = runsEndBy
+			e.lose(runsEndBy)
 		}
 	}
 	s.place(now)
@@ -536,15 +537,6 @@
 	s.place(now)
 }
 
-func (s *Scheduler) find(agent AgentID, id EndpointID) *endpoint {
-	for _, e := range s.endpoints {
-		if e.agent == agent && e.id == id {
-			return e
-		}
-	}
-	return nil
-}
-
 // Ended processes the end of an ordered run, which is certain not to be running.
 // age is the time from the order to the end, as measured by the agent.
 func (s *Scheduler) Ended(now Time, order uint64, reason EndReason, age Time) {
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -60,7 +60,10 @@
 	deletes         map[uint64]*pendingDelete // by number
 	lastDelete      uint64                    // number of the newest request to delete a job
 	deleted         deletedJobs
-	home            map[dispatch.Shard]string // entry that holds the shard's queue
+	cancels         cancelWrites
+	storeCancels    func(set, remove []string) // writes rows of cancelled jobs, and sends cancelsWritten; nil: there is no store
+	refusedAt       map[string]time.Duration   // when a dial of an entry's address was last refused, by the address
+	home            map[dispatch.Shard]string  // entry that holds the shard's queue
 	shardCounts     shardCounts
 	peerShardCounts map[string]shardCounts // as sent by other entries, by name
 	seeds           []string               // addresses where entries may listen
@@ -69,6 +72,7 @@
 	behindSince     time.Duration          // since when another entry has a newer version of the operator's state; 0: none has
 	catchUps        int                    // requests for it since then
 	agentReads      agentReads
+	interference    interferenceMetrics
 	checkedAt       time.Duration // when the leases of the other entries were last checked
 	echoAgentsFrom  time.Duration // no agent's lease is renewed before
 	stopping        bool
@@ -135,19 +139,21 @@
 		schedulers: map[dispatch.Shard]*dispatch.Scheduler{}, orders: &dispatch.OrderNumbers{}, timing: control.TimingOf(e.node), endpoints: map[dispatch.EndpointID]endpointView{},
 		agentShards: map[string]dispatch.Shard{},
 		requests:    map[string]*request{}, recent: map[submittedJob]recentEnd{}, moved: map[movedJob]movedTo{}, deletes: map[uint64]*pendingDelete{}, home: map[dispatch.Shard]string{},
-		shardCounts: shardCounts{}, peerShardCounts: map[string]shardCounts{},
+		shardCounts: shardCounts{}, peerShardCounts: map[string]shardCounts{}, refusedAt: map[string]time.Duration{},
 	}
 }
 
 func (e *Entry) receive(now time.Duration, message any) {
 	s := e.state
 	if pause := now - s.checkedAt; pause > maxCheckPause {
-		if pause > s.timing.EntryLease && s.checkedAt > 0 {
-			s.echoAgentsFrom = now + 2*tickEvery
-		}
 		for _, sched := range s.schedulers {
 			sched.Hold(now + 2*tickEvery) // before cancels make room
 		}
+		if pause > s.timing.EntryLease && s.checkedAt > 0 {
+			s.echoAgentsFrom = now + 2*tickEvery
+			s.endPaused(now, pause)
+			s.doubtCancels(pause)
+		}
 		s.abandonLeft(now)
 		s.checkPeers(now)
 		s.applyActions(now) // agents get the stops before their leases are renewed
@@ -186,6 +192,10 @@
 		s.abandonRequest(now, m)
 	case deleteJob:
 		s.deleteJob(now, m)
+	case cancelsWritten:
+		s.cancelsWritten(now, m)
+	case cancelsRead:
+		s.cancelsRead(now, m)
 	case askWaiting:
 		m.reply <- s.waiting(m.route.Name)
 	}
@@ -230,21 +240,23 @@
 	for _, sched := range s.schedulers {
 		sched.Tick(now)
 	}
+	s.interference.update(s)
 	for id, r := range s.recent {
 		if now-r.at > outcomeRetention {
 			delete(s.recent, id)
 		}
 	}
 	s.expireDeletes(now)
+	s.writeCancels(now)
 	maps.DeleteFunc(s.moved, func(_ movedJob, m movedTo) bool { return now > m.until })
 	s.e.ready.Store(s.isReady())
 	s.e.actor.TickAfter(tickEvery)
 }
 
-// isReady reports whether clients can be served: there is a configuration, and
-// this entry or another one has endpoints.
+// isReady reports whether clients can be served: there is a configuration, the cancelled
+// jobs are known, and this entry or another one has endpoints.
 func (s *state) isReady() bool {
-	return !s.stopping && s.e.operator.Load() != nil && (len(s.endpoints) > 0 || s.peersHaveEndpoints())
+	return !s.stopping && s.e.operator.Load() != nil && s.e.cancelsKnown.Load() && (len(s.endpoints) > 0 || s.peersHaveEndpoints())
 }
 
 func (s *state) peersHaveEndpoints() bool {
@@ -521,6 +533,8 @@
 		}
 	case dispatch.FinishJob:
 		s.finish(now, shard, first)
+	case dispatch.ShareEvidence:
+		s.sendEvidence(first)
 	case dispatch.LogDecision:
 		s.e.deps.Metrics.Count("bergamotwing_"+first.Event+"_total", "Decisions of the scheduler.", 1)
 		s.e.deps.Log.Info().Str("event", first.Event).Str("agent", first.Agent.Name).Str("endpoint", first.Endpoint.ID).
--- a/hosted/entry/entry.go
+++ b/hosted/entry/entry.go
@@ -42,6 +42,9 @@
 	// ShardEndpoints is the most endpoints of a service that one entry places
 	// tasks on. 0: dispatch.ShardEndpoints.
 	ShardEndpoints int
+	// Interference says what the entry does about tasks that slow each other down.
+	// Empty: nothing.
+	Interference dispatch.InterferenceMode
 }
 
 // Entry is one incarnation of the process.
@@ -68,10 +71,15 @@
 	operator atomic.Pointer[dispatch.OperatorState] // newest state, also read by the handlers of client requests; nil: none yet
 	ready    atomic.Bool
 	stopping atomic.Bool
+
+	cancelsKnown atomic.Bool  // all acknowledged cancels are known here; jobs are taken only then
+	cancelsStale atomic.Bool  // the table of cancelled jobs is to be read
+	storeClock   atomic.Int64 // nanoseconds from this host's clock to that of the store; 0: not known
 }
 
 // New returns an entry that Run starts.
 func New(node platform.Node, opts Options, deps control.Deps) *Entry {
+	deps = deps.WithDoor(node)
 	e := &Entry{actor: control.NewActor(), node: node, opts: opts, deps: deps, store: platform.NewStore(node.StoreAddr), odd: control.NewOddRows(deps), running: make(chan struct{})}
 	e.self = wire.NodeHello{
 		Name: node.Name, Incarnation: control.NewIncarnation(), Role: wire.RoleEntry, Zone: node.Zone,
@@ -86,6 +94,13 @@
 	}
 	e.mesh = mesh.New(e.self, e.actor, wire.Count(deps.Metrics), deps.Log)
 	e.state = newState(e)
+	e.state.interference.register(deps.Metrics)
+	if node.StoreAddr == "" {
+		e.cancelsKnown.Store(true)
+	} else {
+		e.cancelsStale.Store(true)
+		e.state.storeCancels = func(set, remove []string) { go e.writeCancels(set, remove) }
+	}
 	return e
 }
 
@@ -186,27 +201,31 @@
 }
 
 func (e *Entry) listenAll(ctx context.Context) (*drain.Server, error) {
-	links, err := mesh.Listen(ctx, e.opts.LinkListen)
+	bounds := e.deps.Door
+	links, err := bounds.Listen(ctx, e.opts.LinkListen, bounds.Links(e.mesh.Knows))
 	if err != nil {
 		return nil, err
 	}
 	e.serve(links, e.mesh.Handler(ctx), "links")
 	control := http.NotFoundHandler() // only endpoints call this address, to reach the agents on their hosts
-	for addr, h := range map[string]http.Handler{e.node.ReadyAddr: platform.ReadyHandler(e.ready.Load), e.node.ControlAddr: control} {
-		if addr == "" {
+	for _, service := range []struct {
+		name, addr string
+		handler    http.Handler
+	}{{"ready", e.node.ReadyAddr, platform.ReadyHandler(e.ready.Load)}, {"control", e.node.ControlAddr, control}} {
+		if service.addr == "" {
 			continue
 		}
-		l, err := mesh.Listen(ctx, addr)
+		l, err := bounds.Listen(ctx, service.addr, bounds.Service(service.name))
 		if err != nil {
 			return nil, err
 		}
-		e.serve(l, h, addr)
+		e.serve(l, service.handler, service.name)
 	}
-	l, err := mesh.Listen(ctx, e.node.ClientAddr)
+	l, err := bounds.Listen(ctx, e.node.ClientAddr, bounds.Clients())
 	if err != nil {
 		return nil, err
 	}
-	clients := drain.New(&http.Server{Handler: http.HandlerFunc(e.serveClient), ReadHeaderTimeout: headerTimeout}, l)
+	clients := drain.New(bounds.Server(http.HandlerFunc(e.serveClient), headerTimeout), l)
 	go func() {
 		if err := clients.Serve(); err != nil {
 			e.deps.Log.Error().Err(err).Msg("listener ended")
@@ -216,7 +235,7 @@
 }
 
 func (e *Entry) serve(l net.Listener, h http.Handler, name string) {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	server := e.deps.Door.Server(h, headerTimeout)
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			e.deps.Log.Error().Err(eris.Wrap(err, name)).Msg("listener ended")
