hosted/door: a report is made once the door is unlocked

In one of six runs of the crowds an entry hung at those of its metrics listener. Read in the code, without a dump of the hung process: the first use of a counter waits for whoever reads the metrics, which reads the door's gauges and so waits for the door. Reports are made after the door is unlocked; TestAReportMayAskTheDoor guards it.

The fields of the crowds' long headers are built once, not by each client.

--- a/hosted/door/conn.go
+++ b/hosted/door/conn.go
@@ -116,9 +116,9 @@
 	switch {
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 	case c.phase == phaseIdle && age >= c.door.limits.IdleTime:
-		c.door.report(c.kind.Name, IdleTime)
+		c.door.note(c, IdleTime)
 	case c.unfinished() && c.phase != phaseBody && age >= hurry:
-		c.door.report(c.kind.Name, HeaderTime)
+		c.door.note(c, HeaderTime)
 	}
 }
 
--- a/hosted/door/door.go
+++ b/hosted/door/door.go
@@ -56,6 +56,7 @@
 	scratch []holding
 	order   []*conn
 	closing []*conn // to be closed once mu is released
+	notes   []note  // to be reported once mu is released: whoever reads the metrics waits for mu
 }
 
 // New returns a door. report is called for each connection that is closed and each request
@@ -165,16 +166,28 @@
 // close has unlock close a connection; its reads fail then.
 func (d *Door) close(c *conn, why Reason) {
 	d.leave(c)
-	d.report(c.kind.Name, why)
+	d.note(c, why)
 	d.closing = append(d.closing, c)
 }
 
-// unlock releases mu and closes connections. Whoever needs the room waits until it is
+// note is what is reported of a connection.
+type note struct {
+	listener string
+	why      Reason
+}
+
+// note has unlock report a connection.
+func (d *Door) note(c *conn, why Reason) { d.notes = append(d.notes, note{c.kind.Name, why}) }
+
+// unlock releases mu, reports and closes connections. Whoever needs the room waits until it is
 // there.
 func (d *Door) unlock() {
-	closing := d.closing
-	d.closing = nil
+	closing, notes := d.closing, d.notes
+	d.closing, d.notes = nil, nil
 	d.mu.Unlock()
+	for _, n := range notes {
+		d.report(n.listener, n.why)
+	}
 	for _, c := range closing {
 		_ = c.Conn.Close()
 	}
--- a/hosted/door/door_test.go
+++ b/hosted/door/door_test.go
@@ -256,3 +256,18 @@
 		t.Errorf("%d reports", n)
 	}
 }
+
+// Who reports may wait for who reads the metrics, which wait for the door.
+func TestAReportMayAskTheDoor(t *testing.T) {
+	s := startDoor(t, limitsForTest(), (*Door).Clients, readAll)
+	asked := make(chan int64, 16)
+	s.report = func(string, Reason) { asked <- s.Held() }
+	for range 5 {
+		dial(t, s, "GET / HT")
+	}
+	select {
+	case <-asked:
+	case <-time.After(testTimeout):
+		t.Error("the door is locked while it reports")
+	}
+}
--- a/hosted/door/handler.go
+++ b/hosted/door/handler.go
@@ -68,7 +68,7 @@
 	}
 	if _, ok := d.conns[c]; ok {
 		_ = d.hold(c, c.request)
-		d.report(c.kind.Name, Refused)
+		d.note(c, Refused)
 	}
 	return false
 }
--- a/integration/hosted/door_test.go
+++ b/integration/hosted/door_test.go
@@ -56,6 +56,15 @@
 	return [][]byte{append([]byte(head), body...)}
 }
 
+// shortFields returns very many fields of a header, without its end.
+var shortFields = sync.OnceValue(func() []byte {
+	var b bytes.Buffer
+	for i := 0; b.Len() < crowdHeader; i++ {
+		b.WriteString(strconv.FormatInt(int64(i), 36) + ":\r\n")
+	}
+	return b.Bytes()
+})
+
 var crowdKinds = []crowdKind{
 	{"bodies in one piece that stop short", func(path string) [][]byte {
 		return sized(path, crowdBody, bytes.Repeat([]byte(" "), crowdBody-1))
@@ -87,12 +96,7 @@
 		return sized(path, len(body), []byte(body))
 	}},
 	{"headers of very many short fields that do not end", func(path string) [][]byte {
-		var b bytes.Buffer
-		b.WriteString(requestLine("GET", path, ""))
-		for i := 0; b.Len() < crowdHeader; i++ {
-			b.WriteString(strconv.FormatInt(int64(i), 36) + ":\r\n")
-		}
-		return [][]byte{b.Bytes()}
+		return [][]byte{[]byte(requestLine("GET", path, "")), shortFields()}
 	}},
 	{"requests sent ahead whose answers are not read", func(path string) [][]byte {
 		return [][]byte{bytes.Repeat([]byte(requestLine("GET", path, "\r\n")), crowdAhead/len(requestLine("GET", path, "\r\n")))}
