--- a/dispatch/load_contention_test.go
+++ b/dispatch/load_contention_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -68,6 +69,7 @@
 )
 
 func TestJobsUnderContentionAreServedOrRefusedInTime(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		res := playLoad(unevenHardLoad(seed))
 		told := float64(res.untriedInTime) / float64(max(res.untried, 1))
@@ -90,24 +92,33 @@
 	for _, bursting := range []string{"short", "long", "middle"} {
 		for _, times := range []float64{2, 4} {
 			for _, away := range []int{0, 9} {
-				p := contentionLoad(uint64(away)+uint64(times), 38)
-				p.length = 10 * time.Second
-				p.classRate = func(route string, at Time) float64 {
-					if route == bursting && between(at, 6, 10) {
-						return times
-					}
-					return 1
-				}
-				p.lost = func(endpoint int, at Time) bool { return endpoint < away && between(at, 6, 10) }
-				res := playLoad(p)
-				for name, c := range res.classes {
-					share := c.between(6*time.Second, 10*time.Second)
-					t.Logf("%s bursts %g times, %d of 38 endpoints away: %s: share %.3f in the burst", bursting, times, away, name, share)
-					if name != bursting && share < burstAim {
-						t.Errorf("%s bursts %g times, %d of 38 endpoints away: %s: share %.3f in the burst", bursting, times, away, name, share)
-					}
-				}
+				t.Run(fmt.Sprintf("%s_bursts_%g_times_%d_of_38_away", bursting, times, away), func(t *testing.T) {
+					t.Parallel()
+					noKindIsStarved(t, bursting, times, away)
+				})
 			}
 		}
 	}
 }
+
+// noKindIsStarved replays a burst of one kind while some of 38 endpoints are away.
+func noKindIsStarved(t *testing.T, bursting string, times float64, away int) {
+	t.Helper()
+	p := contentionLoad(uint64(away)+uint64(times), 38)
+	p.length = 10 * time.Second
+	p.classRate = func(route string, at Time) float64 {
+		if route == bursting && between(at, 6, 10) {
+			return times
+		}
+		return 1
+	}
+	p.lost = func(endpoint int, at Time) bool { return endpoint < away && between(at, 6, 10) }
+	res := playLoad(p)
+	for name, c := range res.classes {
+		share := c.between(6*time.Second, 10*time.Second)
+		t.Logf("%s: share %.3f in the burst", name, share)
+		if name != bursting && share < burstAim {
+			t.Errorf("%s: share %.3f in the burst", name, share)
+		}
+	}
+}
--- a/dispatch/load_interference_test.go
+++ b/dispatch/load_interference_test.go
@@ -157,6 +157,7 @@
 
 // One kind slows another from the start, so that much of it is late.
 func TestInterferenceIsNoticedAndTasksAreKeptApart(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(1) {
 		slowed, since := map[InterferenceMode]float64{}, map[InterferenceMode]float64{}
 		for _, mode := range []InterferenceMode{InterferenceNotice, InterferenceKeepApart} {
@@ -183,6 +184,7 @@
 
 // A pair is forgotten once it has stopped to slow each other down.
 func TestInterferenceThatStopsIsForgotten(t *testing.T) {
+	t.Parallel()
 	const stops = 70 * time.Second
 	p := interferenceLoad(1, nil)
 	p.length = 4 * time.Minute
--- a/dispatch/load_uneven_test.go
+++ b/dispatch/load_uneven_test.go
@@ -78,6 +78,7 @@
 // Three of eleven endpoints leave after a notice that is shorter than many runs. The homes
 // that know when they leave serve more of the jobs of those seconds, and lose few runs.
 func TestRunsThatALeavingEndpointWouldCutOffArePlacedElsewhereAtOnce(t *testing.T) {
+	t.Parallel()
 	for _, notice := range []Time{300 * ms, 600 * ms} {
 		without, with := playLeaving(0.9, notice, 1)
 		t.Logf("notice of %v: unknown %v, known %v", notice, without, with)
@@ -90,6 +91,7 @@
 // The endpoints that leave have turned slow just before, so that most of their runs would be
 // cut off.
 func TestRunsThatASlowLeavingEndpointWouldCutOffArePlacedElsewhereAtOnce(t *testing.T) {
+	t.Parallel()
 	for _, notice := range []Time{600 * ms, time.Second} {
 		without, with := playLeaving(0.7, notice, 5)
 		t.Logf("notice of %v: unknown %v, known %v", notice, without, with)
@@ -169,6 +171,7 @@
 // The home is lost while two of eleven endpoints are slow, or fail most of their tasks. The
 // next home serves more of the jobs of its first two seconds if it knows which.
 func TestTheNextHomeKnowsWhichEndpointsAreInTrouble(t *testing.T) {
+	t.Parallel()
 	const seeds = 6
 	for name, trouble := range map[string]func(*loadPattern){
 		"slow": func(p *loadPattern) { p.slow = slowFirst(2, 6, 4*time.Second, 12*time.Second) },
@@ -209,6 +212,7 @@
 // Two of eleven endpoints turn slow, also for what runs there by then. The jobs of those
 // seconds, and of the two before, are served as under ordinary load.
 func TestRunsAtAnEndpointThatTurnsSlowArePlacedElsewhere(t *testing.T) {
+	t.Parallel()
 	const seeds = 6
 	moved, stuck := 0, 0
 	var worst float64
@@ -229,6 +233,7 @@
 }
 
 func TestAnEndpointThatWasSlowIsBackInUse2sAfterItsRecovery(t *testing.T) {
+	t.Parallel()
 	const recovered = 10 * time.Second
 	var before, after float64
 	for _, load := range []float64{0.6, 0.8, 0.95} {
@@ -249,6 +254,7 @@
 
 // Run times differ from the estimates on healthy endpoints too.
 func TestHardlyAnyRunIsMovedWhileAllEndpointsAreOfNormalSpeed(t *testing.T) {
+	t.Parallel()
 	for _, load := range []float64{0.6, 1, 1.2} {
 		moved, starts := 0, 0
 		for seed := range uint64(2) {
@@ -296,6 +302,7 @@
 // Two of eleven endpoints go down and up every 1.4 s. A home that remembers how long they
 // were up serves more of the jobs of those seconds than one to which they are new each time.
 func TestEndpointsThatGoDownAndUpGetFewTasksThatTheyWouldInterrupt(t *testing.T) {
+	t.Parallel()
 	const seeds = 12
 	for _, load := range []float64{0.6, 0.8, 0.95} {
 		var unserved [2]float64
