hosted/connlimit: a plain name for the bounds on connections

Cause: the package, its events and metrics were named by a metaphor. Measured result: go vet, tests of connlimit, command and mesh.

--- a/command/hosted.go
+++ b/command/hosted.go
@@ -10,7 +10,7 @@
 	"bergamotwing.example/command/internal/signals"
 	"bergamotwing.example/dispatch"
 	hostedagent "bergamotwing.example/hosted/agent"
-	"bergamotwing.example/hosted/door"
+	"bergamotwing.example/hosted/connlimit"
 	hostedentry "bergamotwing.example/hosted/entry"
 	"bergamotwing.example/platform"
 )
@@ -71,7 +71,7 @@
 	if c.MaxLinks < 0 {
 		return usagef("--links %d is negative", c.MaxLinks)
 	}
-	return c.run("entry", door.Options{Clients: c.ClientConnections, Links: c.MaxLinks}, func(node platform.Node, p *hostedProcess) runner {
+	return c.run("entry", connlimit.Options{Clients: c.ClientConnections, Links: c.MaxLinks}, func(node platform.Node, p *hostedProcess) runner {
 		return hostedentry.New(node, hostedentry.Options{
 			LinkListen: c.LinkListen, ShardEndpoints: c.ShardEndpoints, Interference: dispatch.InterferenceMode(c.Interference),
 		}, p.deps())
@@ -82,7 +82,7 @@
 
 // Execute runs the agent until a signal.
 func (c *hostedAgentCommand) Execute([]string) error {
-	return c.run("agent", door.Options{}, func(node platform.Node, p *hostedProcess) runner {
+	return c.run("agent", connlimit.Options{}, func(node platform.Node, p *hostedProcess) runner {
 		return hostedagent.New(node, p.deps())
 	})
 }
@@ -93,7 +93,7 @@
 	Reload(node platform.Node)
 }
 
-func (o *hostedOptions) run(role string, bounds door.Options, build func(platform.Node, *hostedProcess) runner) error {
+func (o *hostedOptions) run(role string, bounds connlimit.Options, build func(platform.Node, *hostedProcess) runner) error {
 	if o.HeldMB < 0 {
 		return usagef("--held-mb %d is negative", o.HeldMB)
 	}
@@ -111,7 +111,7 @@
 	}
 	debug.SetGCPercent(hostedGCPercent)
 	if node.MemoryMB > 0 {
-		debug.SetMemoryLimit(door.MemoryLimit(node.MemoryMB))
+		debug.SetMemoryLimit(connlimit.MemoryLimit(node.MemoryMB))
 	}
 	p, err := newHostedProcess(o.out, role, node, bounds)
 	if err != nil {
--- a/command/hostedprocess.go
+++ b/command/hostedprocess.go
@@ -11,8 +11,8 @@
 
 	"github.com/rs/zerolog"
 
+	"bergamotwing.example/hosted/connlimit"
 	"bergamotwing.example/hosted/control"
-	"bergamotwing.example/hosted/door"
 	"bergamotwing.example/hosted/logs"
 	"bergamotwing.example/platform"
 	"bergamotwing.example/telemetry"
@@ -33,12 +33,12 @@
 type hostedProcess struct {
 	log     zerolog.Logger
 	metrics *telemetry.Metrics
-	door    *door.Door // bounds what clients of the listeners hold
-	flush   func()     // writes the log lines that are still buffered
+	limiter *connlimit.Limiter // bounds what clients of the listeners hold
+	flush   func()             // writes the log lines that are still buffered
 }
 
-func newHostedProcess(out *output, role string, node platform.Node, bounds door.Options) (*hostedProcess, error) {
-	limits, err := door.LimitsOf(node.MemoryMB, node.Descriptors, bounds)
+func newHostedProcess(out *output, role string, node platform.Node, bounds connlimit.Options) (*hostedProcess, error) {
+	limits, err := connlimit.LimitsOf(node.MemoryMB, node.Descriptors, bounds)
 	if err != nil {
 		return nil, usagef("%v", err)
 	}
@@ -50,25 +50,25 @@
 		metrics.Count("bergamotwing_log_lines_dropped_total", "Log lines dropped because the reader was too slow or gone.", int64(n))
 	})
 	p := &hostedProcess{log: log, metrics: metrics, flush: flush}
-	p.door = door.New(limits, control.NewDoorReport(p.deps()).Closed)
-	metrics.Gauge("bergamotwing_door_held_bytes", "Bytes that clients of all listeners hold.", func() float64 { return float64(p.door.Held()) })
-	metrics.Gauge("bergamotwing_door_connections", "Open connections of all listeners.", func() float64 { return float64(p.door.Count()) })
+	p.limiter = connlimit.New(limits, control.NewLimitReport(p.deps()).Closed)
+	metrics.Gauge("bergamotwing_connlimit_held_bytes", "Bytes that clients of all listeners hold.", func() float64 { return float64(p.limiter.Held()) })
+	metrics.Gauge("bergamotwing_connlimit_connections", "Open connections of all listeners.", func() float64 { return float64(p.limiter.Count()) })
 	return p, nil
 }
 
 func (p *hostedProcess) deps() control.Deps {
-	return control.Deps{Log: p.log, Metrics: p.metrics, Door: p.door}
+	return control.Deps{Log: p.log, Metrics: p.metrics, Limiter: p.limiter}
 }
 
 func (p *hostedProcess) serveMetrics(ip string, port int) error {
 	if port == 0 {
 		return nil
 	}
-	listener, err := p.door.Listen(context.Background(), net.JoinHostPort(ip, strconv.Itoa(port)), p.door.Service("metrics"))
+	listener, err := p.limiter.Listen(context.Background(), net.JoinHostPort(ip, strconv.Itoa(port)), p.limiter.Service("metrics"))
 	if err != nil {
 		return err
 	}
-	server := p.door.Server(p.metrics.Handler(), metricsTimeout)
+	server := p.limiter.Server(p.metrics.Handler(), metricsTimeout)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			p.log.Error().Err(err).Msg("metrics listener ended")
--- a/hosted/agent/agent.go
+++ b/hosted/agent/agent.go
@@ -48,7 +48,7 @@
 
 // New returns an agent that Run starts.
 func New(node platform.Node, deps control.Deps) *Agent {
-	deps = deps.WithDoor(node)
+	deps = deps.WithLimiter(node)
 	a := &Agent{actor: control.NewActor(), node: node, deps: deps, store: platform.NewStore(node.StoreAddr), odd: control.NewOddRows(deps), toWrite: make(chan platform.Announcement, 1), idle: make(chan struct{}), running: make(chan struct{})}
 	hello := wire.NodeHello{
 		Name: node.Name, Incarnation: control.NewIncarnation(), Role: wire.RoleAgent, Zone: node.Zone, NewestKind: wire.NewestKind,
@@ -109,7 +109,7 @@
 }
 
 func (a *Agent) listen(ctx context.Context) (*http.Server, error) {
-	bounds := a.deps.Door
+	bounds := a.deps.Limiter
 	listener, err := bounds.Listen(ctx, a.node.ControlAddr, bounds.Service("control"))
 	if err != nil {
 		return nil, err
--- a/hosted/door/choose_test.go
+++ b/hosted/connlimit/choose_test.go
@@ -1,4 +1,4 @@
-package door
+package connlimit
 
 import (
 	"testing"
--- a/hosted/door/conn.go
+++ b/hosted/connlimit/conn.go
@@ -1,4 +1,4 @@
-package door
+package connlimit
 
 import (
 	"context"
@@ -29,8 +29,8 @@
 type listener struct {
 	net.Listener
 
-	door *Door
-	kind Kind
+	limiter *Limiter
+	kind    Kind
 }
 
 // Accept implements net.Listener.
@@ -40,15 +40,15 @@
 		if err != nil {
 			return nil, err //nolint:wrapcheck // net/http compares it
 		}
-		c := &conn{Conn: accepted, door: l.door, kind: l.kind}
+		c := &conn{Conn: accepted, limiter: l.limiter, kind: l.kind}
 		if l.kind.Known != nil {
 			host, _, _ := net.SplitHostPort(accepted.RemoteAddr().String())
 			c.known = l.kind.Known(host)
 		}
-		if l.door.enter(c) {
+		if l.limiter.enter(c) {
 			return c, nil
 		}
-		l.door.report(l.kind.Name, Connections)
+		l.limiter.report(l.kind.Name, Connections)
 		_ = accepted.Close()
 	}
 }
@@ -56,12 +56,12 @@
 // SyscallConn implements syscall.Conn.
 func (l *listener) SyscallConn() (syscall.RawConn, error) { return rawConn(l.Listener) }
 
-// conn is a connection. The door's mutex guards its fields.
+// conn is a connection. The limiter's mutex guards its fields.
 type conn struct {
 	net.Conn
 	holding
 
-	door    *Door
+	limiter *Limiter
 	kind    Kind
 	read    int64       // bytes of the header or the body that have been read
 	timer   *time.Timer // closes the connection unless the body is whole by then; nil: none is due
@@ -71,7 +71,7 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	d := c.door
+	d := c.limiter
 	d.mu.Lock()
 	defer d.unlock()
 	if n == 0 {
@@ -112,31 +112,31 @@
 // reportTimeout reports that the client has taken too long for its header or its next
 // request.
 func (c *conn) reportTimeout(err error) {
-	age := c.door.now() - c.since
+	age := c.limiter.now() - c.since
 	switch {
 	case !errors.Is(err, os.ErrDeadlineExceeded):
-	case c.phase == phaseIdle && age >= c.door.limits.IdleTime:
-		c.door.note(c, IdleTime)
+	case c.phase == phaseIdle && age >= c.limiter.limits.IdleTime:
+		c.limiter.note(c, IdleTime)
 	case c.unfinished() && c.phase != phaseBody && age >= hurry:
-		c.door.note(c, HeaderTime)
+		c.limiter.note(c, HeaderTime)
 	}
 }
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
-	_ = c.SetWriteDeadline(time.Now().Add(c.door.limits.AnswerTime))
+	_ = c.SetWriteDeadline(time.Now().Add(c.limiter.limits.AnswerTime))
 	n, err := c.Conn.Write(p)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		c.door.report(c.kind.Name, AnswerTime)
+		c.limiter.report(c.kind.Name, AnswerTime)
 	}
 	return n, err //nolint:wrapcheck // net/http compares it
 }
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	c.door.mu.Lock()
-	c.door.leave(c)
-	c.door.unlock()
+	c.limiter.mu.Lock()
+	c.limiter.leave(c)
+	c.limiter.unlock()
 	return c.Conn.Close() //nolint:wrapcheck // net/http compares it
 }
 
@@ -161,7 +161,7 @@
 }
 
 func (c *conn) enterPhase(p phase) {
-	c.phase, c.since, c.read = p, c.door.now(), 0
+	c.phase, c.since, c.read = p, c.limiter.now(), 0
 }
 
 func (c *conn) stopTimer() {
@@ -173,7 +173,7 @@
 
 // begin notes that a header is whole.
 func (c *conn) begin(r *http.Request) {
-	d := c.door
+	d := c.limiter
 	d.mu.Lock()
 	defer d.unlock()
 	if _, ok := d.conns[c]; !ok {
@@ -196,7 +196,7 @@
 
 // expire closes the connection if the body that was to be whole by now is not.
 func (c *conn) expire(began time.Duration) {
-	d := c.door
+	d := c.limiter
 	d.mu.Lock()
 	defer d.unlock()
 	if _, ok := d.conns[c]; ok && c.phase == phaseBody && c.since == began {
@@ -206,17 +206,17 @@
 
 // whole notes that the request has been read to its end.
 func (c *conn) whole() {
-	c.door.mu.Lock()
-	defer c.door.unlock()
+	c.limiter.mu.Lock()
+	defer c.limiter.unlock()
 	if c.phase == phaseBody {
 		c.stopTimer()
-		c.phase, c.since = phaseOpen, c.door.now()
+		c.phase, c.since = phaseOpen, c.limiter.now()
 	}
 }
 
 // answered notes that the request is answered.
 func (c *conn) answered() {
-	d := c.door
+	d := c.limiter
 	d.mu.Lock()
 	defer d.unlock()
 	if _, ok := d.conns[c]; !ok {
--- a/hosted/door/handler.go
+++ b/hosted/connlimit/handler.go
@@ -1,4 +1,4 @@
-package door
+package connlimit
 
 import (
 	"context"
@@ -7,10 +7,10 @@
 	"net/http"
 )
 
-// handler has the door follow the requests of its connections.
+// handler has the limiter follow the requests of its connections.
 type handler struct {
-	door *Door
-	next http.Handler
+	limiter *Limiter
+	next    http.Handler
 }
 
 // ServeHTTP implements http.Handler.
@@ -25,8 +25,8 @@
 	for _, values := range r.Header {
 		fields += len(values)
 	}
-	if fields > h.door.limits.Fields {
-		h.door.report(c.kind.Name, Fields)
+	if fields > h.limiter.limits.Fields {
+		h.limiter.report(c.kind.Name, Fields)
 		w.Header().Set("Connection", "close")
 		w.WriteHeader(http.StatusRequestHeaderFieldsTooLarge)
 		return
@@ -60,7 +60,7 @@
 	if c == nil {
 		return true
 	}
-	d := c.door
+	d := c.limiter
 	d.mu.Lock()
 	defer d.unlock()
 	if d.hold(c, c.request+bytes) {
@@ -80,7 +80,7 @@
 		return
 	}
 	c.whole()
-	c.door.mu.Lock()
-	defer c.door.unlock()
-	_ = c.door.hold(c, 0)
+	c.limiter.mu.Lock()
+	defer c.limiter.unlock()
+	_ = c.limiter.hold(c, 0)
 }
--- a/hosted/door/door.go
+++ b/hosted/connlimit/limiter.go
@@ -1,4 +1,4 @@
-package door
+package connlimit
 
 import (
 	"context"
@@ -42,8 +42,8 @@
 // memory. Links have the kernel's own sizes.
 const bufferBytes = 64 << 10
 
-// Door bounds what the connections of all listeners of a process hold.
-type Door struct {
+// Limiter bounds what the connections of all listeners of a process hold.
+type Limiter struct {
 	limits Limits
 	report func(listener string, why Reason)
 	now    func() time.Duration
@@ -59,40 +59,40 @@
 	notes   []note  // to be reported once mu is released: whoever reads the metrics waits for mu
 }
 
-// New returns a door. report is called for each connection that is closed and each request
+// New returns a limiter. report is called for each connection that is closed and each request
 // that is refused; it must not block.
-func New(limits Limits, report func(listener string, why Reason)) *Door {
+func New(limits Limits, report func(listener string, why Reason)) *Limiter {
 	began := time.Now()
-	return &Door{limits: limits, report: report, now: func() time.Duration { return time.Since(began) }, conns: map[*conn]struct{}{}, counts: map[string]int{}}
+	return &Limiter{limits: limits, report: report, now: func() time.Duration { return time.Since(began) }, conns: map[*conn]struct{}{}, counts: map[string]int{}}
 }
 
 // Clients returns the kind of the listener of clients.
-func (d *Door) Clients() Kind { return Kind{Name: "clients", Connections: d.limits.Clients} }
+func (d *Limiter) Clients() Kind { return Kind{Name: "clients", Connections: d.limits.Clients} }
 
 // Service returns the kind of a listener of probes, metrics or endpoints.
-func (d *Door) Service(name string) Kind { return Kind{Name: name, Connections: d.limits.Service} }
+func (d *Limiter) Service(name string) Kind { return Kind{Name: name, Connections: d.limits.Service} }
 
 // Links returns the kind of the listener of links.
-func (d *Door) Links(known func(host string) bool) Kind {
+func (d *Limiter) Links(known func(host string) bool) Kind {
 	return Kind{Name: "links", Connections: d.limits.Links, Unlinked: d.limits.Unlinked, Known: known}
 }
 
 // Held returns the bytes held.
-func (d *Door) Held() int64 {
+func (d *Limiter) Held() int64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.held
 }
 
 // Count returns the number of connections.
-func (d *Door) Count() int {
+func (d *Limiter) Count() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return len(d.conns)
 }
 
 // Listen listens at an address.
-func (d *Door) Listen(ctx context.Context, addr string, kind Kind) (net.Listener, error) {
+func (d *Limiter) Listen(ctx context.Context, addr string, kind Kind) (net.Listener, error) {
 	var lc net.ListenConfig
 	if kind.Unlinked == 0 {
 		lc.Control = func(_, _ string, raw syscall.RawConn) error {
@@ -107,11 +107,11 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen for %s at %s", kind.Name, addr)
 	}
-	return &listener{Listener: l, door: d, kind: kind}, nil
+	return &listener{Listener: l, limiter: d, kind: kind}, nil
 }
 
-// Server returns a server for connections of a listener of this door.
-func (d *Door) Server(h http.Handler, headerTimeout time.Duration) *http.Server {
+// Server returns a server for connections of a listener of this limiter.
+func (d *Limiter) Server(h http.Handler, headerTimeout time.Duration) *http.Server {
 	return &http.Server{
 		Handler: handler{d, h}, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: d.limits.HeaderBytes, IdleTimeout: d.limits.IdleTime,
 		ConnContext: withConn, ConnState: connState,
@@ -120,7 +120,7 @@
 
 // enter takes a connection in, if need be in place of others. It returns false if there is
 // no room.
-func (d *Door) enter(c *conn) bool {
+func (d *Limiter) enter(c *conn) bool {
 	d.mu.Lock()
 	defer d.unlock()
 	if c.kind.Unlinked > 0 && d.unlinked(c.kind.Name) >= c.kind.Unlinked {
@@ -136,7 +136,7 @@
 }
 
 // unlinked returns how many connections of a listener wait for a hello.
-func (d *Door) unlinked(name string) (n int) {
+func (d *Limiter) unlinked(name string) (n int) {
 	for c := range d.conns {
 		if c.kind.Name == name && c.unfinished() {
 			n++
@@ -147,7 +147,7 @@
 
 // closeChosen closes the connection that choose chooses among those of a listener, or of
 // all listeners if its name is empty.
-func (d *Door) closeChosen(name string, why Reason, choose func([]holding) int) bool {
+func (d *Limiter) closeChosen(name string, why Reason, choose func([]holding) int) bool {
 	d.scratch, d.order = d.scratch[:0], d.order[:0]
 	for c := range d.conns {
 		if name == "" || c.kind.Name == name {
@@ -164,7 +164,7 @@
 }
 
 // close has unlock close a connection; its reads fail then.
-func (d *Door) close(c *conn, why Reason) {
+func (d *Limiter) close(c *conn, why Reason) {
 	d.leave(c)
 	d.note(c, why)
 	d.closing = append(d.closing, c)
@@ -177,11 +177,11 @@
 }
 
 // note has unlock report a connection.
-func (d *Door) note(c *conn, why Reason) { d.notes = append(d.notes, note{c.kind.Name, why}) }
+func (d *Limiter) note(c *conn, why Reason) { d.notes = append(d.notes, note{c.kind.Name, why}) }
 
 // unlock releases mu, reports and closes connections. Whoever needs the room waits until it is
 // there.
-func (d *Door) unlock() {
+func (d *Limiter) unlock() {
 	closing, notes := d.closing, d.notes
 	d.closing, d.notes = nil, nil
 	d.mu.Unlock()
@@ -194,7 +194,7 @@
 }
 
 // leave forgets a connection.
-func (d *Door) leave(c *conn) {
+func (d *Limiter) leave(c *conn) {
 	if _, ok := d.conns[c]; !ok {
 		return
 	}
@@ -207,7 +207,7 @@
 
 // hold sets what a connection holds, if need be in place of others. It returns false if
 // there is no room, or the connection has been closed.
-func (d *Door) hold(c *conn, bytes int64) bool {
+func (d *Limiter) hold(c *conn, bytes int64) bool {
 	if _, ok := d.conns[c]; !ok {
 		return false
 	}
--- a/hosted/door/door_test.go
+++ b/hosted/connlimit/limiter_test.go
@@ -1,4 +1,4 @@
-package door
+package connlimit
 
 import (
 	"bufio"
@@ -14,24 +14,24 @@
 
 const testTimeout = 5 * time.Second
 
-// doorServer is a server behind a door, and what the door has reported.
-type doorServer struct {
-	*Door
+// limitedServer is a server behind a limiter, and what the limiter has reported.
+type limitedServer struct {
+	*Limiter
 
 	addr    string
 	mu      sync.Mutex
 	reports map[Reason]int
 }
 
-func startDoor(t *testing.T, limits Limits, kind func(*Door) Kind, h http.HandlerFunc) *doorServer {
+func startLimited(t *testing.T, limits Limits, kind func(*Limiter) Kind, h http.HandlerFunc) *limitedServer {
 	t.Helper()
-	s := &doorServer{reports: map[Reason]int{}}
-	s.Door = New(limits, func(_ string, why Reason) {
+	s := &limitedServer{reports: map[Reason]int{}}
+	s.Limiter = New(limits, func(_ string, why Reason) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.reports[why]++
 	})
-	l, err := s.Listen(t.Context(), "127.0.0.1:0", kind(s.Door))
+	l, err := s.Listen(t.Context(), "127.0.0.1:0", kind(s.Limiter))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -42,7 +42,7 @@
 	return s
 }
 
-func (s *doorServer) reported(why Reason) int {
+func (s *limitedServer) reported(why Reason) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.reports[why]
@@ -52,7 +52,7 @@
 	return Limits{Clients: 4, Links: 4, Unlinked: 2, Service: 4, Held: 256 << 10, HeaderBytes: headerBytes, Fields: 10, BodyTime: testTimeout, AnswerTime: testTimeout, IdleTime: testTimeout}
 }
 
-func dial(t *testing.T, s *doorServer, text string) net.Conn {
+func dial(t *testing.T, s *limitedServer, text string) net.Conn {
 	t.Helper()
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
@@ -108,7 +108,7 @@
 }
 
 func TestANewConnectionTakesThePlaceOfAnUnfinishedOne(t *testing.T) {
-	s := startDoor(t, limitsForTest(), (*Door).Clients, readAll)
+	s := startLimited(t, limitsForTest(), (*Limiter).Clients, readAll)
 	oldest := dial(t, s, "GET / HT")
 	eventually(t, "the first is open", func() bool { return s.Count() == 1 })
 	for range 3 {
@@ -124,14 +124,14 @@
 
 func TestOpenRequestsKeepTheirConnectionsAndNewOnesAreClosed(t *testing.T) {
 	release := make(chan struct{})
-	s := startDoor(t, limitsForTest(), (*Door).Clients, func(http.ResponseWriter, *http.Request) { <-release })
+	s := startLimited(t, limitsForTest(), (*Limiter).Clients, func(http.ResponseWriter, *http.Request) { <-release })
 	open := make([]net.Conn, 4)
 	for i := range open {
 		open[i] = dial(t, s, get)
 	}
 	eventually(t, "all are open", func() bool {
-		s.Door.mu.Lock()
-		defer s.Door.mu.Unlock()
+		s.Limiter.mu.Lock()
+		defer s.Limiter.mu.Unlock()
 		n := 0
 		for c := range s.conns {
 			if c.phase == phaseOpen {
@@ -148,7 +148,7 @@
 }
 
 func TestBodiesThatStopShortMakeRoomForOthers(t *testing.T) {
-	s := startDoor(t, limitsForTest(), (*Door).Clients, readAll)
+	s := startLimited(t, limitsForTest(), (*Limiter).Clients, readAll)
 	const stalled = 100 << 10
 	first := dial(t, s, post(stalled+1)+strings.Repeat(" ", stalled))
 	eventually(t, "the first is held", func() bool { return s.Held() >= 2*(stalled-(8<<10)) })
@@ -163,7 +163,7 @@
 func TestABodyThatIsNotWholeInTimeEndsItsConnection(t *testing.T) {
 	limits := limitsForTest()
 	limits.BodyTime = 20 * time.Millisecond
-	s := startDoor(t, limits, (*Door).Clients, readAll)
+	s := startLimited(t, limits, (*Limiter).Clients, readAll)
 	wantCut(t, dial(t, s, post(10)+"123"))
 	if n := s.reported(BodyTime); n != 1 {
 		t.Errorf("%d reports", n)
@@ -174,7 +174,7 @@
 func TestAnAnswerMayTakeLongerThanABody(t *testing.T) {
 	limits := limitsForTest()
 	limits.BodyTime, limits.AnswerTime, limits.IdleTime = 20*time.Millisecond, 20*time.Millisecond, 20*time.Millisecond
-	s := startDoor(t, limits, (*Door).Clients, func(w http.ResponseWriter, r *http.Request) {
+	s := startLimited(t, limits, (*Limiter).Clients, func(w http.ResponseWriter, r *http.Request) {
 		readAll(w, r)
 		select {
 		case <-time.After(10 * limits.BodyTime):
@@ -186,7 +186,7 @@
 }
 
 func TestAHeaderOfManyFieldsIsRefused(t *testing.T) {
-	s := startDoor(t, limitsForTest(), (*Door).Clients, readAll)
+	s := startLimited(t, limitsForTest(), (*Limiter).Clients, readAll)
 	wantStatus(t, dial(t, s, "GET / HTTP/1.1\r\nHost: h\r\n"+strings.Repeat("a: b\r\n", 11)+"\r\n"), http.StatusRequestHeaderFieldsTooLarge)
 	if n := s.reported(Fields); n != 1 {
 		t.Errorf("%d reports", n)
@@ -196,7 +196,7 @@
 func TestAnswersThatAreNotReadEndTheirConnection(t *testing.T) {
 	limits := limitsForTest()
 	limits.AnswerTime = 50 * time.Millisecond
-	s := startDoor(t, limits, (*Door).Clients, func(w http.ResponseWriter, _ *http.Request) {
+	s := startLimited(t, limits, (*Limiter).Clients, func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write(make([]byte, 32<<20))
 	})
 	dial(t, s, get)
@@ -204,7 +204,7 @@
 }
 
 func TestHoldRefusesWhatIsOverTheBoundAndReleasesItWithTheAnswer(t *testing.T) {
-	s := startDoor(t, limitsForTest(), (*Door).Clients, func(w http.ResponseWriter, r *http.Request) {
+	s := startLimited(t, limitsForTest(), (*Limiter).Clients, func(w http.ResponseWriter, r *http.Request) {
 		readAll(w, r)
 		if r.URL.Path == "/much" && Hold(r.Context(), 257<<10) || !Hold(r.Context(), 32<<10) {
 			w.WriteHeader(http.StatusConflict)
@@ -219,7 +219,7 @@
 }
 
 func TestRequestsSentAheadCountAsHeld(t *testing.T) {
-	s := startDoor(t, limitsForTest(), (*Door).Clients, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	s := startLimited(t, limitsForTest(), (*Limiter).Clients, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
 	sendAhead := func(others int64) net.Conn {
 		c := dial(t, s, get)
 		eventually(t, "the request is read", func() bool { return s.Held() > others })
@@ -235,14 +235,14 @@
 
 func TestLinksWithoutAHelloDoNotKeepOutOthers(t *testing.T) {
 	said := make(chan struct{})
-	s := startDoor(t, limitsForTest(), func(d *Door) Kind { return d.Links(nil) }, func(_ http.ResponseWriter, r *http.Request) {
+	s := startLimited(t, limitsForTest(), func(d *Limiter) Kind { return d.Links(nil) }, func(_ http.ResponseWriter, r *http.Request) {
 		Linked(r.Context())
 		<-said
 	})
 	linked := dial(t, s, get)
 	eventually(t, "the link is open", func() bool {
-		s.Door.mu.Lock()
-		defer s.Door.mu.Unlock()
+		s.Limiter.mu.Lock()
+		defer s.Limiter.mu.Unlock()
 		return s.unlinked("links") == 0 && len(s.conns) == 1
 	})
 	silent := []net.Conn{dial(t, s, ""), dial(t, s, "")}
@@ -257,9 +257,9 @@
 	}
 }
 
-// Who reports may wait for who reads the metrics, which wait for the door.
-func TestAReportMayAskTheDoor(t *testing.T) {
-	s := startDoor(t, limitsForTest(), (*Door).Clients, readAll)
+// Who reports may wait for who reads the metrics, which wait for the limiter.
+func TestAReportMayAskTheLimiter(t *testing.T) {
+	s := startLimited(t, limitsForTest(), (*Limiter).Clients, readAll)
 	asked := make(chan int64, 16)
 	s.report = func(string, Reason) { asked <- s.Held() }
 	for range 5 {
@@ -268,6 +268,6 @@
 	select {
 	case <-asked:
 	case <-time.After(testTimeout):
-		t.Error("the door is locked while it reports")
+		t.Error("the limiter is locked while it reports")
 	}
 }
--- a/hosted/door/limits.go
+++ b/hosted/connlimit/limits.go
@@ -1,6 +1,6 @@
-// Package door bounds what clients of a process's listeners can make it hold: connections,
+// Package connlimit bounds what clients of a process's listeners can make it hold: connections,
 // bytes and time. Clients inside the limits of the pages do not meet the bounds.
-package door
+package connlimit
 
 import (
 	"time"
--- a/hosted/control/control.go
+++ b/hosted/control/control.go
@@ -11,7 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"bergamotwing.example/dispatch"
-	"bergamotwing.example/hosted/door"
+	"bergamotwing.example/hosted/connlimit"
 	"bergamotwing.example/hosted/mesh"
 	"bergamotwing.example/platform"
 	"bergamotwing.example/telemetry"
@@ -22,14 +22,14 @@
 type Deps struct {
 	Log     zerolog.Logger
 	Metrics *telemetry.Metrics
-	Door    *door.Door // of the process's listeners; nil: one with the bounds that follow from the settings
+	Limiter *connlimit.Limiter // of the process's listeners; nil: one with the bounds that follow from the settings
 }
 
-// WithDoor returns d with a door.
-func (d Deps) WithDoor(node platform.Node) Deps {
-	if d.Door == nil {
-		limits, _ := door.LimitsOf(node.MemoryMB, node.Descriptors, door.Options{}) // no error without options
-		d.Door = door.New(limits, NewDoorReport(d).Closed)
+// WithLimiter returns d with a limiter.
+func (d Deps) WithLimiter(node platform.Node) Deps {
+	if d.Limiter == nil {
+		limits, _ := connlimit.LimitsOf(node.MemoryMB, node.Descriptors, connlimit.Options{}) // no error without options
+		d.Limiter = connlimit.New(limits, NewLimitReport(d).Closed)
 	}
 	return d
 }
--- a/hosted/entry/clients.go
+++ b/hosted/entry/clients.go
@@ -9,7 +9,7 @@
 
 	"bergamotwing.example/dispatch"
 	"bergamotwing.example/drain"
-	"bergamotwing.example/hosted/door"
+	"bergamotwing.example/hosted/connlimit"
 	"bergamotwing.example/hosted/mesh"
 	"bergamotwing.example/platform"
 	"bergamotwing.example/result"
@@ -77,7 +77,7 @@
 func (e *Entry) serveJob(w http.ResponseWriter, r *http.Request, req platform.JobRequest, route dispatch.Route, operator *dispatch.OperatorState) {
 	arrived := mesh.Now()
 	body, err := platform.ReadBody(w, r, operator.Config.MaxBodyBytes)
-	if errors.Is(err, door.ErrClosed) || errors.Is(err, net.ErrClosed) {
+	if errors.Is(err, connlimit.ErrClosed) || errors.Is(err, net.ErrClosed) {
 		e.refuse(w, req.ID, result.OutcomeUnknown, 0, "the connection was closed before the request was read to its end")
 		return
 	}
@@ -89,7 +89,7 @@
 		e.refuse(w, req.ID, result.BadRequest, 0, err.Error())
 		return
 	}
-	if !door.Hold(r.Context(), platform.JobMemory(body)) { // the job may have run elsewhere before
+	if !connlimit.Hold(r.Context(), platform.JobMemory(body)) { // the job may have run elsewhere before
 		w.Header().Set("Connection", "close")
 		e.refuse(w, req.ID, result.OutcomeUnknown, notReadyRetry, "no memory is left for the job")
 		return
--- a/hosted/entry/entry.go
+++ b/hosted/entry/entry.go
@@ -79,7 +79,7 @@
 
 // New returns an entry that Run starts.
 func New(node platform.Node, opts Options, deps control.Deps) *Entry {
-	deps = deps.WithDoor(node)
+	deps = deps.WithLimiter(node)
 	e := &Entry{actor: control.NewActor(), node: node, opts: opts, deps: deps, store: platform.NewStore(node.StoreAddr), odd: control.NewOddRows(deps), running: make(chan struct{})}
 	e.self = wire.NodeHello{
 		Name: node.Name, Incarnation: control.NewIncarnation(), Role: wire.RoleEntry, Zone: node.Zone,
@@ -201,7 +201,7 @@
 }
 
 func (e *Entry) listenAll(ctx context.Context) (*drain.Server, error) {
-	bounds := e.deps.Door
+	bounds := e.deps.Limiter
 	links, err := bounds.Listen(ctx, e.opts.LinkListen, bounds.Links(e.mesh.Knows))
 	if err != nil {
 		return nil, err
@@ -235,7 +235,7 @@
 }
 
 func (e *Entry) serve(l net.Listener, h http.Handler, name string) {
-	server := e.deps.Door.Server(h, headerTimeout)
+	server := e.deps.Limiter.Server(h, headerTimeout)
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			e.deps.Log.Error().Err(eris.Wrap(err, name)).Msg("listener ended")
--- a/hosted/mesh/mesh.go
+++ b/hosted/mesh/mesh.go
@@ -16,7 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"bergamotwing.example/dispatch"
-	"bergamotwing.example/hosted/door"
+	"bergamotwing.example/hosted/connlimit"
 	"bergamotwing.example/platform"
 	"bergamotwing.example/wire"
 )
@@ -118,7 +118,7 @@
 		m.serve(ctx, l, "", began, func() {
 			l.LimitFrames(wire.MaxFrameBytes)
 			m.remember(host)
-			door.Linked(r.Context())
+			connlimit.Linked(r.Context())
 		})
 	})
 	return mux
