--- a/dispatch/reconsider.go
+++ b/dispatch/reconsider.go
@@ -13,6 +13,12 @@
 	// forecastEndpoints is how many endpoints a forecast needs for jobs that wait to be refused
 	// by it: the run times of fewer do not even out, and jobs that would be served are refused.
 	forecastEndpoints = 24
+	// decidedAfter is the share of its objective after which a job waits on only if it
+	// needs at most decidedShare of its slack. It leaves time for checks before the quarter
+	// of the objective in which callers that can't be served are to be told.
+	decidedAfter = 0.2
+	// decidedShare covers the error of forecasts, as admitShare does on arrival.
+	decidedShare = 0.5
 )
 
 // reconsider refuses the jobs that wait and are not expected to be of use to their
@@ -71,8 +77,13 @@
 	return n
 }
 
-// mayWait returns how much longer a job's last task may be expected to wait.
-func (j *job) mayWait(now Time) Time { return max(j.slack(now), 0) }
+// mayWait returns how much longer a job's last task may be expected to wait: all of its
+// slack at first, since the job holds no room and the forecast may be too long.
+func (j *job) mayWait(now Time) Time {
+	age := float64(now-j.submitted) / (decidedAfter * float64(j.objective-j.submitted))
+	share := 1 - (1-decidedShare)*min(age, 1)
+	return Time(share * float64(max(j.slack(now), 0)))
+}
 
 // refusal is the outcome of a job for which there is no room in time.
 func (s *Scheduler) refusal(now Time, j *job, wait Time) Outcome {
