Pauses of an entry in short order count as one

Cause: each pause was judged by itself. Two pauses of 0.4 s with 50 ms between them ended no request, though the end of a client's connection may have come in neither: TCP sends it again at the latest after the length of the first pause and 0.2 s. The client sends its job elsewhere after 1.3 s. For the same reason two pauses of 9 s and 1 s did not have the cancelled jobs read anew, though others may have removed the entry's row. After requests were ended the count begins anew, so that a short pause ends none that came since. Result: without the change TestPausesInShortOrderEndRequestsAsOneLongPause fails with '50ms between the pauses: answered false, want true', and TestPausesInShortOrderHaveTheCancelledJobsReadAnew with 'takes jobs'; with it both pass 10 times in a row, as does TestAShortPauseAfterALongOneEndsNoRequests. Found by reading; no run with real processes shows it.

--- a/hosted/entry/cancelled_test.go
+++ b/hosted/entry/cancelled_test.go
@@ -87,7 +87,7 @@
 // withStore returns an entry whose writes of cancelled jobs the test answers.
 func withStore(t *testing.T) (e *Entry, writes *[]storeWrite) {
 	t.Helper()
-	e = newEntry(t)
+	e = newTestState(t).e
 	writes = &[]storeWrite{}
 	e.state.storeCancels = func(set, remove []string) { *writes = append(*writes, storeWrite{set, remove}) }
 	return e, writes
--- a/hosted/entry/cancelledstore.go
+++ b/hosted/entry/cancelledstore.go
@@ -105,10 +105,10 @@
 	}
 }
 
-// doubtCancels has the cancelled jobs read anew after a pause in which the others may have
+// doubtCancels has the cancelled jobs read anew after an absence in which the others may have
 // removed this entry's row and acknowledged DELETEs without it.
-func (s *state) doubtCancels(pause time.Duration) {
-	if s.storeCancels == nil || pause < removeAfter/2 {
+func (s *state) doubtCancels(absence time.Duration) {
+	if s.storeCancels == nil || absence < removeAfter/2 {
 		return
 	}
 	s.e.cancelsStale.Store(true)
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -74,6 +74,8 @@
 	agentReads      agentReads
 	interference    interferenceMetrics
 	checkedAt       time.Duration // when the leases of the other entries were last checked
+	pauses          pauses        // since the last one after which requests were ended
+	absences        pauses        // also those before it
 	echoAgentsFrom  time.Duration // no agent's lease is renewed before
 	stopping        bool
 	stopTimedOut    bool // the time to stop is over: requests are answered without the ends of their jobs
--- a/hosted/entry/pause.go
+++ b/hosted/entry/pause.go
@@ -23,19 +23,35 @@
 	return max(s.timing.EntryLease, (s.timing.ResendAfter-closeResend-stopReserve)/2)
 }
 
+// pauses joins pauses of this process that follow each other closely.
+type pauses struct{ began, ended time.Duration }
+
+// add adds a pause, and returns the time from the beginning of the first of the pauses that
+// count as one to the end of this one. TCP sends again what was sent during a pause at the
+// latest after the length of that pause and closeResend, so in a shorter time between two
+// pauses it may not have arrived.
+func (p *pauses) add(began, ended time.Duration) time.Duration {
+	if p.ended == 0 || began-p.ended > p.ended-p.began+closeResend {
+		p.began = began
+	}
+	p.ended = ended
+	return p.ended - p.began
+}
+
 // wake handles the end of a pause of this process, before anything else is handled. The
 // other entries have counted this one as lost, and its clients may have sent their jobs to
 // them, without the ends of their connections having arrived. So this entry does not act on
 // what it was sent before it woke, except where that does no harm (docs/design/cancels.md).
 func (s *state) wake(now, began time.Duration) {
-	pause := now - began
-	s.doubtCancels(pause)
+	s.doubtCancels(s.absences.add(began, now))
+	pause := s.pauses.add(began, now)
 	if pause <= s.longestPause() {
 		return
 	}
+	s.pauses = pauses{}
 	s.e.arrivals.Mark() // requests that were received before are refused by submit
 	s.e.deps.Metrics.Count("bergamotwing_pauses_total", "Pauses of the process after which it did not go on with what it had been sent before.", 1)
-	s.e.deps.Log.Warn().Str("event", "paused").Dur("pause_ms", pause).Msg("the process has paused; what it was sent before is refused")
+	s.e.deps.Log.Warn().Str("event", "paused").Dur("pause_ms", pause).Dur("last_pause_ms", now-began).Msg("the process has paused; what it was sent before is refused")
 	s.endPaused(now, pause)
 }
 
--- a/hosted/entry/wake_test.go
+++ b/hosted/entry/wake_test.go
@@ -6,6 +6,7 @@
 
 	"bergamotwing.example/dispatch"
 	"bergamotwing.example/hosted/control"
+	"bergamotwing.example/hosted/mesh"
 	"bergamotwing.example/result"
 )
 
@@ -35,3 +36,46 @@
 		}
 	}
 }
+
+// Guards against going on with requests after two pauses in short order, each of which is
+// short enough: the end of a connection may be sent again in neither of the times between.
+func TestPausesInShortOrderEndRequestsAsOneLongPause(t *testing.T) {
+	const pause = 400 * time.Millisecond
+	for awake, want := range map[time.Duration]bool{2 * tickEvery: true, pause + closeResend: true, pause + closeResend + tickEvery: false} {
+		e := newTestState(t).e
+		p := &passing{t: t, now: 100 * time.Second, home: e}
+		p.agent, p.toAgent = linkAgentTo(e, p.now, "a")
+		reply := p.submit(e, "j")
+		now := wakeFrom(e, p.now, pause)
+		for at := now; at <= now+awake; at += tickEvery {
+			e.receive(at, control.Tick{})
+		}
+		e.receive(now+awake+pause, control.Tick{})
+		if answered := len(reply) > 0; answered != want {
+			t.Errorf("%v between the pauses: answered %v, want %v", awake, answered, want)
+		}
+	}
+}
+
+// Guards against ending, at a later short pause, requests that came after a long one.
+func TestAShortPauseAfterALongOneEndsNoRequests(t *testing.T) {
+	e := newTestState(t).e
+	p := &passing{t: t, now: wakeFrom(e, 100*time.Second, testFreeze) + 2*tickEvery, home: e}
+	p.agent, p.toAgent = linkAgentTo(e, p.now, "a")
+	reply := p.submit(e, "j")
+	wakeFrom(e, p.now, 400*time.Millisecond)
+	if len(reply) > 0 {
+		t.Errorf("answered %+v", <-reply)
+	}
+}
+
+// Guards against two pauses, between which the entry had no time to be linked, hiding that it
+// was away for long enough to be removed.
+func TestPausesInShortOrderHaveTheCancelledJobsReadAnew(t *testing.T) {
+	e, _ := withStore(t)
+	now := wakeFrom(e, mesh.Now(), removeAfter/2-time.Second)
+	wakeFrom(e, now, time.Second)
+	if e.cancelsKnown.Load() {
+		t.Error("takes jobs")
+	}
+}
