An entry that wakes does not learn the cancelled jobs from what waited

Cause: after a pause of 10 s or more an entry doubts that it knows all acknowledged cancels, and takes no jobs before it has learned them. What had been sent to it before the pause ended the doubt: a read of the table that had been answered by then, an agent's read, or a JobsOpen on a link whose hello lay in the queue. It would have run a job whose DELETE the others had acknowledged meanwhile. A read under way when the doubt arose also took back the request for the next one, so that the entry would have taken no jobs from then on. Change: doubts are numbered, and only a read that was asked for since the last one ends it. Links that began before the wake are closed and made anew. Links of agents that have closed them during the pause are dropped with what they brought. The links that the tests make now say when they began, as those of a process do. TestAnEntryThatHasPausedForLongTakesNoJobsBeforeItKnowsTheCancelledOnes looks at the number of doubts in place of the flag, which is gone.

--- a/hosted/entry/cancelled_test.go
+++ b/hosted/entry/cancelled_test.go
@@ -332,7 +332,7 @@
 		if next.cancelsKnown.Load() {
 			t.Fatal("takes jobs before it has read the table")
 		}
-		if !next.readCancels(t.Context()) {
+		if !next.readCancels(t.Context(), next.cancelDoubts.Load()) {
 			t.Fatal("the table is not read")
 		}
 		if got := submittedAt(t, next, cancelledJob); got != result.Cancelled || !next.cancelsKnown.Load() {
@@ -464,7 +464,7 @@
 	for _, e := range append(p.entries, p.home) {
 		e.cancelsKnown.Store(false)
 	}
-	p.entries[0].receive(p.now, cancelsRead{[]keptCancel{{job: "j", keep: time.Minute}}})
+	p.entries[0].receive(p.now, cancelsRead{jobs: []keptCancel{{job: "j", keep: time.Minute}}})
 	p.pass()
 	for _, e := range append(p.entries, p.home) {
 		if !e.cancelsKnown.Load() || !e.state.wasDeleted(p.now, "j") {
@@ -479,9 +479,10 @@
 		e, _ := withStore(t)
 		now := mesh.Now()
 		e.receive(now, askWaiting{testRoute, make(chan int, 1)})
+		doubts := e.cancelDoubts.Load()
 		e.receive(now+pause, askWaiting{testRoute, make(chan int, 1)})
-		if e.cancelsKnown.Load() != want || e.cancelsStale.Load() == want {
-			t.Errorf("after %v: takes jobs %v, reads the table %v", pause, e.cancelsKnown.Load(), e.cancelsStale.Load())
+		if reads := e.cancelDoubts.Load() != doubts; e.cancelsKnown.Load() != want || reads == want {
+			t.Errorf("after %v: takes jobs %v, reads the table %v", pause, e.cancelsKnown.Load(), reads)
 		}
 	}
 }
--- a/hosted/entry/cancelledstore.go
+++ b/hosted/entry/cancelledstore.go
@@ -80,7 +80,8 @@
 	s.e.deps.Log.Warn().Str("event", "cancel_not_stored").Str("job", job).Str("reason", reason).Msg("the store has not taken the cancelling")
 }
 
-// cancelsRead applies the rows of cancelled jobs.
+// cancelsRead applies the rows of cancelled jobs. After a read that began before this entry
+// came to doubt that it knows all of them, it still does.
 func (s *state) cancelsRead(now time.Duration, m cancelsRead) {
 	for _, c := range m.jobs {
 		s.deleteHere(now, &wire.JobDelete{Job: c.job, Keep: c.keep})
@@ -88,7 +89,9 @@
 			s.cancels.rows.add(c.job, now+c.keep)
 		}
 	}
-	s.knowCancels(now, "store")
+	if m.doubts == s.e.cancelDoubts.Load() {
+		s.knowCancels(now, "store")
+	}
 }
 
 // knowCancels has this entry take jobs once it knows all acknowledged cancels, and passes
@@ -111,8 +114,10 @@
 	if s.storeCancels == nil || absence < removeAfter/2 {
 		return
 	}
-	s.e.cancelsStale.Store(true)
+	s.e.deps.Log.Warn().Str("event", "cancels_doubted").Dur("absence_ms", absence).Msg("cancelled jobs are read anew after a pause")
+	s.e.cancelDoubts.Add(1)
 	s.e.cancelsKnown.Store(false)
+	s.agentReads.asked = nil // its answer may have waited
 }
 
 // noteStoreClock records the store's clock as of a read that has just been answered.
@@ -161,7 +166,7 @@
 }
 
 // readCancels reads the table of cancelled jobs, and reports whether it was read.
-func (e *Entry) readCancels(ctx context.Context) bool {
+func (e *Entry) readCancels(ctx context.Context, doubts uint64) bool {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	read, err := e.store.Get(ctx, platform.CancelledTable)
@@ -171,7 +176,7 @@
 	e.noteStoreClock(read)
 	jobs, old, odd := cancelsOf(read, e.self.Name, e.jobRetention())
 	e.odd.Report(append(odd, read.Odd...)...)
-	e.actor.Send(cancelsRead{jobs})
+	e.actor.Send(cancelsRead{jobs, doubts})
 	if len(old) > 0 {
 		go e.removeCancels(old)
 	}
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -74,7 +74,8 @@
 	agentReads      agentReads
 	interference    interferenceMetrics
 	checkedAt       time.Duration // when the leases of the other entries were last checked
-	pauses          pauses        // since the last one after which requests were ended
+	wokeAt          time.Duration // when this process last woke from a pause after which requests were ended; 0: it has not
+	pauses          pauses        // since wokeAt
 	absences        pauses        // also those before it
 	echoAgentsFrom  time.Duration // no agent's lease is renewed before
 	stopping        bool
--- a/hosted/entry/entry.go
+++ b/hosted/entry/entry.go
@@ -74,9 +74,9 @@
 	ready    atomic.Bool
 	stopping atomic.Bool
 
-	cancelsKnown atomic.Bool  // all acknowledged cancels are known here; jobs are taken only then
-	cancelsStale atomic.Bool  // the table of cancelled jobs is to be read
-	storeClock   atomic.Int64 // nanoseconds from this host's clock to that of the store; 0: not known
+	cancelsKnown atomic.Bool   // all acknowledged cancels are known here; jobs are taken only then
+	cancelDoubts atomic.Uint64 // how often the table of cancelled jobs was to be read
+	storeClock   atomic.Int64  // nanoseconds from this host's clock to that of the store; 0: not known
 }
 
 // New returns an entry that Run starts.
@@ -100,7 +100,7 @@
 	if node.StoreAddr == "" {
 		e.cancelsKnown.Store(true)
 	} else {
-		e.cancelsStale.Store(true)
+		e.cancelDoubts.Store(1)
 		e.state.storeCancels = func(set, remove []string) { go e.writeCancels(set, remove) }
 	}
 	return e
--- a/hosted/entry/messages.go
+++ b/hosted/entry/messages.go
@@ -38,8 +38,11 @@
 		set, remove []string // job ids
 		err         error
 	}
-	cancelsRead struct{ jobs []keptCancel }
-	askWaiting  struct {
+	cancelsRead struct {
+		jobs   []keptCancel
+		doubts uint64 // cancelDoubts before the read
+	}
+	askWaiting struct {
 		route dispatch.Route
 		reply chan int
 	}
--- a/hosted/entry/pause.go
+++ b/hosted/entry/pause.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bergamotwing.example/dispatch"
+	"bergamotwing.example/hosted/mesh"
 	"bergamotwing.example/result"
 )
 
@@ -43,12 +44,15 @@
 // them, without the ends of their connections having arrived. So this entry does not act on
 // what it was sent before it woke, except where that does no harm (docs/design/cancels.md).
 func (s *state) wake(now, began time.Duration) {
-	s.doubtCancels(s.absences.add(began, now))
+	absence := s.absences.add(began, now)
+	s.doubtCancels(absence)
+	s.dropSilentAgents(now, absence)
 	pause := s.pauses.add(began, now)
 	if pause <= s.longestPause() {
 		return
 	}
 	s.pauses = pauses{}
+	s.wokeAt = now
 	s.e.arrivals.Mark() // requests that were received before are refused by submit
 	s.e.deps.Metrics.Count("bergamotwing_pauses_total", "Pauses of the process after which it did not go on with what it had been sent before.", 1)
 	s.e.deps.Log.Warn().Str("event", "paused").Dur("pause_ms", pause).Dur("last_pause_ms", now-began).Msg("the process has paused; what it was sent before is refused")
@@ -67,6 +71,30 @@
 	}
 }
 
+// dropSilentAgents drops the links of the agents that have dropped theirs during an absence,
+// with what these have brought and is not handled yet.
+func (s *state) dropSilentAgents(now, absence time.Duration) {
+	if absence <= agentLinkTimeout {
+		return
+	}
+	for _, p := range s.agents {
+		p.Close()
+		s.agentDown(now, p.Link)
+	}
+}
+
+// refuseBeforeWake closes a link that began before this process woke, and reports whether it
+// did: what it brings was sent before.
+func (s *state) refuseBeforeWake(l *mesh.Link) bool {
+	if l.Began >= s.wokeAt {
+		return false
+	}
+	l.Close()
+	s.e.deps.Metrics.Count("bergamotwing_links_before_wake_total", "Links that were closed since they began before the process woke from a pause.", 1)
+	s.e.deps.Log.Warn().Str("event", "link_before_wake").Str("peer", l.Hello.Name).Dur("age_ms", s.wokeAt-l.Began).Msg("link closed: it began before the process woke")
+	return true
+}
+
 // refuseReceivedBefore answers a request that this process may have received before it woke,
 // and reports whether it did. The client may have sent the job to another entry since.
 func (s *state) refuseReceivedBefore(m submit) bool {
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -12,7 +12,7 @@
 )
 
 func (s *state) linkUp(now time.Duration, l *mesh.Link) {
-	if s.e.deps.RefuseLate(now, s.links, l) {
+	if s.refuseBeforeWake(l) || s.e.deps.RefuseLate(now, s.links, l) {
 		return
 	}
 	if l.Hello.Role == wire.RoleAgent {
--- a/hosted/entry/relay.go
+++ b/hosted/entry/relay.go
@@ -33,6 +33,7 @@
 	pause    time.Duration // after the next failed request; 0: storePause
 	served   bool          // the latest request was answered with rows
 	count    int           // requests since lostAt
+	doubts   uint64        // cancelDoubts at the latest request
 }
 
 func (s *state) storeServes(now time.Duration, ok bool) {
@@ -71,6 +72,7 @@
 	}
 	r.asked = agents[r.count%len(agents)]
 	r.answerBy, r.nextAt = now+wait+agentReadSlack, now+storePause
+	r.doubts = s.e.cancelDoubts.Load()
 	if r.count++; r.count == 1 {
 		s.e.deps.Log.Warn().Str("event", "store_read_by_agents").Uint64("after", s.e.rowsReadAt.Load()).Int("agents", len(agents)).
 			Msg("the store serves no linked entry; agents are asked to read the operator's state")
@@ -125,11 +127,12 @@
 	case m.Failed && r.asked == p:
 		s.agentReadFailed(now, "failed")
 	case !m.Failed:
+		doubts := r.doubts
 		if r.asked == p {
 			r.asked, r.pause, r.served = nil, 0, true
 		}
 		if m.Cancelled {
-			go s.e.applyAgentCancels(m)
+			go s.e.applyAgentCancels(m, doubts)
 			return
 		}
 		go s.e.applyAgentRead(m) // decodes the configuration
@@ -149,12 +152,12 @@
 }
 
 // applyAgentCancels applies the cancelled jobs that an agent has read.
-func (e *Entry) applyAgentCancels(m *wire.OperatorRows) {
+func (e *Entry) applyAgentCancels(m *wire.OperatorRows, doubts uint64) {
 	read := platform.Rows{Now: m.Now}
 	for _, r := range m.Rows {
 		read.Rows = append(read.Rows, platform.Row{Table: platform.CancelledTable, Key: r.Key, Value: r.Value, Version: r.Version})
 	}
 	jobs, _, odd := cancelsOf(read, e.self.Name, e.jobRetention()) // the store takes no removal of this entry
 	e.odd.Report(odd...)
-	e.actor.Send(cancelsRead{jobs})
+	e.actor.Send(cancelsRead{jobs, doubts})
 }
--- a/hosted/entry/resume_test.go
+++ b/hosted/entry/resume_test.go
@@ -71,8 +71,8 @@
 func (p *passing) link(e *Entry) {
 	p.t.Helper()
 	l := &bothEnds{toEntry: &sentTo{}, toHome: &sentTo{}}
-	l.atEntry = &mesh.Link{Conn: l.toHome, Hello: p.home.self, Dialed: "x"}
-	l.atHome = &mesh.Link{Conn: l.toEntry, Hello: e.self}
+	l.atEntry = &mesh.Link{Conn: l.toHome, Hello: p.home.self, Dialed: "x", Began: p.now}
+	l.atHome = &mesh.Link{Conn: l.toEntry, Hello: e.self, Began: p.now}
 	p.links[e] = l
 	e.receive(p.now, control.LinkUp{Link: l.atEntry})
 	p.home.receive(p.now, control.LinkUp{Link: l.atHome})
--- a/hosted/entry/store.go
+++ b/hosted/entry/store.go
@@ -148,6 +148,7 @@
 // register keeps this entry's row in the store and reads the rows of the others.
 func (e *Entry) register(ctx context.Context) {
 	written, stalePause := false, storePause
+	knownDoubts := uint64(0) // cancelDoubts before the last read of the cancelled jobs
 	for ctx.Err() == nil {
 		if !written {
 			written = e.writeMember(ctx)
@@ -155,17 +156,16 @@
 		found, ok := e.readMembers(ctx)
 		if written && ok && !containsMember(found, e.self.Member()) {
 			written = false // removed by an entry that could not reach this one, or written by another writer
-			e.cancelsStale.Store(true)
+			e.cancelDoubts.Add(1)
 		}
-		if written && e.cancelsStale.Load() && e.readCancels(ctx) { // an entry that acknowledges a DELETE now waits for this one
-			e.cancelsStale.Store(false)
-			stalePause = storePause
+		if doubts := e.cancelDoubts.Load(); written && doubts != knownDoubts && e.readCancels(ctx, doubts) { // an entry that acknowledges a DELETE now waits for this one
+			knownDoubts, stalePause = doubts, storePause
 		}
 		pause := membersEvery
 		switch {
 		case !written:
 			pause = storePause
-		case e.cancelsStale.Load():
+		case e.cancelDoubts.Load() != knownDoubts:
 			pause = stalePause
 			stalePause = min(2*stalePause, storePauseMax)
 		}
--- a/hosted/entry/thaw_test.go
+++ b/hosted/entry/thaw_test.go
@@ -38,6 +38,7 @@
 // linkAgentTo links an agent with an endpoint.
 func linkAgentTo(e *Entry, now time.Duration, name string) (*mesh.Link, *sentTo) {
 	l, sent := recordedLink(name, wire.RoleAgent)
+	l.Began = now
 	linkAgentBy(e, now, l)
 	return l, sent
 }
--- a/hosted/entry/wake_test.go
+++ b/hosted/entry/wake_test.go
@@ -8,6 +8,7 @@
 	"bergamotwing.example/hosted/control"
 	"bergamotwing.example/hosted/mesh"
 	"bergamotwing.example/result"
+	"bergamotwing.example/wire"
 )
 
 const testFreeze = 3500 * time.Millisecond
@@ -79,3 +80,59 @@
 		t.Error("takes jobs")
 	}
 }
+
+// Guards against taking a link whose hello and first messages waited while the process paused.
+func TestALinkThatBeganBeforeAnEntryWokeIsClosed(t *testing.T) {
+	for _, role := range []string{wire.RoleEntry, wire.RoleAgent} {
+		for _, early := range []bool{true, false} {
+			e := newTestState(t).e
+			e.cancelsKnown.Store(false)
+			now := wakeFrom(e, 100*time.Second, testFreeze)
+			conn := &closable{}
+			l := &mesh.Link{Conn: conn, Hello: wire.NodeHello{Name: "x", Incarnation: 1, Role: role, NewestKind: wire.NewestKind}, Began: now}
+			if early {
+				l.Began -= testFreeze
+			}
+			e.receive(now, control.LinkUp{Link: l})
+			e.receive(now, control.Received{Link: l, Message: &wire.JobsOpen{CancelsKnown: true}})
+			linked := len(e.state.peers)+len(e.state.agents) > 0
+			if linked == early || conn.closed != early {
+				t.Errorf("%s, began before the wake %v: linked %v, closed %v", role, early, linked, conn.closed)
+			}
+			if want := !early && role == wire.RoleEntry; e.cancelsKnown.Load() != want {
+				t.Errorf("%s, began before the wake %v: takes jobs %v", role, early, !want)
+			}
+		}
+	}
+}
+
+// Guards against taking a read of the cancelled jobs that waited while the process paused for
+// one that was made since.
+func TestAReadOfTheCancelledJobsFromBeforeALongPauseDoesNotCount(t *testing.T) {
+	e, _ := withStore(t)
+	now := mesh.Now()
+	doubts := e.cancelDoubts.Load()
+	now = wakeFrom(e, now, removeAfter/2)
+	e.receive(now, cancelsRead{jobs: []keptCancel{{job: "j", keep: time.Minute}}, doubts: doubts})
+	if e.cancelsKnown.Load() || !e.state.wasDeleted(now, "j") {
+		t.Errorf("a read from before: takes jobs %v, knows the id that was read %v", e.cancelsKnown.Load(), e.state.wasDeleted(now, "j"))
+	}
+	e.receive(now, cancelsRead{doubts: e.cancelDoubts.Load()})
+	if !e.cancelsKnown.Load() {
+		t.Error("a read from after: takes no jobs")
+	}
+}
+
+// Guards against taking an agent's answer that waited while the process paused for one to a
+// later request: the agent has dropped its link by then.
+func TestAnAgentsReadFromBeforeALongPauseDoesNotCount(t *testing.T) {
+	e, _ := withStore(t)
+	now := mesh.Now()
+	l, _ := linkAgentTo(e, now, "a")
+	e.receive(now, storeServes{false})
+	e.receive(now, control.Tick{})
+	e.receive(now+removeAfter/2, control.Received{Link: l, Message: &wire.OperatorRows{Cancelled: true, Whole: true}})
+	if len(e.state.agents) > 0 {
+		t.Error("the agent is still linked, so its answer is applied")
+	}
+}
