An entry that wakes acknowledges no DELETE by what it knew before

Cause: a DELETE is acknowledged once all registered entries have answered and the store has its row. An entry that paused in between went on with it after the wake, and one that came then was judged by the list of entries from before the pause. An entry that had registered meanwhile, and had read the table before the row was written, did not know the job, though the DELETE was acknowledged: a POST that came to it late would run. Change: DELETEs that were taken before a pause are answered 502, at which clients repeat them. After a pause the registered entries are read at once, and no DELETE is acknowledged before a read that began after the wake has come. Found by reading; no run with real processes shows it. TestADeleteIsAcknowledgedOnceTheStoreHasItsRow let a second pass without a message, which is a pause, before it repeated its DELETE. It now has the ticks in between, as the process has.

--- a/hosted/control/control.go
+++ b/hosted/control/control.go
@@ -67,7 +67,10 @@
 	// Refused says that nothing listens at an address.
 	Refused struct{ Addr string }
 	// MembersRead carries the entries registered in the store.
-	MembersRead struct{ Members []mesh.MemberRow }
+	MembersRead struct {
+		Members []mesh.MemberRow
+		Began   time.Duration // when the read began
+	}
 )
 
 // Actor is the control actor. It implements mesh.Events by sending itself a message
--- a/hosted/entry/cancelled_test.go
+++ b/hosted/entry/cancelled_test.go
@@ -117,6 +117,9 @@
 		if !e.state.wasDeleted(now, "j") {
 			t.Errorf("%s: the cancel does not hold in memory", name)
 		}
+		for at := now + tickEvery; at < now+time.Second; at += tickEvery { // a pause would have the registered entries read first
+			e.receive(at, control.Tick{})
+		}
 		again := make(chan deleteResult, 1)
 		e.receive(now+time.Second, deleteJob{job: "j", known: again})
 		if stored := tc.err == nil; len(*writes) != map[bool]int{true: 1, false: 2}[stored] || (len(again) == 1) != stored {
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -77,6 +77,7 @@
 	wokeAt          time.Duration // when this process last woke from a pause after which requests were ended; 0: it has not
 	pauses          pauses        // since wokeAt
 	absences        pauses        // also those before it
+	membersReadAt   time.Duration // when the newest read of the registered entries began
 	echoAgentsFrom  time.Duration // no agent's lease is renewed before
 	stopping        bool
 	stopTimedOut    bool // the time to stop is over: requests are answered without the ends of their jobs
@@ -183,6 +184,7 @@
 	case control.Received:
 		s.received(now, m.Link, m.Message)
 	case control.MembersRead:
+		s.membersReadAt = m.Began
 		s.setMembers(now, m.Members)
 	case operatorRead:
 		s.operatorRead(now, m)
--- a/hosted/entry/deletes.go
+++ b/hosted/entry/deletes.go
@@ -75,9 +75,9 @@
 }
 
 // anyEntryMissing reports whether there may be an entry without a link that runs: one whose
-// link is down within its lease, or that is registered.
+// link is down within its lease, or that is registered, as far as is known.
 func (s *state) anyEntryMissing(now time.Duration) bool {
-	if len(s.lost) > 0 {
+	if len(s.lost) > 0 || s.storeCancels != nil && s.membersOutdated() {
 		return true
 	}
 	for name, m := range s.members {
--- a/hosted/entry/entry.go
+++ b/hosted/entry/entry.go
@@ -62,6 +62,7 @@
 	ctx   context.Context //nolint:containedctx // of the process; ends its background work
 
 	running    chan struct{}   // closed once Run has used the settings
+	woke       chan struct{}   // signals that the process has woken from a pause; buffered: one signal
 	arrivals   *arrival.Marker // of the clients' listener
 	state      *state
 	rowsMu     sync.Mutex
@@ -82,7 +83,7 @@
 // New returns an entry that Run starts.
 func New(node platform.Node, opts Options, deps control.Deps) *Entry {
 	deps = deps.WithLimiter(node)
-	e := &Entry{actor: control.NewActor(), node: node, opts: opts, deps: deps, store: platform.NewStore(node.StoreAddr), odd: control.NewOddRows(deps), running: make(chan struct{}), arrivals: arrival.NewMarker()}
+	e := &Entry{actor: control.NewActor(), node: node, opts: opts, deps: deps, store: platform.NewStore(node.StoreAddr), odd: control.NewOddRows(deps), running: make(chan struct{}), woke: make(chan struct{}, 1), arrivals: arrival.NewMarker()}
 	e.self = wire.NodeHello{
 		Name: node.Name, Incarnation: control.NewIncarnation(), Role: wire.RoleEntry, Zone: node.Zone,
 		Addr:  net.JoinHostPort(node.IP, strconv.Itoa(node.LinkPort)),
--- a/hosted/entry/pause.go
+++ b/hosted/entry/pause.go
@@ -55,11 +55,17 @@
 	s.wokeAt = now
 	s.e.arrivals.Mark() // requests that were received before are refused by submit
 	s.e.deps.Metrics.Count("bergamotwing_pauses_total", "Pauses of the process after which it did not go on with what it had been sent before.", 1)
-	s.e.deps.Log.Warn().Str("event", "paused").Dur("pause_ms", pause).Dur("last_pause_ms", now-began).Msg("the process has paused; what it was sent before is refused")
+	s.e.deps.Log.Warn().Str("event", "paused").Dur("pause_ms", pause).Dur("last_pause_ms", now-began).Int("deletes", len(s.deletes)).
+		Msg("the process has paused; what it was sent before is refused")
 	s.endPaused(now, pause)
+	select {
+	case s.e.woke <- struct{}{}: // the registered entries are read anew
+	default:
+	}
 }
 
-// endPaused ends the requests that were taken before a pause.
+// endPaused ends the requests that were taken before a pause, and the DELETEs: entries may
+// have joined meanwhile that do not know of these.
 func (s *state) endPaused(now, pause time.Duration) {
 	if len(s.requests) > 0 {
 		s.e.deps.Metrics.Count("bergamotwing_requests_paused_total", "Requests that were ended since the process had paused for so long that their clients may have sent their jobs elsewhere.", int64(len(s.requests)))
@@ -69,6 +75,9 @@
 		s.cancelAtHome(now, r)
 		s.answer(id, dispatch.Outcome{Code: result.OutcomeUnknown, Detail: "the entry has paused for " + pause.String()})
 	}
+	for number, d := range s.deletes {
+		s.endDelete(number, d, deleteUnanswered)
+	}
 }
 
 // dropSilentAgents drops the links of the agents that have dropped theirs during an absence,
@@ -106,3 +115,7 @@
 	m.reply <- dispatch.Outcome{Code: result.OutcomeUnknown, Detail: "the request may have waited while the entry paused"}
 	return true
 }
+
+// membersOutdated reports whether the registered entries were last read before this process
+// woke, so that entries may have joined of which it does not know.
+func (s *state) membersOutdated() bool { return s.wokeAt > 0 && s.membersReadAt <= s.wokeAt }
--- a/hosted/entry/store.go
+++ b/hosted/entry/store.go
@@ -171,6 +171,7 @@
 		}
 		select {
 		case <-ctx.Done():
+		case <-e.woke:
 		case <-time.After(pause):
 		}
 	}
@@ -205,11 +206,12 @@
 func (e *Entry) readMembers(ctx context.Context) (members []mesh.MemberRow, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	began := mesh.Now()
 	members, odd, err := mesh.ReadMembers(ctx, e.store)
 	if err != nil {
 		return nil, false // the watch of the operator's state logs that the store fails
 	}
 	e.odd.Report(odd...)
-	e.actor.Send(control.MembersRead{Members: members})
+	e.actor.Send(control.MembersRead{Members: members, Began: began})
 	return members, true
 }
--- a/hosted/entry/wake_test.go
+++ b/hosted/entry/wake_test.go
@@ -70,17 +70,6 @@
 	}
 }
 
-// Guards against two pauses, between which the entry had no time to be linked, hiding that it
-// was away for long enough to be removed.
-func TestPausesInShortOrderHaveTheCancelledJobsReadAnew(t *testing.T) {
-	e, _ := withStore(t)
-	now := wakeFrom(e, mesh.Now(), removeAfter/2-time.Second)
-	wakeFrom(e, now, time.Second)
-	if e.cancelsKnown.Load() {
-		t.Error("takes jobs")
-	}
-}
-
 // Guards against taking a link whose hello and first messages waited while the process paused.
 func TestALinkThatBeganBeforeAnEntryWokeIsClosed(t *testing.T) {
 	for _, role := range []string{wire.RoleEntry, wire.RoleAgent} {
@@ -136,3 +125,63 @@
 		t.Error("the agent is still linked, so its answer is applied")
 	}
 }
+
+// Guards against two pauses, between which the entry had no time to be linked, hiding that it
+// was away for long enough to be removed.
+func TestPausesInShortOrderHaveTheCancelledJobsReadAnew(t *testing.T) {
+	e, _ := withStore(t)
+	now := wakeFrom(e, mesh.Now(), removeAfter/2-time.Second)
+	wakeFrom(e, now, time.Second)
+	if e.cancelsKnown.Load() {
+		t.Error("takes jobs")
+	}
+}
+
+// Guards against acknowledging a DELETE that was taken before a pause: an entry that has
+// joined meanwhile may have read the table before its row was written.
+func TestADeleteThatWasTakenBeforeAnEntryPausedIsNotAcknowledged(t *testing.T) {
+	e, writes := withStore(t)
+	now := mesh.Now()
+	known := make(chan deleteResult, 1)
+	e.receive(now, control.Tick{})
+	e.receive(now, deleteJob{job: "j", known: known})
+	if len(*writes) != 1 {
+		t.Fatalf("%d writes", len(*writes))
+	}
+	e.receive(now+deleteTimeout-1, cancelsWritten{set: []string{"j"}})
+	if len(known) == 0 {
+		t.Fatal("not answered")
+	}
+	if got := <-known; got != deleteUnanswered {
+		t.Errorf("answered %v, want %v", got, deleteUnanswered)
+	}
+}
+
+// Guards against acknowledging a DELETE by a list of entries from before a pause.
+func TestADeleteAfterAPauseWaitsUntilTheEntriesAreReadAnew(t *testing.T) {
+	e, _ := withStore(t)
+	began := mesh.Now()
+	now := wakeFrom(e, began, time.Second)
+	for _, tc := range []struct {
+		what string
+		read time.Duration // when the list of entries is read; 0: it is not
+		want bool
+	}{
+		{"not read since", 0, false},
+		{"read before the wake", now - 1, false},
+		{"read after the wake", now + 1, true},
+	} {
+		if tc.read > 0 {
+			e.receive(now+1, control.MembersRead{Began: tc.read})
+		}
+		known := make(chan deleteResult, 1)
+		e.receive(now+1, deleteJob{job: "j", known: known})
+		e.receive(now+1, cancelsWritten{set: []string{"j"}})
+		if len(known) == 0 {
+			t.Fatalf("%s: not answered", tc.what)
+		}
+		if got := <-known; (got == deleteNotOpen) != tc.want {
+			t.Errorf("%s: answered %v", tc.what, got)
+		}
+	}
+}
