A dial that was refused before a pause does not excuse an entry from a DELETE

Cause: a DELETE does not wait for a registered entry whose address has refused a dial within the last second, as no process runs there. The second was counted from when the refusal was handled. One from before a pause, handled after it, excused an entry that had started meanwhile and had read the cancelled jobs before this one's row was written. Change: the second counts from the dial, and dials from before the wake do not count. Found by reading; no run with real processes shows it.

--- a/hosted/control/control.go
+++ b/hosted/control/control.go
@@ -64,8 +64,11 @@
 		Link    *mesh.Link
 		Message wire.Message
 	}
-	// Refused says that nothing listens at an address.
-	Refused struct{ Addr string }
+	// Refused says that nothing listened at an address.
+	Refused struct {
+		Addr   string
+		Dialed time.Duration // when it was dialed
+	}
 	// MembersRead carries the entries registered in the store.
 	MembersRead struct {
 		Members []mesh.MemberRow
@@ -116,7 +119,7 @@
 func (a *Actor) Received(l *mesh.Link, m wire.Message) { a.Send(Received{l, m}) }
 
 // Refused implements mesh.Events.
-func (a *Actor) Refused(addr string) { a.Send(Refused{addr}) }
+func (a *Actor) Refused(addr string, dialed time.Duration) { a.Send(Refused{addr, dialed}) }
 
 // NewIncarnation returns a random number that tells this incarnation of a process from others.
 func NewIncarnation() wire.Incarnation {
--- a/hosted/entry/cancelled_test.go
+++ b/hosted/entry/cancelled_test.go
@@ -32,9 +32,9 @@
 		want deleteResult
 	}{
 		{"without a link", func(*state, time.Duration) {}, deleteUnanswered},
-		{"its address refuses", func(s *state, now time.Duration) { s.refused(now, member.Addr) }, deleteCancelled},
-		{"its address refused long before", func(s *state, now time.Duration) { s.refused(now-refusedFor-1, member.Addr) }, deleteUnanswered},
-		{"another address refuses", func(s *state, now time.Duration) { s.refused(now, "10.0.0.8:7720") }, deleteUnanswered},
+		{"its address refuses", func(s *state, now time.Duration) { s.refused(now, member.Addr, now) }, deleteCancelled},
+		{"its address refused long before", func(s *state, now time.Duration) { s.refused(now-refusedFor-1, member.Addr, now-refusedFor-1) }, deleteUnanswered},
+		{"another address refuses", func(s *state, now time.Duration) { s.refused(now, "10.0.0.8:7720", now) }, deleteUnanswered},
 		{"its row was removed", func(s *state, now time.Duration) { s.setMembers(now, nil) }, deleteCancelled},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/hosted/entry/control.go
+++ b/hosted/entry/control.go
@@ -62,7 +62,7 @@
 	deleted         deletedJobs
 	cancels         cancelWrites
 	storeCancels    func(set, remove []string) // writes rows of cancelled jobs, and sends cancelsWritten; nil: there is no store
-	refusedAt       map[string]time.Duration   // when a dial of an entry's address was last refused, by the address
+	refusedAt       map[string]time.Duration   // when an entry's address was last dialed and refused, by the address
 	home            map[dispatch.Shard]string  // entry that holds the shard's queue
 	shardCounts     shardCounts
 	peerShardCounts map[string]shardCounts // as sent by other entries, by name
@@ -180,7 +180,7 @@
 	case control.LinkDown:
 		s.linkDown(now, m.Link)
 	case control.Refused:
-		s.refused(now, m.Addr)
+		s.refused(now, m.Addr, m.Dialed)
 	case control.Received:
 		s.received(now, m.Link, m.Message)
 	case control.MembersRead:
--- a/hosted/entry/deletes.go
+++ b/hosted/entry/deletes.go
@@ -81,7 +81,7 @@
 		return true
 	}
 	for name, m := range s.members {
-		if at, refused := s.refusedAt[m.Addr]; s.peers[name] == nil && (!refused || now-at > refusedFor) {
+		if at, refused := s.refusedAt[m.Addr]; s.peers[name] == nil && (!refused || at < s.wokeAt || now-at > refusedFor) {
 			return true
 		}
 	}
--- a/hosted/entry/peers.go
+++ b/hosted/entry/peers.go
@@ -98,10 +98,10 @@
 	delete(s.peerShardCounts, name)
 }
 
-// refused declares the entries at an address lost: no process listens there. Only
+// refused declares the entries at an address lost: no process listened there. Only
 // entries whose link is down are concerned.
-func (s *state) refused(now time.Duration, addr string) {
-	s.refusedAt[addr] = now
+func (s *state) refused(now time.Duration, addr string, dialed time.Duration) {
+	s.refusedAt[addr] = dialed
 	for name, lost := range s.lost {
 		if s.members[name].Addr == addr {
 			delete(s.lost, name)
--- a/hosted/entry/wake_test.go
+++ b/hosted/entry/wake_test.go
@@ -200,3 +200,23 @@
 		t.Errorf("without a link since %v before the wake, want since the wake", now-since)
 	}
 }
+
+// Guards against leaving out, at a DELETE, an entry that has started since its address was
+// dialed before a pause.
+func TestADialThatWasRefusedBeforeAPauseDoesNotCount(t *testing.T) {
+	for _, before := range []bool{true, false} {
+		e, _ := withStore(t)
+		began := mesh.Now()
+		now := wakeFrom(e, began, time.Second/2)
+		e.state.membersReadAt = now + 1
+		e.state.members["x"] = mesh.MemberRow{Member: wire.Member{Name: "x", Addr: "127.0.0.1:1"}}
+		dialed := now
+		if before {
+			dialed = began
+		}
+		e.receive(now+1, control.Refused{Addr: "127.0.0.1:1", Dialed: dialed})
+		if missing := e.state.anyEntryMissing(now + 1); missing != before {
+			t.Errorf("dialed before the wake %v: an entry is missing %v", before, missing)
+		}
+	}
+}
--- a/hosted/mesh/mesh.go
+++ b/hosted/mesh/mesh.go
@@ -69,8 +69,9 @@
 	LinkUp(l *Link)
 	LinkDown(l *Link)
 	Received(l *Link, m wire.Message)
-	// Refused reports that nothing listens at an address: the process has exited.
-	Refused(addr string)
+	// Refused reports that nothing listened at an address when it was dialed: the process
+	// has exited.
+	Refused(addr string, dialed time.Duration)
 }
 
 // Mesh holds the links of one process.
@@ -192,7 +193,7 @@
 	dialedAt := Now()
 	l, err := wire.Dial(dialCtx, addr, linkPath, "", nil, m.obs)
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		m.events.Refused(addr)
+		m.events.Refused(addr, dialedAt)
 	}
 	if err != nil {
 		return false
--- a/hosted/mesh/redial_test.go
+++ b/hosted/mesh/redial_test.go
@@ -26,7 +26,7 @@
 }
 func (*closing) LinkDown(*mesh.Link)               {}
 func (*closing) Received(*mesh.Link, wire.Message) {}
-func (*closing) Refused(string)                    {}
+func (*closing) Refused(string, time.Duration)     {}
 
 // An entry closes the older of two links to the same process. If a list has two
 // addresses of a process, the links to them replace each other.
@@ -62,7 +62,7 @@
 func (k *keeping) LinkUp(l *mesh.Link)             { k.up <- l }
 func (k *keeping) LinkDown(l *mesh.Link)           { k.down <- l }
 func (*keeping) Received(*mesh.Link, wire.Message) {}
-func (*keeping) Refused(string)                    {}
+func (*keeping) Refused(string, time.Duration)     {}
 
 // Runs and requests that rest on a link go on for less than a second after its loss.
 func TestALinkIsMadeAnewSoonAfterItsLoss(t *testing.T) {
