At a wake only agents that were silent lose their links

Cause: dropped the links of all agents once the pauses that count as one were longer than 4.5 s, also of those that had been linked between two of them. A pause of 0.4 s soon after one of 5 s took an entry its agents. Change: each agent's link is dropped by the time since it was last heard. Once the cancelled jobs are to be read again all are, as any of them may have been asked before.

--- a/hosted/entry/cancelledstore.go
+++ b/hosted/entry/cancelledstore.go
@@ -109,15 +109,16 @@
 }
 
 // doubtCancels has the cancelled jobs read anew after an absence in which the others may have
-// removed this entry's row and acknowledged DELETEs without it.
-func (s *state) doubtCancels(absence time.Duration) {
+// removed this entry's row and acknowledged DELETEs without it. It reports whether it does so.
+func (s *state) doubtCancels(absence time.Duration) bool {
 	if s.storeCancels == nil || absence < removeAfter/2 {
-		return
+		return false
 	}
 	s.e.deps.Log.Warn().Str("event", "cancels_doubted").Dur("absence_ms", absence).Msg("cancelled jobs are read anew after a pause")
 	s.e.cancelDoubts.Add(1)
 	s.e.cancelsKnown.Store(false)
 	s.agentReads.asked = nil // its answer may have waited
+	return true
 }
 
 // noteStoreClock records the store's clock as of a read that has just been answered.
--- a/hosted/entry/pause.go
+++ b/hosted/entry/pause.go
@@ -44,9 +44,11 @@
 // them, without the ends of their connections having arrived. So this entry does not act on
 // what it was sent before it woke, except where that does no harm (docs/design/cancels.md).
 func (s *state) wake(now, began time.Duration) {
-	absence := s.absences.add(began, now)
-	s.doubtCancels(absence)
-	s.dropSilentAgents(now, absence)
+	silence := agentLinkTimeout
+	if s.doubtCancels(s.absences.add(began, now)) {
+		silence = 0 // any of them may have been asked for the cancelled jobs before
+	}
+	s.dropSilentAgents(now, silence)
 	pause := s.pauses.add(began, now)
 	if pause <= s.longestPause() {
 		return
@@ -81,15 +83,14 @@
 	}
 }
 
-// dropSilentAgents drops the links of the agents that have dropped theirs during an absence,
-// with what these have brought and is not handled yet.
-func (s *state) dropSilentAgents(now, absence time.Duration) {
-	if absence <= agentLinkTimeout {
-		return
-	}
+// dropSilentAgents drops the links of agents from which nothing was received for the given
+// time, with what these have brought since and is not handled yet. Agents close such links.
+func (s *state) dropSilentAgents(now, silence time.Duration) {
 	for _, p := range s.agents {
-		p.Close()
-		s.agentDown(now, p.Link)
+		if now-p.LastReceived >= silence {
+			p.Close()
+			s.agentDown(now, p.Link)
+		}
 	}
 }
 
--- a/hosted/entry/wake_test.go
+++ b/hosted/entry/wake_test.go
@@ -220,3 +220,19 @@
 		}
 	}
 }
+
+// Guards against dropping the link of an agent that has been heard between two pauses.
+func TestAnAgentThatWasLinkedBetweenTwoPausesStaysLinked(t *testing.T) {
+	e := newTestState(t).e
+	now := 100 * time.Second
+	_, _ = linkAgentTo(e, now, "silent")
+	now = wakeFrom(e, now, agentLinkTimeout+time.Millisecond)
+	if len(e.state.agents) > 0 {
+		t.Error("an agent that was silent for as long as both sides wait is still linked")
+	}
+	_, _ = linkAgentTo(e, now, "heard")
+	wakeFrom(e, now, 400*time.Millisecond)
+	if len(e.state.agents) != 1 {
+		t.Error("the agent that was linked between the pauses has lost its link")
+	}
+}
